--- /dev/null
+++ b/ploverspoke/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""The decisions and the host interface they act through."""
--- /dev/null
+++ b/ploverspoke/decisions/dispatcher.py
@@ -0,0 +1,421 @@
+"""Every decision of one dispatcher.
+
+A host builds one `Dispatcher` with itself, a seed and the standing orders (a plain map of names to values,
+times in nanoseconds), then calls one method for each thing that happens, under "What can happen" below. The
+dispatcher acts by calling the host, whose interface is `ploverspoke/decisions/host.py`; `docs/design.md` says
+where each part comes from. Nothing here knows a wire, and two dispatchers share nothing.
+"""
+
+from collections import deque
+from collections.abc import Iterable, Mapping
+from math import exp, log
+from typing import Any
+
+from .host import Host, Listing, StandingOrders
+
+MILLISECOND = 1_000_000
+SECOND = 1_000_000_000
+
+TICKS_PER_ARRIVAL = 5  # the shared clock's rate, in our arrival rate
+EPSILON = 0.5
+FIRST_ROOM = 2.0  # slots a worker is believed to hold before it has taught us more
+ROOM_DRIFT_PER_SECOND = 0.5  # slots by which a cut room returns
+NEVER_RAN = frozenset({"full", "unreachable", "not_sent"})
+
+
+class Chance:
+    """A linear congruential generator; only the high bits are used."""
+
+    def __init__(self, seed: int) -> None:
+        self.state = seed & 0xFFFF_FFFF_FFFF_FFFF
+        self.fraction()
+
+    def fraction(self) -> float:
+        self.state = (self.state * 6364136223846793005 + 1442695040888963407) & 0xFFFF_FFFF_FFFF_FFFF
+        return (self.state >> 32) / 4294967296.0
+
+    def below(self, n: int) -> int:
+        return int(self.fraction() * n)
+
+
+class Worker:
+    """What this dispatcher knows of one worker."""
+
+    def __init__(self, listing: Listing) -> None:
+        self.name = listing.worker
+        self.listing = listing
+        self.ready = False
+        self.in_flight = 0  # slots of ours
+        self.room = FIRST_ROOM
+        self.room_before_cut = FIRST_ROOM
+        self.room_at = 0  # when the room last drifted
+        self.out: dict[int, Submission] = {}  # our hand-offs there, by submission
+        self.placeholders: deque[tuple[JobType, int]] = deque()  # type and end
+        self.warm_at = 0
+        self.cold_sends: deque[tuple[int, float]] = deque()
+
+
+class JobType:
+    """The first-come queue of one slot count and worker kind."""
+
+    def __init__(self, slots: float, machine_kind: int) -> None:
+        self.slots = slots
+        self.machine_kind = machine_kind
+        self.queue: deque[Submission] = deque()
+        self.running_times: deque[int] = deque(maxlen=16)
+
+    def mean_running_time(self) -> int:
+        return sum(self.running_times) // len(self.running_times) if self.running_times else 0
+
+
+class Submission:
+    """One submission taken and not yet answered."""
+
+    def __init__(self, submission_id: int, grade: int, job_type: JobType, arrived: int, abandon_at: int) -> None:
+        self.id = submission_id
+        self.grade = grade
+        self.type = job_type
+        self.arrived = arrived
+        self.abandon_at = abandon_at
+        self.hand_offs = 0
+        self.at: Worker | None = None  # where it is out now
+        self.sent_at = 0
+        self.started_at = 0
+        self.group: tuple[str, int] | None = None  # a repeat must stay in here...
+        self.group_until = 0  # ...and be sent before this
+
+
+class Dispatcher:
+    def __init__(self, host: Host, seed: int, standing_orders: StandingOrders) -> None:
+        self.host = host
+        self.orders: Mapping[str, Any] = standing_orders
+        self.chance = Chance(seed)
+        self.workers: dict[str, Worker] = {}
+        self.types: dict[tuple[float, int], JobType] = {}
+        self.open: dict[int, Submission] = {}
+        self.arrivals: deque[int] = deque(maxlen=32)
+        self.clock_runs = False
+        self.roster_failures = 0
+        self.due: dict[int, Submission | str] = {}
+        self.next_token = 1
+        if self.orders["roster_must_be_asked"]:
+            self.host.watch_roster()
+
+    # ---- What can happen ----
+
+    def submission_arrived(
+        self,
+        submission_id: int,
+        grade: int,
+        slots: float,
+        abandon_at: int,
+        customer: int,
+        work_hint: int,
+        subject: str,
+        is_retry: bool,
+    ) -> None:
+        """The ordinary path, from top to bottom."""
+        now = self.host.now()
+        self.arrivals.append(now)
+        job_type = self._job_type(slots, self.orders["machine_kind_needed"][grade])
+        job = Submission(submission_id, grade, job_type, now, abandon_at)
+        self.open[submission_id] = job
+        if abandon_at - now <= self.orders["round"]:
+            self._finish_unsatisfied(job)
+            return
+        # A placeholder of ours of this type gives up its place.
+        worker = self._worker_with_placeholder(job_type, now)
+        # A type without backlog takes a tick at once.
+        if worker is None and not job_type.queue:
+            worker = self._two_choice_pick(job_type, now, job)
+        if worker is not None:
+            self._hand_off(job, worker, now)
+            return
+        # Else it waits its turn; ticks and replacements draw from the queue's head.
+        job_type.queue.append(job)
+        self._wake(job, abandon_at - self.orders["round"])
+        self._run_clock(now)
+
+    def hand_off_started(self, submission_id: int, hand_off: int) -> None:
+        job = self.open.get(submission_id)
+        if job is None or job.at is None or hand_off != job.hand_offs - 1:
+            return
+        job.started_at = self.host.now()
+        self._accepted(job.at)
+
+    def hand_off_progressed(self, submission_id: int, hand_off: int, share_done: float) -> None:
+        pass
+
+    def hand_off_ended(
+        self,
+        submission_id: int,
+        hand_off: int,
+        worker_name: str,
+        outcome: str,
+        took: int,
+        finished: bool,
+        load: Mapping[str, float] | None,
+    ) -> None:
+        now = self.host.now()
+        worker = self.workers[worker_name]
+        job = worker.out.pop(submission_id, None)
+        if job is None:
+            return
+        worker.in_flight -= job.type.slots
+        job.at = None
+        if outcome == "satisfied":
+            if job.started_at:
+                job.type.running_times.append(now - job.started_at)
+            else:
+                job.type.running_times.append(took)
+                self._accepted(worker)
+        elif outcome == "full":
+            self._cut_room(worker, now)
+        if finished:
+            self.open.pop(submission_id, None)
+        if submission_id in self.open:
+            self._decide_again(job, worker, outcome, now)
+        if outcome == "satisfied":
+            self._replace(job.type, worker, now)
+
+    def client_left(self, submission_id: int) -> None:
+        job = self.open.pop(submission_id, None)
+        if job is not None and job.at is None and job in job.type.queue:
+            job.type.queue.remove(job)
+
+    def roster_complete(self, listings: Iterable[Listing]) -> None:
+        self.roster_failures = 0
+        shown = set()
+        for listing in listings:
+            shown.add(listing.worker)
+            self._list(listing)
+        for worker in self.workers.values():
+            if worker.name not in shown:
+                worker.ready = False
+
+    def roster_changed(self, listings: Iterable[Listing]) -> None:
+        self.roster_failures = 0
+        for listing in listings:
+            self._list(listing)
+
+    def roster_lost(self) -> None:
+        """The watch failed or dropped: watch again, after a wait that grows."""
+        self.roster_failures += 1
+        wait = min(250 * MILLISECOND << min(self.roster_failures, 5), self.orders["roster_ask_within"] // 4)
+        self._wake("watch", self.host.now() + int(wait * (0.5 + self.chance.fraction())))
+
+    def probe_answered(self, worker_name: str, outcome: str, took: int, load: Mapping[str, float] | None) -> None:
+        pass
+
+    def woken(self, token: int) -> None:
+        what = self.due.pop(token, None)
+        if what == "watch":
+            self.host.watch_roster()
+        elif what == "tick":
+            self.clock_runs = False
+            self._tick(self.host.now())
+        elif isinstance(what, Submission) and what.id in self.open and what.at is None:
+            what.type.queue.remove(what)
+            self._finish_unsatisfied(what)
+
+    # ---- The mechanism ----
+
+    def _tick(self, now: int) -> None:
+        """Draw a type by exp(w); its head goes to a roomy worker, or an idle type leaves a placeholder."""
+        weights = self._weights()
+        shares = [exp(w) for w in weights]
+        draw = self.chance.fraction() * sum(shares)
+        for job_type, share in zip(self.types.values(), shares, strict=True):
+            draw -= share
+            if draw < 0:
+                break
+        head = job_type.queue[0] if job_type.queue else None
+        worker = self._two_choice_pick(job_type, now, head)
+        if worker is not None:
+            if head is not None:
+                job_type.queue.popleft()
+                self._hand_off(head, worker, now)
+            else:
+                worker.placeholders.append((job_type, now + job_type.mean_running_time()))
+        self._run_clock(now)
+
+    def _run_clock(self, now: int) -> None:
+        """The clock stands still while nothing waits: a tick could then only leave placeholders."""
+        if self.clock_runs or not any(t.queue for t in self.types.values()):
+            return
+        self.clock_runs = True
+        rate = TICKS_PER_ARRIVAL * self._arrival_rate(now)
+        gap = -log(1.0 - self.chance.fraction()) / rate
+        self._wake("tick", now + min(int(gap * SECOND), SECOND))
+
+    def _weights(self) -> list[float]:
+        longest = max(len(t.queue) for t in self.types.values())
+        smallest = min(t.slots for t in self.types.values()) or 1.0
+        most_jobs = max(1.0, max((w.room for w in self.workers.values()), default=1.0) / smallest)
+        least = EPSILON / (8 * most_jobs) * log(1 + longest)
+        return [max(log(1 + len(t.queue)), least) for t in self.types.values()]
+
+    def _replace(self, job_type: JobType, worker: Worker, now: int) -> None:
+        """Our job was served: another of its type takes the place with chance 1 - exp(-w)."""
+        if not worker.ready or not any(t.queue for t in self.types.values()):
+            return
+        weight = self._weights()[list(self.types.values()).index(job_type)]
+        if self.chance.fraction() >= 1 - exp(-weight):
+            return
+        if not job_type.queue:
+            worker.placeholders.append((job_type, now + job_type.mean_running_time()))
+        elif self._allowed(worker, job_type, now, job_type.queue[0]):
+            self._hand_off(job_type.queue.popleft(), worker, now)
+
+    def _two_choice_pick(self, job_type: JobType, now: int, job: Submission | None) -> Worker | None:
+        """Of two drawn at random among the roomy, the one with fewer of our slots in flight."""
+        roomy = [
+            w
+            for w in self.workers.values()
+            if w.ready and self._free(w, now) >= job_type.slots and self._allowed(w, job_type, now, job)
+        ]
+        if not roomy:
+            return None
+        if len(roomy) == 1:
+            return roomy[0]
+        first = self.chance.below(len(roomy))
+        second = self.chance.below(len(roomy) - 1)
+        a, b = roomy[first], roomy[second + (second >= first)]
+        return b if b.in_flight < a.in_flight else a
+
+    def _worker_with_placeholder(self, job_type: JobType, now: int) -> Worker | None:
+        for worker in self.workers.values():
+            if worker.placeholders and worker.ready:
+                self._expire_placeholders(worker, now)
+                for held in worker.placeholders:
+                    if held[0] is job_type and self._allowed(worker, job_type, now, None):
+                        worker.placeholders.remove(held)
+                        return worker
+        return None
+
+    def _free(self, worker: Worker, now: int) -> float:
+        """Believed free slots; placeholders count only beside real jobs of ours."""
+        if worker.room < worker.room_before_cut:
+            drift = (now - worker.room_at) / SECOND * ROOM_DRIFT_PER_SECOND
+            worker.room = min(worker.room_before_cut, worker.room + drift)
+            worker.room_at = now
+        free = worker.room - worker.in_flight
+        if worker.placeholders and worker.in_flight:
+            self._expire_placeholders(worker, now)
+            free -= sum(held[0].slots for held in worker.placeholders)
+        return free
+
+    def _expire_placeholders(self, worker: Worker, now: int) -> None:
+        while worker.placeholders and worker.placeholders[0][1] <= now:
+            worker.placeholders.popleft()
+
+    def _accepted(self, worker: Worker) -> None:
+        worker.room += 1
+        worker.room_before_cut = max(worker.room, worker.room_before_cut)
+
+    def _cut_room(self, worker: Worker, now: int) -> None:
+        worker.room = max(float(worker.in_flight), FIRST_ROOM)
+        worker.room_at = now
+
+    # ---- Hand-offs and answers ----
+
+    def _allowed(self, worker: Worker, job_type: JobType, now: int, job: Submission | None) -> bool:
+        """Whether the rules and the job's needs let it go there."""
+        listing = worker.listing
+        if not worker.ready or job_type.machine_kind not in (-1, listing.machine_kind):
+            return False
+        if worker.warm_at > now and not self._cold_budget_allows(worker, job_type, now):
+            return False
+        if job is not None and job.group is not None:
+            return job.group == self._group_of(job, worker)
+        return True
+
+    def _hand_off(self, job: Submission, worker: Worker, now: int) -> None:
+        while worker.placeholders and self._free(worker, now) < job.type.slots:
+            worker.placeholders.popleft()  # taken over
+        job.hand_offs += 1
+        job.at = worker
+        job.sent_at = now
+        job.started_at = 0
+        worker.out[job.id] = job
+        worker.in_flight += job.type.slots
+        if worker.warm_at > now:
+            worker.cold_sends.append((now, job.type.slots * (job.type.mean_running_time() or SECOND)))
+        self.host.hand_off(job.id, worker.name, max(1, job.abandon_at - self.orders["round"] - now))
+
+    def _decide_again(self, job: Submission, worker: Worker, outcome: str, now: int) -> None:
+        """A hand-off ended without satisfying: try again where the grade and the time left allow it."""
+        if outcome not in NEVER_RAN and job.group is None:
+            repeat = self.orders["repeat"][job.grade]
+            if repeat == "irreversible":
+                job.group, job.group_until = ("none", 0), 0
+            elif repeat == "labelled":
+                job.group = self._group_of(job, worker)
+                job.group_until = job.sent_at + self.orders["repeat_window"][job.grade]
+        last_chance = job.abandon_at - self.orders["round"]
+        if job.group is not None:
+            last_chance = min(last_chance, job.group_until)
+        if now >= last_chance or job.hand_offs >= self.orders["most_hand_offs"]:
+            self._finish_unsatisfied(job)
+            return
+        job.type.queue.appendleft(job)
+        self._wake(job, last_chance)
+        self._run_clock(now)
+
+    def _finish_unsatisfied(self, job: Submission) -> None:
+        del self.open[job.id]
+        redoable = self.orders["repeat"][job.grade] == "redoable"
+        if redoable or job.group is None or job.group == ("all", 0):
+            self.host.nack(job.id, 0)
+        else:
+            self.host.abandon(job.id)
+
+    def _group_of(self, job: Submission, worker: Worker) -> tuple[str, int]:
+        scope = self.orders["repeat_group"][job.grade]
+        if scope == "zone":
+            return scope, worker.listing.zone
+        return (scope, worker.listing.rack) if scope == "rack" else ("all", 0)
+
+    # ---- Workers and the roster ----
+
+    def _list(self, listing: Listing) -> None:
+        worker = self.workers.get(listing.worker)
+        if worker is None:
+            worker = self.workers[listing.worker] = Worker(listing)
+        if listing.started_at > worker.listing.started_at or (listing.started_at and not worker.warm_at):
+            worker.warm_at = listing.started_at + self.orders["warm_within"]
+            worker.room = worker.room_before_cut = FIRST_ROOM
+        worker.listing = listing
+        worker.ready = listing.condition == "ready"
+
+    def _cold_budget_allows(self, worker: Worker, job_type: JobType, now: int) -> bool:
+        """A part of what a cold worker bears, as if every dispatcher sent it as much as we do."""
+        window = self.orders["fall_within"]
+        while worker.cold_sends and worker.cold_sends[0][0] <= now - window:
+            worker.cold_sends.popleft()
+        warmth = 1 - max(0.0, (worker.warm_at - now) / self.orders["warm_within"])
+        capacity = self.orders["cold_share"] + (1 - self.orders["cold_share"]) * warmth
+        kin = [w.room for w in self.workers.values() if w.warm_at <= now]
+        slots = min(kin, default=FIRST_ROOM)
+        budget = self.orders["tip_multiple"] * capacity * min(slots, 4) * window / 2
+        mine = sum(work for _, work in worker.cold_sends)
+        cost = job_type.slots * (job_type.mean_running_time() or SECOND)
+        return mine + cost <= budget / self.orders["dispatchers"]
+
+    # ---- Small helpers ----
+
+    def _job_type(self, slots: float, machine_kind: int) -> JobType:
+        found = self.types.get((slots, machine_kind))
+        if found is None:
+            found = self.types[slots, machine_kind] = JobType(slots, machine_kind)
+        return found
+
+    def _arrival_rate(self, now: int) -> float:
+        """Our arrivals a second, from the last few."""
+        span = now - self.arrivals[0]
+        return len(self.arrivals) * SECOND / max(span, 100 * MILLISECOND)
+
+    def _wake(self, what: Submission | str, when: int) -> None:
+        self.due[self.next_token] = what
+        self.host.wake_at(self.next_token, when)
+        self.next_token += 1
--- /dev/null
+++ b/ploverspoke/decisions/host.py
@@ -0,0 +1,53 @@
+"""What the decisions ask of whoever runs them.
+
+A host calls one method of `dispatcher.Dispatcher` for each thing that happens, and the dispatcher acts by
+calling the methods below before it returns. Times are whole nanoseconds of one monotonic clock.
+"""
+
+from collections.abc import Mapping
+from typing import Any, NamedTuple, Protocol
+
+StandingOrders = Mapping[str, Any]
+
+
+class Listing(NamedTuple):
+    """One worker as the roster shows it."""
+
+    worker: str
+    zone: int
+    machine_kind: int
+    rack: int
+    condition: str  # "ready", "draining" or "gone"
+    weight: float
+    started_at: int  # 0: long past
+
+
+class Host(Protocol):
+    """The actions open to a dispatcher."""
+
+    def now(self) -> int:
+        """The clock."""
+
+    def hand_off(self, submission_id: int, worker: str, time_out: int) -> None:
+        """Send the submission to the worker and wait at most `time_out` for its answer."""
+
+    def recall(self, submission_id: int, hand_off: int) -> None:
+        """Stop waiting for one hand-off, counted from 0; its end is still reported, once."""
+
+    def nack(self, submission_id: int, come_back_after: int) -> None:
+        """Final answer: not done, and trying again is harmless; 0 gives no advice on when."""
+
+    def abandon(self, submission_id: int) -> None:
+        """Final answer: not done as far as is known, with no promise about its effect."""
+
+    def wake_at(self, token: int, when: int) -> None:
+        """Call `woken(token)` at that time or as soon as possible after it."""
+
+    def probe(self, worker: str) -> None:
+        """Ask a worker for its load."""
+
+    def watch_roster(self) -> None:
+        """Subscribe to the roster; answered by one roster call, and then by one for each change."""
+
+    def log(self, line: str) -> None:
+        """Say something to the person on call."""
--- /dev/null
+++ b/ploverspoke/simwire/__init__.py
@@ -0,0 +1,1 @@
+"""The simulator's wire: codec and adapter, without decisions."""
--- /dev/null
+++ b/ploverspoke/simwire/__main__.py
@@ -0,0 +1,7 @@
+"""Runs the adapter on standard input and output."""
+
+import sys
+
+from .adapter import main
+
+sys.exit(main())
--- /dev/null
+++ b/ploverspoke/simwire/adapter.py
@@ -0,0 +1,348 @@
+"""Plays dispatchers on the simulator's wire: events in, actions out, no decisions of its own."""
+
+import gc
+import sys
+import traceback
+from collections.abc import Callable, Mapping
+from typing import Any, TextIO
+
+from ploverspoke.decisions.dispatcher import Dispatcher
+from ploverspoke.decisions.host import Listing
+
+from .codec import Fields, Malformed, read_line, write_line
+
+MICROSECOND = 1_000  # in nanoseconds
+
+OUTCOMES = {
+    "delivered": "satisfied",
+    "app_error": "worker_error",
+    "shed": "full",
+    "expired": "timed_out",
+    "dial_failed": "unreachable",
+    "dropped": "broken_off",
+    "revoked": "recalled",
+    "unused": "not_sent",
+}
+CONDITIONS = {"Ready": "ready", "Terminating": "draining", "Gone": "gone"}
+REPEATS = {"free": "redoable", "guarded": "labelled", "single_shot": "irreversible"}
+GROUPS = {"all": "all", "zone": "zone", "cell": "rack"}
+LOAD_NAMES = {
+    "outstanding": "in_hand",
+    "backlog": "waiting",
+    "utilization": "busy_share",
+    "recent_ms": "recent_milliseconds",
+    "throughput": "satisfied_per_second",
+    "errors_per_s": "errors_per_second",
+    "x0": "x0",
+    "x1": "x1",
+}
+
+
+def standing_orders(profile: Mapping[str, Any]) -> dict[str, Any]:
+    """The settings of a start-up message as one plain map, under our words and in nanoseconds."""
+
+    def part(name: str) -> Mapping[str, Any]:
+        value = profile.get(name, {})
+        if not isinstance(value, dict):
+            raise Malformed(f"setting {name} is no object")
+        return value
+
+    def needed(table: Mapping[str, Any], name: str) -> Any:
+        if name not in table:
+            raise Malformed(f"required setting {name} is missing")
+        return table[name]
+
+    def time(table: Mapping[str, Any], name: str) -> int:
+        return int(needed(table, name)) * MICROSECOND
+
+    def word(table: Mapping[str, str], value: str) -> str:
+        if value not in table:
+            raise Malformed(f"setting has the unknown value {value!r}")
+        return table[value]
+
+    grades = needed(profile, "ServiceGrades")
+    limits, rules, domain, prices = part("Limits"), part("Invariants"), part("Domain"), part("Tariffs")
+    report, goal = part("Report"), part("Goal")
+    customers = profile.get("Tenants") or []
+    return {
+        "round": int(profile.get("RoundUs", 0)) * MICROSECOND,
+        "dispatchers": int(profile.get("PeersTotal", 1)),
+        "dispatcher_number": int(profile.get("SlotNo", 0)),
+        "zone": int(profile.get("Zone", 0)),
+        "roster_must_be_asked": profile.get("Discovery") == "ask",
+        "roster_ask_within": int(rules.get("MustAskInUs", 0)) * MICROSECOND,
+        "weight_meaning": profile.get("WeightKind", "off"),
+        # One value for each service grade.
+        "expected_time": [time(g, "ExpectedTimeUs") for g in grades],
+        "abandon_time": [time(g, "AbandonTimeUs") for g in grades],
+        "benefit": [float(g.get("Benefit", 1.0)) for g in grades],
+        "overdue_benefit": [float(g.get("OverdueBenefit", 0.0)) for g in grades],
+        "repeat": [word(REPEATS, needed(g, "Repeat")) for g in grades],
+        "repeat_group": [word(GROUPS, g.get("Group", "all")) for g in grades],
+        "repeat_window": [int(g.get("RepeatWindowUs", 0)) * MICROSECOND for g in grades],
+        "machine_kind_needed": list(domain.get("ClassKind") or [-1] * len(grades)),
+        "running_time_stretch": list(domain.get("ClassStretch") or [0.0] * len(grades)),
+        # What workers tell.
+        "tells_start": bool(domain.get("TellsStart", False)),
+        "progress_every": int(domain.get("ProgressUs", 0)) * MICROSECOND,
+        "load_reports": {"inline": "answers", "on_probe": "probes"}.get(report.get("Via", "off"), "none"),
+        "load_fields": [
+            "free_slots" if f == "x0" and domain.get("ReportX0") == "free slots" else LOAD_NAMES.get(f, f)
+            for f in report.get("Fields") or []
+        ],
+        # What is permitted.
+        "most_hand_offs": int(limits.get("MaxHandOffs", 1)),
+        "second_copies": bool(limits.get("SecondCopies", False)),
+        "recall_permitted": bool(limits.get("Cancel", False)),
+        "probing_permitted": bool(limits.get("Probing", False)),
+        "come_back_advice": bool(limits.get("RetryAfter", False)),
+        "longest_come_back": int(limits.get("MaxRetryAfterUs", 0)) * MICROSECOND,
+        "connect_time_out": int(limits.get("ConnectTimeoutUs", 0)) * MICROSECOND,
+        # The figures of the rules.
+        "answer_slack": int(rules.get("AnswerSlackUs", 0)) * MICROSECOND,
+        "stop_sending_within": time(rules, "StopSendingWithinUs"),
+        "cold_share": float(needed(rules, "ColdShare")),
+        "warm_within": time(rules, "WarmWithinUs"),
+        "tip_multiple": float(needed(rules, "TipMultiple")),
+        "fall_within": time(rules, "FallUs"),
+        # Shares and prices.
+        "customer_rate": [float(c.get("QuotaRps", 0.0)) for c in customers],
+        "customer_share": [float(c.get("Portion", 0.0)) for c in customers],
+        "beyond_share_benefit": float(profile.get("BeyondShareBenefit", 1.0)),
+        "clients_mark_retries": bool(part("Clients").get("MarksRetry", False)),
+        "zone_crossing_price": float(prices.get("CrossZone", 0.0)),
+        "connection_price": float(prices.get("Handshake", 0.0)),
+        "fetch_price": float(prices.get("Origin", 0.0)),
+        "waste_price": float(prices.get("Waste", 0.0)),
+        "overdue_price": float(prices.get("LateFail", 0.0)),
+        "probe_price": float(prices.get("Probe", 0.0)),
+        "tail_weight": float(goal.get("TailPart", 0.0)),
+        "tail_slack": float(goal.get("TailSlack", 0.0)),
+    }
+
+
+class Instance:
+    """The host of one dispatcher."""
+
+    def __init__(self, number: int, adapter: "Adapter", start: Fields) -> None:
+        self.number = number
+        self.adapter = adapter
+        orders = standing_orders(start.mapping("ProfileData"))
+        self.load_fields: list[str] = orders["load_fields"]
+        self.dispatcher = Dispatcher(self, start.whole("RandomSeed"), orders)
+
+    def now(self) -> int:
+        return self.adapter.now
+
+    def _act(self, name: str, **fields: int | str) -> None:
+        self.adapter.reply.append(write_line(name, Who=self.number, **fields))
+
+    def hand_off(self, submission_id: int, worker: str, time_out: int) -> None:
+        self._act("FORWARD", RequestId=submission_id, Worker=worker, AllowForUs=time_out // MICROSECOND)
+
+    def recall(self, submission_id: int, hand_off: int) -> None:
+        self._act("REVOKE", RequestId=submission_id, Go=hand_off)
+
+    def nack(self, submission_id: int, come_back_after: int) -> None:
+        self._act("BUSY", RequestId=submission_id, StayAwayUs=come_back_after // MICROSECOND)
+
+    def abandon(self, submission_id: int) -> None:
+        self._act("GIVE_UP", RequestId=submission_id)
+
+    def wake_at(self, token: int, when: int) -> None:
+        self._act("SLEEP", Token=token, WhenUs=-(-when // MICROSECOND))
+
+    def probe(self, worker: str) -> None:
+        self._act("SOUND_OUT", Worker=worker)
+
+    def watch_roster(self) -> None:
+        self._act("KEEP_INFORMED", Active=1)
+
+    def log(self, line: str) -> None:
+        self._act("REMARK", Line=line)
+
+    # ---- Events ----
+
+    def request(self, f: Fields) -> None:
+        self.dispatcher.submission_arrived(
+            f.whole("RequestId"),
+            f.whole("Kind"),
+            f.number("Slots", 1.0),
+            f.whole("DropDeadUs") * MICROSECOND,
+            f.whole("Tenant", 0),
+            f.whole("PredictedUs", 0) * MICROSECOND,
+            f.get("PathKey", ""),
+            f.flag("AgainByClient"),
+        )
+
+    def note(self, f: Fields) -> None:
+        what = f.whole("What")
+        if what == 1:
+            self.dispatcher.hand_off_started(f.whole("RequestId"), f.whole("Go"))
+        elif what == 2:
+            self.dispatcher.hand_off_progressed(f.whole("RequestId"), f.whole("Go"), f.number("Level", 0.0))
+
+    def outcome(self, f: Fields) -> None:
+        self.dispatcher.hand_off_ended(
+            f.whole("RequestId"),
+            f.whole("Go"),
+            f["Worker"],
+            self._outcome_word(f),
+            f.whole("DelaySeenUs") * MICROSECOND,
+            f.flag("Finished"),
+            self._load(f),
+        )
+
+    def client_left(self, f: Fields) -> None:
+        self.dispatcher.client_left(f.whole("RequestId"))
+
+    def reminder(self, f: Fields) -> None:
+        self.dispatcher.woken(f.whole("Token"))
+
+    def probed(self, f: Fields) -> None:
+        self.dispatcher.probe_answered(
+            f["Worker"], self._outcome_word(f), f.whole("DelaySeenUs") * MICROSECOND, self._load(f)
+        )
+
+    def under_way(self, f: Fields) -> None:
+        raise Malformed("streamed answers are not served by this adapter")
+
+    def heard(self, f: Fields) -> None:
+        """Dispatchers share nothing: what a sibling says is not read."""
+
+    def peers(self, f: Fields) -> None:
+        scope = f["Scope"]
+        if scope == "lost":
+            self.dispatcher.roster_lost()
+            return
+        number = f.whole("SetId")
+        if number not in self.adapter.tables:
+            raise Malformed(f"list {number} was not sent")
+        listings = self.adapter.tables[number]
+        if scope == "incr":
+            self.dispatcher.roster_changed(listings)
+        elif scope in ("total", "warm_copy"):
+            self.dispatcher.roster_complete(listings)
+        else:
+            raise Malformed(f"unknown scope {scope!r}")
+
+    def _outcome_word(self, f: Fields) -> str:
+        reason = f["Reason"]
+        if reason not in OUTCOMES:
+            raise Malformed(f"unknown outcome {reason!r}")
+        return OUTCOMES[reason]
+
+    def _load(self, f: Fields) -> dict[str, float] | None:
+        values = f.numbers("Gauge")
+        return None if values is None else dict(zip(self.load_fields, values, strict=False))
+
+
+EVENTS: dict[str, Callable[[Instance, Fields], None]] = {
+    "NEW_REQUEST": Instance.request,
+    "NOTE": Instance.note,
+    "CLOSED_ATTEMPT": Instance.outcome,
+    "REMINDER": Instance.reminder,
+    "CLIENT_LEFT": Instance.client_left,
+    "CHECKED": Instance.probed,
+    "PEERS_KNOWN": Instance.peers,
+    "UNDER_WAY": Instance.under_way,
+    "HEARD": Instance.heard,
+}
+
+
+class Adapter:
+    """The instances of one process and the batch in hand."""
+
+    def __init__(self, source: TextIO, sink: TextIO) -> None:
+        self.source = source
+        self.sink = sink
+        self.now = 0
+        self.reply: list[str] = []
+        self.instances: dict[int, Instance] = {}
+        self.tables: dict[int, list[Listing]] = {}
+        self.line_number = 0
+
+    def run(self) -> None:
+        """Answer batches until the input ends."""
+        serial: str | None = None
+        while line := self._next_line():
+            name, fields = read_line(line)
+            if serial is None:
+                if name != "MARK":
+                    raise Malformed(f"expected MARK, got {name}")
+                self.now = fields.whole("AtTimeUs") * MICROSECOND
+                serial = str(fields.whole("serial"))
+            elif name == "GO":
+                self.reply.append(write_line("OK", serial=serial))
+                self.sink.write("\n".join(self.reply) + "\n")
+                self.sink.flush()
+                self.reply.clear()
+                serial = None
+            elif name == "TABLE":
+                self._read_table(fields)
+            else:
+                self._event(name, fields)
+        if serial is not None:
+            raise Malformed("the input ends inside a batch")
+
+    def _next_line(self) -> str:
+        line = self.source.readline()
+        if line:
+            self.line_number += 1
+            return line.rstrip("\r\n") or " "
+        return ""
+
+    def _read_table(self, fields: Fields) -> None:
+        listings = []
+        for _ in range(fields.whole("Members")):
+            name, entry = read_line(self._next_line() or " ")
+            if name != "ENTRY":
+                raise Malformed(f"expected ENTRY, got {name}")
+            if entry["Condition"] not in CONDITIONS:
+                raise Malformed(f"unknown condition {entry['Condition']!r}")
+            listings.append(
+                Listing(
+                    entry["Worker"],
+                    entry.whole("Dc", 0),
+                    entry.whole("Model", 0),
+                    entry.whole("Block", 0),
+                    CONDITIONS[entry["Condition"]],
+                    entry.number("Heft", 1.0),
+                    entry.whole("UpSinceUs", 0) * MICROSECOND,
+                )
+            )
+        self.tables[fields.whole("SetId")] = listings
+
+    def _event(self, name: str, fields: Fields) -> None:
+        who = fields.whole("Who")
+        if name == "RETIRE":
+            self.instances.pop(who, None)
+            return
+        handle = EVENTS.get(name)
+        if handle is None and name != "UP":
+            raise Malformed(f"unknown message {name}")
+        try:
+            if handle is None:
+                self.instances[who] = Instance(who, self, fields)
+            elif who in self.instances:
+                handle(self.instances[who], fields)
+            else:
+                raise Malformed(f"{name} for dispatcher {who}, which is not up")
+        except Malformed:
+            raise
+        except Exception as error:
+            traceback.print_exc(file=sys.stderr)
+            place = traceback.extract_tb(error.__traceback__)[-1]
+            cause = f"{type(error).__name__}: {error} in {place.name}, line {place.lineno}"
+            self.reply.append(write_line("PANIC", Who=who, Line=cause.replace("\n", " ")))
+
+
+def main() -> int:
+    gc.freeze()
+    adapter = Adapter(sys.stdin, sys.stdout)
+    try:
+        adapter.run()
+    except Malformed as error:
+        print(f"ploverspoke: input line {adapter.line_number}: {error}", file=sys.stderr)
+        return 2
+    return 0
