--- a/ploverspoke/decisions/dispatcher.py
+++ b/ploverspoke/decisions/dispatcher.py
@@ -71,7 +71,9 @@
 class Submission:
     """One submission taken and not yet answered."""
 
-    def __init__(self, submission_id: int, grade: int, job_type: JobType, arrived: int, abandon_at: int) -> None:
+    def __init__(
+        self, submission_id: int, grade: int, job_type: JobType, arrived: int, abandon_at: int
+    ) -> None:
         self.id = submission_id
         self.grade = grade
         self.type = job_type
@@ -204,7 +206,9 @@
         wait = min(250 * MILLISECOND << min(self.roster_failures, 5), self.orders["roster_ask_within"] // 4)
         self._wake("watch", self.host.now() + int(wait * (0.5 + self.chance.fraction())))
 
-    def probe_answered(self, worker_name: str, outcome: str, took: int, load: Mapping[str, float] | None) -> None:
+    def probe_answered(
+        self, worker_name: str, outcome: str, took: int, load: Mapping[str, float] | None
+    ) -> None:
         pass
 
     def woken(self, token: int) -> None:
@@ -225,10 +229,11 @@
         weights = self._weights()
         shares = [exp(w) for w in weights]
         draw = self.chance.fraction() * sum(shares)
-        for job_type, share in zip(self.types.values(), shares, strict=True):
-            draw -= share
-            if draw < 0:
-                break
+        drawn = 0
+        while drawn < len(shares) - 1 and draw >= shares[drawn]:
+            draw -= shares[drawn]
+            drawn += 1
+        job_type = list(self.types.values())[drawn]
         head = job_type.queue[0] if job_type.queue else None
         worker = self._two_choice_pick(job_type, now, head)
         if worker is not None:
