--- a/ploverspoke/decisions/dispatcher.py
+++ b/ploverspoke/decisions/dispatcher.py
@@ -19,7 +19,9 @@
 TICKS_PER_ARRIVAL = 5  # the shared clock's rate, in our arrival rate
 EPSILON = 0.5
 FIRST_ROOM = 2.0  # slots a worker is believed to hold before it has taught us more
-ROOM_DRIFT_PER_SECOND = 0.5  # slots by which a cut room returns
+ROOM_DRIFT = 1.0  # slots by which a cut room returns in one mean running time
+PROMPT_START = 3  # a start is prompt within this many times the zone's quickest start note...
+PROMPT_START_SLACK = 10 * MILLISECOND  # ...and this
 NEVER_RAN = frozenset({"full", "unreachable", "not_sent"})
 
 
@@ -45,7 +47,7 @@
         self.name = listing.worker
         self.listing = listing
         self.ready = False
-        self.in_flight = 0  # slots of ours
+        self.in_flight = 0.0  # slots of ours
         self.room = FIRST_ROOM
         self.room_before_cut = FIRST_ROOM
         self.room_at = 0  # when the room last drifted
@@ -83,6 +85,7 @@
         self.at: Worker | None = None  # where it is out now
         self.sent_at = 0
         self.started_at = 0
+        self.in_use = 0.0  # our slots on its worker when it was sent, with its own
         self.group: tuple[str, int] | None = None  # a repeat must stay in here...
         self.group_until = 0  # ...and be sent before this
 
@@ -96,6 +99,7 @@
         self.types: dict[tuple[float, int], JobType] = {}
         self.open: dict[int, Submission] = {}
         self.arrivals: deque[int] = deque(maxlen=32)
+        self.start_lags: dict[int, deque[int]] = {}
         self.clock_runs = False
         self.roster_failures = 0
         self.due: dict[int, Submission | str] = {}
@@ -142,8 +146,17 @@
         job = self.open.get(submission_id)
         if job is None or job.at is None or hand_off != job.hand_offs - 1:
             return
-        job.started_at = self.host.now()
-        self._accepted(job.at)
+        now = self.host.now()
+        job.started_at = now
+        worker, wait = job.at, now - job.sent_at
+        # Workers have waiting rooms, so a full answer comes long after jobs stopped starting at once. A late
+        # start is read as full: the room was what we had there without this job.
+        lags = self.start_lags.setdefault(worker.listing.zone, deque(maxlen=32))
+        lags.append(wait)
+        if wait <= PROMPT_START * min(lags) + PROMPT_START_SLACK:
+            self._accepted(worker, job.in_use)
+        else:
+            self._cut_room(worker, job.in_use - job.type.slots, now)
 
     def hand_off_progressed(self, submission_id: int, hand_off: int, share_done: float) -> None:
         pass
@@ -170,9 +183,9 @@
                 job.type.running_times.append(now - job.started_at)
             else:
                 job.type.running_times.append(took)
-                self._accepted(worker)
+                self._accepted(worker, job.in_use)
         elif outcome == "full":
-            self._cut_room(worker, now)
+            self._cut_room(worker, worker.in_flight, now)
         if finished:
             self.open.pop(submission_id, None)
         if submission_id in self.open:
@@ -301,7 +314,7 @@
     def _free(self, worker: Worker, now: int) -> float:
         """Believed free slots; placeholders count only beside real jobs of ours."""
         if worker.room < worker.room_before_cut:
-            drift = (now - worker.room_at) / SECOND * ROOM_DRIFT_PER_SECOND
+            drift = (now - worker.room_at) / self._mean_running_time() * ROOM_DRIFT
             worker.room = min(worker.room_before_cut, worker.room + drift)
             worker.room_at = now
         free = worker.room - worker.in_flight
@@ -314,13 +327,16 @@
         while worker.placeholders and worker.placeholders[0][1] <= now:
             worker.placeholders.popleft()
 
-    def _accepted(self, worker: Worker) -> None:
-        worker.room += 1
+    def _accepted(self, worker: Worker, in_use: float) -> None:
+        """One more slot for an accepted send, but no more than one beyond what has been in use at once."""
+        worker.room = max(worker.room, min(worker.room + 1, in_use + 1))
         worker.room_before_cut = max(worker.room, worker.room_before_cut)
 
-    def _cut_room(self, worker: Worker, now: int) -> None:
-        worker.room = max(float(worker.in_flight), FIRST_ROOM)
-        worker.room_at = now
+    def _cut_room(self, worker: Worker, room: float, now: int) -> None:
+        if room < worker.room:
+            worker.room_before_cut = max(room + 1, FIRST_ROOM)
+            worker.room = room
+            worker.room_at = now
 
     # ---- Hand-offs and answers ----
 
@@ -336,14 +352,16 @@
         return True
 
     def _hand_off(self, job: Submission, worker: Worker, now: int) -> None:
-        while worker.placeholders and self._free(worker, now) < job.type.slots:
-            worker.placeholders.popleft()  # taken over
+        # Placeholders that a job of ours does not fit beside are taken over.
+        while self._free(worker, now) < job.type.slots and worker.placeholders:
+            worker.placeholders.popleft()
         job.hand_offs += 1
         job.at = worker
         job.sent_at = now
         job.started_at = 0
         worker.out[job.id] = job
         worker.in_flight += job.type.slots
+        job.in_use = worker.in_flight
         if worker.warm_at > now:
             worker.cold_sends.append((now, job.type.slots * (job.type.mean_running_time() or SECOND)))
         self.host.hand_off(job.id, worker.name, max(1, job.abandon_at - self.orders["round"] - now))
@@ -405,7 +423,7 @@
         budget = self.orders["tip_multiple"] * capacity * min(slots, 4) * window / 2
         mine = sum(work for _, work in worker.cold_sends)
         cost = job_type.slots * (job_type.mean_running_time() or SECOND)
-        return mine + cost <= budget / self.orders["dispatchers"]
+        return bool(mine + cost <= budget / self.orders["dispatchers"])
 
     # ---- Small helpers ----
 
@@ -420,6 +438,10 @@
         span = now - self.arrivals[0]
         return len(self.arrivals) * SECOND / max(span, 100 * MILLISECOND)
 
+    def _mean_running_time(self) -> int:
+        known = [t.mean_running_time() for t in self.types.values() if t.running_times]
+        return max(1, sum(known) // len(known)) if known else SECOND
+
     def _wake(self, what: Submission | str, when: int) -> None:
         self.due[self.next_token] = what
         self.host.wake_at(self.next_token, when)
