--- a/ploverspoke/decisions/dispatcher.py
+++ b/ploverspoke/decisions/dispatcher.py
@@ -52,6 +52,8 @@
         self.room_before_cut = FIRST_ROOM
         self.room_at = 0  # when the room last drifted
         self.out: dict[int, Submission] = {}  # our hand-offs there, by submission
+        self.unstarted: dict[int, int] = {}  # those of which no start is known, and when they were sent
+        self.running = 0.0  # slots of ours known to have started
         self.placeholders: deque[tuple[JobType, int]] = deque()  # type and end
         self.warm_at = 0
         self.cold_sends: deque[tuple[int, float]] = deque()
@@ -81,6 +83,7 @@
         self.type = job_type
         self.arrived = arrived
         self.abandon_at = abandon_at
+        self.last_start = abandon_at  # started later it is expected to be overdue
         self.hand_offs = 0
         self.at: Worker | None = None  # where it is out now
         self.sent_at = 0
@@ -99,6 +102,8 @@
         self.types: dict[tuple[float, int], JobType] = {}
         self.open: dict[int, Submission] = {}
         self.arrivals: deque[int] = deque(maxlen=32)
+        self.grade_running_times: dict[int, deque[int]] = {}
+        self.asked_times: dict[int, deque[int]] = {}
         self.start_lags: dict[int, deque[int]] = {}
         self.clock_runs = False
         self.roster_failures = 0
@@ -125,6 +130,7 @@
         self.arrivals.append(now)
         job_type = self._job_type(slots, self.orders["machine_kind_needed"][grade])
         job = Submission(submission_id, grade, job_type, now, abandon_at)
+        job.last_start = self._last_timely_start(job, now, work_hint)
         self.open[submission_id] = job
         if abandon_at - now <= self.orders["round"]:
             self._finish_unsatisfied(job)
@@ -139,6 +145,11 @@
             return
         # Else it waits its turn; ticks and replacements draw from the queue's head.
         job_type.queue.append(job)
+        if now >= job.last_start and self._gives_way(job):
+            self._give_up_waiting(job)
+            return
+        if now < job.last_start:
+            self._wake(job, job.last_start)
         self._wake(job, abandon_at - self.orders["round"])
         self._run_clock(now)
 
@@ -151,12 +162,13 @@
         worker, wait = job.at, now - job.sent_at
         # Workers have waiting rooms, so a full answer comes long after jobs stopped starting at once. A late
         # start is read as full: the room was what we had there without this job.
-        lags = self.start_lags.setdefault(worker.listing.zone, deque(maxlen=32))
-        lags.append(wait)
-        if wait <= PROMPT_START * min(lags) + PROMPT_START_SLACK:
+        if wait <= self._prompt_start(worker):
             self._accepted(worker, job.in_use)
         else:
-            self._cut_room(worker, job.in_use - job.type.slots, now)
+            self._cut_room(worker, worker.running, now)
+        worker.running += job.type.slots
+        worker.unstarted.pop(submission_id, None)
+        self.start_lags.setdefault(worker.listing.zone, deque(maxlen=32)).append(wait)
 
     def hand_off_progressed(self, submission_id: int, hand_off: int, share_done: float) -> None:
         pass
@@ -177,10 +189,14 @@
         if job is None:
             return
         worker.in_flight -= job.type.slots
+        if job.started_at:
+            worker.running -= job.type.slots
+        worker.unstarted.pop(submission_id, None)
         job.at = None
         if outcome == "satisfied":
             if job.started_at:
                 job.type.running_times.append(now - job.started_at)
+                self.grade_running_times.setdefault(job.grade, deque(maxlen=32)).append(now - job.started_at)
             else:
                 job.type.running_times.append(took)
                 self._accepted(worker, job.in_use)
@@ -232,8 +248,9 @@
             self.clock_runs = False
             self._tick(self.host.now())
         elif isinstance(what, Submission) and what.id in self.open and what.at is None:
-            what.type.queue.remove(what)
-            self._finish_unsatisfied(what)
+            overtime = self.host.now() >= what.abandon_at - self.orders["round"]
+            if overtime or self._gives_way(what):
+                self._give_up_waiting(what)
 
     # ---- The mechanism ----
 
@@ -282,7 +299,7 @@
             return
         if not job_type.queue:
             worker.placeholders.append((job_type, now + job_type.mean_running_time()))
-        elif self._allowed(worker, job_type, now, job_type.queue[0]):
+        elif not self._has_waiting(worker, now) and self._allowed(worker, job_type, now, job_type.queue[0]):
             self._hand_off(job_type.queue.popleft(), worker, now)
 
     def _two_choice_pick(self, job_type: JobType, now: int, job: Submission | None) -> Worker | None:
@@ -290,7 +307,10 @@
         roomy = [
             w
             for w in self.workers.values()
-            if w.ready and self._free(w, now) >= job_type.slots and self._allowed(w, job_type, now, job)
+            if w.ready
+            and not self._has_waiting(w, now)
+            and self._free(w, now) >= job_type.slots
+            and self._allowed(w, job_type, now, job)
         ]
         if not roomy:
             return None
@@ -301,6 +321,16 @@
         a, b = roomy[first], roomy[second + (second >= first)]
         return b if b.in_flight < a.in_flight else a
 
+    def _has_waiting(self, worker: Worker, now: int) -> bool:
+        """Whether a job of ours has not started there at once: then the worker is full, however much we have."""
+        if not worker.unstarted or not self.orders["tells_start"]:
+            return False
+        return now - next(iter(worker.unstarted.values())) > self._prompt_start(worker)
+
+    def _prompt_start(self, worker: Worker) -> int:
+        lags = self.start_lags.get(worker.listing.zone)
+        return PROMPT_START * min(lags) + PROMPT_START_SLACK if lags else SECOND
+
     def _worker_with_placeholder(self, job_type: JobType, now: int) -> Worker | None:
         for worker in self.workers.values():
             if worker.placeholders and worker.ready:
@@ -360,6 +390,7 @@
         job.sent_at = now
         job.started_at = 0
         worker.out[job.id] = job
+        worker.unstarted[job.id] = now
         worker.in_flight += job.type.slots
         job.in_use = worker.in_flight
         if worker.warm_at > now:
@@ -385,11 +416,38 @@
         self._wake(job, last_chance)
         self._run_clock(now)
 
+    def _last_timely_start(self, job: Submission, now: int, work_hint: int) -> int:
+        """When it must start to be answered within its expected time, counted from the client's first try."""
+        asked = self.asked_times.setdefault(job.grade, deque(maxlen=32))
+        asked.append(job.abandon_at - now)
+        first_asked = job.abandon_at - max(asked)
+        known = self.grade_running_times.get(job.grade)
+        running_time = work_hint or (sum(known) // len(known) if known else 0)
+        slack = (self.orders["running_time_stretch"][job.grade] - 1) * running_time
+        return int(first_asked + self.orders["expected_time"][job.grade] + max(0.0, slack))
+
+    def _gives_way(self, job: Submission) -> bool:
+        """Whether a waiting submission past its last timely start should be answered at once.
+
+        After a burst a first-come queue would go on serving everybody late; those that can no longer be in
+        time give way to those that can. One that nobody waits behind may still earn what an overdue answer earns.
+        """
+        if job.group is not None and job.group[0] != "none":
+            return False
+        if not self.orders["overdue_benefit"][job.grade]:
+            return True
+        return any(len(t.queue) > (t is job.type) for t in self.types.values())
+
+    def _give_up_waiting(self, job: Submission) -> None:
+        job.type.queue.remove(job)
+        self._finish_unsatisfied(job)
+
     def _finish_unsatisfied(self, job: Submission) -> None:
         del self.open[job.id]
         redoable = self.orders["repeat"][job.grade] == "redoable"
         if redoable or job.group is None or job.group == ("all", 0):
-            self.host.nack(job.id, 0)
+            advice = self.orders["longest_come_back"] if self.orders["come_back_advice"] else 0
+            self.host.nack(job.id, advice)
         else:
             self.host.abandon(job.id)
 
