--- a/ploverspoke/decisions/dispatcher.py
+++ b/ploverspoke/decisions/dispatcher.py
@@ -8,8 +8,10 @@
 
 from collections import deque
 from collections.abc import Iterable, Mapping
+from heapq import nsmallest
 from math import exp, log
 from typing import Any
+from zlib import crc32
 
 from .host import Host, Listing, StandingOrders
 
@@ -83,6 +85,7 @@
         self.type = job_type
         self.arrived = arrived
         self.abandon_at = abandon_at
+        self.subject = ""
         self.last_start = abandon_at  # started later it is expected to be overdue
         self.hand_offs = 0
         self.at: Worker | None = None  # where it is out now
@@ -130,6 +133,7 @@
         self.arrivals.append(now)
         job_type = self._job_type(slots, self.orders["machine_kind_needed"][grade])
         job = Submission(submission_id, grade, job_type, now, abandon_at)
+        job.subject = subject
         job.last_start = self._last_timely_start(job, now, work_hint)
         self.open[submission_id] = job
         if abandon_at - now <= self.orders["round"]:
@@ -316,13 +320,18 @@
             return None
         if len(roomy) == 1:
             return roomy[0]
+        if job is not None and job.subject and self.orders["fetch_price"]:
+            # What a job needs is kept for a while where it last ran. Drawn by the subject's hash the two are
+            # the same for every repeat, at every dispatcher, so that most find it there.
+            drawn = nsmallest(2, roomy, key=lambda w: crc32((job.subject + w.name).encode()))
+            return drawn[1] if drawn[1].in_flight < drawn[0].in_flight else drawn[0]
         first = self.chance.below(len(roomy))
         second = self.chance.below(len(roomy) - 1)
         a, b = roomy[first], roomy[second + (second >= first)]
         return b if b.in_flight < a.in_flight else a
 
     def _has_waiting(self, worker: Worker, now: int) -> bool:
-        """Whether a job of ours has not started there at once: then the worker is full, however much we have."""
+        """Whether a job of ours has not started there at once: then it is full, however much we have there."""
         if not worker.unstarted or not self.orders["tells_start"]:
             return False
         return now - next(iter(worker.unstarted.values())) > self._prompt_start(worker)
@@ -430,7 +439,7 @@
         """Whether a waiting submission past its last timely start should be answered at once.
 
         After a burst a first-come queue would go on serving everybody late; those that can no longer be in
-        time give way to those that can. One that nobody waits behind may still earn what an overdue answer earns.
+        time give way to those that can. One that nobody waits behind may still earn what an overdue one earns.
         """
         if job.group is not None and job.group[0] != "none":
             return False
