--- a/ploverspoke/decisions/dispatcher.py
+++ b/ploverspoke/decisions/dispatcher.py
@@ -24,6 +24,7 @@
 ROOM_DRIFT = 1.0  # slots by which a cut room returns in one mean running time
 PROMPT_START = 3  # a start is prompt within this many times the zone's quickest start note...
 PROMPT_START_SLACK = 10 * MILLISECOND  # ...and this
+PATIENCE = 0.5  # share of its slack that a submission may wait here
 NEVER_RAN = frozenset({"full", "unreachable", "not_sent"})
 
 
@@ -331,7 +332,7 @@
         return b if b.in_flight < a.in_flight else a
 
     def _has_waiting(self, worker: Worker, now: int) -> bool:
-        """Whether a job of ours has not started there at once: then it is full, however much we have there."""
+        """Whether a job of ours has not started there at once: then it is full, whatever we have there."""
         if not worker.unstarted or not self.orders["tells_start"]:
             return False
         return now - next(iter(worker.unstarted.values())) > self._prompt_start(worker)
@@ -432,14 +433,14 @@
         first_asked = job.abandon_at - max(asked)
         known = self.grade_running_times.get(job.grade)
         running_time = work_hint or (sum(known) // len(known) if known else 0)
-        slack = (self.orders["running_time_stretch"][job.grade] - 1) * running_time
-        return int(first_asked + self.orders["expected_time"][job.grade] + max(0.0, slack))
+        slack = max(0.0, self.orders["running_time_stretch"][job.grade] - 1) * running_time
+        return int(first_asked + PATIENCE * (self.orders["expected_time"][job.grade] + slack))
 
     def _gives_way(self, job: Submission) -> bool:
         """Whether a waiting submission past its last timely start should be answered at once.
 
         After a burst a first-come queue would go on serving everybody late; those that can no longer be in
-        time give way to those that can. One that nobody waits behind may still earn what an overdue one earns.
+        time give way to those that can. One that nobody waits behind may still earn an overdue benefit.
         """
         if job.group is not None and job.group[0] != "none":
             return False
