--- a/ploverspoke/decisions/dispatcher.py
+++ b/ploverspoke/decisions/dispatcher.py
@@ -9,6 +9,7 @@
 from collections import deque
 from collections.abc import Iterable, Mapping
 from heapq import nsmallest
+from itertools import islice
 from math import exp, log
 from typing import Any
 from zlib import crc32
@@ -25,6 +26,7 @@
 PROMPT_START = 3  # a start is prompt within this many times the zone's quickest start note...
 PROMPT_START_SLACK = 10 * MILLISECOND  # ...and this
 PATIENCE = 0.5  # share of its slack that a submission may wait here
+NEAR_HEAD = 16  # how far from its head a queue is searched for a subject that saves a fetch
 NEVER_RAN = frozenset({"full", "unreachable", "not_sent"})
 
 
@@ -57,6 +59,7 @@
         self.out: dict[int, Submission] = {}  # our hand-offs there, by submission
         self.unstarted: dict[int, int] = {}  # those of which no start is known, and when they were sent
         self.running = 0.0  # slots of ours known to have started
+        self.subjects: deque[str] = deque(maxlen=4)  # of our last few jobs there
         self.placeholders: deque[tuple[JobType, int]] = deque()  # type and end
         self.warm_at = 0
         self.cold_sends: deque[tuple[int, float]] = deque()
@@ -304,8 +307,14 @@
             return
         if not job_type.queue:
             worker.placeholders.append((job_type, now + job_type.mean_running_time()))
-        elif not self._has_waiting(worker, now) and self._allowed(worker, job_type, now, job_type.queue[0]):
-            self._hand_off(job_type.queue.popleft(), worker, now)
+            return
+        # In a backlog most places are filled here; one whose subject ran there lately saves a fetch.
+        nearest = list(islice(job_type.queue, NEAR_HEAD)) if self.orders["fetch_price"] else []
+        fitting = (job for job in nearest if job.subject in worker.subjects)
+        job = next(fitting, job_type.queue[0])
+        if not self._has_waiting(worker, now) and self._allowed(worker, job_type, now, job):
+            job_type.queue.remove(job)
+            self._hand_off(job, worker, now)
 
     def _two_choice_pick(self, job_type: JobType, now: int, job: Submission | None) -> Worker | None:
         """Of two drawn at random among the roomy, the one with fewer of our slots in flight."""
@@ -403,6 +412,8 @@
         worker.unstarted[job.id] = now
         worker.in_flight += job.type.slots
         job.in_use = worker.in_flight
+        if job.subject and job.subject not in worker.subjects:
+            worker.subjects.append(job.subject)
         if worker.warm_at > now:
             worker.cold_sends.append((now, job.type.slots * (job.type.mean_running_time() or SECOND)))
         self.host.hand_off(job.id, worker.name, max(1, job.abandon_at - self.orders["round"] - now))
