--- a/ploverspoke/decisions/dispatcher.py
+++ b/ploverspoke/decisions/dispatcher.py
@@ -6,7 +6,7 @@
 where each part comes from. Nothing here knows a wire, and two dispatchers share nothing.
 """
 
-from collections import deque
+from collections import defaultdict, deque
 from collections.abc import Iterable, Mapping
 from heapq import nsmallest
 from itertools import islice
@@ -109,7 +109,8 @@
         self.types: dict[tuple[float, int], JobType] = {}
         self.open: dict[int, Submission] = {}
         self.arrivals: deque[int] = deque(maxlen=32)
-        self.grade_running_times: dict[int, deque[int]] = {}
+        self.grade_running_times: dict[int, deque[int]] = defaultdict(lambda: deque(maxlen=32))
+        self.calm: dict[int, int] = {}  # the shortest mean running time seen
         self.asked_times: dict[int, deque[int]] = {}
         self.start_lags: dict[int, deque[int]] = {}
         self.clock_runs = False
@@ -204,7 +205,7 @@
         if outcome == "satisfied":
             if job.started_at:
                 job.type.running_times.append(now - job.started_at)
-                self.grade_running_times.setdefault(job.grade, deque(maxlen=32)).append(now - job.started_at)
+                self.grade_running_times[job.grade].append(now - job.started_at)
             else:
                 job.type.running_times.append(took)
                 self._accepted(worker, job.in_use)
@@ -443,9 +444,14 @@
         asked.append(job.abandon_at - now)
         first_asked = job.abandon_at - max(asked)
         known = self.grade_running_times.get(job.grade)
-        running_time = work_hint or (sum(known) // len(known) if known else 0)
-        slack = max(0.0, self.orders["running_time_stretch"][job.grade] - 1) * running_time
-        return int(first_asked + PATIENCE * (self.orders["expected_time"][job.grade] + slack))
+        running_time = sum(known) // len(known) if known and len(known) >= 8 else 0
+        # The stretch counts the job's own work, so running times that a jam has drawn out shorten the wait.
+        calm = self.calm[job.grade] = min(self.calm.get(job.grade) or running_time, running_time)
+        if work_hint:
+            calm = running_time = work_hint
+        stretch = self.orders["running_time_stretch"][job.grade]
+        slack = self.orders["expected_time"][job.grade] + stretch * calm - running_time
+        return int(first_asked + PATIENCE * max(0, slack))
 
     def _gives_way(self, job: Submission) -> bool:
         """Whether a waiting submission past its last timely start should be answered at once.
