--- a/ploverspoke/decisions/dispatcher.py
+++ b/ploverspoke/decisions/dispatcher.py
@@ -329,6 +329,9 @@
         ]
         if not roomy:
             return None
+        # Crossing zones has a price, so the two come from our own zone while it has room.
+        if self.orders["zone_crossing_price"]:
+            roomy = [w for w in roomy if w.listing.zone == self.orders["zone"]] or roomy
         if len(roomy) == 1:
             return roomy[0]
         if job is not None and job.subject and self.orders["fetch_price"]:
