--- a/ploverspoke/decisions/dispatcher.py
+++ b/ploverspoke/decisions/dispatcher.py
@@ -27,6 +27,10 @@
 PROMPT_START_SLACK = 10 * MILLISECOND  # ...and this
 PATIENCE = 0.5  # share of its slack that a submission may wait here
 NEAR_HEAD = 16  # how far from its head a queue is searched for a subject that saves a fetch
+SET_ASIDE = 4 * SECOND  # plus a random part of up to half of it
+ERRORS_KEPT, ERRORS_BAD = 8, 2  # so many errors among a worker's last ends set it aside
+ASIDE_SHARE = 3  # at most one in so many workers is set aside at once
+PATROL = 100 * MILLISECOND
 NEVER_RAN = frozenset({"full", "unreachable", "not_sent"})
 
 
@@ -61,6 +65,8 @@
         self.running = 0.0  # slots of ours known to have started
         self.subjects: deque[str] = deque(maxlen=4)  # of our last few jobs there
         self.placeholders: deque[tuple[JobType, int]] = deque()  # type and end
+        self.aside = False
+        self.errors: deque[bool] = deque(maxlen=ERRORS_KEPT)  # whether our last hand-offs ended in an error
         self.warm_at = 0
         self.cold_sends: deque[tuple[int, float]] = deque()
 
@@ -95,6 +101,8 @@
         self.at: Worker | None = None  # where it is out now
         self.sent_at = 0
         self.started_at = 0
+        self.recalled = False
+        self.heard_at = 0  # its worker's last word on it
         self.in_use = 0.0  # our slots on its worker when it was sent, with its own
         self.group: tuple[str, int] | None = None  # a repeat must stay in here...
         self.group_until = 0  # ...and be sent before this
@@ -115,10 +123,12 @@
         self.start_lags: dict[int, deque[int]] = {}
         self.clock_runs = False
         self.roster_failures = 0
-        self.due: dict[int, Submission | str] = {}
+        self.due: dict[int, Submission | Worker | str] = {}
         self.next_token = 1
         if self.orders["roster_must_be_asked"]:
             self.host.watch_roster()
+        if self.orders["progress_every"]:
+            self._wake("patrol", self.host.now() + PATROL)
 
     # ---- What can happen ----
 
@@ -167,7 +177,7 @@
         if job is None or job.at is None or hand_off != job.hand_offs - 1:
             return
         now = self.host.now()
-        job.started_at = now
+        job.started_at = job.heard_at = now
         worker, wait = job.at, now - job.sent_at
         # Workers have waiting rooms, so a full answer comes long after jobs stopped starting at once. A late
         # start is read as full: the room was what we had there without this job.
@@ -180,7 +190,9 @@
         self.start_lags.setdefault(worker.listing.zone, deque(maxlen=32)).append(wait)
 
     def hand_off_progressed(self, submission_id: int, hand_off: int, share_done: float) -> None:
-        pass
+        job = self.open.get(submission_id)
+        if job is not None and hand_off == job.hand_offs - 1:
+            job.heard_at = self.host.now()
 
     def hand_off_ended(
         self,
@@ -211,6 +223,12 @@
                 self._accepted(worker, job.in_use)
         elif outcome == "full":
             self._cut_room(worker, worker.in_flight, now)
+        elif outcome in ("unreachable", "broken_off"):
+            self._set_aside(worker, now)
+        if outcome in ("satisfied", "worker_error"):
+            worker.errors.append(outcome == "worker_error")
+            if outcome == "worker_error" and sum(worker.errors) >= ERRORS_BAD:
+                self._set_aside(worker, now)
         if finished:
             self.open.pop(submission_id, None)
         if submission_id in self.open:
@@ -247,7 +265,13 @@
     def probe_answered(
         self, worker_name: str, outcome: str, took: int, load: Mapping[str, float] | None
     ) -> None:
-        pass
+        worker = self.workers[worker_name]
+        if not worker.aside:
+            return
+        if outcome == "satisfied":
+            self._take_back(worker)
+        else:
+            self._wake(worker, self.host.now() + self._aside_time())
 
     def woken(self, token: int) -> None:
         what = self.due.pop(token, None)
@@ -256,6 +280,14 @@
         elif what == "tick":
             self.clock_runs = False
             self._tick(self.host.now())
+        elif what == "patrol":
+            self._patrol(self.host.now())
+        elif isinstance(what, Worker):
+            # Set aside long enough: a probe, where permitted, spares the first job sent there again.
+            if self.orders["probing_permitted"] and what.ready:
+                self.host.probe(what.name)
+            else:
+                self._take_back(what)
         elif isinstance(what, Submission) and what.id in self.open and what.at is None:
             overtime = self.host.now() >= what.abandon_at - self.orders["round"]
             if overtime or self._gives_way(what):
@@ -301,7 +333,7 @@
 
     def _replace(self, job_type: JobType, worker: Worker, now: int) -> None:
         """Our job was served: another of its type takes the place with chance 1 - exp(-w)."""
-        if not worker.ready or not any(t.queue for t in self.types.values()):
+        if not worker.ready or worker.aside or not any(t.queue for t in self.types.values()):
             return
         weight = self._weights()[list(self.types.values()).index(job_type)]
         if self.chance.fraction() >= 1 - exp(-weight):
@@ -323,6 +355,7 @@
             w
             for w in self.workers.values()
             if w.ready
+            and not w.aside
             and not self._has_waiting(w, now)
             and self._free(w, now) >= job_type.slots
             and self._allowed(w, job_type, now, job)
@@ -356,7 +389,7 @@
 
     def _worker_with_placeholder(self, job_type: JobType, now: int) -> Worker | None:
         for worker in self.workers.values():
-            if worker.placeholders and worker.ready:
+            if worker.placeholders and worker.ready and not worker.aside:
                 self._expire_placeholders(worker, now)
                 for held in worker.placeholders:
                     if held[0] is job_type and self._allowed(worker, job_type, now, None):
@@ -412,6 +445,7 @@
         job.at = worker
         job.sent_at = now
         job.started_at = 0
+        job.recalled = False
         worker.out[job.id] = job
         worker.unstarted[job.id] = now
         worker.in_flight += job.type.slots
@@ -487,6 +521,53 @@
             return scope, worker.listing.zone
         return (scope, worker.listing.rack) if scope == "rack" else ("all", 0)
 
+    # ---- Health ----
+
+    def _patrol(self, now: int) -> None:
+        """Look for workers that have gone silent on started jobs, and rescue what may run again."""
+        self._wake("patrol", now + PATROL)
+        silence = self.orders["progress_every"] * 3 // 2
+        for worker in self.workers.values():
+            if not worker.out:
+                continue
+            heard = [job.heard_at for job in worker.out.values() if job.started_at]
+            silent = bool(heard) and now - min(heard) > silence
+            if silent:
+                self._set_aside(worker, now)
+            for job in list(worker.out.values()):
+                if self._rescuable(job, worker, silent, now):
+                    self.host.recall(job.id, job.hand_offs - 1)
+                    job.recalled = True
+
+    def _rescuable(self, job: Submission, worker: Worker, silent: bool, now: int) -> bool:
+        """Whether to take a submission back from a worker that does not get on with it."""
+        if job.recalled or job.id not in self.open or not self.orders["recall_permitted"]:
+            return False
+        if (
+            self.orders["repeat"][job.grade] == "irreversible"
+            or job.hand_offs >= self.orders["most_hand_offs"]
+        ):
+            return False
+        if job.started_at:
+            return silent and now - job.heard_at > PATROL
+        return now - job.sent_at > max(self._prompt_start(worker), (job.last_start - job.arrived) * PATIENCE)
+
+    def _set_aside(self, worker: Worker, now: int) -> None:
+        aside = sum(w.aside for w in self.workers.values() if w.ready)
+        if worker.aside or (aside + 1) * ASIDE_SHARE > sum(w.ready for w in self.workers.values()):
+            return
+        worker.aside = True
+        worker.placeholders.clear()
+        self._wake(worker, now + self._aside_time())
+
+    def _take_back(self, worker: Worker) -> None:
+        """A worker returns with room for little, and one more error sets it aside again."""
+        worker.aside = False
+        worker.room = worker.room_before_cut = 1.0
+
+    def _aside_time(self) -> int:
+        return int(SET_ASIDE * (1 + self.chance.fraction() / 2))
+
     # ---- Workers and the roster ----
 
     def _list(self, listing: Listing) -> None:
@@ -530,7 +611,7 @@
         known = [t.mean_running_time() for t in self.types.values() if t.running_times]
         return max(1, sum(known) // len(known)) if known else SECOND
 
-    def _wake(self, what: Submission | str, when: int) -> None:
+    def _wake(self, what: Submission | Worker | str, when: int) -> None:
         self.due[self.next_token] = what
         self.host.wake_at(self.next_token, when)
         self.next_token += 1
