--- a/ploverspoke/decisions/dispatcher.py
+++ b/ploverspoke/decisions/dispatcher.py
@@ -548,8 +548,11 @@
             or job.hand_offs >= self.orders["most_hand_offs"]
         ):
             return False
-        if job.started_at:
-            return silent and now - job.heard_at > PATROL
+        if silent:
+            return not job.started_at or now - job.heard_at > PATROL
+        # A repeat of a labelled one is bound to its rack, so one that merely waits is left waiting.
+        if job.started_at or self.orders["repeat"][job.grade] == "labelled":
+            return False
         return now - job.sent_at > max(self._prompt_start(worker), (job.last_start - job.arrived) * PATIENCE)
 
     def _set_aside(self, worker: Worker, now: int) -> None:
