--- a/ploverspoke/decisions/dispatcher.py
+++ b/ploverspoke/decisions/dispatcher.py
@@ -351,15 +351,7 @@
 
     def _two_choice_pick(self, job_type: JobType, now: int, job: Submission | None) -> Worker | None:
         """Of two drawn at random among the roomy, the one with fewer of our slots in flight."""
-        roomy = [
-            w
-            for w in self.workers.values()
-            if w.ready
-            and not w.aside
-            and not self._has_waiting(w, now)
-            and self._free(w, now) >= job_type.slots
-            and self._allowed(w, job_type, now, job)
-        ]
+        roomy = self._roomy(job_type, now, job)
         if not roomy:
             return None
         # Crossing zones has a price, so the two come from our own zone while it has room.
@@ -377,6 +369,17 @@
         a, b = roomy[first], roomy[second + (second >= first)]
         return b if b.in_flight < a.in_flight else a
 
+    def _roomy(self, job_type: JobType, now: int, job: Submission | None) -> list[Worker]:
+        return [
+            w
+            for w in self.workers.values()
+            if w.ready
+            and not w.aside
+            and not self._has_waiting(w, now)
+            and self._free(w, now) >= job_type.slots
+            and self._allowed(w, job_type, now, job)
+        ]
+
     def _has_waiting(self, worker: Worker, now: int) -> bool:
         """Whether a job of ours has not started there at once: then it is full, whatever we have there."""
         if not worker.unstarted or not self.orders["tells_start"]:
@@ -459,12 +462,9 @@
     def _decide_again(self, job: Submission, worker: Worker, outcome: str, now: int) -> None:
         """A hand-off ended without satisfying: try again where the grade and the time left allow it."""
         if outcome not in NEVER_RAN and job.group is None:
-            repeat = self.orders["repeat"][job.grade]
-            if repeat == "irreversible":
-                job.group, job.group_until = ("none", 0), 0
-            elif repeat == "labelled":
-                job.group = self._group_of(job, worker)
-                job.group_until = job.sent_at + self.orders["repeat_window"][job.grade]
+            job.group = self._bound_to(job, worker)
+            window = self.orders["repeat_window"][job.grade] if job.group and job.group[0] != "none" else 0
+            job.group_until = job.sent_at + window
         last_chance = job.abandon_at - self.orders["round"]
         if job.group is not None:
             last_chance = min(last_chance, job.group_until)
@@ -550,10 +550,22 @@
             return False
         if silent:
             return not job.started_at or now - job.heard_at > PATROL
-        # A repeat of a labelled one is bound to its rack, so one that merely waits is left waiting.
-        if job.started_at or self.orders["repeat"][job.grade] == "labelled":
+        allowance = max(self._prompt_start(worker), int((job.last_start - job.arrived) * PATIENCE))
+        if job.started_at or now - job.sent_at <= allowance:
             return False
-        return now - job.sent_at > max(self._prompt_start(worker), (job.last_start - job.arrived) * PATIENCE)
+        # One that merely waits is taken back only when another place has room: a labelled one is bound to its
+        # rack, and where workers do not stop recalled work the wait is thrown away.
+        held, job.group = job.group, self._bound_to(job, worker)
+        elsewhere = self._roomy(job.type, now, job)
+        job.group = held
+        return bool(elsewhere)
+
+    def _bound_to(self, job: Submission, worker: Worker) -> tuple[str, int] | None:
+        """Where a repeat must stay after a hand-off there that may have run."""
+        repeat = self.orders["repeat"][job.grade]
+        if job.group is not None or repeat == "redoable":
+            return job.group
+        return ("none", 0) if repeat == "irreversible" else self._group_of(job, worker)
 
     def _set_aside(self, worker: Worker, now: int) -> None:
         aside = sum(w.aside for w in self.workers.values() if w.ready)
