--- a/ploverspoke/decisions/dispatcher.py
+++ b/ploverspoke/decisions/dispatcher.py
@@ -305,16 +305,29 @@
             draw -= shares[drawn]
             drawn += 1
         job_type = list(self.types.values())[drawn]
-        head = job_type.queue[0] if job_type.queue else None
-        worker = self._two_choice_pick(job_type, now, head)
-        if worker is not None:
-            if head is not None:
-                job_type.queue.popleft()
-                self._hand_off(head, worker, now)
-            else:
+        if job_type.queue:
+            # A head bound to its rack must not block those behind it when the rack has no room.
+            for job in self._heads(job_type):
+                worker = self._two_choice_pick(job_type, now, job)
+                if worker is not None:
+                    job_type.queue.remove(job)
+                    self._hand_off(job, worker, now)
+                    break
+        else:
+            worker = self._two_choice_pick(job_type, now, None)
+            if worker is not None:
                 worker.placeholders.append((job_type, now + job_type.mean_running_time()))
         self._run_clock(now)
 
+    def _heads(self, job_type: JobType) -> list[Submission]:
+        """The head of a queue: those bound to a rack, up to the first that may go anywhere."""
+        heads = []
+        for job in islice(job_type.queue, NEAR_HEAD):
+            heads.append(job)
+            if job.group is None:
+                break
+        return heads
+
     def _run_clock(self, now: int) -> None:
         """The clock stands still while nothing waits: a tick could then only leave placeholders."""
         if self.clock_runs or not any(t.queue for t in self.types.values()):
@@ -341,13 +354,16 @@
         if not job_type.queue:
             worker.placeholders.append((job_type, now + job_type.mean_running_time()))
             return
+        if self._has_waiting(worker, now):
+            return
         # In a backlog most places are filled here; one whose subject ran there lately saves a fetch.
         nearest = list(islice(job_type.queue, NEAR_HEAD)) if self.orders["fetch_price"] else []
-        fitting = (job for job in nearest if job.subject in worker.subjects)
-        job = next(fitting, job_type.queue[0])
-        if not self._has_waiting(worker, now) and self._allowed(worker, job_type, now, job):
-            job_type.queue.remove(job)
-            self._hand_off(job, worker, now)
+        fitting = [job for job in nearest if job.subject in worker.subjects]
+        for job in fitting + self._heads(job_type):
+            if self._allowed(worker, job_type, now, job):
+                job_type.queue.remove(job)
+                self._hand_off(job, worker, now)
+                return
 
     def _two_choice_pick(self, job_type: JobType, now: int, job: Submission | None) -> Worker | None:
         """Of two drawn at random among the roomy, the one with fewer of our slots in flight."""
