--- a/ploverspoke/decisions/dispatcher.py
+++ b/ploverspoke/decisions/dispatcher.py
@@ -496,8 +496,7 @@
         asked = self.asked_times.setdefault(job.grade, deque(maxlen=32))
         asked.append(job.abandon_at - now)
         first_asked = job.abandon_at - max(asked)
-        known = self.grade_running_times.get(job.grade)
-        running_time = sum(known) // len(known) if known and len(known) >= 8 else 0
+        running_time = self._grade_running_time(job.grade)
         # The stretch counts the job's own work, so running times that a jam has drawn out shorten the wait.
         calm = self.calm[job.grade] = min(self.calm.get(job.grade) or running_time, running_time)
         if work_hint:
@@ -566,11 +565,14 @@
             return False
         if silent:
             return not job.started_at or now - job.heard_at > PATROL
+        # Where workers do not stop recalled work, taking back a labelled one early runs much of it twice.
         allowance = max(self._prompt_start(worker), int((job.last_start - job.arrived) * PATIENCE))
+        if self.orders["repeat"][job.grade] == "labelled":
+            allowance = max(allowance, self._grade_running_time(job.grade))
         if job.started_at or now - job.sent_at <= allowance:
             return False
         # One that merely waits is taken back only when another place has room: a labelled one is bound to its
-        # rack, and where workers do not stop recalled work the wait is thrown away.
+        # rack then.
         held, job.group = job.group, self._bound_to(job, worker)
         elsewhere = self._roomy(job.type, now, job)
         job.group = held
@@ -642,6 +644,10 @@
         known = [t.mean_running_time() for t in self.types.values() if t.running_times]
         return max(1, sum(known) // len(known)) if known else SECOND
 
+    def _grade_running_time(self, grade: int) -> int:
+        known = self.grade_running_times[grade]
+        return sum(known) // len(known) if len(known) >= 8 else 0
+
     def _wake(self, what: Submission | Worker | str, when: int) -> None:
         self.due[self.next_token] = what
         self.host.wake_at(self.next_token, when)
