--- /dev/null
+++ b/tests/stage.py
@@ -0,0 +1,233 @@
+"""A stand-in host that keeps books on the four rules and plays workers at random."""
+
+import random
+from collections.abc import Mapping
+from typing import Any
+
+from ploverspoke.decisions.dispatcher import NEVER_RAN, SECOND, Dispatcher
+from ploverspoke.decisions.host import Listing
+
+MS = 1_000_000
+ORDERS: dict[str, Any] = {
+    "round": 2 * MS,
+    "dispatchers": 2,
+    "zone": 0,
+    "roster_must_be_asked": True,
+    "roster_ask_within": 10 * SECOND,
+    "expected_time": [100 * MS, 300 * MS, 300 * MS],
+    "abandon_time": [3 * SECOND] * 3,
+    "benefit": [1.0, 2.0, 3.0],
+    "overdue_benefit": [0.25, 0.0, 0.5],
+    "repeat": ["redoable", "labelled", "irreversible"],
+    "repeat_group": ["all", "rack", "all"],
+    "repeat_window": [SECOND] * 3,
+    "machine_kind_needed": [-1, -1, 1],
+    "running_time_stretch": [2.0] * 3,
+    "tells_start": True,
+    "progress_every": SECOND,
+    "load_reports": "none",
+    "most_hand_offs": 4,
+    "second_copies": False,
+    "recall_permitted": True,
+    "probing_permitted": True,
+    "come_back_advice": True,
+    "longest_come_back": SECOND,
+    "stop_sending_within": 500 * MS,
+    "cold_share": 0.3,
+    "warm_within": 5 * SECOND,
+    "tip_multiple": 3.0,
+    "fall_within": 2 * SECOND,
+    "beyond_share_benefit": 0.2,
+    "customer_share": [0.5, 0.5],
+    "zone_crossing_price": 0.0,
+    "fetch_price": 0.0,
+}
+
+
+def listing(name: str, condition: str = "ready", kind: int = 0, rack: int = 0, started: int = 0) -> Listing:
+    return Listing(name, 0, kind, rack, condition, 1.0, started)
+
+
+class Stage:
+    """Hosts one dispatcher; every action is checked against the rules as it is made."""
+
+    def __init__(self, workers: list[Listing], seed: int = 1, **orders: Any) -> None:
+        self.clock = 100 * SECOND
+        self.orders = {**ORDERS, **orders}
+        self.grade: dict[int, int] = {}
+        self.abandon_at: dict[int, int] = {}
+        self.arrived: dict[int, int] = {}
+        self.tries: dict[int, list[dict[str, Any]]] = {}
+        self.answers: dict[int, str] = {}
+        self.timers: list[tuple[int, int]] = []
+        self.probes: list[str] = []
+        self.watches = 0
+        self.listed = {w.worker: w for w in workers}
+        self.closed_at: dict[str, int] = {}
+        self.dispatcher = Dispatcher(self, seed, self.orders)
+        self.dispatcher.roster_complete(workers)
+
+    # ---- The host interface ----
+
+    def now(self) -> int:
+        return self.clock
+
+    def hand_off(self, submission_id: int, worker: str, time_out: int) -> None:
+        tries, grade = self.tries[submission_id], self.grade[submission_id]
+        assert submission_id not in self.answers and self.clock < self.abandon_at[submission_id]
+        assert self.clock + time_out <= self.abandon_at[submission_id] and time_out > 0
+        assert worker in self.listed and worker not in self.closed_at, "drains are kept"
+        assert all(t["outcome"] for t in tries), "never two at once"
+        for t in [t for t in tries if t["outcome"] not in NEVER_RAN]:
+            assert self.orders["repeat"][grade] != "irreversible", "no effect twice"
+            if self.orders["repeat"][grade] == "labelled":
+                assert self.listed[t["worker"]].rack == self.listed[worker].rack
+                assert self.clock < t["sent"] + self.orders["repeat_window"][grade]
+        tries.append({"worker": worker, "sent": self.clock, "until": self.clock + time_out, "outcome": None})
+
+    def recall(self, submission_id: int, hand_off: int) -> None:
+        assert self.tries[submission_id][hand_off]["outcome"] is None
+        self.tries[submission_id][hand_off]["until"] = self.clock
+        self.tries[submission_id][hand_off]["recalled"] = True
+
+    def nack(self, submission_id: int, come_back_after: int) -> None:
+        if self.orders["repeat"][self.grade[submission_id]] != "redoable":
+            assert all(t["outcome"] in NEVER_RAN for t in self.tries[submission_id])
+        self._answer(submission_id, "nacked")
+
+    def abandon(self, submission_id: int) -> None:
+        self._answer(submission_id, "abandoned")
+
+    def _answer(self, submission_id: int, answer: str) -> None:
+        assert submission_id not in self.answers, "one final answer"
+        assert self.clock <= max(self.abandon_at[submission_id], self.arrived[submission_id])
+        self.answers[submission_id] = answer
+
+    def wake_at(self, token: int, when: int) -> None:
+        self.timers.append((when, token))
+
+    def probe(self, worker: str) -> None:
+        self.probes.append(worker)
+
+    def watch_roster(self) -> None:
+        self.watches += 1
+
+    def log(self, line: str) -> None:
+        pass
+
+    # ---- What a test makes happen ----
+
+    def submit(self, submission_id: int, grade: int = 0, slots: float = 1.0, **extra: Any) -> None:
+        self.grade[submission_id] = grade
+        self.arrived[submission_id] = self.clock
+        self.abandon_at[submission_id] = self.clock + extra.pop("abandon_in", 3 * SECOND)
+        self.tries[submission_id] = []
+        given: Mapping[str, Any] = {"customer": 0, "work_hint": 0, "subject": "", "is_retry": False, **extra}
+        self.dispatcher.submission_arrived(
+            submission_id, grade, slots, self.abandon_at[submission_id], **given
+        )
+
+    def start(self, submission_id: int) -> None:
+        self.tries[submission_id][-1]["started"] = True
+        self.dispatcher.hand_off_started(submission_id, len(self.tries[submission_id]) - 1)
+
+    def end(self, submission_id: int, outcome: str) -> None:
+        last = self.tries[submission_id][-1]
+        last["outcome"] = outcome
+        finished = submission_id in self.answers or outcome == "satisfied"
+        if outcome == "satisfied" and submission_id not in self.answers:
+            self.answers[submission_id] = outcome
+        number = len(self.tries[submission_id]) - 1
+        took = self.clock - last["sent"]
+        self.dispatcher.hand_off_ended(submission_id, number, last["worker"], outcome, took, finished, None)
+
+    def leave(self, submission_id: int) -> None:
+        self.answers[submission_id] = "left"
+        self.dispatcher.client_left(submission_id)
+
+    def pass_time(self, span: int) -> None:
+        """Let time pass; due timers and time-outs fire in order."""
+        end = self.clock + span
+        while True:
+            out = [
+                (t["until"], s)
+                for s, tries in self.tries.items()
+                for t in tries[-1:]
+                if t["outcome"] is None and t["until"] <= end
+            ]
+            due = min([(when, 0, token) for when, token in self.timers if when <= end], default=None)
+            late = min([(when, 1, s) for when, s in out], default=None)
+            first = min([x for x in (due, late) if x is not None], default=None)
+            if first is None:
+                break
+            self.clock = max(self.clock, first[0])
+            if first[1]:
+                self.end(first[2], "recalled" if self.tries[first[2]][-1].get("recalled") else "timed_out")
+            else:
+                self.timers.remove((first[0], first[2]))
+                self.dispatcher.woken(first[2])
+        self.clock = end
+
+    def where(self, submission_id: int) -> str | None:
+        tries = self.tries[submission_id]
+        return tries[-1]["worker"] if tries and tries[-1]["outcome"] is None else None
+
+    def check_books(self) -> None:
+        """The dispatcher's slots in flight are just those of the hand-offs that are out."""
+        for worker in self.dispatcher.workers.values():
+            out = [job for job in worker.out.values()]
+            assert worker.in_flight == sum(job.type.slots for job in out) >= worker.running >= 0
+            assert all(self.where(job.id) == worker.name for job in out)
+            assert set(worker.unstarted) <= set(worker.out)
+        for job in self.dispatcher.open.values():
+            assert job.id not in self.answers
+            assert (job.at is None) == (job in job.type.queue)
+
+
+def random_run(seed: int, steps: int, **orders: Any) -> Stage:
+    """Random arrivals, notes, ends, departures and roster changes, with the books checked at each step."""
+    chance = random.Random(seed)
+    names = [f"w{i}" for i in range(chance.randint(1, 7))]
+    listed = [listing(n, kind=i % 2, rack=i % 3) for i, n in enumerate(names)]
+    stage = Stage(listed, seed, second_copies=False, **orders)
+    ends = ["satisfied"] * 6 + ["worker_error", "full", "timed_out", "unreachable", "broken_off", "not_sent"]
+    for step in range(steps):
+        stage.pass_time(chance.choice([0, 1, 5, 30, 200]) * MS)
+        out = [s for s in stage.tries if stage.where(s) is not None]
+        roll = chance.random()
+        if roll < 0.45:
+            stage.submit(
+                step,
+                chance.randrange(3),
+                chance.choice([1.0, 1.0, 2.0]),
+                subject=chance.choice(["", "a", "b"]),
+                abandon_in=chance.choice([-1, 0, 100 * MS, 3 * SECOND]),
+            )
+        elif roll < 0.6 and out:
+            waiting = [s for s in out if not stage.tries[s][-1].get("started")]
+            if waiting:
+                stage.start(chance.choice(waiting))
+        elif roll < 0.88 and out:
+            stage.end(chance.choice(out), chance.choice(ends))
+        elif roll < 0.9 and stage.dispatcher.open:
+            stage.leave(chance.choice(list(stage.dispatcher.open)))
+        elif roll < 0.92:
+            stage.dispatcher.roster_lost()
+        elif roll < 0.96 and stage.probes:
+            took = chance.choice([MS, SECOND])
+            outcome = chance.choice(["satisfied", "timed_out"])
+            stage.dispatcher.probe_answered(stage.probes.pop(), outcome, took, None)
+        else:
+            name = chance.choice(names)
+            state = chance.choice(["ready", "ready", "draining", "gone"])
+            old = stage.listed[name]
+            stage.listed[name] = old._replace(condition=state, started_at=stage.clock)
+            stage.closed_at.pop(name, None)
+            if state != "ready":
+                stage.closed_at[name] = stage.clock
+            stage.dispatcher.roster_changed([stage.listed[name]])
+        stage.check_books()
+    stage.pass_time(10 * SECOND)
+    stage.check_books()
+    assert set(stage.answers) == set(stage.tries), "every submission is answered"
+    return stage
--- /dev/null
+++ b/tests/test_mechanism.py
@@ -0,0 +1,130 @@
+"""The ordinary path, and one small case for each failure found."""
+
+from .stage import MS, SECOND, Stage, listing
+
+
+def test_a_placeholder_gives_its_place_to_an_arrival() -> None:
+    stage = Stage([listing("a"), listing("b")])
+    stage.submit(1)
+    worker = stage.dispatcher.workers["b" if stage.where(1) == "a" else "a"]
+    worker.placeholders.append((next(iter(stage.dispatcher.types.values())), stage.clock + SECOND))
+    stage.submit(2)
+    assert stage.where(2) == worker.name and not worker.placeholders
+
+
+def test_a_larger_job_takes_over_placeholders_until_none_is_left() -> None:
+    stage = Stage([listing("a")])
+    stage.submit(1)
+    stage.dispatcher.workers["a"].room = 2.0
+    stage.end(1, "satisfied")
+    small = next(iter(stage.dispatcher.types.values()))
+    stage.dispatcher.workers["a"].placeholders.append((small, stage.clock + SECOND))
+    stage.submit(2, slots=2.0)
+    assert stage.where(2) == "a" and not stage.dispatcher.workers["a"].placeholders
+
+
+def test_a_late_start_cuts_the_room_to_what_had_started() -> None:
+    stage = Stage([listing("a")])
+    stage.submit(1)
+    stage.pass_time(MS)
+    stage.start(1)
+    worker = stage.dispatcher.workers["a"]
+    stage.submit(2)
+    stage.pass_time(300 * MS)
+    stage.start(2)
+    assert worker.room == 1.0
+
+
+def test_no_more_goes_where_one_of_ours_has_not_started() -> None:
+    stage = Stage([listing("a")])
+    stage.submit(1)
+    stage.pass_time(MS)
+    stage.start(1)
+    stage.submit(2)
+    stage.pass_time(50 * MS)
+    stage.dispatcher.workers["a"].room = 9.0
+    stage.submit(3)
+    assert stage.where(2) == "a" and stage.where(3) is None
+
+
+def test_overdue_submissions_give_way_to_those_behind() -> None:
+    stage = Stage([])
+    stage.submit(1)
+    stage.pass_time(40 * MS)
+    stage.submit(2)
+    stage.pass_time(20 * MS)
+    assert stage.answers == {1: "nacked"}
+
+
+def test_repeats_of_a_subject_meet_on_one_worker() -> None:
+    stage = Stage([listing(n) for n in "abcdef"], fetch_price=0.03)
+    places = set()
+    for submission_id in range(6):
+        stage.submit(submission_id, subject="listing-7")
+        places.add(stage.where(submission_id))
+        stage.start(submission_id)
+        stage.end(submission_id, "satisfied")
+    assert len(places) == 1
+
+
+def test_replacement_prefers_a_subject_that_ran_there() -> None:
+    stage = Stage([listing("a")], fetch_price=0.03)
+    stage.dispatcher.workers["a"].room = 1.0
+    stage.submit(1, subject="x")
+    for submission_id in range(2, 30):
+        stage.submit(submission_id, subject="y" if submission_id < 10 else "x")
+    stage.start(1)
+    stage.end(1, "satisfied")
+    assert stage.where(10) == "a"
+
+
+def test_a_head_bound_to_its_rack_does_not_block_its_queue() -> None:
+    stage = Stage([listing("a", rack=1), listing("b", rack=2)])
+    stage.dispatcher.workers["b"].ready = False
+    stage.submit(1, grade=1)
+    stage.dispatcher.workers["a"].room = 0.0
+    stage.end(1, "timed_out")
+    stage.submit(2)
+    stage.dispatcher.workers["b"].ready = True
+    stage.pass_time(40 * MS)
+    assert stage.where(1) is None and stage.where(2) == "b"
+
+
+def test_a_silent_worker_is_set_aside_and_its_redoable_job_rescued() -> None:
+    stage = Stage([listing(n) for n in "abcd"])
+    stage.submit(1)
+    stage.start(1)
+    first = stage.where(1)
+    stage.pass_time(1900 * MS)
+    assert stage.dispatcher.workers[first].aside
+    assert stage.tries[1][0]["outcome"] == "recalled"
+
+
+def test_an_unreachable_worker_returns_only_after_a_probe() -> None:
+    stage = Stage([listing(n) for n in "abcd"])
+    stage.submit(1)
+    worker = stage.dispatcher.workers[stage.where(1)]
+    stage.end(1, "unreachable")
+    assert worker.aside
+    stage.pass_time(7 * SECOND)
+    assert stage.probes == [worker.name]
+    stage.dispatcher.probe_answered(worker.name, "timed_out", SECOND, None)
+    assert worker.aside
+    stage.dispatcher.probe_answered(worker.name, "satisfied", MS, None)
+    assert not worker.aside
+
+
+def test_only_a_part_of_the_workers_is_set_aside() -> None:
+    stage = Stage([listing(n) for n in "abcdef"])
+    for worker in list(stage.dispatcher.workers.values()):
+        stage.dispatcher._set_aside(worker, stage.clock)
+    assert sum(w.aside for w in stage.dispatcher.workers.values()) == 2
+
+
+def test_a_waiting_labelled_one_is_left_alone_while_its_rack_is_full() -> None:
+    stage = Stage([listing("a", rack=1), listing("b", rack=2)])
+    stage.dispatcher.workers["b"].ready = False
+    stage.submit(1, grade=1)
+    stage.dispatcher.workers["b"].ready = True
+    stage.pass_time(SECOND)
+    assert stage.tries[1][0]["outcome"] is None
--- /dev/null
+++ b/tests/test_simwire.py
@@ -0,0 +1,44 @@
+"""The adapter on plain and on malformed frames."""
+
+import io
+
+import pytest
+
+from ploverspoke.simwire.adapter import Adapter
+from ploverspoke.simwire.codec import Malformed, read_line
+
+
+def play(text: str) -> str:
+    sink = io.StringIO()
+    Adapter(io.StringIO(text), sink).run()
+    return sink.getvalue()
+
+
+def test_an_empty_batch_is_answered() -> None:
+    assert play("MARK AtTimeUs=8412250 serial=1\nGO\n") == "OK serial=1\n"
+
+
+def test_text_fields_run_to_the_end_of_the_line() -> None:
+    assert read_line("REMARK Who=3 Line=two servers known")[1] == {"Who": "3", "Line": "two servers known"}
+
+
+@pytest.mark.parametrize(
+    ("line", "complaint"),
+    [
+        ("SURPRISE Who=1", "unknown message SURPRISE"),
+        ("NEW_REQUEST Who=1 RequestId=5", "not up"),
+        ("UP RandomSeed=1", "Who is missing"),
+        ("UP Who=1 RandomSeed=1 ProfileData={}", "ServiceGrades is missing"),
+        ("TABLE SetId=0 Members=1", "expected ENTRY"),
+        ("REMINDER Who", "name=value"),
+        ("MARK AtTimeUs=1 serial=2", "Who is missing"),
+    ],
+)
+def test_malformed_input_ends_with_a_plain_complaint(line: str, complaint: str) -> None:
+    with pytest.raises(Malformed, match=complaint):
+        play(f"MARK AtTimeUs=1 serial=1\n{line}\nGO\n")
+
+
+def test_an_input_that_ends_inside_a_batch_is_malformed() -> None:
+    with pytest.raises(Malformed, match="inside a batch"):
+        play("MARK AtTimeUs=1 serial=1\n")
