Tests found two breaks: a bound repeat sent at the end of its window, and one never answered

A repeat bound to its rack now carries its last chance: the end of the window or of the abandon time, whichever is first. It is checked where a place is picked, and the timer at that moment always ends the submission.

--- a/ploverspoke/decisions/dispatcher.py
+++ b/ploverspoke/decisions/dispatcher.py
@@ -97,6 +97,7 @@
         self.abandon_at = abandon_at
         self.subject = ""
         self.last_start = abandon_at  # started later it is expected to be overdue
+        self.last_chance = abandon_at  # nothing is sent from here on; a bound repeat must be sent before it
         self.hand_offs = 0
         self.at: Worker | None = None  # where it is out now
         self.sent_at = 0
@@ -104,8 +105,7 @@
         self.recalled = False
         self.heard_at = 0  # its worker's last word on it
         self.in_use = 0.0  # our slots on its worker when it was sent, with its own
-        self.group: tuple[str, int] | None = None  # a repeat must stay in here...
-        self.group_until = 0  # ...and be sent before this
+        self.group: tuple[str, int] | None = None  # a repeat must stay in here
 
 
 class Dispatcher:
@@ -149,9 +149,10 @@
         job_type = self._job_type(slots, self.orders["machine_kind_needed"][grade])
         job = Submission(submission_id, grade, job_type, now, abandon_at)
         job.subject = subject
+        job.last_chance = abandon_at - self.orders["round"]
         job.last_start = self._last_timely_start(job, now, work_hint)
         self.open[submission_id] = job
-        if abandon_at - now <= self.orders["round"]:
+        if now >= job.last_chance:
             self._finish_unsatisfied(job)
             return
         # A placeholder of ours of this type gives up its place.
@@ -169,7 +170,7 @@
             return
         if now < job.last_start:
             self._wake(job, job.last_start)
-        self._wake(job, abandon_at - self.orders["round"])
+        self._wake(job, job.last_chance)
         self._run_clock(now)
 
     def hand_off_started(self, submission_id: int, hand_off: int) -> None:
@@ -289,8 +290,8 @@
             else:
                 self._take_back(what)
         elif isinstance(what, Submission) and what.id in self.open and what.at is None:
-            overtime = self.host.now() >= what.abandon_at - self.orders["round"]
-            if overtime or self._gives_way(what):
+            now_or_never = self.host.now() >= what.last_chance
+            if now_or_never or self._gives_way(what):
                 self._give_up_waiting(what)
 
     # ---- The mechanism ----
@@ -453,13 +454,10 @@
         if worker.warm_at > now and not self._cold_budget_allows(worker, job_type, now):
             return False
         if job is not None and job.group is not None:
-            return job.group == self._group_of(job, worker)
+            return now < job.last_chance and job.group == self._group_of(job, worker)
         return True
 
     def _hand_off(self, job: Submission, worker: Worker, now: int) -> None:
-        # Placeholders that a job of ours does not fit beside are taken over.
-        while self._free(worker, now) < job.type.slots and worker.placeholders:
-            worker.placeholders.popleft()
         job.hand_offs += 1
         job.at = worker
         job.sent_at = now
@@ -468,6 +466,8 @@
         worker.out[job.id] = job
         worker.unstarted[job.id] = now
         worker.in_flight += job.type.slots
+        while self._free(worker, now) < 0 and worker.placeholders:
+            worker.placeholders.popleft()  # taken over: the job does not fit beside it
         job.in_use = worker.in_flight
         if job.subject and job.subject not in worker.subjects:
             worker.subjects.append(job.subject)
@@ -479,16 +479,15 @@
         """A hand-off ended without satisfying: try again where the grade and the time left allow it."""
         if outcome not in NEVER_RAN and job.group is None:
             job.group = self._bound_to(job, worker)
-            window = self.orders["repeat_window"][job.grade] if job.group and job.group[0] != "none" else 0
-            job.group_until = job.sent_at + window
-        last_chance = job.abandon_at - self.orders["round"]
-        if job.group is not None:
-            last_chance = min(last_chance, job.group_until)
-        if now >= last_chance or job.hand_offs >= self.orders["most_hand_offs"]:
+            if job.group is not None:
+                # Its rack forgets it: past that time a repeat would run again.
+                window = self.orders["repeat_window"][job.grade] if job.group[0] != "none" else 0
+                job.last_chance = min(job.last_chance, job.sent_at + window)
+        if now >= job.last_chance or job.hand_offs >= self.orders["most_hand_offs"]:
             self._finish_unsatisfied(job)
             return
         job.type.queue.appendleft(job)
-        self._wake(job, last_chance)
+        self._wake(job, job.last_chance)
         self._run_clock(now)
 
     def _last_timely_start(self, job: Submission, now: int, work_hint: int) -> int:
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -15,12 +15,12 @@
 def test_a_larger_job_takes_over_placeholders_until_none_is_left() -> None:
     stage = Stage([listing("a")])
     stage.submit(1)
-    stage.dispatcher.workers["a"].room = 2.0
     stage.end(1, "satisfied")
-    small = next(iter(stage.dispatcher.types.values()))
-    stage.dispatcher.workers["a"].placeholders.append((small, stage.clock + SECOND))
+    worker = stage.dispatcher.workers["a"]
+    worker.room = 2.0
+    worker.placeholders.append((next(iter(stage.dispatcher.types.values())), stage.clock + SECOND))
     stage.submit(2, slots=2.0)
-    assert stage.where(2) == "a" and not stage.dispatcher.workers["a"].placeholders
+    assert stage.where(2) == "a" and not worker.placeholders
 
 
 def test_a_late_start_cuts_the_room_to_what_had_started() -> None:
@@ -69,24 +69,23 @@
 
 def test_replacement_prefers_a_subject_that_ran_there() -> None:
     stage = Stage([listing("a")], fetch_price=0.03)
-    stage.dispatcher.workers["a"].room = 1.0
-    stage.submit(1, subject="x")
-    for submission_id in range(2, 30):
-        stage.submit(submission_id, subject="y" if submission_id < 10 else "x")
-    stage.start(1)
-    stage.end(1, "satisfied")
+    stage.dispatcher.workers["a"].room = stage.dispatcher.workers["a"].room_before_cut = 1.0
+    stage.submit(0, subject="x")
+    for submission_id in range(1, 30):
+        stage.submit(submission_id, subject="x" if submission_id == 10 else "y")
+    stage.end(0, "satisfied")
     assert stage.where(10) == "a"
 
 
 def test_a_head_bound_to_its_rack_does_not_block_its_queue() -> None:
-    stage = Stage([listing("a", rack=1), listing("b", rack=2)])
-    stage.dispatcher.workers["b"].ready = False
+    stage = Stage([listing("a", rack=1)])
     stage.submit(1, grade=1)
-    stage.dispatcher.workers["a"].room = 0.0
     stage.end(1, "timed_out")
     stage.submit(2)
-    stage.dispatcher.workers["b"].ready = True
-    stage.pass_time(40 * MS)
+    stage.dispatcher.workers["a"].ready = False
+    stage.dispatcher.roster_changed([listing("b", rack=2)])
+    stage.listed["b"] = listing("b", rack=2)
+    stage.pass_time(20 * MS)
     assert stage.where(1) is None and stage.where(2) == "b"
 
 
