--- a/ploverspoke/decisions/dispatcher.py
+++ b/ploverspoke/decisions/dispatcher.py
@@ -225,7 +225,8 @@
         elif outcome == "full":
             self._cut_room(worker, worker.in_flight, now)
         elif outcome in ("unreachable", "broken_off"):
-            self._set_aside(worker, now)
+            # Proof, not a guess: when a whole zone is cut off, no bound may keep us sending there.
+            self._set_aside(worker, now, bounded=False)
         if outcome in ("satisfied", "worker_error"):
             worker.errors.append(outcome == "worker_error")
             if outcome == "worker_error" and sum(worker.errors) >= ERRORS_BAD:
@@ -584,9 +585,11 @@
             return job.group
         return ("none", 0) if repeat == "irreversible" else self._group_of(job, worker)
 
-    def _set_aside(self, worker: Worker, now: int) -> None:
+    def _set_aside(self, worker: Worker, now: int, bounded: bool = True) -> None:
+        """Send nothing there for a while. Where many look bad at once, the reading is usually wrong."""
         aside = sum(w.aside for w in self.workers.values() if w.ready)
-        if worker.aside or (aside + 1) * ASIDE_SHARE > sum(w.ready for w in self.workers.values()):
+        crowded = (aside + 1) * ASIDE_SHARE > sum(w.ready for w in self.workers.values())
+        if worker.aside or (bounded and crowded):
             return
         worker.aside = True
         worker.placeholders.clear()
