--- a/ploverspoke/decisions/dispatcher.py
+++ b/ploverspoke/decisions/dispatcher.py
@@ -22,7 +22,8 @@
 TICKS_PER_ARRIVAL = 5  # the shared clock's rate, in our arrival rate
 EPSILON = 0.5
 FIRST_ROOM = 2.0  # slots a worker is believed to hold before it has taught us more
-ROOM_DRIFT = 1.0  # slots by which a cut room returns in one mean running time
+WAITS_TO_RETURN = 2  # a slot of a cut room returns in so many times the wait that cut it, at least
+LONGEST_DRIFT = 5 * SECOND
 PROMPT_START = 3  # a start is prompt within this many times the zone's quickest start note...
 PROMPT_START_SLACK = 10 * MILLISECOND  # ...and this
 PATIENCE = 0.5  # share of its slack that a submission may wait here
@@ -60,6 +61,7 @@
         self.room = FIRST_ROOM
         self.room_before_cut = FIRST_ROOM
         self.room_at = 0  # when the room last drifted
+        self.drift_time = 1.0 * SECOND  # in which it drifts by one slot
         self.out: dict[int, Submission] = {}  # our hand-offs there, by submission
         self.unstarted: dict[int, int] = {}  # those of which no start is known, and when they were sent
         self.running = 0.0  # slots of ours known to have started
@@ -185,7 +187,7 @@
         if wait <= self._prompt_start(worker):
             self._accepted(worker, job.in_use)
         else:
-            self._cut_room(worker, worker.running, now)
+            self._cut_room(worker, worker.running, WAITS_TO_RETURN * wait, now)
         worker.running += job.type.slots
         worker.unstarted.pop(submission_id, None)
         self.start_lags.setdefault(worker.listing.zone, deque(maxlen=32)).append(wait)
@@ -223,7 +225,7 @@
                 job.type.running_times.append(took)
                 self._accepted(worker, job.in_use)
         elif outcome == "full":
-            self._cut_room(worker, worker.in_flight, now)
+            self._cut_room(worker, worker.in_flight, 2 * worker.drift_time, now)
         elif outcome in ("unreachable", "broken_off"):
             # Proof, not a guess: when a whole zone is cut off, no bound may keep us sending there.
             self._set_aside(worker, now, bounded=False)
@@ -356,7 +358,7 @@
         if not job_type.queue:
             worker.placeholders.append((job_type, now + job_type.mean_running_time()))
             return
-        if self._has_waiting(worker, now):
+        if self._has_waiting(worker, now) or self._free(worker, now) < job_type.slots:
             return
         # In a backlog most places are filled here; one whose subject ran there lately saves a fetch.
         nearest = list(islice(job_type.queue, NEAR_HEAD)) if self.orders["fetch_price"] else []
@@ -421,7 +423,7 @@
     def _free(self, worker: Worker, now: int) -> float:
         """Believed free slots; placeholders count only beside real jobs of ours."""
         if worker.room < worker.room_before_cut:
-            drift = (now - worker.room_at) / self._mean_running_time() * ROOM_DRIFT
+            drift = (now - worker.room_at) / worker.drift_time
             worker.room = min(worker.room_before_cut, worker.room + drift)
             worker.room_at = now
         free = worker.room - worker.in_flight
@@ -439,11 +441,16 @@
         worker.room = max(worker.room, min(worker.room + 1, in_use + 1))
         worker.room_before_cut = max(worker.room, worker.room_before_cut)
 
-    def _cut_room(self, worker: Worker, room: float, now: int) -> None:
+    def _cut_room(self, worker: Worker, room: float, drift_time: float, now: int) -> None:
+        """Less room, which drifts back by a slot in a mean running time, or longer where the wait was long.
+
+        With many dispatchers, one waiting job of each is a long queue: each stays away for as long as it waited.
+        """
         if room < worker.room:
             worker.room_before_cut = max(room + 1, FIRST_ROOM)
             worker.room = room
             worker.room_at = now
+            worker.drift_time = min(max(self._mean_running_time(), drift_time), LONGEST_DRIFT)
 
     # ---- Hand-offs and answers ----
 
