--- a/ploverspoke/decisions/dispatcher.py
+++ b/ploverspoke/decisions/dispatcher.py
@@ -22,7 +22,7 @@
 TICKS_PER_ARRIVAL = 5  # the shared clock's rate, in our arrival rate
 EPSILON = 0.5
 FIRST_ROOM = 2.0  # slots a worker is believed to hold before it has taught us more
-WAITS_TO_RETURN = 2  # a slot of a cut room returns in so many times the wait that cut it, at least
+WAITS_TO_RETURN = 1  # a slot of a cut room returns in so many times the wait that cut it, at least
 LONGEST_DRIFT = 5 * SECOND
 PROMPT_START = 3  # a start is prompt within this many times the zone's quickest start note...
 PROMPT_START_SLACK = 10 * MILLISECOND  # ...and this
@@ -444,7 +444,7 @@
     def _cut_room(self, worker: Worker, room: float, drift_time: float, now: int) -> None:
         """Less room, which drifts back by a slot in a mean running time, or longer where the wait was long.
 
-        With many dispatchers, one waiting job of each is a long queue: each stays away for as long as it waited.
+        With many dispatchers one waiting job of each is a long queue: each stays away as long as it waited.
         """
         if room < worker.room:
             worker.room_before_cut = max(room + 1, FIRST_ROOM)
