--- a/ploverspoke/decisions/dispatcher.py
+++ b/ploverspoke/decisions/dispatcher.py
@@ -22,7 +22,7 @@
 TICKS_PER_ARRIVAL = 5  # the shared clock's rate, in our arrival rate
 EPSILON = 0.5
 FIRST_ROOM = 2.0  # slots a worker is believed to hold before it has taught us more
-WAITS_TO_RETURN = 1  # a slot of a cut room returns in so many times the wait that cut it, at least
+WAITS_TO_RETURN = 2  # a slot of a cut room returns in so many times the wait that cut it, at least
 LONGEST_DRIFT = 5 * SECOND
 PROMPT_START = 3  # a start is prompt within this many times the zone's quickest start note...
 PROMPT_START_SLACK = 10 * MILLISECOND  # ...and this
@@ -105,6 +105,7 @@
         self.sent_at = 0
         self.started_at = 0
         self.recalled = False
+        self.waited_too_long = False  # longer for its start than it could afford
         self.heard_at = 0  # its worker's last word on it
         self.in_use = 0.0  # our slots on its worker when it was sent, with its own
         self.group: tuple[str, int] | None = None  # a repeat must stay in here
@@ -187,7 +188,9 @@
         if wait <= self._prompt_start(worker):
             self._accepted(worker, job.in_use)
         else:
-            self._cut_room(worker, worker.running, WAITS_TO_RETURN * wait, now)
+            job.waited_too_long = wait > job.last_start - job.arrived
+            away = WAITS_TO_RETURN * wait if job.waited_too_long else 0
+            self._cut_room(worker, worker.running, away, now)
         worker.running += job.type.slots
         worker.unstarted.pop(submission_id, None)
         self.start_lags.setdefault(worker.listing.zone, deque(maxlen=32)).append(wait)
@@ -237,7 +240,8 @@
             self.open.pop(submission_id, None)
         if submission_id in self.open:
             self._decide_again(job, worker, outcome, now)
-        if outcome == "satisfied":
+        # Where many dispatchers each keep one waiting, replacement would keep the queue long for good.
+        if outcome == "satisfied" and not job.waited_too_long:
             self._replace(job.type, worker, now)
 
     def client_left(self, submission_id: int) -> None:
@@ -358,7 +362,7 @@
         if not job_type.queue:
             worker.placeholders.append((job_type, now + job_type.mean_running_time()))
             return
-        if self._has_waiting(worker, now) or self._free(worker, now) < job_type.slots:
+        if self._has_waiting(worker, now):
             return
         # In a backlog most places are filled here; one whose subject ran there lately saves a fetch.
         nearest = list(islice(job_type.queue, NEAR_HEAD)) if self.orders["fetch_price"] else []
@@ -442,9 +446,9 @@
         worker.room_before_cut = max(worker.room, worker.room_before_cut)
 
     def _cut_room(self, worker: Worker, room: float, drift_time: float, now: int) -> None:
-        """Less room, which drifts back by a slot in a mean running time, or longer where the wait was long.
+        """Less room, which drifts back by a slot in a mean running time, or longer after too long a wait.
 
-        With many dispatchers one waiting job of each is a long queue: each stays away as long as it waited.
+        With many dispatchers one waiting job of each is a long queue: then each stays away for a while.
         """
         if room < worker.room:
             worker.room_before_cut = max(room + 1, FIRST_ROOM)
@@ -470,7 +474,7 @@
         job.at = worker
         job.sent_at = now
         job.started_at = 0
-        job.recalled = False
+        job.recalled = job.waited_too_long = False
         worker.out[job.id] = job
         worker.unstarted[job.id] = now
         worker.in_flight += job.type.slots
