--- a/ploverspoke/decisions/dispatcher.py
+++ b/ploverspoke/decisions/dispatcher.py
@@ -514,7 +514,9 @@
             calm = running_time = work_hint
         stretch = self.orders["running_time_stretch"][job.grade]
         slack = self.orders["expected_time"][job.grade] + stretch * calm - running_time
-        return int(first_asked + PATIENCE * max(0, slack))
+        # When not all can be in time, those of little benefit make way first: they wait for less.
+        rank = self.orders["benefit"][job.grade] / max(self.orders["benefit"])
+        return int(first_asked + PATIENCE * rank * max(0, slack))
 
     def _gives_way(self, job: Submission) -> bool:
         """Whether a waiting submission past its last timely start should be answered at once.
