--- a/ploverspoke/decisions/dispatcher.py
+++ b/ploverspoke/decisions/dispatcher.py
@@ -515,7 +515,7 @@
         stretch = self.orders["running_time_stretch"][job.grade]
         slack = self.orders["expected_time"][job.grade] + stretch * calm - running_time
         # When not all can be in time, those of little benefit make way first: they wait for less.
-        rank = (self.orders["benefit"][job.grade] / max(self.orders["benefit"])) ** 0.5
+        rank = self.orders["benefit"][job.grade] / max(self.orders["benefit"])
         return int(first_asked + PATIENCE * rank * max(0, slack))
 
     def _gives_way(self, job: Submission) -> bool:
