--- a/ploverspoke/decisions/dispatcher.py
+++ b/ploverspoke/decisions/dispatcher.py
@@ -68,6 +68,8 @@
         self.subjects: deque[str] = deque(maxlen=4)  # of our last few jobs there
         self.placeholders: deque[tuple[JobType, int]] = deque()  # type and end
         self.aside = False
+        self.on_trial = False  # back from being set aside, with no start seen since
+        self.heard_at = 0  # its last word on any hand-off of ours
         self.errors: deque[bool] = deque(maxlen=ERRORS_KEPT)  # whether our last hand-offs ended in an error
         self.warm_at = 0
         self.cold_sends: deque[tuple[int, float]] = deque()
@@ -183,6 +185,8 @@
         now = self.host.now()
         job.started_at = job.heard_at = now
         worker, wait = job.at, now - job.sent_at
+        worker.heard_at = now
+        worker.on_trial = False
         # Workers have waiting rooms, so a full answer comes long after jobs stopped starting at once. A late
         # start is read as full: the room was what we had there without this job.
         if wait <= self._prompt_start(worker):
@@ -199,6 +203,8 @@
         job = self.open.get(submission_id)
         if job is not None and hand_off == job.hand_offs - 1:
             job.heard_at = self.host.now()
+            if job.at is not None:
+                job.at.heard_at = job.heard_at
 
     def hand_off_ended(
         self,
@@ -215,6 +221,8 @@
         job = worker.out.pop(submission_id, None)
         if job is None:
             return
+        if outcome in ("satisfied", "worker_error", "full"):
+            worker.heard_at = now
         worker.in_flight -= job.type.slots
         if job.started_at:
             worker.running -= job.type.slots
@@ -463,12 +471,19 @@
         listing = worker.listing
         if not worker.ready or job_type.machine_kind not in (-1, listing.machine_kind):
             return False
+        if worker.on_trial and self._must_not_repeat(job):
+            return False
         if worker.warm_at > now and not self._cold_budget_allows(worker, job_type, now):
             return False
         if job is not None and job.group is not None:
             return now < job.last_chance and job.group == self._group_of(job, worker)
         return True
 
+    def _must_not_repeat(self, job: Submission | None) -> bool:
+        """An irreversible one is lost with its worker, so others try a worker that has just returned."""
+        repeats = self.orders["repeat"]
+        return job is not None and repeats[job.grade] == "irreversible" and set(repeats) != {"irreversible"}
+
     def _hand_off(self, job: Submission, worker: Worker, now: int) -> None:
         job.hand_offs += 1
         job.at = worker
@@ -558,8 +573,11 @@
         for worker in self.workers.values():
             if not worker.out:
                 continue
-            heard = [job.heard_at for job in worker.out.values() if job.started_at]
-            silent = bool(heard) and now - min(heard) > silence
+            # A started job owes word at each interval. Where none has started, no word at all is the sign.
+            heard = [
+                j.heard_at if j.started_at else max(worker.heard_at, j.sent_at) for j in worker.out.values()
+            ]
+            silent = now - min(heard) > silence
             if silent:
                 self._set_aside(worker, now)
             for job in list(worker.out.values()):
@@ -577,7 +595,7 @@
         ):
             return False
         if silent:
-            return not job.started_at or now - job.heard_at > PATROL
+            return True
         # Where workers do not stop recalled work, taking back a labelled one early runs much of it twice.
         allowance = max(self._prompt_start(worker), int((job.last_start - job.arrived) * PATIENCE))
         if self.orders["repeat"][job.grade] == "labelled":
@@ -611,6 +629,7 @@
     def _take_back(self, worker: Worker) -> None:
         """A worker returns with room for little, and one more error sets it aside again."""
         worker.aside = False
+        worker.on_trial = True
         worker.room = worker.room_before_cut = 1.0
 
     def _aside_time(self) -> int:
