--- a/ploverspoke/decisions/dispatcher.py
+++ b/ploverspoke/decisions/dispatcher.py
@@ -68,7 +68,7 @@
         self.subjects: deque[str] = deque(maxlen=4)  # of our last few jobs there
         self.placeholders: deque[tuple[JobType, int]] = deque()  # type and end
         self.aside = False
-        self.on_trial = False  # back from being set aside, with no start seen since
+        self.trial_until = 0  # back from being set aside, with no start seen since
         self.heard_at = 0  # its last word on any hand-off of ours
         self.errors: deque[bool] = deque(maxlen=ERRORS_KEPT)  # whether our last hand-offs ended in an error
         self.warm_at = 0
@@ -186,7 +186,7 @@
         job.started_at = job.heard_at = now
         worker, wait = job.at, now - job.sent_at
         worker.heard_at = now
-        worker.on_trial = False
+        worker.trial_until = 0
         # Workers have waiting rooms, so a full answer comes long after jobs stopped starting at once. A late
         # start is read as full: the room was what we had there without this job.
         if wait <= self._prompt_start(worker):
@@ -471,7 +471,7 @@
         listing = worker.listing
         if not worker.ready or job_type.machine_kind not in (-1, listing.machine_kind):
             return False
-        if worker.on_trial and self._must_not_repeat(job):
+        if worker.trial_until > now and self._must_not_repeat(job):
             return False
         if worker.warm_at > now and not self._cold_budget_allows(worker, job_type, now):
             return False
@@ -629,7 +629,7 @@
     def _take_back(self, worker: Worker) -> None:
         """A worker returns with room for little, and one more error sets it aside again."""
         worker.aside = False
-        worker.on_trial = True
+        worker.trial_until = self.host.now() + SET_ASIDE
         worker.room = worker.room_before_cut = 1.0
 
     def _aside_time(self) -> int:
