--- a/ploverspoke/decisions/dispatcher.py
+++ b/ploverspoke/decisions/dispatcher.py
@@ -395,7 +395,7 @@
         if not roomy:
             return None
         # Reports tell of the others' jobs; late as they are, they only narrow the draw.
-        roomy = [w for w in roomy if self._reported_room(w, now) >= job_type.slots] or roomy
+        roomy = [w for w in roomy if self._reported_room(w, now) >= 0] or roomy
         # Crossing zones has a price, so the two come from our own zone while it has room.
         if self.orders["zone_crossing_price"]:
             roomy = [w for w in roomy if w.listing.zone == self.orders["zone"]] or roomy
@@ -435,7 +435,7 @@
             worker.in_flight_then = worker.in_flight
 
     def _reported_room(self, worker: Worker, now: int) -> float:
-        """Free slots by the last report, reconciled with what we sent since; without a fresh one, no limit."""
+        """Free slots by the last report, reconciled with what we sent since; no limit without a fresh one."""
         if now - worker.reported_at > REPORT_LIFE:
             return inf
         return worker.reported_free + worker.in_flight_then - worker.in_flight
