--- a/ploverspoke/decisions/dispatcher.py
+++ b/ploverspoke/decisions/dispatcher.py
@@ -10,7 +10,7 @@
 from collections.abc import Iterable, Mapping
 from heapq import nsmallest
 from itertools import islice
-from math import exp, inf, log
+from math import exp, log
 from typing import Any
 from zlib import crc32
 
@@ -31,7 +31,6 @@
 SET_ASIDE = 8 * SECOND  # plus a random part of up to half of it
 ERRORS_KEPT, ERRORS_BAD = 8, 2  # so many errors among a worker's last ends set it aside
 ASIDE_SHARE = 3  # at most one in so many workers is set aside at once
-REPORT_LIFE = 2 * SECOND  # how long a load report is heeded
 PATROL = 100 * MILLISECOND
 NEVER_RAN = frozenset({"full", "unreachable", "not_sent"})
 
@@ -69,9 +68,6 @@
         self.subjects: deque[str] = deque(maxlen=4)  # of our last few jobs there
         self.placeholders: deque[tuple[JobType, int]] = deque()  # type and end
         self.aside = False
-        self.reported_free = 0.0  # free slots by its last report, less its queue
-        self.reported_at = -REPORT_LIFE
-        self.in_flight_then = 0.0
         self.trial_until = 0  # back from being set aside, with no start seen since
         self.heard_at = 0  # its last word on any hand-off of ours
         self.errors: deque[bool] = deque(maxlen=ERRORS_KEPT)  # whether our last hand-offs ended in an error
@@ -228,8 +224,6 @@
         if outcome in ("satisfied", "worker_error", "full"):
             worker.heard_at = now
         worker.in_flight -= job.type.slots
-        if load:
-            self._take_report(worker, load, now)
         if job.started_at:
             worker.running -= job.type.slots
         worker.unstarted.pop(submission_id, None)
@@ -288,8 +282,6 @@
         self, worker_name: str, outcome: str, took: int, load: Mapping[str, float] | None
     ) -> None:
         worker = self.workers[worker_name]
-        if load:
-            self._take_report(worker, load, self.host.now())
         if not worker.aside:
             return
         if outcome == "satisfied":
@@ -394,8 +386,6 @@
         roomy = self._roomy(job_type, now, job)
         if not roomy:
             return None
-        # Reports tell of the others' jobs; late as they are, they only narrow the draw.
-        roomy = [w for w in roomy if self._reported_room(w, now) >= 0] or roomy
         # Crossing zones has a price, so the two come from our own zone while it has room.
         if self.orders["zone_crossing_price"]:
             roomy = [w for w in roomy if w.listing.zone == self.orders["zone"]] or roomy
@@ -428,18 +418,6 @@
             return False
         return now - next(iter(worker.unstarted.values())) > self._prompt_start(worker)
 
-    def _take_report(self, worker: Worker, load: Mapping[str, float], now: int) -> None:
-        if "free_slots" in load:
-            worker.reported_free = load["free_slots"] - load.get("waiting", 0.0)
-            worker.reported_at = now
-            worker.in_flight_then = worker.in_flight
-
-    def _reported_room(self, worker: Worker, now: int) -> float:
-        """Free slots by the last report, reconciled with what we sent since; no limit without a fresh one."""
-        if now - worker.reported_at > REPORT_LIFE:
-            return inf
-        return worker.reported_free + worker.in_flight_then - worker.in_flight
-
     def _prompt_start(self, worker: Worker) -> int:
         lags = self.start_lags.get(worker.listing.zone)
         return PROMPT_START * min(lags) + PROMPT_START_SLACK if lags else SECOND
