--- a/ploverspoke/decisions/dispatcher.py
+++ b/ploverspoke/decisions/dispatcher.py
@@ -71,9 +71,13 @@
         self.trial_until = 0  # back from being set aside, with no start seen since
         self.heard_at = 0  # its last word on any hand-off of ours
         self.errors: deque[bool] = deque(maxlen=ERRORS_KEPT)  # whether our last hand-offs ended in an error
+        self.paces: deque[float] = deque(maxlen=8)  # running times there over the grade's mean
         self.warm_at = 0
         self.cold_sends: deque[tuple[int, float]] = deque()
 
+    def pace(self) -> float:
+        return sum(self.paces) / len(self.paces) if self.paces else 1.0
+
 
 class JobType:
     """The first-come queue of one slot count and worker kind."""
@@ -231,7 +235,9 @@
         if outcome == "satisfied":
             if job.started_at:
                 job.type.running_times.append(now - job.started_at)
-                self.grade_running_times[job.grade].append(now - job.started_at)
+                running_time = now - job.started_at
+                worker.paces.append(running_time / (self._grade_running_time(job.grade) or running_time or 1))
+                self.grade_running_times[job.grade].append(running_time)
             else:
                 job.type.running_times.append(took)
                 self._accepted(worker, job.in_use)
@@ -399,6 +405,8 @@
         first = self.chance.below(len(roomy))
         second = self.chance.below(len(roomy) - 1)
         a, b = roomy[first], roomy[second + (second >= first)]
+        if a.in_flight == b.in_flight:
+            return b if b.pace() < a.pace() else a
         return b if b.in_flight < a.in_flight else a
 
     def _roomy(self, job_type: JobType, now: int, job: Submission | None) -> list[Worker]:
