--- a/ploverspoke/decisions/dispatcher.py
+++ b/ploverspoke/decisions/dispatcher.py
@@ -32,7 +32,7 @@
 ERRORS_KEPT, ERRORS_BAD = 8, 2  # so many errors among a worker's last ends set it aside
 ASIDE_SHARE = 3  # at most one in so many workers is set aside at once
 JAM = 2.0  # running times so many times the shortest mean seen tell of a jam
-HOMES = 1  # in a jam a subject keeps to so many workers
+HOMES = 2  # in a jam a subject keeps to so many workers
 PATROL = 100 * MILLISECOND
 NEVER_RAN = frozenset({"full", "unreachable", "not_sent"})
 
