--- a/ploverspoke/decisions/dispatcher.py
+++ b/ploverspoke/decisions/dispatcher.py
@@ -392,14 +392,6 @@
     def _two_choice_pick(self, job_type: JobType, now: int, job: Submission | None) -> Worker | None:
         """Of two drawn at random among the roomy, the one with fewer of our slots in flight."""
         roomy = self._roomy(job_type, now, job)
-        if job is not None and self._jammed(job):
-            # Where fetches jam the shared store, a subject spread over more workers only feeds the jam.
-            near = nsmallest(
-                HOMES,
-                (w for w in self.workers.values() if w.ready and not w.aside and self._suits(w, job_type)),
-                key=lambda w: crc32((job.subject + w.name).encode()),
-            )
-            roomy = [w for w in roomy if w in near]
         if not roomy:
             return None
         # Crossing zones has a price, so the two come from our own zone while it has room.
@@ -420,10 +412,15 @@
         return b if b.in_flight < a.in_flight else a
 
     def _jammed(self, job: Submission) -> bool:
+        """Where fetches jam a shared store, a subject spread over many workers only feeds the jam."""
         calm = self.calm.get(job.grade, 0)
         drawn_out = self._grade_running_time(job.grade) > JAM * calm > 0
         return drawn_out and bool(job.subject and self.orders["fetch_price"])
 
+    def _homes(self, job: Submission) -> list[Worker]:
+        able = (w for w in self.workers.values() if w.ready and not w.aside and self._suits(w, job.type))
+        return nsmallest(HOMES, able, key=lambda w: crc32((job.subject + w.name).encode()))
+
     def _suits(self, worker: Worker, job_type: JobType) -> bool:
         return job_type.machine_kind in (-1, worker.listing.machine_kind)
 
@@ -496,6 +493,8 @@
         """Whether the rules and the job's needs let it go there."""
         if not worker.ready or not self._suits(worker, job_type):
             return False
+        if job is not None and self._jammed(job) and worker not in self._homes(job):
+            return False
         if worker.trial_until > now and self._must_not_repeat(job):
             return False
         if worker.warm_at > now and not self._cold_budget_allows(worker, job_type, now):
