--- a/ploverspoke/decisions/dispatcher.py
+++ b/ploverspoke/decisions/dispatcher.py
@@ -31,8 +31,6 @@
 SET_ASIDE = 8 * SECOND  # plus a random part of up to half of it
 ERRORS_KEPT, ERRORS_BAD = 8, 2  # so many errors among a worker's last ends set it aside
 ASIDE_SHARE = 3  # at most one in so many workers is set aside at once
-JAM = 2.0  # running times so many times the shortest mean seen tell of a jam
-HOMES = 2  # in a jam a subject keeps to so many workers
 PATROL = 100 * MILLISECOND
 NEVER_RAN = frozenset({"full", "unreachable", "not_sent"})
 
@@ -402,8 +400,8 @@
         if job is not None and job.subject and self.orders["fetch_price"]:
             # What a job needs is kept for a while where it last ran. Drawn by the subject's hash the two are
             # the same for every repeat, at every dispatcher, so that most find it there.
-            roomy.sort(key=lambda w: crc32((job.subject + w.name).encode()))
-            return roomy[1] if roomy[1].in_flight < roomy[0].in_flight else roomy[0]
+            drawn = nsmallest(2, roomy, key=lambda w: crc32((job.subject + w.name).encode()))
+            return drawn[1] if drawn[1].in_flight < drawn[0].in_flight else drawn[0]
         first = self.chance.below(len(roomy))
         second = self.chance.below(len(roomy) - 1)
         a, b = roomy[first], roomy[second + (second >= first)]
@@ -411,19 +409,6 @@
             return b if b.pace() < a.pace() else a
         return b if b.in_flight < a.in_flight else a
 
-    def _jammed(self, job: Submission) -> bool:
-        """Where fetches jam a shared store, a subject spread over many workers only feeds the jam."""
-        calm = self.calm.get(job.grade, 0)
-        drawn_out = self._grade_running_time(job.grade) > JAM * calm > 0
-        return drawn_out and bool(job.subject and self.orders["fetch_price"])
-
-    def _homes(self, job: Submission) -> list[Worker]:
-        able = (w for w in self.workers.values() if w.ready and not w.aside and self._suits(w, job.type))
-        return nsmallest(HOMES, able, key=lambda w: crc32((job.subject + w.name).encode()))
-
-    def _suits(self, worker: Worker, job_type: JobType) -> bool:
-        return job_type.machine_kind in (-1, worker.listing.machine_kind)
-
     def _roomy(self, job_type: JobType, now: int, job: Submission | None) -> list[Worker]:
         return [
             w
@@ -491,9 +476,8 @@
 
     def _allowed(self, worker: Worker, job_type: JobType, now: int, job: Submission | None) -> bool:
         """Whether the rules and the job's needs let it go there."""
-        if not worker.ready or not self._suits(worker, job_type):
-            return False
-        if job is not None and self._jammed(job) and worker not in self._homes(job):
+        listing = worker.listing
+        if not worker.ready or job_type.machine_kind not in (-1, listing.machine_kind):
             return False
         if worker.trial_until > now and self._must_not_repeat(job):
             return False
