--- a/ploverspoke/decisions/dispatcher.py
+++ b/ploverspoke/decisions/dispatcher.py
@@ -400,7 +400,10 @@
         if job is not None and job.subject and self.orders["fetch_price"]:
             # What a job needs is kept for a while where it last ran. Drawn by the subject's hash the two are
             # the same for every repeat, at every dispatcher, so that most find it there.
-            drawn = nsmallest(2, roomy, key=lambda w: crc32((job.subject + w.name).encode()))
+            holders = [w for w in roomy if job.subject in w.subjects] or roomy
+            if len(holders) == 1:
+                return holders[0]
+            drawn = nsmallest(2, holders, key=lambda w: crc32((job.subject + w.name).encode()))
             return drawn[1] if drawn[1].in_flight < drawn[0].in_flight else drawn[0]
         first = self.chance.below(len(roomy))
         second = self.chance.below(len(roomy) - 1)
@@ -504,7 +507,9 @@
         while self._free(worker, now) < 0 and worker.placeholders:
             worker.placeholders.popleft()  # taken over: the job does not fit beside it
         job.in_use = worker.in_flight
-        if job.subject and job.subject not in worker.subjects:
+        if job.subject:
+            if job.subject in worker.subjects:
+                worker.subjects.remove(job.subject)
             worker.subjects.append(job.subject)
         if worker.warm_at > now:
             worker.cold_sends.append((now, job.type.slots * (job.type.mean_running_time() or SECOND)))
