--- a/ploverspoke/decisions/dispatcher.py
+++ b/ploverspoke/decisions/dispatcher.py
@@ -65,7 +65,7 @@
         self.out: dict[int, Submission] = {}  # our hand-offs there, by submission
         self.unstarted: dict[int, int] = {}  # those of which no start is known, and when they were sent
         self.running = 0.0  # slots of ours known to have started
-        self.subjects: deque[str] = deque(maxlen=4)  # of our last few jobs there
+        self.subjects: deque[str] = deque(maxlen=6)  # of our last few jobs there
         self.placeholders: deque[tuple[JobType, int]] = deque()  # type and end
         self.aside = False
         self.trial_until = 0  # back from being set aside, with no start seen since
