--- a/ploverspoke/decisions/dispatcher.py
+++ b/ploverspoke/decisions/dispatcher.py
@@ -392,6 +392,10 @@
         roomy = self._roomy(job_type, now, job)
         if not roomy:
             return None
+        # Machines that some grade cannot do without are left to it while others have room.
+        if job_type.machine_kind == -1:
+            sought = self.orders["machine_kind_needed"]
+            roomy = [w for w in roomy if w.listing.machine_kind not in sought] or roomy
         # Crossing zones has a price, so the two come from our own zone while it has room.
         if self.orders["zone_crossing_price"]:
             roomy = [w for w in roomy if w.listing.zone == self.orders["zone"]] or roomy
