--- a/ploverspoke/decisions/dispatcher.py
+++ b/ploverspoke/decisions/dispatcher.py
@@ -10,7 +10,7 @@
 from collections.abc import Iterable, Mapping
 from heapq import nsmallest
 from itertools import islice
-from math import exp, log
+from math import exp, inf, log
 from typing import Any
 from zlib import crc32
 
@@ -31,6 +31,7 @@
 SET_ASIDE = 8 * SECOND  # plus a random part of up to half of it
 ERRORS_KEPT, ERRORS_BAD = 8, 2  # so many errors among a worker's last ends set it aside
 ASIDE_SHARE = 3  # at most one in so many workers is set aside at once
+SLOW_FETCH = 3  # a fetch was slow when the running time is over so many times the shortest mean seen
 PATROL = 100 * MILLISECOND
 NEVER_RAN = frozenset({"full", "unreachable", "not_sent"})
 
@@ -111,6 +112,7 @@
         self.sent_at = 0
         self.started_at = 0
         self.recalled = False
+        self.fetching = False
         self.waited_too_long = False  # longer for its start than it could afford
         self.heard_at = 0  # its worker's last word on it
         self.in_use = 0.0  # our slots on its worker when it was sent, with its own
@@ -131,6 +133,9 @@
         self.asked_times: dict[int, deque[int]] = {}
         self.start_lags: dict[int, deque[int]] = {}
         self.clock_runs = False
+        self.fetches_out = 0  # hand-offs out whose subject was not held where they went
+        self.fetch_room = inf  # as many as the shared store is believed to bear of us
+        self.fetch_cut_at = 0
         self.roster_failures = 0
         self.due: dict[int, Submission | Worker | str] = {}
         self.next_token = 1
@@ -209,6 +214,8 @@
             job.heard_at = self.host.now()
             if job.at is not None:
                 job.at.heard_at = job.heard_at
+            if job.fetching and not share_done:
+                self._cut_fetch_room(job.heard_at)
 
     def hand_off_ended(
         self,
@@ -227,6 +234,7 @@
             return
         if outcome in ("satisfied", "worker_error", "full"):
             worker.heard_at = now
+        self.fetches_out -= job.fetching
         worker.in_flight -= job.type.slots
         if job.started_at:
             worker.running -= job.type.slots
@@ -238,6 +246,10 @@
                 running_time = now - job.started_at
                 worker.paces.append(running_time / (self._grade_running_time(job.grade) or running_time or 1))
                 self.grade_running_times[job.grade].append(running_time)
+                if job.fetching and running_time > SLOW_FETCH * self.calm.get(job.grade, 0) > 0:
+                    self._cut_fetch_room(now)
+                elif job.fetching:
+                    self.fetch_room += 1
             else:
                 job.type.running_times.append(took)
                 self._accepted(worker, job.in_use)
@@ -479,6 +491,15 @@
             worker.room_at = now
             worker.drift_time = min(max(self._mean_running_time(), drift_time), LONGEST_DRIFT)
 
+    def _must_fetch(self, job: Submission, worker: Worker) -> bool:
+        return bool(job.subject and self.orders["fetch_price"]) and job.subject not in worker.subjects
+
+    def _cut_fetch_room(self, now: int) -> None:
+        """A shared store jams like a worker, so its room is learned too: slow fetches halve it, quick ones add."""
+        if now - self.fetch_cut_at > SECOND:
+            self.fetch_room = max(1.0, min(self.fetch_room, self.fetches_out) / 2)
+            self.fetch_cut_at = now
+
     # ---- Hand-offs and answers ----
 
     def _allowed(self, worker: Worker, job_type: JobType, now: int, job: Submission | None) -> bool:
@@ -486,6 +507,8 @@
         listing = worker.listing
         if not worker.ready or job_type.machine_kind not in (-1, listing.machine_kind):
             return False
+        if job is not None and self.fetches_out >= self.fetch_room and self._must_fetch(job, worker):
+            return False
         if worker.trial_until > now and self._must_not_repeat(job):
             return False
         if worker.warm_at > now and not self._cold_budget_allows(worker, job_type, now):
@@ -511,6 +534,8 @@
         while self._free(worker, now) < 0 and worker.placeholders:
             worker.placeholders.popleft()  # taken over: the job does not fit beside it
         job.in_use = worker.in_flight
+        job.fetching = self._must_fetch(job, worker)
+        self.fetches_out += job.fetching
         if job.subject:
             if job.subject in worker.subjects:
                 worker.subjects.remove(job.subject)
