--- a/ploverspoke/decisions/dispatcher.py
+++ b/ploverspoke/decisions/dispatcher.py
@@ -354,11 +354,11 @@
         self._run_clock(now)
 
     def _heads(self, job_type: JobType) -> list[Submission]:
-        """The head of a queue: those bound to a rack, up to the first that may go anywhere."""
+        """The head of a queue: those bound to a rack or to a fetch, up to the first that may go anywhere."""
         heads = []
         for job in islice(job_type.queue, NEAR_HEAD):
             heads.append(job)
-            if job.group is None:
+            if job.group is None and self.fetches_out < self.fetch_room:
                 break
         return heads
 
