--- a/ploverspoke/decisions/dispatcher.py
+++ b/ploverspoke/decisions/dispatcher.py
@@ -31,7 +31,7 @@
 SET_ASIDE = 8 * SECOND  # plus a random part of up to half of it
 ERRORS_KEPT, ERRORS_BAD = 8, 2  # so many errors among a worker's last ends set it aside
 ASIDE_SHARE = 3  # at most one in so many workers is set aside at once
-SLOW_FETCH = 4  # a fetch was slow when the running time is over so many times the shortest mean seen
+SLOW_FETCH = 6  # a fetch was slow when the running time is over so many times the shortest mean seen
 PATROL = 100 * MILLISECOND
 NEVER_RAN = frozenset({"full", "unreachable", "not_sent"})
 
