The shared store's room is learned; small tests for the latest answers; streamed answers are left alone

Cause: after a burst the store's fetches never caught up (started jobs still at no progress after 5 s). Fetches out are bounded once one was slow: progress still nil at a note, or over six times the calm running time.

--- a/ploverspoke/decisions/dispatcher.py
+++ b/ploverspoke/decisions/dispatcher.py
@@ -189,7 +189,7 @@
 
     def hand_off_started(self, submission_id: int, hand_off: int) -> None:
         job = self.open.get(submission_id)
-        if job is None or job.at is None or hand_off != job.hand_offs - 1:
+        if job is None or job.at is None or job.started_at or hand_off != job.hand_offs - 1:
             return
         now = self.host.now()
         job.started_at = job.heard_at = now
@@ -217,6 +217,13 @@
             if job.fetching and not share_done:
                 self._cut_fetch_room(job.heard_at)
 
+    def answer_begun(self, submission_id: int, hand_off: int) -> None:
+        """A streamed answer has started: the hand-off is the client's now, and is not taken back."""
+        self.hand_off_started(submission_id, hand_off)
+        job = self.open.get(submission_id)
+        if job is not None and hand_off == job.hand_offs - 1:
+            job.recalled = True
+
     def hand_off_ended(
         self,
         submission_id: int,
--- a/ploverspoke/simwire/adapter.py
+++ b/ploverspoke/simwire/adapter.py
@@ -205,7 +205,7 @@
         )
 
     def under_way(self, f: Fields) -> None:
-        raise Malformed("streamed answers are not served by this adapter")
+        self.dispatcher.answer_begun(f.whole("RequestId"), f.whole("Go"))
 
     def heard(self, f: Fields) -> None:
         """Dispatchers share nothing: what a sibling says is not read."""
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -1,5 +1,7 @@
 """The ordinary path, and one small case for each failure found."""
 
+from collections import deque
+
 from .stage import MS, SECOND, Stage, listing
 
 
@@ -127,3 +129,51 @@
     stage.dispatcher.workers["b"].ready = True
     stage.pass_time(SECOND)
     assert stage.tries[1][0]["outcome"] is None
+
+
+def test_proof_knows_no_bound_on_the_set_aside_share() -> None:
+    stage = Stage([listing(n) for n in "abc"])
+    for submission_id in range(2):
+        stage.submit(submission_id)
+        stage.end(submission_id, "unreachable")
+    assert sum(w.aside for w in stage.dispatcher.workers.values()) > 1
+
+
+def test_an_irreversible_one_does_not_try_a_worker_that_has_just_returned() -> None:
+    stage = Stage([listing("a", kind=1)])
+    stage.dispatcher._take_back(stage.dispatcher.workers["a"])
+    stage.submit(1, grade=2)
+    stage.submit(2, grade=0)
+    assert stage.where(1) is None and stage.where(2) == "a"
+
+
+def test_machines_that_a_grade_needs_are_left_to_it() -> None:
+    stage = Stage([listing("a", kind=1), listing("b", kind=0), listing("c", kind=1)])
+    stage.submit(1)
+    assert stage.where(1) == "b"
+
+
+def test_no_replacement_where_the_wait_was_more_than_affordable() -> None:
+    stage = Stage([listing("a")])
+    worker = stage.dispatcher.workers["a"]
+    worker.room = worker.room_before_cut = 1.0
+    stage.submit(1)
+    stage.dispatcher.start_lags[0] = deque([MS])
+    stage.pass_time(60 * MS)
+    stage.start(1)
+    assert stage.dispatcher.open[1].waited_too_long
+    stage.submit(2)
+    stage.end(1, "satisfied")
+    assert stage.where(2) is None
+
+
+def test_slow_fetches_bound_further_fetches() -> None:
+    stage = Stage([listing(n) for n in "abcdef"], fetch_price=0.03)
+    for submission_id in range(4):
+        stage.submit(submission_id, subject=f"s{submission_id}")
+        stage.start(submission_id)
+    stage.pass_time(2 * MS)
+    stage.dispatcher.hand_off_progressed(0, 0, 0.0)
+    assert stage.dispatcher.fetch_room == 2
+    stage.submit(9, subject="s9")
+    assert stage.where(9) is None
