--- a/ploverspoke/decisions/dispatcher.py
+++ b/ploverspoke/decisions/dispatcher.py
@@ -32,6 +32,7 @@
 ERRORS_KEPT, ERRORS_BAD = 8, 2  # so many errors among a worker's last ends set it aside
 ASIDE_SHARE = 3  # at most one in so many workers is set aside at once
 SLOW_FETCH = 6  # a fetch was slow when the running time is over so many times the shortest mean seen
+COLD_PART = 0.5  # of what a cold worker can bear
 PATROL = 100 * MILLISECOND
 NEVER_RAN = frozenset({"full", "unreachable", "not_sent"})
 
@@ -74,7 +75,8 @@
         self.errors: deque[bool] = deque(maxlen=ERRORS_KEPT)  # whether our last hand-offs ended in an error
         self.paces: deque[float] = deque(maxlen=8)  # running times there over the grade's mean
         self.warm_at = 0
-        self.cold_sends: deque[tuple[int, float]] = deque()
+        self.cold_credit = 0.0  # slots times nanoseconds that it may get while it is cold
+        self.cold_credit_at = 0
 
     def pace(self) -> float:
         return sum(self.paces) / len(self.paces) if self.paces else 1.0
@@ -548,7 +550,7 @@
                 worker.subjects.remove(job.subject)
             worker.subjects.append(job.subject)
         if worker.warm_at > now:
-            worker.cold_sends.append((now, job.type.slots * (job.type.mean_running_time() or SECOND)))
+            worker.cold_credit -= self._cost(job.type)
         self.host.hand_off(job.id, worker.name, max(1, job.abandon_at - self.orders["round"] - now))
 
     def _decide_again(self, job: Submission, worker: Worker, outcome: str, now: int) -> None:
@@ -693,22 +695,31 @@
         if listing.started_at > worker.listing.started_at or (listing.started_at and not worker.warm_at):
             worker.warm_at = listing.started_at + self.orders["warm_within"]
             worker.room = worker.room_before_cut = FIRST_ROOM
+            worker.cold_credit = -self.chance.fraction() * self._mean_running_time()
+            worker.cold_credit_at = self.host.now()
         worker.listing = listing
         worker.ready = listing.condition == "ready"
 
     def _cold_budget_allows(self, worker: Worker, job_type: JobType, now: int) -> bool:
-        """A part of what a cold worker bears, as if every dispatcher sent it as much as we do."""
-        window = self.orders["fall_within"]
-        while worker.cold_sends and worker.cold_sends[0][0] <= now - window:
-            worker.cold_sends.popleft()
-        warmth = 1 - max(0.0, (worker.warm_at - now) / self.orders["warm_within"])
-        capacity = self.orders["cold_share"] + (1 - self.orders["cold_share"]) * warmth
-        kin = [w.room for w in self.workers.values() if w.warm_at <= now]
-        slots = min(kin, default=FIRST_ROOM)
-        budget = self.orders["tip_multiple"] * capacity * min(slots, 4) * window / 2
-        mine = sum(work for _, work in worker.cold_sends)
-        cost = job_type.slots * (job_type.mean_running_time() or SECOND)
-        return bool(mine + cost <= budget / self.orders["dispatchers"])
+        """A cold worker gets credit with time: a part of what our warm workers bear of us, by its warmth.
+
+        What all dispatchers give it adds up to the same part of what they give a warm one, however many they
+        are. The credit starts at a random debt, so that they do not all send their first job at once.
+        """
+        span = self.orders["warm_within"]
+        warmth = min(1.0, max(0.0, 1 - (worker.warm_at - now) / span))
+        share = self.orders["cold_share"] + (1 - self.orders["cold_share"]) * warmth
+        warm = [w for w in self.workers.values() if w.ready and w.warm_at <= now]
+        ours = sum(w.running for w in warm) / len(warm) if warm else 1 / self.orders["dispatchers"]
+        rate = COLD_PART * self.orders["tip_multiple"] * share * ours
+        cost = self._cost(job_type)
+        worker.cold_credit += rate * (now - worker.cold_credit_at)
+        worker.cold_credit = min(worker.cold_credit, max(cost, rate * self.orders["fall_within"]))
+        worker.cold_credit_at = now
+        return worker.cold_credit >= cost
+
+    def _cost(self, job_type: JobType) -> float:
+        return job_type.slots * (job_type.mean_running_time() or SECOND)
 
     # ---- Small helpers ----
 
