--- a/ploverspoke/decisions/dispatcher.py
+++ b/ploverspoke/decisions/dispatcher.py
@@ -33,6 +33,7 @@
 ASIDE_SHARE = 3  # at most one in so many workers is set aside at once
 SLOW_FETCH = 6  # a fetch was slow when the running time is over so many times the shortest mean seen
 COLD_PART = 0.5  # of what a cold worker can bear
+LOST_AFTER = 3  # mean running times after which a hand-off without a start no longer speaks of a full worker
 PATROL = 100 * MILLISECOND
 NEVER_RAN = frozenset({"full", "unreachable", "not_sent"})
 
@@ -66,6 +67,7 @@
         self.drift_time = 1.0 * SECOND  # in which it drifts by one slot
         self.out: dict[int, Submission] = {}  # our hand-offs there, by submission
         self.unstarted: dict[int, int] = {}  # those of which no start is known, and when they were sent
+        self.started_sent_at = 0  # when the latest of ours that has started was sent
         self.running = 0.0  # slots of ours known to have started
         self.subjects: deque[str] = deque(maxlen=6)  # of our last few jobs there
         self.placeholders: deque[tuple[JobType, int]] = deque()  # type and end
@@ -207,6 +209,7 @@
             away = WAITS_TO_RETURN * wait if job.waited_too_long else 0
             self._cut_room(worker, worker.running, away, now)
         worker.running += job.type.slots
+        worker.started_sent_at = max(worker.started_sent_at, job.sent_at)
         worker.unstarted.pop(submission_id, None)
         self.start_lags.setdefault(worker.listing.zone, deque(maxlen=32)).append(wait)
 
@@ -452,7 +455,10 @@
         """Whether a job of ours has not started there at once: then it is full, whatever we have there."""
         if not worker.unstarted or not self.orders["tells_start"]:
             return False
-        return now - next(iter(worker.unstarted.values())) > self._prompt_start(worker)
+        now_due = now - self._prompt_start(worker)
+        # One that a later one has overtaken, or that waits on and on, may be lost: no sign of a full worker.
+        given_up = max(worker.started_sent_at, now - LOST_AFTER * self._mean_running_time())
+        return any(given_up < sent_at < now_due for sent_at in worker.unstarted.values())
 
     def _prompt_start(self, worker: Worker) -> int:
         lags = self.start_lags.get(worker.listing.zone)
