--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -178,3 +178,14 @@
     assert stage.dispatcher.fetch_room == 2
     stage.submit(9, subject="s9")
     assert stage.where(9) is None
+
+
+def test_an_overtaken_hand_off_does_not_keep_its_worker_out() -> None:
+    stage = Stage([listing("a", kind=1)])
+    worker = stage.dispatcher.workers["a"]
+    stage.submit(1, grade=2)
+    stage.pass_time(MS)
+    stage.submit(2, grade=2)
+    stage.start(2)
+    stage.pass_time(100 * MS)
+    assert stage.where(1) == "a" and not stage.dispatcher._has_waiting(worker, stage.clock)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -60,6 +60,20 @@
     assert sent < 10
 
 
+def test_a_cold_worker_gets_some_work_however_many_dispatchers_there_are() -> None:
+    stage = Stage([listing("a"), listing("b", started=100 * SECOND)], dispatchers=20)
+    given = []
+    for submission_id in range(60):
+        stage.submit(submission_id)
+        if stage.where(submission_id):
+            stage.start(submission_id)
+        stage.pass_time(50 * MS)
+        given += [t["worker"] for t in stage.tries[submission_id]]
+        for out in [s for s in stage.tries if stage.where(s) and stage.tries[s][-1].get("started")][:-2]:
+            stage.end(out, "satisfied")
+    assert 0 < given.count("b") < given.count("a")
+
+
 def test_the_watch_is_renewed_with_growing_waits() -> None:
     stage = Stage([])
     waits = []
