--- a/ploverspoke/decisions/dispatcher.py
+++ b/ploverspoke/decisions/dispatcher.py
@@ -140,6 +140,7 @@
         self.fetches_out = 0  # hand-offs out whose subject was not held where they went
         self.fetch_room = inf  # as many as the shared store is believed to bear of us
         self.fetch_cut_at = 0
+        self.lines_left = 40  # for the person on call; a flood would hide what matters
         self.roster_failures = 0
         self.due: dict[int, Submission | Worker | str] = {}
         self.next_token = 1
@@ -305,6 +306,7 @@
     def roster_lost(self) -> None:
         """The watch failed or dropped: watch again, after a wait that grows."""
         self.roster_failures += 1
+        self._say(f"roster lost, {self.roster_failures} in a row; asking again")
         wait = min(250 * MILLISECOND << min(self.roster_failures, 5), self.orders["roster_ask_within"] // 4)
         self._wake("watch", self.host.now() + int(wait * (0.5 + self.chance.fraction())))
 
@@ -680,6 +682,9 @@
         if worker.aside or (bounded and crowded):
             return
         worker.aside = True
+        self._say(
+            f"{worker.name} set aside: {'suspected' if bounded else 'unreachable'}; {aside + 1} are now"
+        )
         worker.placeholders.clear()
         self._wake(worker, now + self._aside_time())
 
@@ -748,6 +753,11 @@
         known = self.grade_running_times[grade]
         return sum(known) // len(known) if len(known) >= 8 else 0
 
+    def _say(self, line: str) -> None:
+        if self.lines_left:
+            self.lines_left -= 1
+            self.host.log(line)
+
     def _wake(self, what: Submission | Worker | str, when: int) -> None:
         self.due[self.next_token] = what
         self.host.wake_at(self.next_token, when)
