--- a/ploverspoke/decisions/dispatcher.py
+++ b/ploverspoke/decisions/dispatcher.py
@@ -134,8 +134,8 @@
         self.arrivals: deque[int] = deque(maxlen=32)
         self.grade_running_times: dict[int, deque[int]] = defaultdict(lambda: deque(maxlen=32))
         self.calm: dict[int, int] = {}  # the shortest mean running time seen
-        self.asked_times: dict[int, deque[int]] = {}
-        self.start_lags: dict[int, deque[int]] = {}
+        self.asked_times: dict[int, deque[int]] = defaultdict(lambda: deque(maxlen=32))
+        self.start_lags: dict[int, deque[int]] = defaultdict(lambda: deque(maxlen=32))
         self.clock_runs = False
         self.fetches_out = 0  # hand-offs out whose subject was not held where they went
         self.fetch_room = inf  # as many as the shared store is believed to bear of us
@@ -212,7 +212,7 @@
         worker.running += job.type.slots
         worker.started_sent_at = max(worker.started_sent_at, job.sent_at)
         worker.unstarted.pop(submission_id, None)
-        self.start_lags.setdefault(worker.listing.zone, deque(maxlen=32)).append(wait)
+        self.start_lags[worker.listing.zone].append(wait)
 
     def hand_off_progressed(self, submission_id: int, hand_off: int, share_done: float) -> None:
         job = self.open.get(submission_id)
@@ -255,8 +255,8 @@
         job.at = None
         if outcome == "satisfied":
             if job.started_at:
-                job.type.running_times.append(now - job.started_at)
                 running_time = now - job.started_at
+                job.type.running_times.append(running_time)
                 worker.paces.append(running_time / (self._grade_running_time(job.grade) or running_time or 1))
                 self.grade_running_times[job.grade].append(running_time)
                 if job.fetching and running_time > SLOW_FETCH * self.calm.get(job.grade, 0) > 0:
@@ -463,7 +463,7 @@
         return any(given_up < sent_at < now_due for sent_at in worker.unstarted.values())
 
     def _prompt_start(self, worker: Worker) -> int:
-        lags = self.start_lags.get(worker.listing.zone)
+        lags = self.start_lags[worker.listing.zone]
         return PROMPT_START * min(lags) + PROMPT_START_SLACK if lags else SECOND
 
     def _worker_with_placeholder(self, job_type: JobType, now: int) -> Worker | None:
@@ -578,7 +578,7 @@
 
     def _last_timely_start(self, job: Submission, now: int, work_hint: int) -> int:
         """When it must start to be answered within its expected time, counted from the client's first try."""
-        asked = self.asked_times.setdefault(job.grade, deque(maxlen=32))
+        asked = self.asked_times[job.grade]
         asked.append(job.abandon_at - now)
         first_asked = job.abandon_at - max(asked)
         running_time = self._grade_running_time(job.grade)
