--- a/ploverspoke/decisions/dispatcher.py
+++ b/ploverspoke/decisions/dispatcher.py
@@ -8,7 +8,6 @@
 
 from collections import defaultdict, deque
 from collections.abc import Iterable, Mapping
-from heapq import nsmallest
 from itertools import islice
 from math import exp, inf, log
 from typing import Any
@@ -36,11 +35,14 @@
 COLD_PART = 0.5  # of what a cold worker can bear
 LOST_AFTER = 3  # mean running times after which a hand-off without a start no longer speaks of a full worker
 LOOK_AGAIN = 100 * MILLISECOND  # at a hand-off that has not started
+PACES_OF_KIND = 8  # weight of its kind's pace beside a worker's own samples
 ASKING_COST = 0.01  # points of service that asking before hand-offs may cost
 MOST_ASKED = 8.0  # probes for one submission on average, whatever their price
+ASK_ROUNDS = 3  # for one submission, while nobody answers that it has room
 SAVED_ASKING = 4  # submissions' worth of probes that can be saved up
 PROMPT_ANSWER = 50 * MILLISECOND  # to a probe, while no answer was seen
-LATE_ANSWERS = 4  # so many late ones among the last answers show that probes wait where submissions wait
+FRESH = 100 * MILLISECOND  # a report that arrived since then need not be asked for again
+REPORT_AGE = SECOND  # a report may be so old: what we sent since may not be in it
 TICKS_IN_EXPECTED = 4  # the clock's least rate: so many ticks in the shortest expected time
 NEVER_RAN = frozenset({"full", "unreachable", "not_sent"})
 
@@ -86,10 +88,9 @@
         self.warm_at = 0
         self.cold_credit = 0.0  # slots times nanoseconds that it may get while it is cold
         self.cold_credit_at = 0
-        self.asked_for: JobType | None = None  # whose head waits for this worker's answer to a probe
-
-    def pace(self) -> float:
-        return sum(self.paces) / len(self.paces) if self.paces else 1.0
+        self.probed_for = ""  # "room" or "return" while a probe of ours is out
+        self.waiting = self.free = 0.0  # as last reported
+        self.reported_at = 0
 
 
 class JobType:
@@ -100,6 +101,8 @@
         self.machine_kind = machine_kind
         self.queue: deque[Submission] = deque()
         self.running_times: deque[int] = deque(maxlen=16)
+        self.asked: list[Worker] = []  # who was asked for room for the head
+        self.asked_until = 0
 
     def mean_running_time(self) -> int:
         return sum(self.running_times) // len(self.running_times) if self.running_times else 0
@@ -153,9 +156,13 @@
         self.lines_left = 40  # for the person on call; a flood would hide what matters
         self.roster_failures = 0
         self.answer_times: dict[int, deque[int]] = defaultdict(lambda: deque(maxlen=32))
-        self.late_answers: deque[bool] = deque(maxlen=32)
+        self.kind_paces: dict[int, deque[float]] = defaultdict(lambda: deque(maxlen=64))
+        self.most_free: dict[int, float] = defaultdict(
+            float
+        )  # slots free at once, as reported, by machine kind
         self.asks_each = min(MOST_ASKED, ASKING_COST / max(1e-9, self.orders["probe_price"]))  # submission
         self.may_ask = 0.0  # probes that may be sent before hand-offs
+        self.asked_at = 0
         self.tiers: dict[Any, list[list[Worker]]] = {}  # who can be drawn, kept until readiness changes
         self.due: dict[int, Submission | Worker | JobType | str] = {}
         self.next_token = 1
@@ -272,7 +279,9 @@
             if job.started_at:
                 running_time = now - job.started_at
                 job.type.running_times.append(running_time)
-                worker.paces.append(running_time / (self._grade_running_time(job.grade) or running_time or 1))
+                pace = min(4.0, running_time / (self._grade_running_time(job.grade) or running_time or 1))
+                worker.paces.append(pace)
+                self.kind_paces[worker.listing.machine_kind].append(pace)
                 self.grade_running_times[job.grade].append(running_time)
                 if job.fetching and running_time > SLOW_FETCH * self.calm.get(job.grade, 0) > 0:
                     self._cut_fetch_room(now)
@@ -331,9 +340,11 @@
     ) -> None:
         now = self.host.now()
         worker = self.workers[worker_name]
-        job_type, worker.asked_for = worker.asked_for, None
-        if job_type is not None:
-            self._asked_worker_answered(worker, job_type, outcome, took, load or {}, now)
+        probed_for, worker.probed_for = worker.probed_for, ""
+        if outcome == "satisfied" and load:
+            self._reported(worker, load, now)
+        if probed_for == "room":
+            self._answered(worker, outcome, took, now)
         elif worker.aside and outcome == "satisfied":
             self._take_back(worker)
         elif worker.aside:
@@ -347,11 +358,13 @@
             self.clock_runs = False
             self._tick(self.host.now())
         elif isinstance(what, JobType):
-            # Those asked for its head have not answered in time.
-            self._serve(what, self.host.now())
+            # Some that were asked have not answered in time.
+            if what.asked and self.host.now() >= what.asked_until:
+                self._settle(what, self.host.now())
         elif isinstance(what, Worker):
             # Set aside long enough: a probe, where permitted, spares the first job sent there again.
             if self.orders["probing_permitted"] and what.ready:
+                what.probed_for = "return"
                 self.host.probe(what.name)
             else:
                 self._take_back(what)
@@ -359,6 +372,9 @@
             now = self.host.now()
             if what.at is not None:
                 self._look_after(what, what.at, now)
+            elif what.type.asked and now < what.last_chance:
+                # The answers come first: they take no longer than a few round trips.
+                self._wake(what, min(what.type.asked_until + MILLISECOND, what.last_chance))
             elif now >= what.last_chance or (now >= what.last_start and self._gives_way(what)):
                 self._give_up_waiting(what)
             else:
@@ -387,6 +403,8 @@
 
     def _serve(self, job_type: JobType, now: int) -> None:
         """The head goes to the better of two drawn, or both are asked for it first."""
+        if job_type.asked:
+            return
         # A head bound to its rack must not block those behind it when the rack has no room.
         for job in self._heads(job_type):
             drawn = self._draw_two(job_type, now, job)
@@ -452,8 +470,8 @@
         for tier in self._tiers(job_type.machine_kind, job):
             found: list[Worker] = []
             if keyed and job is not None:
-                # Drawn by the subject's hash the two are the same for every repeat, at every dispatcher; those
-                # that hold it come first.
+                # Drawn by the subject's hash the two are the same for every repeat, at every dispatcher;
+                # those that hold it come first.
                 holders = [w for w in tier if job.subject in w.subjects]
                 found = [w for w in holders if self._is_roomy(w, job_type, now, job)][:2]
                 found = found or list(islice((w for w in tier if self._is_roomy(w, job_type, now, job)), 2))
@@ -497,13 +515,13 @@
         return found
 
     def _better(self, drawn: list[Worker], job: Submission | None) -> Worker:
-        """The one with fewer of our slots in flight; of equals the faster, or the first by the subject's hash."""
+        """The one with fewer of our slots in flight; of equals the faster, or the first by the hash."""
         hashed = job is not None and job.subject and self.orders["fetch_price"]
-        return min(drawn, key=lambda w: (w.in_flight, 0.0 if hashed else w.pace()))
+        return min(drawn, key=lambda w: (w.in_flight, 0.0 if hashed else self._pace(w)))
 
     def _is_roomy(self, worker: Worker, job_type: JobType, now: int, job: Submission | None) -> bool:
         return (
-            worker.asked_for is None
+            not worker.probed_for
             and self._free(worker, now) >= job_type.slots
             and not self._has_waiting(worker, now)
             and self._allowed(worker, job_type, now, job)
@@ -519,42 +537,80 @@
         """
         if not drawn or not self.orders["probing_permitted"] or (job.subject and self.orders["fetch_price"]):
             return False
-        return self.may_ask >= len(drawn)
-
-    def _ask(self, job: Submission, drawn: list[Worker], now: int) -> None:
+        return self.asks_each >= len(drawn)
+
+    def _ask(self, job: Submission, drawn: list[Worker], now: int) -> bool:
+        """Ask them, as far as the credit goes that comes with submissions and with time."""
+        since, self.asked_at = now - self.asked_at, now
+        self.may_ask = min(self.may_ask + self.asks_each * since / SECOND, SAVED_ASKING * self.asks_each)
+        stale = [w for w in drawn if now - w.reported_at > FRESH]
+        if self.may_ask < len(stale):
+            return False
         job.rounds += 1
-        self.may_ask -= len(drawn)
-        for worker in drawn:
-            worker.asked_for = job.type
+        self.may_ask -= len(stale)
+        job.type.asked = drawn
+        for worker in stale:
+            worker.probed_for = "room"
             self.host.probe(worker.name)
-        self._wake(job.type, now + max(self._prompt_answer(w) for w in drawn))
+        if stale:
+            job.type.asked_until = now + max(self._prompt_answer(w) for w in stale)
+            self._wake(job.type, job.type.asked_until)
+        else:
+            self._settle(job.type, now)
+        return True
 
-    def _asked_worker_answered(
-        self, worker: Worker, job_type: JobType, outcome: str, took: int, load: Mapping[str, float], now: int
-    ) -> None:
-        """The first to answer that it has room gets the head; a late answer is read as full, like a late start."""
-        if outcome == "unreachable":
-            self._set_aside(worker, now, bounded=False)
-        if worker.aside:
-            return
-        late = took > self._prompt_answer(worker)
+    def _reported(self, worker: Worker, load: Mapping[str, float], now: int) -> None:
+        worker.reported_at = now
+        worker.free = load.get("free_slots", 0.0)
+        kind = worker.listing.machine_kind
+        self.most_free[kind] = max(self.most_free[kind], worker.free, 1.0)
+        worker.waiting = load.get("waiting", max(0.0, load.get("in_hand", 0.0) - self.most_free[kind]))
+
+    def _answered(self, worker: Worker, outcome: str, took: int, now: int) -> None:
         if outcome == "satisfied":
             self.answer_times[worker.listing.zone].append(took)
-            self.late_answers.append(late)
-        # Where probes do not wait in the worker's queue, only what they report can show that it is full.
-        free = (
-            job_type.slots
-            if sum(self.late_answers) >= LATE_ANSWERS
-            else load.get("free_slots", job_type.slots)
-        )
-        if outcome != "satisfied" or late or free < job_type.slots:
+        elif outcome == "unreachable":
+            self._set_aside(worker, now, bounded=False)
+        else:
             self._cut_room(worker, worker.running, 0, now)
-            return
+        for job_type in self.types.values():
+            if worker in job_type.asked and not any(w.probed_for for w in job_type.asked):
+                self._settle(job_type, now)
+
+    def _settle(self, job_type: JobType, now: int) -> None:
+        """The head goes to the better of those that answered, unless the wait there is more than it can afford."""
+        answered = [
+            w for w in job_type.asked if not w.probed_for and not w.aside and now - w.reported_at <= FRESH
+        ]
+        job_type.asked = []
         for job in self._heads(job_type):
-            if self._allowed(worker, job_type, now, job):
-                job_type.queue.remove(job)
-                self._hand_off(job, worker, now)
-                return
+            fit = [w for w in answered if self._allowed(w, job_type, now, job)]
+            if not fit:
+                continue
+            best = min(fit, key=lambda w: self._pace(w) * (2 + self._load(w, now) / self._slots_of(w)))
+            if job.rounds < ASK_ROUNDS and self._load(best, now) + job_type.slots > 0:
+                more = [w for w in self._draw_two(job_type, now, job) if w not in fit]
+                if more and self._ask(job, [best, *more], now):
+                    return
+            job_type.queue.remove(job)
+            self._hand_off(job, best, now)
+            break
+        if job_type.queue:
+            self._serve(job_type, now)
+
+    def _slots_of(self, worker: Worker) -> float:
+        return self.most_free[worker.listing.machine_kind] or 1.0
+
+    def _load(self, worker: Worker, now: int) -> float:
+        """Slots wanted there beyond those it has, as reported and with what we sent since."""
+        ours = sum(job.type.slots for job in worker.out.values() if job.sent_at > now - REPORT_AGE)
+        return worker.waiting - worker.free + ours
+
+    def _pace(self, worker: Worker) -> float:
+        """Running times there over the grade's mean: its own few, and those of its kind for what they lack."""
+        kind = self.kind_paces[worker.listing.machine_kind]
+        usual = sum(kind) / len(kind) if kind else 1.0
+        return (sum(worker.paces) + PACES_OF_KIND * usual) / (len(worker.paces) + PACES_OF_KIND)
 
     def _prompt_answer(self, worker: Worker) -> int:
         times = self.answer_times[worker.listing.zone]
