--- a/ploverspoke/decisions/dispatcher.py
+++ b/ploverspoke/decisions/dispatcher.py
@@ -36,12 +36,13 @@
 LOST_AFTER = 3  # mean running times after which a hand-off without a start no longer speaks of a full worker
 LOOK_AGAIN = 100 * MILLISECOND  # at a hand-off that has not started
 PACES_OF_KIND = 8  # weight of its kind's pace beside a worker's own samples
-ASKING_COST = 0.01  # points of service that asking before hand-offs may cost
+ASKING_COST = 0.006  # points of service that asking before hand-offs may cost
 MOST_ASKED = 8.0  # probes for one submission on average, whatever their price
 ASK_ROUNDS = 3  # for one submission, while nobody answers that it has room
 SAVED_ASKING = 4  # submissions' worth of probes that can be saved up
 PROMPT_ANSWER = 50 * MILLISECOND  # to a probe, while no answer was seen
-FRESH = 100 * MILLISECOND  # a report that arrived since then need not be asked for again
+KNOWN = SECOND  # workers heard of since then need not be asked
+FRESH = 300 * MILLISECOND  # a report that arrived since then need not be asked for again
 REPORT_AGE = SECOND  # a report may be so old: what we sent since may not be in it
 TICKS_IN_EXPECTED = 4  # the clock's least rate: so many ticks in the shortest expected time
 NEVER_RAN = frozenset({"full", "unreachable", "not_sent"})
@@ -120,7 +121,8 @@
         self.arrived = arrived
         self.abandon_at = abandon_at
         self.subject = ""
-        self.last_start = abandon_at  # started later it is expected to be overdue
+        self.timely_until = abandon_at  # started later it is expected to be overdue
+        self.last_start = abandon_at  # the patience with which it waits for that
         self.last_chance = abandon_at  # nothing is sent from here on; a bound repeat must be sent before it
         self.hand_offs = 0
         self.at: Worker | None = None  # where it is out now
@@ -132,6 +134,7 @@
         self.heard_at = 0  # its worker's last word on it
         self.look_at = 0  # when it is next looked after
         self.rounds = 0  # in which workers were asked for it
+        self.far = False  # others wait already where it was asked for: other zones may be drawn too
         self.in_use = 0.0  # our slots on its worker when it was sent, with its own
         self.group: tuple[str, int] | None = None  # a repeat must stay in here
 
@@ -200,7 +203,7 @@
         # A type without backlog takes a tick at once.
         if not drawn and not job_type.queue:
             drawn = self._draw_two(job_type, now, job)
-        asks = self._asks(job, drawn)
+        asks = self._asks(job, drawn, now)
         if drawn and not asks:
             self._hand_off(job, self._better(drawn, job), now)
             return
@@ -408,7 +411,7 @@
         # A head bound to its rack must not block those behind it when the rack has no room.
         for job in self._heads(job_type):
             drawn = self._draw_two(job_type, now, job)
-            if drawn and self._asks(job, drawn):
+            if drawn and self._asks(job, drawn, now):
                 self._ask(job, drawn, now)
                 return
             if drawn:
@@ -495,7 +498,7 @@
         price, so the own zone comes first, but not again once workers asked for the job there had no room.
         """
         subject = job.subject if job is not None and self.orders["fetch_price"] else ""
-        near = bool(self.orders["zone_crossing_price"]) and (job is None or not job.rounds)
+        near = bool(self.orders["zone_crossing_price"]) and (job is None or not job.far)
         found = self.tiers.get((machine_kind, near, subject))
         if found is None:
             sought = self.orders["machine_kind_needed"]
@@ -529,7 +532,7 @@
 
     # ---- Asking ----
 
-    def _asks(self, job: Submission, drawn: list[Worker]) -> bool:
+    def _asks(self, job: Submission, drawn: list[Worker], now: int) -> bool:
         """Whether the workers drawn are asked for room before the job goes to one.
 
         Among many dispatchers each meets a worker so seldom that nought against nought slots in flight says
@@ -537,6 +540,8 @@
         """
         if not drawn or not self.orders["probing_permitted"] or (job.subject and self.orders["fetch_price"]):
             return False
+        if all(now - w.heard_at < KNOWN for w in drawn):
+            return False
         return self.asks_each >= len(drawn)
 
     def _ask(self, job: Submission, drawn: list[Worker], now: int) -> bool:
@@ -588,16 +593,27 @@
             if not fit:
                 continue
             best = min(fit, key=lambda w: self._pace(w) * (2 + self._load(w, now) / self._slots_of(w)))
+            job.far = True
             if job.rounds < ASK_ROUNDS and self._load(best, now) + job_type.slots > 0:
                 more = [w for w in self._draw_two(job_type, now, job) if w not in fit]
                 if more and self._ask(job, [best, *more], now):
                     return
+            # A report is late, so all that read it must not decide alike: the longer the wait there beside what
+            # the job can bear, the fewer go.
+            if self._expected_wait(best, job_type, now) >= self.chance.fraction() * (job.timely_until - now) > 0:
+                for worker in fit:
+                    self._cut_room(worker, worker.running, 0, now)
+                return
             job_type.queue.remove(job)
             self._hand_off(job, best, now)
             break
         if job_type.queue:
             self._serve(job_type, now)
 
+    def _expected_wait(self, worker: Worker, job_type: JobType, now: int) -> int:
+        beyond = max(0.0, self._load(worker, now) + job_type.slots) / self._slots_of(worker)
+        return int(beyond * self._mean_running_time() * self._pace(worker))
+
     def _slots_of(self, worker: Worker) -> float:
         return self.most_free[worker.listing.machine_kind] or 1.0
 
@@ -758,6 +774,7 @@
         slack = self.orders["expected_time"][job.grade] + stretch * calm - running_time
         # When not all can be in time, those of little benefit make way first: they wait for less.
         rank = self.orders["benefit"][job.grade] / max(self.orders["benefit"])
+        job.timely_until = int(first_asked + max(0, slack))
         return int(first_asked + PATIENCE * rank * max(0, slack))
 
     def _gives_way(self, job: Submission) -> bool:
