--- a/ploverspoke/decisions/dispatcher.py
+++ b/ploverspoke/decisions/dispatcher.py
@@ -536,13 +536,14 @@
         """Whether the workers drawn are asked for room before the job goes to one.
 
         Among many dispatchers each meets a worker so seldom that nought against nought slots in flight says
-        nothing. Then a probe tells who has room, for as many probes as their price allows.
+        nothing. One that can be taken back from a queue finds out by trying; an irreversible one can not, so
+        workers that were not heard of lately are probed first, as far as the price allows.
         """
         if not drawn or not self.orders["probing_permitted"] or (job.subject and self.orders["fetch_price"]):
             return False
-        if all(now - w.heard_at < KNOWN for w in drawn):
+        if self.orders["repeat"][job.grade] != "irreversible" and self.orders["recall_permitted"]:
             return False
-        return self.asks_each >= len(drawn)
+        return self.asks_each >= len(drawn) and any(now - w.heard_at >= KNOWN for w in drawn)
 
     def _ask(self, job: Submission, drawn: list[Worker], now: int) -> bool:
         """Ask them, as far as the credit goes that comes with submissions and with time."""
@@ -583,7 +584,7 @@
                 self._settle(job_type, now)
 
     def _settle(self, job_type: JobType, now: int) -> None:
-        """The head goes to the better of those that answered, unless the wait there is more than it can afford."""
+        """The head goes to the better of those that answered, or to none where all may wait too long."""
         answered = [
             w for w in job_type.asked if not w.probed_for and not w.aside and now - w.reported_at <= FRESH
         ]
@@ -600,7 +601,11 @@
                     return
             # A report is late, so all that read it must not decide alike: the longer the wait there beside what
             # the job can bear, the fewer go.
-            if self._expected_wait(best, job_type, now) >= self.chance.fraction() * (job.timely_until - now) > 0:
+            if (
+                self._expected_wait(best, job_type, now)
+                >= self.chance.fraction() * (job.timely_until - now)
+                > 0
+            ):
                 for worker in fit:
                     self._cut_room(worker, worker.running, 0, now)
                 return
@@ -618,12 +623,12 @@
         return self.most_free[worker.listing.machine_kind] or 1.0
 
     def _load(self, worker: Worker, now: int) -> float:
-        """Slots wanted there beyond those it has, as reported and with what we sent since."""
+        """Slots wanted there over those it has, as reported and with what we sent since."""
         ours = sum(job.type.slots for job in worker.out.values() if job.sent_at > now - REPORT_AGE)
         return worker.waiting - worker.free + ours
 
     def _pace(self, worker: Worker) -> float:
-        """Running times there over the grade's mean: its own few, and those of its kind for what they lack."""
+        """Running times there over the grade's mean: its own few, and those of its kind beside them."""
         kind = self.kind_paces[worker.listing.machine_kind]
         usual = sum(kind) / len(kind) if kind else 1.0
         return (sum(worker.paces) + PACES_OF_KIND * usual) / (len(worker.paces) + PACES_OF_KIND)
