--- a/ploverspoke/decisions/dispatcher.py
+++ b/ploverspoke/decisions/dispatcher.py
@@ -9,7 +9,7 @@
 from collections import defaultdict, deque
 from collections.abc import Iterable, Mapping
 from itertools import islice
-from math import exp, inf, log
+from math import ceil, exp, inf, log
 from typing import Any
 from zlib import crc32
 
@@ -41,6 +41,7 @@
 ASK_ROUNDS = 3  # for one submission, while nobody answers that it has room
 SAVED_ASKING = 4  # submissions' worth of probes that can be saved up
 PROMPT_ANSWER = 50 * MILLISECOND  # to a probe, while no answer was seen
+HOMES = 1.5  # workers that share a subject, over those that its share of the submissions needs
 KNOWN = SECOND  # workers heard of since then need not be asked
 FRESH = 300 * MILLISECOND  # a report that arrived since then need not be asked for again
 REPORT_AGE = SECOND  # a report may be so old: what we sent since may not be in it
@@ -167,6 +168,7 @@
         self.may_ask = 0.0  # probes that may be sent before hand-offs
         self.asked_at = 0
         self.tiers: dict[Any, list[list[Worker]]] = {}  # who can be drawn, kept until readiness changes
+        self.recent_subjects: dict[int, deque[str]] = defaultdict(lambda: deque(maxlen=256))
         self.due: dict[int, Submission | Worker | JobType | str] = {}
         self.next_token = 1
         if self.orders["roster_must_be_asked"]:
@@ -192,6 +194,7 @@
         job_type = self._job_type(slots, self.orders["machine_kind_needed"][grade])
         job = Submission(submission_id, grade, job_type, now, abandon_at)
         job.subject = subject
+        self.recent_subjects[job_type.machine_kind].append(subject)
         job.last_chance = abandon_at - self.orders["round"]
         job.last_start = self._last_timely_start(job, now, work_hint)
         self.open[submission_id] = job
@@ -469,24 +472,29 @@
 
     def _draw_two(self, job_type: JobType, now: int, job: Submission | None) -> list[Worker]:
         """Two drawn at random among the roomy of the first tier that has any; one, if it has no more."""
-        keyed = job is not None and job.subject and self.orders["fetch_price"]
         for tier in self._tiers(job_type.machine_kind, job):
+            left = list(tier)
             found: list[Worker] = []
-            if keyed and job is not None:
-                # Drawn by the subject's hash the two are the same for every repeat, at every dispatcher;
-                # those that hold it come first.
+            if job is not None and job.subject and self.orders["fetch_price"]:
+                # Drawn among the first by the subject's hash, its repeats meet there from every dispatcher. Those
+                # that hold it come first; a subject in demand has more homes, so that none is overrun.
                 holders = [w for w in tier if job.subject in w.subjects]
                 found = [w for w in holders if self._is_roomy(w, job_type, now, job)][:2]
-                found = found or list(islice((w for w in tier if self._is_roomy(w, job_type, now, job)), 2))
-            else:
-                # Drawing until two are roomy gives the same pairs as a list of all the roomy, for less work.
-                left = list(tier)
-                while left and len(found) < 2:
-                    at = self.chance.below(len(left))
-                    left[at], left[-1] = left[-1], left[at]
-                    worker = left.pop()
-                    if self._is_roomy(worker, job_type, now, job):
-                        found.append(worker)
+                asked_for = self.recent_subjects[job_type.machine_kind]
+                homes = ceil(HOMES * len(tier) * asked_for.count(job.subject) / max(1, len(asked_for)))
+                left = tier[: max(2, homes)] if not found else []
+                if len(left) == 2:
+                    found = [w for w in left if self._is_roomy(w, job_type, now, job)]
+                    left = []
+            # Drawing until two are roomy gives the same pairs as a list of all the roomy, for less work.
+            while left and len(found) < 2:
+                at = self.chance.below(len(left))
+                left[at], left[-1] = left[-1], left[at]
+                worker = left.pop()
+                if self._is_roomy(worker, job_type, now, job):
+                    found.append(worker)
+            if not found and job is not None and job.subject and self.orders["fetch_price"]:
+                found = list(islice((w for w in tier if self._is_roomy(w, job_type, now, job)), 2))
             if found:
                 return found
         return []
