--- a/ploverspoke/decisions/dispatcher.py
+++ b/ploverspoke/decisions/dispatcher.py
@@ -527,8 +527,9 @@
 
     def _better(self, drawn: list[Worker], job: Submission | None) -> Worker:
         """The one with fewer of our slots in flight; of equals the faster, or the first by the hash."""
-        hashed = job is not None and job.subject and self.orders["fetch_price"]
-        return min(drawn, key=lambda w: (w.in_flight, 0.0 if hashed else self._pace(w)))
+        if job is not None and job.subject and self.orders["fetch_price"]:
+            return drawn[0] if drawn[0].in_flight <= drawn[-1].in_flight + 2 else drawn[-1]
+        return min(drawn, key=lambda w: (w.in_flight, self._pace(w)))
 
     def _is_roomy(self, worker: Worker, job_type: JobType, now: int, job: Submission | None) -> bool:
         return (
