--- a/ploverspoke/decisions/dispatcher.py
+++ b/ploverspoke/decisions/dispatcher.py
@@ -34,6 +34,8 @@
 SLOW_FETCH = 6  # a fetch was slow when the running time is over so many times the shortest mean seen
 COLD_PART = 0.5  # of what a cold worker can bear
 LOST_AFTER = 3  # mean running times after which a hand-off without a start no longer speaks of a full worker
+MOSTLY_LATE = 8  # of the last 16 starts
+LOOK_AT_ALL_EVERY = 20 * MILLISECOND
 LOOK_AGAIN = 100 * MILLISECOND  # at a hand-off that has not started
 PACES_OF_KIND = 8  # weight of its kind's pace beside a worker's own samples
 ASKING_COST = 0.006  # points of service that asking before hand-offs may cost
@@ -103,6 +105,7 @@
         self.machine_kind = machine_kind
         self.queue: deque[Submission] = deque()
         self.running_times: deque[int] = deque(maxlen=16)
+        self.barren_until = 0  # no worker was roomy for it a moment ago
         self.asked: list[Worker] = []  # who was asked for room for the head
         self.asked_until = 0
 
@@ -148,6 +151,10 @@
         self.workers: dict[str, Worker] = {}
         self.types: dict[tuple[float, int], JobType] = {}
         self.open: dict[int, Submission] = {}
+        self.late_starts: deque[bool] = deque(maxlen=16)  # of our latest hand-offs
+        self.warm_load = 0.0  # slots of ours running on a warm worker, on average
+        self.warm_load_at = -SECOND
+        self.mean_running_time = 0  # 0: to be worked out anew
         self.arrivals: deque[int] = deque(maxlen=32)
         self.grade_running_times: dict[int, deque[int]] = defaultdict(lambda: deque(maxlen=32))
         self.calm: dict[int, int] = {}  # the shortest mean running time seen
@@ -231,7 +238,9 @@
         worker.trial_until = 0
         # Workers have waiting rooms, so a full answer comes long after jobs stopped starting at once. A late
         # start is read as full: the room was what we had there without this job.
-        if wait <= self._prompt_start(worker):
+        late = wait > self._prompt_start(worker)
+        self.late_starts.append(late)
+        if not late:
             self._accepted(worker, job.in_use)
         else:
             job.waited_too_long = wait > job.last_start - job.arrived
@@ -285,6 +294,7 @@
             if job.started_at:
                 running_time = now - job.started_at
                 job.type.running_times.append(running_time)
+                self.mean_running_time = 0
                 pace = min(4.0, running_time / (self._grade_running_time(job.grade) or running_time or 1))
                 worker.paces.append(pace)
                 self.kind_paces[worker.listing.machine_kind].append(pace)
@@ -295,6 +305,7 @@
                     self.fetch_room += 1
             else:
                 job.type.running_times.append(took)
+                self.mean_running_time = 0
                 self._accepted(worker, job.in_use)
         elif outcome == "full":
             self._cut_room(worker, worker.in_flight, 2 * worker.drift_time, now)
@@ -472,6 +483,10 @@
 
     def _draw_two(self, job_type: JobType, now: int, job: Submission | None) -> list[Worker]:
         """Two drawn at random among the roomy of the first tier that has any; one, if it has no more."""
+        # A look at all of a large fleet that found none is not repeated at once: in a backlog that was most work.
+        bound = job is not None and (job.group is not None or self.fetches_out >= self.fetch_room)
+        if now < job_type.barren_until and not bound:
+            return []
         for tier in self._tiers(job_type.machine_kind, job):
             left = list(tier)
             found: list[Worker] = []
@@ -497,6 +512,8 @@
                 found = list(islice((w for w in tier if self._is_roomy(w, job_type, now, job)), 2))
             if found:
                 return found
+        if not bound:
+            job_type.barren_until = now + LOOK_AT_ALL_EVERY
         return []
 
     def _tiers(self, machine_kind: int, job: Submission | None) -> list[list[Worker]]:
@@ -532,6 +549,8 @@
         return min(drawn, key=lambda w: (w.in_flight, self._pace(w)))
 
     def _is_roomy(self, worker: Worker, job_type: JobType, now: int, job: Submission | None) -> bool:
+        if job is not None and job.group is not None and job.group != self._group_of(job, worker):
+            return False
         return (
             not worker.probed_for
             and self._free(worker, now) >= job_type.slots
@@ -838,6 +857,7 @@
             if self._rescuable(other, worker, silent, now):
                 self.host.recall(other.id, other.hand_offs - 1)
                 other.recalled = True
+                self.late_starts.append(not silent)
         job.look_at = now + silence if silent else heard + silence
         if not job.started_at and self._may_rescue(job):
             job.look_at = min(job.look_at, now + LOOK_AGAIN)
@@ -868,6 +888,9 @@
             return silent and self._may_rescue(job)
         if job.started_at or now - job.sent_at <= self._allowance(job, worker):
             return False
+        # Where most start late everywhere, each move only loses a place in a queue.
+        if sum(self.late_starts) > MOSTLY_LATE:
+            return False
         # One that merely waits is taken back only when another place has room: a labelled one is bound to its
         # rack then.
         held, job.group = job.group, self._bound_to(job, worker)
@@ -932,9 +955,13 @@
         span = self.orders["warm_within"]
         warmth = min(1.0, max(0.0, 1 - (worker.warm_at - now) / span))
         share = self.orders["cold_share"] + (1 - self.orders["cold_share"]) * warmth
-        warm = [w for w in self.workers.values() if w.ready and w.warm_at <= now]
-        ours = sum(w.running for w in warm) / len(warm) if warm else 1 / self.orders["dispatchers"]
-        rate = COLD_PART * self.orders["tip_multiple"] * share * ours
+        if now - self.warm_load_at > LOOK_AT_ALL_EVERY:
+            warm = [w for w in self.workers.values() if w.ready and w.warm_at <= now]
+            self.warm_load = (
+                sum(w.running for w in warm) / len(warm) if warm else 1 / self.orders["dispatchers"]
+            )
+            self.warm_load_at = now
+        rate = COLD_PART * self.orders["tip_multiple"] * share * self.warm_load
         cost = self._cost(job_type)
         worker.cold_credit += rate * (now - worker.cold_credit_at)
         worker.cold_credit = min(worker.cold_credit, max(cost, rate * self.orders["fall_within"]))
@@ -958,8 +985,10 @@
         return len(self.arrivals) * SECOND / max(span, 100 * MILLISECOND)
 
     def _mean_running_time(self) -> int:
-        known = [t.mean_running_time() for t in self.types.values() if t.running_times]
-        return max(1, sum(known) // len(known)) if known else SECOND
+        if not self.mean_running_time:
+            known = [t.mean_running_time() for t in self.types.values() if t.running_times]
+            self.mean_running_time = max(1, sum(known) // len(known)) if known else SECOND
+        return self.mean_running_time
 
     def _grade_running_time(self, grade: int) -> int:
         known = self.grade_running_times[grade]
