--- a/ploverspoke/decisions/dispatcher.py
+++ b/ploverspoke/decisions/dispatcher.py
@@ -34,7 +34,6 @@
 SLOW_FETCH = 6  # a fetch was slow when the running time is over so many times the shortest mean seen
 COLD_PART = 0.5  # of what a cold worker can bear
 LOST_AFTER = 3  # mean running times after which a hand-off without a start no longer speaks of a full worker
-MOSTLY_LATE = 8  # of the last 16 starts
 LOOK_AT_ALL_EVERY = 20 * MILLISECOND
 LOOK_AGAIN = 100 * MILLISECOND  # at a hand-off that has not started
 PACES_OF_KIND = 8  # weight of its kind's pace beside a worker's own samples
@@ -151,7 +150,6 @@
         self.workers: dict[str, Worker] = {}
         self.types: dict[tuple[float, int], JobType] = {}
         self.open: dict[int, Submission] = {}
-        self.late_starts: deque[bool] = deque(maxlen=16)  # of our latest hand-offs
         self.warm_load = 0.0  # slots of ours running on a warm worker, on average
         self.warm_load_at = -SECOND
         self.mean_running_time = 0  # 0: to be worked out anew
@@ -239,7 +237,6 @@
         # Workers have waiting rooms, so a full answer comes long after jobs stopped starting at once. A late
         # start is read as full: the room was what we had there without this job.
         late = wait > self._prompt_start(worker)
-        self.late_starts.append(late)
         if not late:
             self._accepted(worker, job.in_use)
         else:
@@ -857,7 +854,6 @@
             if self._rescuable(other, worker, silent, now):
                 self.host.recall(other.id, other.hand_offs - 1)
                 other.recalled = True
-                self.late_starts.append(not silent)
         job.look_at = now + silence if silent else heard + silence
         if not job.started_at and self._may_rescue(job):
             job.look_at = min(job.look_at, now + LOOK_AGAIN)
@@ -888,9 +884,6 @@
             return silent and self._may_rescue(job)
         if job.started_at or now - job.sent_at <= self._allowance(job, worker):
             return False
-        # Where most start late everywhere, each move only loses a place in a queue.
-        if sum(self.late_starts) > MOSTLY_LATE:
-            return False
         # One that merely waits is taken back only when another place has room: a labelled one is bound to its
         # rack then.
         held, job.group = job.group, self._bound_to(job, worker)
@@ -938,7 +931,9 @@
         if listing.started_at > worker.listing.started_at or (listing.started_at and not worker.warm_at):
             worker.warm_at = listing.started_at + self.orders["warm_within"]
             worker.room = worker.room_before_cut = FIRST_ROOM
-            worker.cold_credit = -self.chance.fraction() * self._mean_running_time()
+            # From a random part of one job on, the first jobs of many dispatchers come spread over time; had each
+            # to earn a whole one first, hundreds of them would let the worker idle through its warm-up.
+            worker.cold_credit = self.chance.fraction() * self._mean_running_time()
             worker.cold_credit_at = self.host.now()
         ready = listing.condition == "ready"
         if ready != worker.ready or listing[1:3] != worker.listing[1:3]:
