--- a/ploverspoke/decisions/dispatcher.py
+++ b/ploverspoke/decisions/dispatcher.py
@@ -91,6 +91,7 @@
         self.warm_at = 0
         self.cold_credit = 0.0  # slots times nanoseconds that it may get while it is cold
         self.cold_credit_at = 0
+        self.crowd = 0.0  # jobs held for each core, as the roster's live weight tells
         self.probed_for = ""  # "room" or "return" while a probe of ours is out
         self.waiting = self.free = 0.0  # as last reported
         self.reported_at = 0
@@ -174,6 +175,7 @@
         self.asked_at = 0
         self.tiers: dict[Any, list[list[Worker]]] = {}  # who can be drawn, kept until readiness changes
         self.recent_subjects: dict[int, deque[str]] = defaultdict(lambda: deque(maxlen=256))
+        self.top_weight: dict[int, float] = defaultdict(float)  # of an idle worker, by machine kind
         self.due: dict[int, Submission | Worker | JobType | str] = {}
         self.next_token = 1
         if self.orders["roster_must_be_asked"]:
@@ -548,6 +550,11 @@
     def _is_roomy(self, worker: Worker, job_type: JobType, now: int, job: Submission | None) -> bool:
         if job is not None and job.group is not None and job.group != self._group_of(job, worker):
             return False
+        # Where work goes on after its time-out, what waits too long is lost twice: a crowd too long to wait behind
+        # is no place for it, whatever room we believe in.
+        if worker.crowd > 1 and job is not None:
+            if now + (worker.crowd - 1) * self._mean_running_time() > job.timely_until:
+                return False
         return (
             not worker.probed_for
             and self._free(worker, now) >= job_type.slots
@@ -940,6 +947,10 @@
             self.tiers.clear()
         worker.listing = listing
         worker.ready = ready
+        if self.orders["weight_meaning"] == "live" and listing.weight > 0:
+            kind = listing.machine_kind
+            self.top_weight[kind] = max(self.top_weight[kind], listing.weight)
+            worker.crowd = self.top_weight[kind] / listing.weight - 1
 
     def _cold_budget_allows(self, worker: Worker, job_type: JobType, now: int) -> bool:
         """A cold worker gets credit with time: a part of what our warm workers bear of us, by its warmth.
