--- a/ploverspoke/decisions/dispatcher.py
+++ b/ploverspoke/decisions/dispatcher.py
@@ -9,7 +9,7 @@
 from collections import defaultdict, deque
 from collections.abc import Iterable, Mapping
 from itertools import islice
-from math import ceil, exp, inf, log
+from math import exp, inf, log
 from typing import Any
 from zlib import crc32
 
@@ -36,13 +36,12 @@
 LOST_AFTER = 3  # mean running times after which a hand-off without a start no longer speaks of a full worker
 LOOK_AT_ALL_EVERY = 20 * MILLISECOND
 LOOK_AGAIN = 100 * MILLISECOND  # at a hand-off that has not started
-PACES_OF_KIND = 8  # weight of its kind's pace beside a worker's own samples
+PACES_OF_KIND = 1  # weight of its kind's pace beside a worker's own samples
 ASKING_COST = 0.006  # points of service that asking before hand-offs may cost
 MOST_ASKED = 8.0  # probes for one submission on average, whatever their price
 ASK_ROUNDS = 3  # for one submission, while nobody answers that it has room
 SAVED_ASKING = 4  # submissions' worth of probes that can be saved up
 PROMPT_ANSWER = 50 * MILLISECOND  # to a probe, while no answer was seen
-HOMES = 1.5  # workers that share a subject, over those that its share of the submissions needs
 KNOWN = SECOND  # workers heard of since then need not be asked
 FRESH = 300 * MILLISECOND  # a report that arrived since then need not be asked for again
 REPORT_AGE = SECOND  # a report may be so old: what we sent since may not be in it
@@ -174,7 +173,6 @@
         self.may_ask = 0.0  # probes that may be sent before hand-offs
         self.asked_at = 0
         self.tiers: dict[Any, list[list[Worker]]] = {}  # who can be drawn, kept until readiness changes
-        self.recent_subjects: dict[int, deque[str]] = defaultdict(lambda: deque(maxlen=256))
         self.top_weight: dict[int, float] = defaultdict(float)  # of an idle worker, by machine kind
         self.due: dict[int, Submission | Worker | JobType | str] = {}
         self.next_token = 1
@@ -201,7 +199,6 @@
         job_type = self._job_type(slots, self.orders["machine_kind_needed"][grade])
         job = Submission(submission_id, grade, job_type, now, abandon_at)
         job.subject = subject
-        self.recent_subjects[job_type.machine_kind].append(subject)
         job.last_chance = abandon_at - self.orders["round"]
         job.last_start = self._last_timely_start(job, now, work_hint)
         self.open[submission_id] = job
@@ -486,29 +483,24 @@
         bound = job is not None and (job.group is not None or self.fetches_out >= self.fetch_room)
         if now < job_type.barren_until and not bound:
             return []
+        by_hash = job is not None and job.subject and self.orders["fetch_price"]
         for tier in self._tiers(job_type.machine_kind, job):
-            left = list(tier)
             found: list[Worker] = []
-            if job is not None and job.subject and self.orders["fetch_price"]:
-                # Drawn among the first by the subject's hash, its repeats meet there from every dispatcher. Those
-                # that hold it come first; a subject in demand has more homes, so that none is overrun.
+            if by_hash and job is not None:
+                # The two first by the subject's hash are the same for every repeat, at every dispatcher; those
+                # that hold it come before them.
                 holders = [w for w in tier if job.subject in w.subjects]
                 found = [w for w in holders if self._is_roomy(w, job_type, now, job)][:2]
-                asked_for = self.recent_subjects[job_type.machine_kind]
-                homes = ceil(HOMES * len(tier) * asked_for.count(job.subject) / max(1, len(asked_for)))
-                left = tier[: max(2, homes)] if not found else []
-                if len(left) == 2:
-                    found = [w for w in left if self._is_roomy(w, job_type, now, job)]
-                    left = []
-            # Drawing until two are roomy gives the same pairs as a list of all the roomy, for less work.
-            while left and len(found) < 2:
-                at = self.chance.below(len(left))
-                left[at], left[-1] = left[-1], left[at]
-                worker = left.pop()
-                if self._is_roomy(worker, job_type, now, job):
-                    found.append(worker)
-            if not found and job is not None and job.subject and self.orders["fetch_price"]:
-                found = list(islice((w for w in tier if self._is_roomy(w, job_type, now, job)), 2))
+                found = found or list(islice((w for w in tier if self._is_roomy(w, job_type, now, job)), 2))
+            else:
+                # Drawing until two are roomy gives the same pairs as a list of all the roomy, for less work.
+                left = list(tier)
+                while left and len(found) < 2:
+                    at = self.chance.below(len(left))
+                    left[at], left[-1] = left[-1], left[at]
+                    worker = left.pop()
+                    if self._is_roomy(worker, job_type, now, job):
+                        found.append(worker)
             if found:
                 return found
         if not bound:
@@ -544,7 +536,8 @@
     def _better(self, drawn: list[Worker], job: Submission | None) -> Worker:
         """The one with fewer of our slots in flight; of equals the faster, or the first by the hash."""
         if job is not None and job.subject and self.orders["fetch_price"]:
-            return drawn[0] if drawn[0].in_flight <= drawn[-1].in_flight + 2 else drawn[-1]
+            # Each change of place is a fetch, so the first keeps it until it is well ahead.
+            return drawn[0] if drawn[0].in_flight <= drawn[-1].in_flight + FIRST_ROOM else drawn[-1]
         return min(drawn, key=lambda w: (w.in_flight, self._pace(w)))
 
     def _is_roomy(self, worker: Worker, job_type: JobType, now: int, job: Submission | None) -> bool:
