--- a/ploverspoke/decisions/dispatcher.py
+++ b/ploverspoke/decisions/dispatcher.py
@@ -478,8 +478,8 @@
                 return
 
     def _draw_two(self, job_type: JobType, now: int, job: Submission | None) -> list[Worker]:
-        """Two drawn at random among the roomy of the first tier that has any; one, if it has no more."""
-        # A look at all of a large fleet that found none is not repeated at once: in a backlog that was most work.
+        """Two drawn at random among the roomy of the first tier that has any; one, if it has one."""
+        # A look at a large fleet that found none is not repeated at once: in a backlog that was most work.
         bound = job is not None and (job.group is not None or self.fetches_out >= self.fetch_room)
         if now < job_type.barren_until and not bound:
             return []
@@ -487,10 +487,11 @@
         for tier in self._tiers(job_type.machine_kind, job):
             found: list[Worker] = []
             if by_hash and job is not None:
-                # The two first by the subject's hash are the same for every repeat, at every dispatcher; those
-                # that hold it come before them.
+                # The two first by the subject's hash are the same for every repeat, at every dispatcher.
+                # Those that hold it come before them.
                 holders = [w for w in tier if job.subject in w.subjects]
                 found = [w for w in holders if self._is_roomy(w, job_type, now, job)][:2]
+                found = found or [w for w in tier[:2] if self._is_roomy(w, job_type, now, job)]
                 found = found or list(islice((w for w in tier if self._is_roomy(w, job_type, now, job)), 2))
             else:
                 # Drawing until two are roomy gives the same pairs as a list of all the roomy, for less work.
@@ -543,11 +544,11 @@
     def _is_roomy(self, worker: Worker, job_type: JobType, now: int, job: Submission | None) -> bool:
         if job is not None and job.group is not None and job.group != self._group_of(job, worker):
             return False
-        # Where work goes on after its time-out, what waits too long is lost twice: a crowd too long to wait behind
-        # is no place for it, whatever room we believe in.
-        if worker.crowd > 1 and job is not None:
-            if now + (worker.crowd - 1) * self._mean_running_time() > job.timely_until:
-                return False
+        # Where work goes on after its time-out, what waits too long is lost twice: the end of a crowd longer
+        # than it can bear is no place for it, whatever room we believe in.
+        crowd_wait = max(0.0, worker.crowd - 1) * self._mean_running_time()
+        if job is not None and crowd_wait and now + crowd_wait > job.timely_until:
+            return False
         return (
             not worker.probed_for
             and self._free(worker, now) >= job_type.slots
@@ -624,7 +625,7 @@
                 more = [w for w in self._draw_two(job_type, now, job) if w not in fit]
                 if more and self._ask(job, [best, *more], now):
                     return
-            # A report is late, so all that read it must not decide alike: the longer the wait there beside what
+            # A report is late, so all that read it must not decide alike: the longer the wait beside what
             # the job can bear, the fewer go.
             if (
                 self._expected_wait(best, job_type, now)
@@ -931,8 +932,8 @@
         if listing.started_at > worker.listing.started_at or (listing.started_at and not worker.warm_at):
             worker.warm_at = listing.started_at + self.orders["warm_within"]
             worker.room = worker.room_before_cut = FIRST_ROOM
-            # From a random part of one job on, the first jobs of many dispatchers come spread over time; had each
-            # to earn a whole one first, hundreds of them would let the worker idle through its warm-up.
+            # From a random part of one job on, the first jobs of many dispatchers come spread over time; had
+            # each to earn a whole one first, hundreds would let the worker idle through its warm-up.
             worker.cold_credit = self.chance.fraction() * self._mean_running_time()
             worker.cold_credit_at = self.host.now()
         ready = listing.condition == "ready"
