--- /dev/null
+++ b/tests/test_asking.py
@@ -0,0 +1,100 @@
+"""What a dispatcher of a large fleet goes by: probes, live weights, its share of a cold worker."""
+
+from .stage import MS, SECOND, Stage, listing
+
+ASKING = {"probe_price": 0.001, "machine_kind_needed": [-1, -1, -1]}
+
+
+def answer(stage: Stage, worker: str, free: float, waiting: float, outcome: str = "satisfied") -> None:
+    stage.probes.remove(worker)
+    load = {"free_slots": free, "waiting": waiting} if outcome == "satisfied" else None
+    stage.dispatcher.probe_answered(worker, outcome, MS, load)
+
+
+def test_an_irreversible_one_goes_where_the_report_shows_less() -> None:
+    stage = Stage([listing("a"), listing("b")], **ASKING)
+    stage.submit(1, grade=2)
+    assert sorted(stage.probes) == ["a", "b"] and stage.where(1) is None
+    answer(stage, "a", 0.0, 3.0)
+    answer(stage, "b", 4.0, 0.0)
+    assert stage.where(1) == "b"
+
+
+def test_what_can_be_taken_back_does_not_ask() -> None:
+    stage = Stage([listing("a"), listing("b")], **ASKING)
+    stage.submit(1, grade=0)
+    assert stage.where(1) and not stage.probes
+
+
+def test_one_that_does_not_answer_is_not_waited_for() -> None:
+    stage = Stage([listing("a"), listing("b")], **ASKING)
+    stage.submit(1, grade=2)
+    answer(stage, "a", 4.0, 0.0)
+    assert stage.where(1) is None
+    stage.pass_time(60 * MS)
+    assert stage.where(1) == "a"
+
+
+def test_an_unreachable_worker_is_found_out_without_losing_a_submission() -> None:
+    stage = Stage([listing("a"), listing("b")], **ASKING)
+    stage.submit(1, grade=2)
+    answer(stage, "a", 0.0, 0.0, "unreachable")
+    answer(stage, "b", 4.0, 0.0)
+    assert stage.where(1) == "b" and stage.dispatcher.workers["a"].aside
+
+
+def test_nobody_is_sent_behind_a_reported_queue_that_is_too_long() -> None:
+    stage = Stage([listing("a"), listing("b")], **ASKING)
+    stage.submit(1, grade=2)
+    while stage.probes:
+        answer(stage, stage.probes[0], 0.0, 400.0)
+    assert stage.where(1) is None and 1 in stage.dispatcher.open
+
+
+def test_nobody_is_given_up_while_answers_are_awaited() -> None:
+    stage = Stage([listing("a"), listing("b")], overdue_benefit=[0.0] * 3, expected_time=[1] * 3, **ASKING)
+    stage.submit(1, grade=2)
+    stage.pass_time(10 * MS)
+    assert 1 in stage.dispatcher.open and len(stage.probes) == 2
+
+
+def test_probes_are_bounded_by_their_price() -> None:
+    stage = Stage([listing(f"w{i}") for i in range(200)], **ASKING)
+    for submission_id in range(50):
+        stage.submit(submission_id, grade=2)
+    stage.pass_time(SECOND)
+    assert len(stage.probes) <= 8 * 50 + 8
+
+
+def test_a_full_fleet_is_not_searched_anew_for_each_submission() -> None:
+    stage = Stage([listing(f"w{i}") for i in range(300)])
+    for worker in stage.dispatcher.workers.values():
+        worker.room = worker.room_before_cut = 0.0
+    stage.submit(1)
+    barren = next(iter(stage.dispatcher.types.values())).barren_until
+    assert barren > stage.clock
+    for worker in stage.dispatcher.workers.values():
+        worker.room = worker.room_before_cut = 1.0
+    stage.pass_time(barren - stage.clock)
+    assert stage.dispatcher._draw_two(next(iter(stage.dispatcher.types.values())), stage.clock, None)
+
+
+def test_a_crowd_longer_than_it_can_bear_is_passed_over() -> None:
+    stage = Stage([listing("a"), listing("b")], weight_meaning="live")
+    stage.dispatcher.roster_changed([listing("a")._replace(weight=0.05)])
+    for submission_id in range(4):
+        stage.submit(submission_id, grade=1)
+    assert all(stage.where(s) in ("b", None) for s in range(4)) and stage.where(0) == "b"
+
+
+def test_many_dispatchers_together_give_a_cold_worker_work_from_the_start() -> None:
+    sent = 0
+    for seed in range(60):
+        stage = Stage([listing("a"), listing("b", started=100 * SECOND)], seed, dispatchers=60)
+        for submission_id in range(6):
+            stage.submit(submission_id)
+            if stage.where(submission_id):
+                stage.start(submission_id)
+            stage.pass_time(200 * MS)
+        sent += sum(t["worker"] == "b" for tries in stage.tries.values() for t in tries)
+    assert 5 < sent < 200
