--- a/ploverspoke/decisions/dispatcher.py
+++ b/ploverspoke/decisions/dispatcher.py
@@ -34,6 +34,7 @@
 SLOW_FETCH = 6  # a fetch was slow when the running time is over so many times the shortest mean seen
 COLD_PART = 0.5  # of what a cold worker can bear
 LOST_AFTER = 3  # mean running times after which a hand-off without a start no longer speaks of a full worker
+WAIT_OVER_LATEST = 2  # a wait so many times as long as any of the latest starts took is read as silence
 LOOK_AT_ALL_EVERY = 20 * MILLISECOND
 LOOK_AGAIN = 100 * MILLISECOND  # at a hand-off that has not started
 PACES_OF_KIND = 1  # weight of its kind's pace beside a worker's own samples
@@ -848,6 +849,10 @@
         silence = self.orders["progress_every"] * 3 // 2
         # A started job owes word at each interval. Where none has started, no word at all is the sign.
         heard = job.heard_at if job.started_at else max(worker.heard_at, job.sent_at)
+        if not job.started_at:
+            # In a jam starts come late everywhere: a wait is no sign of a hung worker unless others' were far
+            # shorter. Else a third of a merely crowded fleet is set aside, and the rest is crowded the more.
+            silence = max(silence, WAIT_OVER_LATEST * max(self.start_lags[worker.listing.zone], default=0))
         silent = now - heard >= silence
         if silent:
             self._set_aside(worker, now)
--- a/tests/test_asking.py
+++ b/tests/test_asking.py
@@ -98,3 +98,14 @@
             stage.pass_time(200 * MS)
         sent += sum(t["worker"] == "b" for tries in stage.tries.values() for t in tries)
     assert 5 < sent < 200
+
+
+def test_a_wait_is_no_silence_where_starts_come_late() -> None:
+    stage = Stage([listing(n, kind=1) for n in "abcd"], abandon_time=[9 * SECOND] * 3)
+    stage.dispatcher.start_lags[0].extend([MS, 3 * SECOND])
+    stage.submit(1, grade=2, abandon_in=9 * SECOND)
+    waits_at = stage.dispatcher.workers[stage.where(1)]
+    stage.pass_time(3 * SECOND)
+    assert not waits_at.aside
+    stage.pass_time(4 * SECOND)
+    assert waits_at.aside
