--- a/ploverspoke/decisions/dispatcher.py
+++ b/ploverspoke/decisions/dispatcher.py
@@ -372,8 +372,10 @@
             self.clock_runs = False
             self._tick(self.host.now())
         elif isinstance(what, JobType):
-            # Some that were asked have not answered in time.
-            if what.asked and self.host.now() >= what.asked_until:
+            if not what.asked:
+                self._serve(what, self.host.now())
+            elif self.host.now() >= what.asked_until:
+                # Some that were asked have not answered in time.
                 self._settle(what, self.host.now())
         elif isinstance(what, Worker):
             # Set aside long enough: a probe, where permitted, spares the first job sent there again.
@@ -640,7 +642,8 @@
             self._hand_off(job, best, now)
             break
         if job_type.queue:
-            self._serve(job_type, now)
+            # By a wake, not a call: with fresh reports of many workers a long queue would nest too deep.
+            self._wake(job_type, now)
 
     def _expected_wait(self, worker: Worker, job_type: JobType, now: int) -> int:
         beyond = max(0.0, self._load(worker, now) + job_type.slots) / self._slots_of(worker)
--- a/tests/test_asking.py
+++ b/tests/test_asking.py
@@ -113,3 +113,15 @@
     assert not waits_at.aside
     stage.pass_time(4 * SECOND)
     assert waits_at.aside
+
+
+def test_a_long_queue_with_fresh_reports_does_not_nest() -> None:
+    stage = Stage([listing(f"w{i}") for i in range(500)], **ASKING)
+    for submission_id in range(450):
+        stage.submit(submission_id, grade=2)
+    for worker in stage.dispatcher.workers.values():
+        worker.free, worker.reported_at = 4.0, stage.clock
+    for probed in list(stage.probes):
+        answer(stage, probed, 4.0, 0.0)
+    stage.pass_time(SECOND)
+    assert all(stage.where(s) for s in range(450))
