--- a/ploverspoke/decisions/dispatcher.py
+++ b/ploverspoke/decisions/dispatcher.py
@@ -419,7 +419,7 @@
 
     def _serve(self, job_type: JobType, now: int) -> None:
         """The head goes to the better of two drawn, or both are asked for it first."""
-        if job_type.asked:
+        if job_type.asked or now < job_type.barren_until:
             return
         # A head bound to its rack must not block those behind it when the rack has no room.
         for job in self._heads(job_type):
@@ -431,6 +431,7 @@
                 job_type.queue.remove(job)
                 self._hand_off(job, self._better(drawn, job), now)
                 return
+        job_type.barren_until = now + LOOK_AT_ALL_EVERY
 
     def _heads(self, job_type: JobType) -> list[Submission]:
         """The head of a queue: those bound to a rack or to a fetch, up to the first that may go anywhere."""
@@ -494,6 +495,8 @@
                 # Those that hold it come before them.
                 holders = [w for w in tier if job.subject in w.subjects]
                 found = [w for w in holders if self._is_roomy(w, job_type, now, job)][:2]
+                if not found and self.fetches_out >= self.fetch_room:
+                    continue  # it may go nowhere else
                 found = found or [w for w in tier[:2] if self._is_roomy(w, job_type, now, job)]
                 found = found or list(islice((w for w in tier if self._is_roomy(w, job_type, now, job)), 2))
             else:
@@ -865,7 +868,8 @@
                 other.recalled = True
         job.look_at = now + silence if silent else heard + silence
         if not job.started_at and self._may_rescue(job):
-            job.look_at = min(job.look_at, now + LOOK_AGAIN)
+            # In a jam all wait long: looks grow rarer with the wait, or they alone would use up our CPU.
+            job.look_at = min(job.look_at, now + max(LOOK_AGAIN, (now - job.sent_at) // 4))
         self._wake(job, job.look_at)
 
     def _may_rescue(self, job: Submission) -> bool:
