--- a/ploverspoke/decisions/dispatcher.py
+++ b/ploverspoke/decisions/dispatcher.py
@@ -372,10 +372,8 @@
             self.clock_runs = False
             self._tick(self.host.now())
         elif isinstance(what, JobType):
-            if not what.asked:
-                self._serve(what, self.host.now())
-            elif self.host.now() >= what.asked_until:
-                # Some that were asked have not answered in time.
+            # Some that were asked have not answered in time, or none had to be asked again.
+            if what.asked and self.host.now() >= what.asked_until:
                 self._settle(what, self.host.now())
         elif isinstance(what, Worker):
             # Set aside long enough: a probe, where permitted, spares the first job sent there again.
@@ -590,11 +588,9 @@
         for worker in stale:
             worker.probed_for = "room"
             self.host.probe(worker.name)
-        if stale:
-            job.type.asked_until = now + max(self._prompt_answer(w) for w in stale)
-            self._wake(job.type, job.type.asked_until)
-        else:
-            self._settle(job.type, now)
+        # By a wake even when none is stale: with many fresh reports a long queue would nest too deep.
+        job.type.asked_until = now + max((self._prompt_answer(w) for w in stale), default=0)
+        self._wake(job.type, job.type.asked_until)
         return True
 
     def _reported(self, worker: Worker, load: Mapping[str, float], now: int) -> None:
@@ -645,8 +641,7 @@
             self._hand_off(job, best, now)
             break
         if job_type.queue:
-            # By a wake, not a call: with fresh reports of many workers a long queue would nest too deep.
-            self._wake(job_type, now)
+            self._serve(job_type, now)
 
     def _expected_wait(self, worker: Worker, job_type: JobType, now: int) -> int:
         beyond = max(0.0, self._load(worker, now) + job_type.slots) / self._slots_of(worker)
