--- a/ploverspoke/decisions/dispatcher.py
+++ b/ploverspoke/decisions/dispatcher.py
@@ -480,7 +480,7 @@
                 return
 
     def _draw_two(self, job_type: JobType, now: int, job: Submission | None) -> list[Worker]:
-        """Two drawn at random among the roomy of the first tier that has any; one, if it has one."""
+        """Two drawn at random among the roomy of the first tier that has any; one, if it has no more."""
         # A look at a large fleet that found none is not repeated at once: in a backlog that was most work.
         bound = job is not None and (job.group is not None or self.fetches_out >= self.fetch_room)
         if now < job_type.barren_until and not bound:
@@ -662,8 +662,7 @@
         return (sum(worker.paces) + PACES_OF_KIND * usual) / (len(worker.paces) + PACES_OF_KIND)
 
     def _prompt_answer(self, worker: Worker) -> int:
-        times = self.answer_times[worker.listing.zone]
-        return PROMPT_START * min(times) + PROMPT_START_SLACK if times else PROMPT_ANSWER
+        return self._prompt(self.answer_times[worker.listing.zone], PROMPT_ANSWER)
 
     # ---- Room ----
 
@@ -677,8 +676,10 @@
         return any(given_up < sent_at < now_due for sent_at in worker.unstarted.values())
 
     def _prompt_start(self, worker: Worker) -> int:
-        lags = self.start_lags[worker.listing.zone]
-        return PROMPT_START * min(lags) + PROMPT_START_SLACK if lags else SECOND
+        return self._prompt(self.start_lags[worker.listing.zone], SECOND)
+
+    def _prompt(self, times: deque[int], unknown: int) -> int:
+        return PROMPT_START * min(times) + PROMPT_START_SLACK if times else unknown
 
     def _worker_with_placeholder(self, job_type: JobType, now: int) -> list[Worker]:
         for worker in self.workers.values():
@@ -888,8 +889,10 @@
 
     def _rescuable(self, job: Submission, worker: Worker, silent: bool, now: int) -> bool:
         """Whether to take a submission back from a worker that does not get on with it."""
-        if silent or not self._may_rescue(job):
-            return silent and self._may_rescue(job)
+        if not self._may_rescue(job):
+            return False
+        if silent:
+            return True
         if job.started_at or now - job.sent_at <= self._allowance(job, worker):
             return False
         # One that merely waits is taken back only when another place has room: a labelled one is bound to its
