--- /dev/null
+++ b/ploverspoke/__main__.py
@@ -0,0 +1,7 @@
+"""Starts a real dispatcher."""
+
+import sys
+
+from .program.service import main
+
+sys.exit(main())
--- /dev/null
+++ b/ploverspoke/program/__init__.py
@@ -0,0 +1,1 @@
+"""The program around it all: what is read at start, start itself, signals."""
--- /dev/null
+++ b/ploverspoke/program/briefing.py
@@ -0,0 +1,70 @@
+"""The briefing: all that a dispatcher is told at its start, read and checked in this one place."""
+
+import ipaddress
+import json
+from collections.abc import Mapping
+from typing import Any, NamedTuple
+
+from .checked import BadKey, Checked
+from .standing_orders import names, standing_orders
+
+FEWEST_SOCKETS = 64
+
+
+class Briefing(NamedTuple):
+    name: str
+    listen: tuple[str, int]
+    discovery: str
+    seed: int
+    sockets: int  # descriptors that the whole program may hold
+    known: Mapping[str, Any] | None  # the list of workers as it was last had, in discovery's form
+    orders: dict[str, Any]
+    names: dict[str, list[str]]
+
+
+def read_briefing(environment: Mapping[str, str]) -> Briefing:
+    """From the file that RELAY_CONFIG names; what it leaves out, from the other variables. Raises BadKey."""
+    path = environment.get("RELAY_CONFIG")
+    if not path:
+        raise BadKey("RELAY_CONFIG is not set: expected the path of the configuration")
+    try:
+        with open(path, encoding="utf-8") as file:
+            told = json.load(file)
+    except OSError as error:
+        raise BadKey(f"RELAY_CONFIG: {path} cannot be read: {error.strerror}") from None
+    except ValueError as error:
+        raise BadKey(f"RELAY_CONFIG: {path} is no JSON: {error}") from None
+    top = Checked(told)
+    if "settings" not in top.value:
+        raise top.bad("settings", "an object")
+    listen = _address(top, "listen", environment.get("RELAY_LISTEN"))
+    _address(top, "discovery", environment.get("RELAY_DISCOVERY"))
+    seed = top.text("seed", "0")
+    try:
+        seed_number = int(seed, 16)
+    except ValueError:
+        raise top.bad("seed", "a hexadecimal number in a text") from None
+    known = top.value.get("known")
+    if known is not None and not isinstance(known, Mapping):
+        raise top.bad("known", "a list in discovery's form")
+    return Briefing(
+        top.text("name", environment.get("RELAY_NAME", "dispatcher")),
+        listen,
+        top.text("discovery", environment.get("RELAY_DISCOVERY")),
+        seed_number,
+        top.part("limits").whole("sockets", 1024, least=FEWEST_SOCKETS),
+        known,
+        standing_orders(top.value["settings"], "settings"),
+        names(top.value["settings"], "settings"),
+    )
+
+
+def _address(top: Checked, name: str, default: str | None) -> tuple[str, int]:
+    host, _, port = top.text(name, default).rpartition(":")
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+        if not 0 < int(port) < 65536:
+            raise ValueError
+    except ValueError:
+        raise top.bad(name, "an address and a port, as 127.0.0.1:8081") from None
+    return host.strip("[]"), int(port)
--- /dev/null
+++ b/ploverspoke/program/service.py
@@ -0,0 +1,101 @@
+"""The running program: start, signals, end."""
+
+import asyncio
+import gc
+import os
+import signal
+import sys
+
+import uvloop
+
+from ploverspoke.protocol.heads import Garbled
+from ploverspoke.routing.door import Door
+from ploverspoke.routing.router import Router
+from ploverspoke.transport.deadlines import Deadlines
+from ploverspoke.transport.log_lines import say
+from ploverspoke.transport.pools import Pool
+
+from .briefing import Briefing, read_briefing
+from .checked import BadKey
+
+MILLISECOND = 1_000_000
+SOCKETS_KEPT = 32  # descriptors for the loop, the door, discovery and the log
+WORKERS_SHARE = 0.4  # of the others, for connections to workers
+STILL_COMING = 700 * MILLISECOND  # after the signal to end, connections may go on coming for so long
+QUIET = 250 * MILLISECOND  # and none has come for so long
+LAST_ANSWERS = 3200 * MILLISECOND  # after the signal whoever still waits is answered
+LOOK_EVERY = 20 * MILLISECOND
+
+
+class Service:
+    def __init__(self, loop: asyncio.AbstractEventLoop, briefing: Briefing) -> None:
+        self.loop = loop
+        self.briefing = briefing
+        self.deadlines = Deadlines(loop)
+        sockets = briefing.sockets - SOCKETS_KEPT
+        for_workers = int(sockets * WORKERS_SHARE)
+        orders = briefing.orders
+        self.pool = Pool(loop, self.deadlines, for_workers, orders["idle_limit"], orders["connect_time_out"])
+        self.router = Router(
+            loop, self.deadlines, self.pool, briefing.discovery, briefing.seed, orders, briefing.names
+        )
+        # One connection in eight stays free, to tell those beyond the limit so.
+        self.door = Door(loop, self.deadlines, self.router, (sockets - for_workers) * 7 // 8)
+        self.leaving_since = 0
+        self.shut = False
+        self.over = asyncio.Event()
+
+    async def run(self) -> None:
+        if self.briefing.known is not None:
+            try:
+                self.router.known(self.briefing.known)
+            except Garbled as error:
+                raise BadKey(f"known: {error}") from None
+        for number in (signal.SIGTERM, signal.SIGINT):
+            self.loop.add_signal_handler(number, self._leave)
+        await self.door.open(*self.briefing.listen)
+        say(f"{self.briefing.name} serves at {':'.join(map(str, self.briefing.listen))}")
+        await self.over.wait()
+
+    def _leave(self) -> None:
+        """Take what still comes, finish what was taken, then end."""
+        if not self.leaving_since:
+            say("told to end: finishing what was taken")
+            self.leaving_since = self.deadlines.now()
+            self.door.leave()
+            self._look_whether_over()
+
+    def _look_whether_over(self) -> None:
+        now = self.deadlines.now()
+        since = now - self.leaving_since
+        if not self.shut and since >= STILL_COMING and now - self.door.last_came >= QUIET:
+            self.shut = True
+            self.door.shut()
+        if since >= LAST_ANSWERS and len(self.router.submissions):
+            self.router.answer_all()
+        if self.shut and self.door.is_empty():
+            self.over.set()
+        else:
+            self.deadlines.at(now + LOOK_EVERY, self._look_whether_over)
+
+
+def main() -> int:
+    try:
+        briefing = read_briefing(os.environ)
+    except BadKey as error:
+        print(f"ploverspoke: {error}", file=sys.stderr)
+        return 2
+    loop = uvloop.new_event_loop()
+    asyncio.set_event_loop(loop)
+    try:
+        service = Service(loop, briefing)
+        gc.collect()
+        gc.freeze()
+        loop.run_until_complete(service.run())
+    except BadKey as error:
+        print(f"ploverspoke: {error}", file=sys.stderr)
+        return 2
+    except OSError as error:
+        print(f"ploverspoke: listen: {error}", file=sys.stderr)
+        return 2
+    return 0
--- /dev/null
+++ b/ploverspoke/program/standing_orders.py
@@ -0,0 +1,88 @@
+"""The standing orders: what a deployment's settings tell the decisions, in our words and in nanoseconds."""
+
+from collections.abc import Mapping
+from typing import Any
+
+from ploverspoke.protocol.words import GROUPS, LOAD_NAMES, REPEATS
+
+from .checked import Checked
+
+REPORTS = {"inline": "answers", "on_probe": "probes", "off": "none"}
+
+
+def standing_orders(settings: Mapping[str, Any], path: str = "") -> dict[str, Any]:
+    """One plain map of the settings, checked. Raises BadKey."""
+    profile = Checked(settings, path)
+    grades = profile.parts("ServiceGrades", least=1)
+    customers = profile.parts("Tenants")
+    limits, rules, domain = profile.part("Limits"), profile.part("Invariants"), profile.part("Domain")
+    report, goal, prices = profile.part("Report"), profile.part("Goal"), profile.part("Tariffs")
+    free_slots = domain.text("ReportX0", "") == "free slots"
+    return {
+        "round": profile.time("RoundUs", 0),
+        "dispatchers": profile.whole("PeersTotal", 1, least=1),
+        "dispatcher_number": profile.whole("SlotNo", 0),
+        "zone": profile.whole("Zone", 0),
+        "roster_must_be_asked": profile.text("Discovery", "push") == "ask",
+        "roster_ask_within": rules.time("MustAskInUs", 0),
+        "weight_meaning": profile.text("WeightKind", "off"),
+        # One value for each service grade.
+        "expected_time": [g.time("ExpectedTimeUs") for g in grades],
+        "abandon_time": [g.time("AbandonTimeUs") for g in grades],
+        "benefit": [g.number("Benefit", 1.0) for g in grades],
+        "overdue_benefit": [g.number("OverdueBenefit", 0.0) for g in grades],
+        "repeat": [g.word("Repeat", REPEATS) for g in grades],
+        "repeat_group": [g.word("Group", GROUPS, "all") for g in grades],
+        "repeat_window": [g.time("RepeatWindowUs", 0) for g in grades],
+        "machine_kind_needed": [int(k) for k in domain.row_for_each("ClassKind", -1, len(grades))],
+        "running_time_stretch": domain.row_for_each("ClassStretch", 0.0, len(grades)),
+        # What workers tell.
+        "tells_start": domain.flag("TellsStart"),
+        "progress_every": domain.time("ProgressUs", 0),
+        "load_reports": report.word("Via", REPORTS, "off"),
+        "load_fields": [
+            "free_slots" if f == "x0" and free_slots else LOAD_NAMES.get(f, f)
+            for f in report.row("Fields", [], str)
+        ],
+        # What is permitted.
+        "most_hand_offs": limits.whole("MaxHandOffs", 1, least=1),
+        "second_copies": limits.flag("SecondCopies"),
+        "recall_permitted": limits.flag("Cancel"),
+        "probing_permitted": limits.flag("Probing"),
+        "come_back_advice": limits.flag("RetryAfter"),
+        "longest_come_back": limits.time("MaxRetryAfterUs", 0),
+        "connect_time_out": limits.time("ConnectTimeoutUs", 1_000_000),
+        "idle_limit": limits.time("IdleCloseUs", 30_000_000),
+        "most_open": limits.whole("MaxOpen", 10_000, least=1),
+        # The figures of the rules.
+        "answer_slack": rules.time("AnswerSlackUs", 0),
+        "stop_sending_within": rules.time("StopSendingWithinUs"),
+        "cold_share": rules.number("ColdShare"),
+        "warm_within": rules.time("WarmWithinUs"),
+        "tip_multiple": rules.number("TipMultiple"),
+        "fall_within": rules.time("FallUs"),
+        # Shares and prices.
+        "customer_rate": [c.number("QuotaRps", 0.0) for c in customers],
+        "customer_share": [c.number("Portion", 0.0) for c in customers],
+        "beyond_share_benefit": profile.number("BeyondShareBenefit", 1.0),
+        "clients_mark_retries": profile.part("Clients").flag("MarksRetry"),
+        "zone_crossing_price": prices.number("CrossZone", 0.0),
+        "connection_price": prices.number("Handshake", 0.0),
+        "fetch_price": prices.number("Origin", 0.0),
+        "waste_price": prices.number("Waste", 0.0),
+        "overdue_price": prices.number("LateFail", 0.0),
+        "probe_price": prices.number("Probe", 0.0),
+        "tail_weight": goal.number("TailPart", 0.0),
+        "tail_slack": goal.number("TailSlack", 0.0),
+    }
+
+
+def names(settings: Mapping[str, Any], path: str = "") -> dict[str, list[str]]:
+    """What clients and discovery call things, in the order in which the standing orders number them."""
+    profile = Checked(settings, path)
+    return {
+        "grades": [g.text("Name") for g in profile.parts("ServiceGrades", least=1)],
+        "customers": [c.text("Name", "") for c in profile.parts("Tenants")],
+        "zones": profile.row("Localities", [], str),
+        "machine_kinds": profile.row("HostTypes", [], str),
+    }
--- /dev/null
+++ b/ploverspoke/protocol/clients.py
@@ -0,0 +1,143 @@
+"""What clients say and what is answered."""
+
+from typing import NoReturn, Protocol
+
+import httptools
+
+from .heads import Garbled, Message, head
+
+REASONS = {
+    200: "OK",
+    400: "Bad Request",
+    404: "Not Found",
+    405: "Method Not Allowed",
+    408: "Request Timeout",
+    413: "Content Too Large",
+    500: "Internal Server Error",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+}
+SECOND = 1_000_000_000
+MILLISECOND = 1_000_000
+MICROSECOND = 1_000
+
+
+class TooLong(Garbled):
+    """A body over the limit."""
+
+
+class RequestListener(Protocol):
+    def request_came(
+        self, method: str, target: str, headers: dict[str, str], body: bytes, keep_alive: bool
+    ) -> None: ...
+
+    def body_awaited(self) -> None:
+        """The client sends the body only after a word from us."""
+
+
+class RequestReader(Message):
+    """Reads the requests of one connection; a second one may follow the first at once."""
+
+    def __init__(self, listener: RequestListener) -> None:
+        super().__init__()
+        self.listener = listener
+        self.parser = httptools.HttpRequestParser(self)
+        self.target = b""
+        self.inside = False  # a request has begun and not ended
+        self.failure: Garbled | None = None
+
+    def feed(self, data: memoryview) -> None:
+        """Raises Garbled, or TooLong, after which nothing more can be read."""
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            raise Garbled("no other protocol is spoken here") from None
+        except httptools.HttpParserError as error:
+            raise self.failure or Garbled(str(error)) from None
+
+    def on_message_begin(self) -> None:
+        super().on_message_begin()
+        self.target = b""
+        self.inside = True
+
+    def on_url(self, part: bytes) -> None:
+        self.target += part
+        self.head_size += len(part)
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        try:
+            super().on_header(name, value)
+        except Garbled as error:
+            self.failure = error
+            raise
+
+    def on_headers_complete(self) -> None:
+        if self.headers.get("expect", "").lower() == "100-continue":
+            self.listener.body_awaited()
+
+    def body_too_long(self) -> NoReturn:
+        self.failure = TooLong("body too long")
+        raise self.failure
+
+    def on_message_complete(self) -> None:
+        self.inside = False
+        self.listener.request_came(
+            self.parser.get_method().decode("latin-1"),
+            self.target.decode("latin-1"),
+            self.headers,
+            bytes(self.body),
+            self.parser.should_keep_alive(),
+        )
+
+
+def grade_name(target: str) -> str:
+    """The first part of the path."""
+    path = target.partition("?")[0]
+    if "://" in path:
+        path = "/" + path.partition("://")[2].partition("/")[2]
+    return path.lstrip("/").partition("/")[0]
+
+
+def whole(headers: dict[str, str], name: str) -> int | None:
+    text = headers.get(name)
+    if text is None:
+        return None
+    if not text.isascii() or not text.isdigit() or len(text) > 15:
+        raise Garbled(f"{name} is no whole number")
+    return int(text)
+
+
+def patience(headers: dict[str, str]) -> int | None:
+    """How long the client will wait for the answer, in ns."""
+    milliseconds = whole(headers, "request-timeout-ms")
+    return None if milliseconds is None else milliseconds * MILLISECOND
+
+
+def work_hint(headers: dict[str, str]) -> int:
+    return (whole(headers, "work-hint") or 0) * MICROSECOND
+
+
+def figures(headers: dict[str, str]) -> dict[str, float]:
+    """The further figures of a request."""
+    found = {}
+    for pair in headers.get("request-info", "").split(","):
+        name, equals, value = pair.partition("=")
+        if not equals:
+            continue
+        try:
+            found[name.strip().lower()] = float(value)
+        except ValueError:
+            raise Garbled(f"request-info: {name.strip()} is no number") from None
+    return found
+
+
+def answer(status: int, body: bytes, keep: bool, come_back_after: int = 0) -> bytes:
+    headers = {"Content-Length": str(len(body))}
+    if come_back_after > 0:
+        headers["Retry-After"] = f"{come_back_after / SECOND:.3f}"
+    if not keep:
+        headers["Connection"] = "close"
+    return head(f"HTTP/1.1 {status} {REASONS[status]}", headers) + body
+
+
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
--- /dev/null
+++ b/ploverspoke/protocol/discovery.py
@@ -0,0 +1,82 @@
+"""The list of workers, as discovery tells it."""
+
+import json
+from collections.abc import Callable, Mapping
+from typing import Any
+
+import httptools
+
+from .heads import Garbled, Message, head
+
+LONGEST_LIST = 4 * 1024 * 1024
+
+
+def watch(version: int | None, hold: int, address: str) -> bytes:
+    """A watch from that version on that may wait so many ns; the whole list where we have none."""
+    target = "/api/targets"
+    if version is not None:
+        target += f"?from={version}&hold_ms={hold // 1_000_000}"
+    return head(f"GET {target} HTTP/1.1", {"Host": address})
+
+
+class ListAnswer(Message):
+    """Reads one answer and says when it is complete: its status, its body, whether the connection lasts."""
+
+    def __init__(self, complete: Callable[[int, bytearray, bool], None]) -> None:
+        super().__init__()
+        self.complete = complete
+        self.parser = httptools.HttpResponseParser(self)
+
+    def feed(self, data: memoryview) -> None:
+        try:
+            self.parser.feed_data(data)
+        except (httptools.HttpParserUpgrade, httptools.HttpParserError) as error:
+            raise Garbled(str(error)) from None
+
+    def on_body(self, part: bytes) -> None:
+        if len(self.body) + len(part) > LONGEST_LIST:
+            raise Garbled("list too long")
+        self.body += part
+
+    def on_message_complete(self) -> None:
+        status = self.parser.get_status_code()
+        if status >= 200:
+            self.complete(status, self.body, self.parser.should_keep_alive())
+
+
+def read_list(body: bytes | bytearray, enter: Callable[..., None]) -> tuple[int, bool]:
+    """Enter each worker of a list; gives its version and whether it is whole. Raises Garbled."""
+    try:
+        told = json.loads(body)
+    except (ValueError, RecursionError):
+        raise Garbled("the list is no JSON") from None
+    return enter_list(told, enter)
+
+
+def enter_list(told: Any, enter: Callable[..., None]) -> tuple[int, bool]:
+    if not isinstance(told, Mapping):
+        raise Garbled("the list is no object")
+    version, whole, servers = told.get("version"), told.get("full"), told.get("servers")
+    if not isinstance(version, int) or not isinstance(whole, bool) or not isinstance(servers, list):
+        raise Garbled("the list lacks version, full or servers")
+    for entry in servers:
+        if not isinstance(entry, Mapping):
+            raise Garbled("an entry of the list is no object")
+        worker, address = entry.get("id"), entry.get("addr", "")
+        if not isinstance(worker, str) or not isinstance(address, str):
+            raise Garbled("an entry of the list lacks id or addr")
+        weight, started = entry.get("weight", 1.0), entry.get("started_ms", 0)
+        rack = entry.get("cell", 0)
+        if not isinstance(weight, int | float) or not isinstance(started, int | float):
+            raise Garbled(f"weight or started_ms of {worker} is no number")
+        enter(
+            worker,
+            address,
+            entry.get("zone"),
+            entry.get("kind"),
+            rack if isinstance(rack, int) else 0,
+            entry.get("state"),
+            float(weight),
+            int(started),
+        )
+    return version, whole
--- /dev/null
+++ b/ploverspoke/protocol/workers.py
@@ -0,0 +1,173 @@
+"""What is sent to workers, and their answers, read line by line."""
+
+import json
+from collections.abc import Mapping
+from typing import Any, Protocol
+
+import httptools
+
+from ploverspoke.transport.ends import End
+
+from .heads import LONGEST_BODY, Garbled, Message, head
+from .words import LOAD_NAMES
+
+MILLISECOND = 1_000_000
+LONGEST_LINE = LONGEST_BODY + 4 * 1024  # a whole result and what stands round it
+
+Load = dict[str, float]
+
+
+class AnswerListener(Protocol):
+    def started(self) -> None: ...
+
+    def progressed(self, share_done: float) -> None: ...
+
+    def ended(self, end: End, result: str, load: Load | None) -> None:
+        """The outcome is known; said at most once."""
+
+    def message_over(self, reusable: bool) -> None:
+        """The last byte of the answer has come."""
+
+
+def job(
+    method: str, target: str, request_id: str, time_out: int, body: bytes, address: str, type_of_body: str
+) -> bytes:
+    headers = {
+        "Host": address,
+        "Request-Id": request_id,
+        "Request-Timeout-Ms": str(max(1, time_out // MILLISECOND)),
+        "Content-Length": str(len(body)),
+    }
+    if type_of_body:
+        headers["Content-Type"] = type_of_body
+    return head(f"{method} {target} HTTP/1.1", headers) + body
+
+
+def probe(with_load: bool, address: str) -> bytes:
+    return head(f"GET {'/-/load' if with_load else '/-/healthy'} HTTP/1.1", {"Host": address})
+
+
+def load_report(values: Any, x0: str) -> Load | None:
+    """A load report under our words; what we have no word for is left out."""
+    if not isinstance(values, Mapping):
+        return None
+    report = {}
+    for name, value in values.items():
+        ours = LOAD_NAMES.get(name)
+        if ours is not None and isinstance(value, int | float) and not isinstance(value, bool):
+            report[x0 if ours == "x0" else ours] = float(value)
+    return report
+
+
+def _loads(text: str | bytes | bytearray) -> Any:
+    try:
+        return json.loads(text)
+    except (ValueError, RecursionError):
+        return None
+
+
+class Answer(Message):
+    """The answer to one request of ours."""
+
+    def __init__(self, listener: AnswerListener, x0: str) -> None:
+        super().__init__()
+        self.listener = listener
+        self.x0 = x0
+        self.parser = httptools.HttpResponseParser(self)
+        self.status = 0
+        self.has_ended = False
+        self.over = False
+
+    def feed(self, data: memoryview) -> None:
+        """Raises Garbled, after which nothing more can be read."""
+        if self.over:
+            raise Garbled("more than one answer")
+        try:
+            self.parser.feed_data(data)
+        except (httptools.HttpParserUpgrade, httptools.HttpParserError) as error:
+            raise Garbled(str(error)) from None
+
+    def end(self, end: End, result: str = "", load: Load | None = None) -> None:
+        if not self.has_ended:
+            self.has_ended = True
+            self.listener.ended(end, result, load)
+
+    def header_load(self) -> Load | None:
+        text = self.headers.get("server-load")
+        return None if text is None else load_report(_loads(text), self.x0)
+
+    def on_headers_complete(self) -> None:
+        self.status = self.parser.get_status_code()
+
+    def on_message_complete(self) -> None:
+        if self.status >= 200:
+            self.over = True
+            self.complete()
+            self.listener.message_over(self.parser.should_keep_alive())
+
+    def complete(self) -> None:
+        raise NotImplementedError
+
+
+class JobAnswer(Answer):
+    """200, then one JSON object a line up to a last one; or a status that says it all."""
+
+    def __init__(self, listener: AnswerListener, x0: str, request_id: str) -> None:
+        super().__init__(listener, x0)
+        self.request_id = request_id
+
+    def on_headers_complete(self) -> None:
+        super().on_headers_complete()
+        if self.status < 200 or self.status == 200:
+            return
+        unstarted = self.status in (503, 504) and self.headers.get("not-started", "").strip() == "1"
+        self.end(End.RETURNED if unstarted else End.FAILED, load=self.header_load())
+
+    def on_body(self, part: bytes) -> None:
+        if self.status != 200 or self.has_ended:
+            return
+        self.body += part
+        while not self.has_ended:
+            line, newline, rest = self.body.partition(b"\n")
+            if not newline:
+                break
+            self.body = rest
+            self.line(line)
+        if len(self.body) > LONGEST_LINE:
+            self.end(End.GARBLED)
+
+    def complete(self) -> None:
+        if self.status == 200 and not self.has_ended and self.body.strip():
+            self.line(self.body)
+        self.end(End.BROKEN)
+
+    def line(self, text: bytearray) -> None:
+        if not text.strip():
+            return
+        said = _loads(text)
+        if not isinstance(said, dict) or said.get("id") != self.request_id:
+            self.end(End.GARBLED)
+            return
+        state, load = said.get("state"), load_report(said.get("load"), self.x0) or self.header_load()
+        if state == "started":
+            self.listener.started()
+        elif state == "running":
+            share = said.get("share")
+            self.listener.progressed(float(share) if isinstance(share, int | float) else 0.0)
+        elif state == "done" and isinstance(said.get("result"), str):
+            self.end(End.SERVED, said["result"], load)
+        elif state in ENDS:
+            self.end(ENDS[state], load=load)
+        else:
+            self.end(End.GARBLED)
+
+
+ENDS = {"failed": End.FAILED, "returned": End.RETURNED, "lost": End.LOST}
+
+
+class ProbeAnswer(Answer):
+    """200 or 503, with the load report where there is one."""
+
+    def complete(self) -> None:
+        load = load_report(_loads(self.body), self.x0) or self.header_load()
+        self.end(End.SERVED if self.status == 200 else End.FAILED, load=load)
--- /dev/null
+++ b/ploverspoke/routing/errands.py
@@ -0,0 +1,151 @@
+"""Errands: one request to a worker each, a hand-off or a probe, from the call for a connection to its end."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Protocol
+
+from ploverspoke.protocol.heads import Garbled
+from ploverspoke.protocol.workers import Answer, AnswerListener, Load
+from ploverspoke.transport.connections import Connection
+from ploverspoke.transport.deadlines import Deadlines
+from ploverspoke.transport.ends import End
+from ploverspoke.transport.pools import Opening, Pool
+
+LINGER = 500_000_000  # ns for the rest of an answer whose outcome is known
+
+
+class Sender(Protocol):
+    """Who sent the errand."""
+
+    def errand_started(self) -> None: ...
+
+    def errand_progressed(self, share_done: float) -> None: ...
+
+    def errand_ended(self, end: End, result: str, load: Load | None) -> None:
+        """Said exactly once, and never from inside a call of the sender's."""
+
+
+class Errand:
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        pool: Pool,
+        deadlines: Deadlines,
+        address: str,
+        message: Callable[[int], bytes],  # given the time left for it
+        answer: Callable[[AnswerListener], Answer],
+        time_out: int,
+        sender: Sender,
+    ) -> None:
+        self.loop = loop
+        self.pool = pool
+        self.deadlines = deadlines
+        self.address = address
+        self.message = message
+        self.answer = answer(self)
+        self.sender: Sender | None = sender
+        self.connection: Connection | None = None
+        self.opening: Opening | None = None
+        self.cause: End | None = None  # why we closed the connection
+        self.reusable = False
+        self.until = deadlines.now() + time_out
+        self.late = deadlines.at(self.until, self._too_late)
+        self.opening = pool.call(address, self)
+
+    def give_up(self) -> None:
+        """Stop waiting: the connection is closed, and what was not sent yet is not sent."""
+        self._stop(End.RECALLED, End.WITHHELD)
+
+    def withhold(self) -> None:
+        """Do not send it if it has not been sent; else wait on for its end."""
+        if self.connection is None:
+            self._stop(End.WITHHELD, End.WITHHELD)
+
+    # ---- The connection ----
+
+    def connected(self, connection: Connection) -> None:
+        self.opening = None
+        self.connection = connection
+        connection.write(self.message(self.until - self.deadlines.now()))
+
+    def not_connected(self, end: End) -> None:
+        self.opening = None
+        self._end(end)
+
+    def bytes_came(self) -> None:
+        if self.connection is None:
+            return
+        buffer = self.connection.buffer
+        data = buffer.unread()
+        try:
+            self.answer.feed(data)
+        except Garbled:
+            self.cause = End.GARBLED
+        buffer.read(len(data))
+        data.release()
+        if self.cause is not None:
+            self.connection.abort()
+        elif self.answer.over:
+            connection, self.connection = self.connection, None
+            self.deadlines.call_off(self.late)
+            if self.reusable and not connection.unsent:
+                self.pool.rest(self.address, connection)
+            else:
+                connection.user = None
+                connection.close()
+                self.pool.closed()
+
+    def connection_ended(self) -> None:
+        if self.connection is None:
+            return
+        # Only what is certain to be still with us, in whole or in part, has certainly not run.
+        unsent = self.connection.unsent and not self.answer.status
+        self.connection = None
+        self.pool.closed()
+        self._end(self.cause or (End.UNSENT if unsent else End.BROKEN))
+
+    def all_written(self) -> None:
+        pass
+
+    # ---- The answer ----
+
+    def started(self) -> None:
+        if self.sender is not None and self.cause is None:
+            self.sender.errand_started()
+
+    def progressed(self, share_done: float) -> None:
+        if self.sender is not None and self.cause is None:
+            self.sender.errand_progressed(share_done)
+
+    def ended(self, end: End, result: str, load: Load | None) -> None:
+        if end is End.GARBLED:
+            self.cause = end
+        self._end(end, result, load)
+
+    def message_over(self, reusable: bool) -> None:
+        self.reusable = reusable
+
+    # ---- Its end ----
+
+    def _too_late(self) -> None:
+        self._stop(End.TIMED_OUT, End.NEVER_UP)
+
+    def _stop(self, sent: End, unsent: End) -> None:
+        if self.connection is not None:
+            # The end is told when the connection is closed: no second copy may be out beside an open one.
+            self.cause = self.cause or sent
+            self.connection.abort()
+        elif self.sender is not None:
+            if self.opening is not None:
+                self.opening.give_up()
+                self.opening = None
+            self._end(unsent)
+
+    def _end(self, end: End, result: str = "", load: Load | None = None) -> None:
+        sender, self.sender = self.sender, None
+        if sender is None:
+            return
+        self.deadlines.call_off(self.late)
+        if self.connection is not None:
+            self.late = self.deadlines.at(self.deadlines.now() + LINGER, self._too_late)
+        self.loop.call_soon(sender.errand_ended, end, result, load)
--- /dev/null
+++ b/ploverspoke/routing/roster.py
@@ -0,0 +1,117 @@
+"""The watch on discovery: one call after the other, until one fails."""
+
+import asyncio
+from collections.abc import Callable
+
+from ploverspoke.protocol import discovery
+from ploverspoke.protocol.heads import Garbled
+from ploverspoke.transport.connections import Connection
+from ploverspoke.transport.deadlines import Deadline, Deadlines
+from ploverspoke.transport.ends import End
+from ploverspoke.transport.log_lines import say
+from ploverspoke.transport.pools import Opening, Pool
+
+ANSWER_TIME = 2_000_000_000  # ns that an answer may take beyond the wait it was allowed
+
+
+class RosterWatch:
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        deadlines: Deadlines,
+        address: str,
+        hold: int,
+        told: Callable[[bytes | bytearray], int],  # gives the version; raises Garbled
+        lost: Callable[[], None],
+    ) -> None:
+        self.loop = loop
+        self.deadlines = deadlines
+        self.address = address
+        self.hold = hold
+        self.told = told
+        self.lost = lost
+        self.version: int | None = None
+        self.pool = Pool(loop, deadlines, 1, ANSWER_TIME, ANSWER_TIME)
+        self.connection: Connection | None = None
+        self.opening: Opening | None = None
+        self.answer = discovery.ListAnswer(self._complete)
+        self.late: Deadline | None = None
+        self.watching = False
+
+    def start(self) -> None:
+        if not self.watching:
+            self.watching = True
+            self.loop.call_soon(self._connect)
+
+    def _connect(self) -> None:
+        self.opening = self.pool.call(self.address, self)
+
+    def _ask(self) -> None:
+        if self.connection is not None:
+            limit = self.hold + ANSWER_TIME
+            self.late = self.deadlines.at(self.deadlines.now() + limit, self._fail)
+            self.answer = discovery.ListAnswer(self._complete)
+            self.connection.write(discovery.watch(self.version, self.hold, self.address))
+
+    def connected(self, connection: Connection) -> None:
+        self.opening = None
+        self.connection = connection
+        self._ask()
+
+    def not_connected(self, end: End) -> None:
+        self.opening = None
+        self._fail()
+
+    def bytes_came(self) -> None:
+        if self.connection is None:
+            return
+        buffer = self.connection.buffer
+        data = buffer.unread()
+        try:
+            self.answer.feed(data)
+        except Garbled as error:
+            say(f"discovery: {error}")
+            self.loop.call_soon(self._fail)
+        buffer.read(len(data))
+        data.release()
+
+    def _complete(self, status: int, body: bytearray, lasts: bool) -> None:
+        """One answer is whole; the next call goes out at once, for the watch to go on."""
+        self.deadlines.call_off(self.late)
+        if status != 200:
+            raise Garbled(f"answered {status}")
+        self.loop.call_soon(self._take, bytes(body), lasts)
+
+    def _take(self, body: bytes, lasts: bool) -> None:
+        try:
+            self.version = self.told(body)
+        except Garbled as error:
+            say(f"discovery: {error}")
+            self._fail()
+            return
+        if lasts and self.connection is not None:
+            self._ask()
+        else:
+            self._hang_up()
+            self._connect()
+
+    def connection_ended(self) -> None:
+        if self.connection is not None:
+            self._fail()
+
+    def all_written(self) -> None:
+        pass
+
+    def _hang_up(self) -> None:
+        connection, self.connection = self.connection, None
+        if connection is not None:
+            connection.user = None
+            connection.abort()
+            self.pool.closed()
+
+    def _fail(self) -> None:
+        if self.watching:
+            self.watching = False
+            self.deadlines.call_off(self.late)
+            self._hang_up()
+            self.lost()
--- /dev/null
+++ b/ploverspoke/routing/router.py
@@ -0,0 +1,352 @@
+"""The host of the decisions on real sockets: their actions become errands and answers, ends become events."""
+
+import asyncio
+import time
+import traceback
+from collections import deque
+from collections.abc import Callable, Mapping
+from functools import partial
+from typing import Any
+
+from ploverspoke.decisions.dispatcher import Dispatcher
+from ploverspoke.decisions.host import Listing, StandingOrders
+from ploverspoke.protocol import clients, discovery, workers
+from ploverspoke.protocol.heads import Garbled
+from ploverspoke.protocol.words import CONDITIONS
+from ploverspoke.protocol.workers import Load
+from ploverspoke.transport.deadlines import Deadlines
+from ploverspoke.transport.ends import End
+from ploverspoke.transport.log_lines import say
+from ploverspoke.transport.pools import Pool
+from ploverspoke.transport.slots import SlotTable
+
+from .errands import Errand
+from .outcomes import OUTCOMES
+from .roster import RosterWatch
+from .submissions import Client, Submission
+
+MILLISECOND = 1_000_000
+SECOND = 1_000_000_000
+PROBE_TIME_OUT = 250 * MILLISECOND
+LONGEST_HOLD = 20 * SECOND  # of one call of the watch
+MOST_BODY_BYTES = 32 * 1024 * 1024  # of submissions held at once
+
+Event = Callable[..., None]
+
+
+class HandOff:
+    """Tells the router what becomes of one hand-off."""
+
+    def __init__(self, router: "Router", submission: Submission, index: int, worker: str) -> None:
+        self.router = router
+        self.submission = submission
+        self.index = index
+        self.worker = worker
+        self.sent_at = router.now()
+
+    def errand_started(self) -> None:
+        self.router.tell(self.router.dispatcher.hand_off_started, self.submission.number, self.index)
+
+    def errand_progressed(self, share_done: float) -> None:
+        event = self.router.dispatcher.hand_off_progressed
+        self.router.tell(event, self.submission.number, self.index, share_done)
+
+    def errand_ended(self, end: End, result: str, load: Load | None) -> None:
+        self.router.hand_off_ended(self, end, result, load)
+
+
+class Probe:
+    """Tells the router what becomes of one probe."""
+
+    def __init__(self, router: "Router", worker: str) -> None:
+        self.router = router
+        self.worker = worker
+        self.sent_at = router.now()
+
+    def errand_started(self) -> None:
+        pass
+
+    def errand_progressed(self, share_done: float) -> None:
+        pass
+
+    def errand_ended(self, end: End, result: str, load: Load | None) -> None:
+        took = self.router.now() - self.sent_at
+        event = self.router.dispatcher.probe_answered
+        self.router.tell(event, self.worker, OUTCOMES[end], took, load)
+
+
+class Router:
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        deadlines: Deadlines,
+        pool: Pool,
+        discovery_address: str,
+        seed: int,
+        orders: StandingOrders,
+        names: Mapping[str, list[str]],
+    ) -> None:
+        self.loop = loop
+        self.deadlines = deadlines
+        self.pool = pool
+        self.orders = orders
+        self.grades = {name: number for number, name in enumerate(names["grades"])}
+        self.customers = {name: number for number, name in enumerate(names["customers"])}
+        self.zones = {name: number for number, name in enumerate(names["zones"])}
+        self.machine_kinds = {name: number for number, name in enumerate(names["machine_kinds"])}
+        self.x0 = "free_slots" if "free_slots" in orders["load_fields"] else "x0"
+        # Workers' starts are told in Unix time; one difference, taken once, puts them all on our clock.
+        self.clock_ahead = time.time_ns() - time.monotonic_ns()
+        self.addresses: dict[str, str] = {}
+        self.submissions: SlotTable[Submission] = SlotTable()
+        self.body_bytes = 0
+        self.events: deque[tuple[Event, tuple[Any, ...]]] = deque()
+        self.telling = False
+        hold = min(LONGEST_HOLD, orders["roster_ask_within"] or LONGEST_HOLD)
+        self.roster = RosterWatch(
+            loop, deadlines, discovery_address, hold, self._roster_told, self._roster_lost
+        )
+        self.dispatcher = Dispatcher(self, seed, orders)
+
+    # ---- From clients ----
+
+    def take(
+        self, client: Client, method: str, target: str, headers: dict[str, str], body: bytes
+    ) -> Submission | None:
+        """Take a submission; None where there is no room for one more. Raises Garbled, KeyError."""
+        grade = self.grades[clients.grade_name(target)]
+        request_id = headers.get("request-id", "")
+        if not request_id:
+            raise Garbled("request-id is missing")
+        patience = clients.patience(headers)
+        if patience is None:
+            patience = self.orders["abandon_time"][grade]
+        figures, hint = clients.figures(headers), clients.work_hint(headers)
+        if len(self.submissions) >= self.orders["most_open"] or self.body_bytes > MOST_BODY_BYTES:
+            return None
+        abandon_at = self.now() + patience
+        type_of_body = headers.get("content-type", "")
+        submission = Submission(client, method, target, request_id, type_of_body, body, abandon_at)
+        submission.number = self.submissions.add(submission)
+        self.body_bytes += len(body)
+        # The decisions answer in time; this guards the client against a fault in them.
+        submission.last_answer = self.deadlines.at(abandon_at, partial(self._overdue, submission))
+        self.tell(
+            self.dispatcher.submission_arrived,
+            submission.number,
+            grade,
+            figures.get("slots", 1.0),
+            abandon_at,
+            self.customers.get(headers.get("tenant", ""), 0),
+            hint,
+            headers.get("affinity-key", ""),
+            headers.get("client-retry") == "1",
+        )
+        return submission
+
+    def client_left(self, submission: Submission) -> None:
+        if submission.client is not None:
+            self._close(submission)
+            self.tell(self.dispatcher.client_left, submission.number)
+            self._forget(submission)
+
+    def answer_all(self) -> None:
+        """The end of the program: nobody is left without an answer."""
+        for submission in self.submissions:
+            self._answer_for_decisions(submission)
+
+    # ---- To the decisions ----
+
+    def tell(self, event: Event, *what: Any) -> None:
+        """Say that something happened; what happens inside of a call waits until that is over."""
+        self.events.append((event, what))
+        if self.telling:
+            return
+        self.telling = True
+        while self.events:
+            event, what = self.events.popleft()
+            try:
+                event(*what)
+            except Exception:
+                say(f"a decision failed in {getattr(event, '__name__', event)}: {traceback.format_exc()}")
+                submission = self.submissions.get(what[0]) if what and isinstance(what[0], int) else None
+                if submission is not None and event != self.dispatcher.woken:
+                    self._answer_for_decisions(submission)
+        self.telling = False
+
+    def hand_off_ended(self, hand_off: HandOff, end: End, result: str, load: Load | None) -> None:
+        submission = hand_off.submission
+        submission.hand_offs[hand_off.index] = None
+        if end is End.SERVED and submission.client is not None:
+            client = submission.client
+            self._close(submission)
+            client.satisfied(result)
+        self.tell(
+            self.dispatcher.hand_off_ended,
+            submission.number,
+            hand_off.index,
+            hand_off.worker,
+            OUTCOMES[end],
+            self.now() - hand_off.sent_at,
+            submission.client is None,
+            load,
+        )
+        self._forget(submission)
+
+    def _roster_told(self, body: bytes | bytearray) -> int:
+        listings: list[Listing] = []
+        version, whole = discovery.read_list(body, partial(self._enter, listings))
+        self._roster_changed(listings, whole)
+        return version
+
+    def known(self, told: Any) -> None:
+        """The list as we last had it, from what we are told at start. Raises Garbled."""
+        listings: list[Listing] = []
+        self.roster.version, _ = discovery.enter_list(told, partial(self._enter, listings))
+        self._roster_changed(listings, True)
+
+    def _roster_changed(self, listings: list[Listing], whole: bool) -> None:
+        dispatcher = self.dispatcher
+        self.tell(dispatcher.roster_complete if whole else dispatcher.roster_changed, listings)
+
+    def _roster_lost(self) -> None:
+        self.tell(self.dispatcher.roster_lost)
+
+    def _enter(
+        self,
+        listings: list[Listing],
+        worker: str,
+        address: str,
+        zone: Any,
+        machine_kind: Any,
+        rack: int,
+        state: Any,
+        weight: float,
+        started_ms: int,
+    ) -> None:
+        condition = CONDITIONS.get(state)
+        if condition is None:
+            raise Garbled(f"unknown state {state!r} of {worker}")
+        before = self.addresses.get(worker)
+        if before is not None and (condition == "gone" or address != before):
+            self.pool.drop(before)
+        if address:
+            self.addresses[worker] = address
+        started = max(1, started_ms * MILLISECOND - self.clock_ahead) if started_ms else 0
+        zone_number = self.zones.setdefault(str(zone), len(self.zones))
+        kind_number = self.machine_kinds.setdefault(str(machine_kind), len(self.machine_kinds))
+        listings.append(Listing(worker, zone_number, kind_number, rack, condition, weight, started))
+
+    # ---- What the decisions ask for ----
+
+    def now(self) -> int:
+        return self.deadlines.now()
+
+    def hand_off(self, submission_id: int, worker: str, time_out: int) -> None:
+        submission, address = self.submissions.get(submission_id), self.addresses.get(worker)
+        if submission is None or submission.client is None or address is None:
+            closed = submission is None or submission.client is None
+            index = 0 if submission is None else len(submission.hand_offs)
+            if submission is not None:
+                submission.hand_offs.append(None)
+            event = self.dispatcher.hand_off_ended
+            self.tell(event, submission_id, index, worker, OUTCOMES[End.WITHHELD], 0, closed, None)
+            return
+        hand_off = HandOff(self, submission, len(submission.hand_offs), worker)
+        submission.hand_offs.append(None)
+        submission.hand_offs[-1] = Errand(
+            self.loop,
+            self.pool,
+            self.deadlines,
+            address,
+            lambda left: workers.job(
+                submission.method,
+                submission.target,
+                submission.request_id,
+                left,
+                submission.body,
+                address,
+                submission.type_of_body,
+            ),
+            partial(workers.JobAnswer, x0=self.x0, request_id=submission.request_id),
+            time_out,
+            hand_off,
+        )
+
+    def recall(self, submission_id: int, hand_off: int) -> None:
+        submission = self.submissions.get(submission_id)
+        errand = submission.hand_offs[hand_off] if submission is not None else None
+        if errand is not None:
+            errand.give_up()
+
+    def nack(self, submission_id: int, come_back_after: int) -> None:
+        submission = self.submissions.get(submission_id)
+        if submission is not None and submission.client is not None:
+            client = submission.client
+            self._close(submission)
+            client.nacked(come_back_after)
+            self._forget(submission)
+
+    def abandon(self, submission_id: int) -> None:
+        submission = self.submissions.get(submission_id)
+        if submission is not None and submission.client is not None:
+            client = submission.client
+            self._close(submission)
+            client.abandoned()
+            self._forget(submission)
+
+    def wake_at(self, token: int, when: int) -> None:
+        self.deadlines.at(when, lambda: self.tell(self.dispatcher.woken, token))
+
+    def probe(self, worker: str) -> None:
+        address = self.addresses.get(worker, "")
+        with_load = self.orders["load_reports"] != "none"
+        Errand(
+            self.loop,
+            self.pool,
+            self.deadlines,
+            address,
+            lambda left: workers.probe(with_load, address),
+            partial(workers.ProbeAnswer, x0=self.x0),
+            PROBE_TIME_OUT,
+            Probe(self, worker),
+        )
+
+    def watch_roster(self) -> None:
+        self.roster.start()
+
+    def log(self, line: str) -> None:
+        say(line)
+
+    # ---- The life of a submission ----
+
+    def _close(self, submission: Submission) -> None:
+        """It gets its answer now, or wants none any more: nothing is sent for it from here on."""
+        submission.client = None
+        self.deadlines.call_off(submission.last_answer)
+        for errand in submission.hand_offs:
+            if errand is not None:
+                errand.withhold()
+
+    def _forget(self, submission: Submission) -> None:
+        closed = submission.client is None and not submission.out()
+        if closed and self.submissions.remove(submission.number) is not None:
+            self.body_bytes -= len(submission.body)
+
+    def _overdue(self, submission: Submission) -> None:
+        if submission.client is not None:
+            say(f"submission {submission.request_id} was not answered in time by the decisions")
+            self._answer_for_decisions(submission)
+
+    def _answer_for_decisions(self, submission: Submission) -> None:
+        """A fault or the end: what was never handed off is nacked, the rest abandoned."""
+        client = submission.client
+        if client is None:
+            return
+        self._close(submission)
+        if submission.hand_offs:
+            client.abandoned()
+        else:
+            client.nacked(0)
+        self.tell(self.dispatcher.client_left, submission.number)
+        self._forget(submission)
--- /dev/null
+++ b/ploverspoke/routing/submissions.py
@@ -0,0 +1,43 @@
+"""One submission taken from a client, until it is answered and its hand-offs have ended."""
+
+from typing import Protocol
+
+from ploverspoke.transport.deadlines import Deadline
+
+from .errands import Errand
+
+
+class Client(Protocol):
+    """Who waits for the answer."""
+
+    def satisfied(self, result: str) -> None: ...
+
+    def nacked(self, come_back_after: int) -> None: ...
+
+    def abandoned(self) -> None: ...
+
+
+class Submission:
+    def __init__(
+        self,
+        client: Client,
+        method: str,
+        target: str,
+        request_id: str,
+        type_of_body: str,
+        body: bytes,
+        abandon_at: int,
+    ) -> None:
+        self.number = 0
+        self.client: Client | None = client  # None: answered, or the client has left
+        self.method = method
+        self.target = target
+        self.request_id = request_id
+        self.type_of_body = type_of_body
+        self.body = body
+        self.abandon_at = abandon_at
+        self.hand_offs: list[Errand | None] = []  # None: ended
+        self.last_answer: Deadline | None = None
+
+    def out(self) -> bool:
+        return any(errand is not None for errand in self.hand_offs)
--- a/ploverspoke/simwire/adapter.py
+++ b/ploverspoke/simwire/adapter.py
@@ -3,11 +3,14 @@
 import gc
 import sys
 import traceback
-from collections.abc import Callable, Mapping
-from typing import Any, TextIO
+from collections.abc import Callable
+from typing import TextIO
 
 from ploverspoke.decisions.dispatcher import Dispatcher
 from ploverspoke.decisions.host import Listing
+from ploverspoke.program.checked import BadKey
+from ploverspoke.program.standing_orders import standing_orders
+from ploverspoke.protocol.words import CONDITIONS
 
 from .codec import Fields, Malformed, read_line, write_line
 
@@ -23,102 +26,6 @@
     "revoked": "recalled",
     "unused": "not_sent",
 }
-CONDITIONS = {"Ready": "ready", "Terminating": "draining", "Gone": "gone"}
-REPEATS = {"free": "redoable", "guarded": "labelled", "single_shot": "irreversible"}
-GROUPS = {"all": "all", "zone": "zone", "cell": "rack"}
-LOAD_NAMES = {
-    "outstanding": "in_hand",
-    "backlog": "waiting",
-    "utilization": "busy_share",
-    "recent_ms": "recent_milliseconds",
-    "throughput": "satisfied_per_second",
-    "errors_per_s": "errors_per_second",
-    "x0": "x0",
-    "x1": "x1",
-}
-
-
-def standing_orders(profile: Mapping[str, Any]) -> dict[str, Any]:
-    """The settings of a start-up message as one plain map, under our words and in nanoseconds."""
-
-    def part(name: str) -> Mapping[str, Any]:
-        value = profile.get(name, {})
-        if not isinstance(value, dict):
-            raise Malformed(f"setting {name} is no object")
-        return value
-
-    def needed(table: Mapping[str, Any], name: str) -> Any:
-        if name not in table:
-            raise Malformed(f"required setting {name} is missing")
-        return table[name]
-
-    def time(table: Mapping[str, Any], name: str) -> int:
-        return int(needed(table, name)) * MICROSECOND
-
-    def word(table: Mapping[str, str], value: str) -> str:
-        if value not in table:
-            raise Malformed(f"setting has the unknown value {value!r}")
-        return table[value]
-
-    grades = needed(profile, "ServiceGrades")
-    limits, rules, domain, prices = part("Limits"), part("Invariants"), part("Domain"), part("Tariffs")
-    report, goal = part("Report"), part("Goal")
-    customers = profile.get("Tenants") or []
-    return {
-        "round": int(profile.get("RoundUs", 0)) * MICROSECOND,
-        "dispatchers": int(profile.get("PeersTotal", 1)),
-        "dispatcher_number": int(profile.get("SlotNo", 0)),
-        "zone": int(profile.get("Zone", 0)),
-        "roster_must_be_asked": profile.get("Discovery") == "ask",
-        "roster_ask_within": int(rules.get("MustAskInUs", 0)) * MICROSECOND,
-        "weight_meaning": profile.get("WeightKind", "off"),
-        # One value for each service grade.
-        "expected_time": [time(g, "ExpectedTimeUs") for g in grades],
-        "abandon_time": [time(g, "AbandonTimeUs") for g in grades],
-        "benefit": [float(g.get("Benefit", 1.0)) for g in grades],
-        "overdue_benefit": [float(g.get("OverdueBenefit", 0.0)) for g in grades],
-        "repeat": [word(REPEATS, needed(g, "Repeat")) for g in grades],
-        "repeat_group": [word(GROUPS, g.get("Group", "all")) for g in grades],
-        "repeat_window": [int(g.get("RepeatWindowUs", 0)) * MICROSECOND for g in grades],
-        "machine_kind_needed": list(domain.get("ClassKind") or [-1] * len(grades)),
-        "running_time_stretch": list(domain.get("ClassStretch") or [0.0] * len(grades)),
-        # What workers tell.
-        "tells_start": bool(domain.get("TellsStart", False)),
-        "progress_every": int(domain.get("ProgressUs", 0)) * MICROSECOND,
-        "load_reports": {"inline": "answers", "on_probe": "probes"}.get(report.get("Via", "off"), "none"),
-        "load_fields": [
-            "free_slots" if f == "x0" and domain.get("ReportX0") == "free slots" else LOAD_NAMES.get(f, f)
-            for f in report.get("Fields") or []
-        ],
-        # What is permitted.
-        "most_hand_offs": int(limits.get("MaxHandOffs", 1)),
-        "second_copies": bool(limits.get("SecondCopies", False)),
-        "recall_permitted": bool(limits.get("Cancel", False)),
-        "probing_permitted": bool(limits.get("Probing", False)),
-        "come_back_advice": bool(limits.get("RetryAfter", False)),
-        "longest_come_back": int(limits.get("MaxRetryAfterUs", 0)) * MICROSECOND,
-        "connect_time_out": int(limits.get("ConnectTimeoutUs", 0)) * MICROSECOND,
-        # The figures of the rules.
-        "answer_slack": int(rules.get("AnswerSlackUs", 0)) * MICROSECOND,
-        "stop_sending_within": time(rules, "StopSendingWithinUs"),
-        "cold_share": float(needed(rules, "ColdShare")),
-        "warm_within": time(rules, "WarmWithinUs"),
-        "tip_multiple": float(needed(rules, "TipMultiple")),
-        "fall_within": time(rules, "FallUs"),
-        # Shares and prices.
-        "customer_rate": [float(c.get("QuotaRps", 0.0)) for c in customers],
-        "customer_share": [float(c.get("Portion", 0.0)) for c in customers],
-        "beyond_share_benefit": float(profile.get("BeyondShareBenefit", 1.0)),
-        "clients_mark_retries": bool(part("Clients").get("MarksRetry", False)),
-        "zone_crossing_price": float(prices.get("CrossZone", 0.0)),
-        "connection_price": float(prices.get("Handshake", 0.0)),
-        "fetch_price": float(prices.get("Origin", 0.0)),
-        "waste_price": float(prices.get("Waste", 0.0)),
-        "overdue_price": float(prices.get("LateFail", 0.0)),
-        "probe_price": float(prices.get("Probe", 0.0)),
-        "tail_weight": float(goal.get("TailPart", 0.0)),
-        "tail_slack": float(goal.get("TailSlack", 0.0)),
-    }
 
 
 class Instance:
@@ -127,7 +34,10 @@
     def __init__(self, number: int, adapter: "Adapter", start: Fields) -> None:
         self.number = number
         self.adapter = adapter
-        orders = standing_orders(start.mapping("ProfileData"))
+        try:
+            orders = standing_orders(start.mapping("ProfileData"))
+        except BadKey as error:
+            raise Malformed(str(error)) from None
         self.load_fields: list[str] = orders["load_fields"]
         self.dispatcher = Dispatcher(self, start.whole("RandomSeed"), orders)
 
--- /dev/null
+++ b/ploverspoke/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Bytes and time: connections, buffers, numbered slots, deadlines, pools. Knows no HTTP."""
--- /dev/null
+++ b/ploverspoke/transport/connections.py
@@ -0,0 +1,95 @@
+"""One connection, whoever is at its other end."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Protocol, cast
+
+from .buffers import ReadBuffer
+
+
+class ConnectionUser(Protocol):
+    """Who speaks on a connection at the moment."""
+
+    def bytes_came(self) -> None:
+        """There is something unread in the connection's buffer."""
+
+    def connection_ended(self) -> None:
+        """It is closed, whoever closed it; said once."""
+
+    def all_written(self) -> None:
+        """What had to wait to be written has gone out."""
+
+
+class Connection(asyncio.BufferedProtocol):
+    def __init__(self, came: "Callable[[Connection], None] | None" = None) -> None:
+        self.came = came  # told of a connection that the other side has opened
+        self.user: ConnectionUser | None = None
+        self.transport: asyncio.Transport | None = None
+        self.buffer = ReadBuffer()
+        self.open = False
+        self.unsent = False  # some of what was written is still with us
+        self.reading = True
+
+    # ---- What the loop calls ----
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        # Any byte that stays with us counts, so that it is known whether a request has gone out whole.
+        self.transport.set_write_buffer_limits(high=0)
+        self.open = True
+        if self.came is not None:
+            self.came(self)
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return self.buffer.space()
+
+    def buffer_updated(self, nbytes: int) -> None:
+        self.buffer.filled(nbytes)
+        if self.user is not None:
+            self.user.bytes_came()
+
+    def eof_received(self) -> bool:
+        return False
+
+    def pause_writing(self) -> None:
+        self.unsent = True
+
+    def resume_writing(self) -> None:
+        self.unsent = False
+        if self.user is not None:
+            self.user.all_written()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.open = False
+        user, self.user = self.user, None
+        if user is not None:
+            user.connection_ended()
+
+    # ---- What its user calls ----
+
+    def write(self, data: bytes) -> None:
+        if self.open and self.transport is not None:
+            self.transport.write(data)
+
+    def hold_reading(self, hold: bool) -> None:
+        """Read no more for now, so that who sends too much has to wait."""
+        if self.open and self.transport is not None and self.reading == hold:
+            self.reading = not hold
+            if hold:
+                self.transport.pause_reading()
+            else:
+                self.transport.resume_reading()
+
+    def close(self) -> None:
+        """Close it when what was written has gone out."""
+        if self.transport is not None:
+            self.transport.close()
+
+    def abort(self) -> None:
+        if self.transport is not None:
+            self.transport.abort()
+
+    def finish(self) -> None:
+        """Write no more, but let the other side read to the end."""
+        if self.open and self.transport is not None:
+            self.transport.write_eof()
