--- a/ploverspoke/protocol/heads.py
+++ b/ploverspoke/protocol/heads.py
@@ -28,7 +28,8 @@
         self.head_size += len(name) + len(value)
         if len(self.headers) >= MOST_HEADERS or self.head_size > LONGEST_HEAD:
             raise Garbled("head too long")
-        self.headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+        key, text = name.decode("latin-1").lower(), value.decode("latin-1")
+        self.headers[key] = f"{self.headers[key]}, {text}" if key in self.headers else text
 
     def on_body(self, part: bytes) -> None:
         if len(self.body) + len(part) > LONGEST_BODY:
--- a/ploverspoke/protocol/workers.py
+++ b/ploverspoke/protocol/workers.py
@@ -29,18 +29,30 @@
         """The last byte of the answer has come."""
 
 
-def job(
-    method: str, target: str, request_id: str, time_out: int, body: bytes, address: str, type_of_body: str
-) -> bytes:
-    headers = {
-        "Host": address,
-        "Request-Id": request_id,
-        "Request-Timeout-Ms": str(max(1, time_out // MILLISECOND)),
-        "Content-Length": str(len(body)),
-    }
-    if type_of_body:
-        headers["Content-Type"] = type_of_body
-    return head(f"{method} {target} HTTP/1.1", headers) + body
+# What one connection's two ends tell each other, and what we say ourselves.
+NOT_PASSED_ON = {
+    "connection",
+    "content-length",
+    "expect",
+    "host",
+    "keep-alive",
+    "proxy-connection",
+    "request-timeout-ms",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+}
+
+
+def job(method: str, target: str, headers: dict[str, str], body: bytes, time_out: int, address: str) -> bytes:
+    # All that the client says of the job goes on: a labelled one carries its mark in a header of its own.
+    between_ends = {name.strip().lower() for name in headers.get("connection", "").split(",")}
+    passed = {k: v for k, v in headers.items() if k not in NOT_PASSED_ON and k not in between_ends}
+    passed["host"] = address
+    passed["request-timeout-ms"] = str(max(1, time_out // MILLISECOND))
+    passed["content-length"] = str(len(body))
+    return head(f"{method} {target} HTTP/1.1", passed) + body
 
 
 def probe(with_load: bool, address: str) -> bytes:
--- a/ploverspoke/routing/router.py
+++ b/ploverspoke/routing/router.py
@@ -115,8 +115,7 @@
     ) -> Submission | None:
         """Take a submission; None where there is no room for one more. Raises Garbled, KeyError."""
         grade = self.grades[clients.grade_name(target)]
-        request_id = headers.get("request-id", "")
-        if not request_id:
+        if not headers.get("request-id"):
             raise Garbled("request-id is missing")
         patience = clients.patience(headers)
         if patience is None:
@@ -125,8 +124,7 @@
         if len(self.submissions) >= self.orders["most_open"] or self.body_bytes > MOST_BODY_BYTES:
             return None
         abandon_at = self.now() + patience
-        type_of_body = headers.get("content-type", "")
-        submission = Submission(client, method, target, request_id, type_of_body, body, abandon_at)
+        submission = Submission(client, method, target, headers, body, abandon_at)
         submission.number = self.submissions.add(submission)
         self.body_bytes += len(body)
         # The decisions answer in time; this guards the client against a fault in them.
@@ -262,11 +260,10 @@
             lambda left: workers.job(
                 submission.method,
                 submission.target,
-                submission.request_id,
-                left,
+                submission.headers,
                 submission.body,
+                left,
                 address,
-                submission.type_of_body,
             ),
             partial(workers.JobAnswer, x0=self.x0, request_id=submission.request_id),
             time_out,
--- a/ploverspoke/routing/submissions.py
+++ b/ploverspoke/routing/submissions.py
@@ -23,8 +23,7 @@
         client: Client,
         method: str,
         target: str,
-        request_id: str,
-        type_of_body: str,
+        headers: dict[str, str],
         body: bytes,
         abandon_at: int,
     ) -> None:
@@ -32,8 +31,8 @@
         self.client: Client | None = client  # None: answered, or the client has left
         self.method = method
         self.target = target
-        self.request_id = request_id
-        self.type_of_body = type_of_body
+        self.headers = headers
+        self.request_id = headers["request-id"]
         self.body = body
         self.abandon_at = abandon_at
         self.hand_offs: list[Errand | None] = []  # None: ended
