--- a/ploverspoke/decisions/dispatcher.py
+++ b/ploverspoke/decisions/dispatcher.py
@@ -306,6 +306,10 @@
                 self._accepted(worker, job.in_use)
         elif outcome == "full":
             self._cut_room(worker, worker.in_flight, 2 * worker.drift_time, now)
+        elif outcome == "recalled" and not job.started_at and self._bound_to(job, worker):
+            # Taken back for its wait from a rack that it must stay in: its worker is as full as it was. Drawn
+            # for it again and again it got a copy of the job each time, where recalled work goes on.
+            self._cut_room(worker, worker.running, 0, now)
         elif outcome in ("unreachable", "broken_off"):
             # Proof, not a guess: when a whole zone is cut off, no bound may keep us sending there.
             self._set_aside(worker, now, bounded=False)
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -190,3 +190,17 @@
     stage.start(2)
     stage.pass_time(100 * MS)
     assert stage.where(1) == "a" and not stage.dispatcher._has_waiting(worker, stage.clock)
+
+
+def test_a_bound_submission_is_not_taken_back_to_be_sent_to_the_same_worker() -> None:
+    # On sockets a labelled one went to the same worker six times over, a copy left there each time.
+    stage = Stage([listing("a"), listing("b")], fetch_price=0.03)
+    for submission_id in (1, 2):
+        stage.submit(submission_id, subject="s")
+        stage.start(submission_id)
+        stage.pass_time(100 * MS)
+        stage.end(submission_id, "satisfied")
+    stage.submit(3, grade=1, subject="s")
+    stage.pass_time(2 * SECOND)
+    went = [t["worker"] for t in stage.tries[3]]
+    assert len(went) > 1 and all(here != there for here, there in zip(went, went[1:], strict=False))
