Tests of the whole dispatcher on loopback: bad input, workers' ways to end, drains, the end, random trouble

Every way in which a worker can end an answer is played against irreversible submissions; seeded random runs check one answer in time, no second run, no nack for what ran, nothing sent after the answer.

--- /dev/null
+++ b/tests/test_service.py
@@ -0,0 +1,422 @@
+"""The whole dispatcher on loopback sockets, before stand-in workers and a stand-in discovery."""
+
+import asyncio
+import json
+import random
+import socket
+from collections import Counter
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any
+
+import pytest
+import uvloop
+
+from ploverspoke.program.briefing import Briefing
+from ploverspoke.program.service import Service
+from ploverspoke.program.standing_orders import names, standing_orders
+
+SETTINGS: dict[str, Any] = {
+    "Discovery": "ask",
+    "Domain": {"ProgressUs": 1_000_000, "TellsStart": True, "ReportX0": "free slots"},
+    "HostTypes": ["plain"],
+    "Invariants": {
+        "ColdShare": 0.3,
+        "FallUs": 2_000_000,
+        "MustAskInUs": 10_000_000,
+        "StopSendingWithinUs": 500_000,
+        "TipMultiple": 3.0,
+        "WarmWithinUs": 1_000_000,
+    },
+    "Limits": {"Cancel": True, "ConnectTimeoutUs": 150_000, "MaxHandOffs": 6, "Probing": True},
+    "Localities": ["a"],
+    "Report": {"Fields": ["backlog", "x0"], "Via": "on_probe"},
+    "RoundUs": 2000,
+    "ServiceGrades": [
+        {"Name": "look", "Repeat": "free", "ExpectedTimeUs": 500_000, "AbandonTimeUs": 900_000},
+        {"Name": "book", "Repeat": "single_shot", "ExpectedTimeUs": 500_000, "AbandonTimeUs": 900_000},
+    ],
+    "Tenants": [{"Name": "acme"}],
+}
+Told = Callable[[asyncio.StreamReader, asyncio.StreamWriter, dict[str, str], bytes], Awaitable[None]]
+
+
+async def message(reader: asyncio.StreamReader) -> tuple[str, dict[str, str], bytes]:
+    """The first line, the headers and the body of one message."""
+    first, *lines = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
+    headers = {name.lower(): value for name, _, value in (line.partition(": ") for line in lines if line)}
+    return first, headers, await reader.readexactly(int(headers.get("content-length", 0)))
+
+
+def chunk(line: dict[str, Any]) -> bytes:
+    text = json.dumps(line).encode() + b"\n"
+    return f"{len(text):x}\r\n".encode() + text + b"\r\n"
+
+
+def listed(worker: str, port: int, state: str = "Ready") -> dict[str, Any]:
+    place = {"addr": f"127.0.0.1:{port}", "zone": "a", "kind": "plain", "cell": 0, "weight": 1.0}
+    return {"id": worker, "state": state, "started_ms": 0, **place}
+
+
+class World:
+    """Workers, discovery and clients round one dispatcher."""
+
+    def __init__(self) -> None:
+        self.ran: Counter[str] = Counter()
+        self.sent: list[tuple[str, str]] = []  # worker and request id
+        self.entries: list[dict[str, Any]] = []
+        self.version = 1
+        self.news = asyncio.Event()
+        self.behave: dict[str, Told] = {}
+        self.watches = 0
+        self.discovery_says = b""  # in place of the list, once
+        self.servers: list[asyncio.Server] = []
+
+    async def start(self, workers: int, sockets: int = 256, **settings: Any) -> None:
+        for number in range(workers):
+            name = f"w{number}"
+            server = await asyncio.start_server(self._worker(name), "127.0.0.1", 0)
+            self.servers.append(server)
+            self.entries.append(listed(name, server.sockets[0].getsockname()[1]))
+        discovery = await asyncio.start_server(self._discovery, "127.0.0.1", 0)
+        self.servers.append(discovery)
+        with socket.socket() as free:
+            free.bind(("127.0.0.1", 0))
+            self.port = free.getsockname()[1]
+        told = {**SETTINGS, **settings}
+        self.service = Service(
+            asyncio.get_running_loop(),
+            Briefing(
+                "n0",
+                ("127.0.0.1", self.port),
+                f"127.0.0.1:{discovery.sockets[0].getsockname()[1]}",
+                1,
+                sockets,
+                {"version": 1, "full": True, "servers": self.entries},
+                standing_orders(told),
+                names(told),
+            ),
+        )
+        self.running = asyncio.create_task(self.service.run())
+        while self.service.door.server is None:
+            await asyncio.sleep(0.001)
+
+    def _worker(self, name: str) -> Callable[..., Coroutine[Any, Any, None]]:
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            try:
+                while True:
+                    first, headers, body = await message(reader)
+                    if first.startswith("GET /-/load"):
+                        load = b'{"queue":0,"x0":4}'
+                        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(load) + load)
+                        continue
+                    self.sent.append((name, headers["request-id"]))
+                    await self.behave.get(name, self.serve)(reader, writer, headers, body)
+            except (asyncio.IncompleteReadError, ConnectionError):
+                pass
+            finally:
+                writer.close()
+
+        return serve
+
+    async def serve(self, reader: Any, writer: Any, headers: dict[str, str], body: bytes) -> None:
+        request_id = headers["request-id"]
+        self.ran[request_id] += 1
+        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        writer.write(chunk({"id": request_id, "from": "w", "state": "started"}))
+        await asyncio.sleep(0.005)
+        done = {"id": request_id, "from": "w", "state": "done", "result": f"{request_id}:{body.decode()}"}
+        writer.write(chunk(done) + b"0\r\n\r\n")
+
+    async def _discovery(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            while True:
+                first, _, _ = await message(reader)
+                self.watches += 1
+                if f"from={self.version}&" in first:
+                    self.news.clear()
+                    await self.news.wait()
+                body = (
+                    self.discovery_says
+                    or json.dumps({"version": self.version, "full": True, "servers": self.entries}).encode()
+                )
+                self.discovery_says = b""
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+    async def tell(self, entries: list[dict[str, Any]]) -> None:
+        self.entries, self.version = entries, self.version + 1
+        self.news.set()
+        await asyncio.sleep(0.02)
+
+    async def connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        return await asyncio.open_connection("127.0.0.1", self.port)
+
+    def request(self, request_id: str, grade: str = "look", body: bytes = b"x", more: str = "") -> bytes:
+        head = f"POST /{grade}/1?a=b HTTP/1.1\r\nHost: app\r\nRequest-Id: {request_id}\r\nTenant: acme\r\n"
+        return (head + more + f"Content-Length: {len(body)}\r\n\r\n").encode() + body
+
+    async def ask(self, said: bytes) -> tuple[int, dict[str, str], bytes]:
+        reader, writer = await self.connect()
+        writer.write(said)
+        first, headers, body = await asyncio.wait_for(message(reader), 5)
+        writer.close()
+        return int(first.split()[1]), headers, body
+
+    def stop(self) -> None:
+        self.running.cancel()
+        for server in self.servers:
+            server.close()
+
+
+def play(script: Callable[[World], Coroutine[Any, Any, None]], workers: int = 2, **how: Any) -> World:
+    async def run() -> World:
+        world = World()
+        await world.start(workers, **how)
+        await script(world)
+        assert not len(world.service.router.submissions), "every submission is answered"
+        world.stop()
+        return world
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        return runner.run(run())
+
+
+# ---- How workers can behave ----
+
+
+async def turn_away(reader: Any, writer: Any, headers: dict[str, str], body: bytes) -> None:
+    writer.write(b"HTTP/1.1 503 Busy\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n")
+
+
+async def fail(reader: Any, writer: Any, headers: dict[str, str], body: bytes) -> None:
+    writer.write(b"HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n")
+
+
+async def break_off(reader: Any, writer: Any, headers: dict[str, str], body: bytes) -> None:
+    writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+    raise ConnectionError
+
+
+async def babble(reader: Any, writer: Any, headers: dict[str, str], body: bytes) -> None:
+    writer.write(
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n\x00\xff garbage"
+    )
+
+
+async def say_nothing(reader: Any, writer: Any, headers: dict[str, str], body: bytes) -> None:
+    await asyncio.sleep(1.2)
+
+
+async def answer_for_another(reader: Any, writer: Any, headers: dict[str, str], body: bytes) -> None:
+    writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+    writer.write(chunk({"id": "other", "from": "w", "state": "done", "result": "not yours"}) + b"0\r\n\r\n")
+
+
+WAYS = [turn_away, fail, break_off, babble, say_nothing, answer_for_another]
+
+
+# ---- Plain cases ----
+
+
+def test_a_submission_is_served_over_kept_connections() -> None:
+    async def script(world: World) -> None:
+        reader, writer = await world.connect()
+        for number in range(20):
+            writer.write(world.request(f"r{number}", body=b"abc"))
+            first, headers, body = await message(reader)
+            assert first == "HTTP/1.1 200 OK" and body == f"r{number}:abc".encode()
+        assert world.service.pool.open_count <= 2
+        writer.close()
+
+    play(script)
+
+
+def test_pipelined_requests_are_answered_in_turn() -> None:
+    async def script(world: World) -> None:
+        reader, writer = await world.connect()
+        writer.write(b"".join(world.request(f"p{n}", body=b"y" * 3000) for n in range(30)))
+        for number in range(30):
+            _, _, body = await message(reader)
+            assert body.startswith(f"p{number}:".encode())
+        writer.close()
+
+    play(script)
+
+
+@pytest.mark.parametrize(
+    ("said", "status"),
+    [
+        (b"NONSENSE\r\n\r\n", 400),
+        (b"POST /look HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\nx", 400),  # no Request-Id
+        (
+            b"POST /look HTTP/1.1\r\nRequest-Id: 1\r\nRequest-Timeout-Ms: soon\r\nContent-Length: 0\r\n\r\n",
+            400,
+        ),
+        (b"POST /look HTTP/1.1\r\nRequest-Id: 1\r\nContent-Length: -4\r\n\r\n", 400),
+        (b"POST /look HTTP/1.1\r\n" + b"A: " + b"b" * 20_000 + b"\r\n\r\n", 400),
+        (b"POST /look HTTP/1.1\r\nRequest-Id: 1\r\nContent-Length: 65537\r\n\r\n" + b"x" * 65537, 413),
+        (b"POST /unknown HTTP/1.1\r\nRequest-Id: 1\r\nContent-Length: 0\r\n\r\n", 404),
+        (b"GET /look HTTP/1.1\r\nRequest-Id: 1\r\n\r\n", 405),
+        (b"GET /-/ready HTTP/1.1\r\n\r\n", 200),
+        (b"POST /look HTTP/1.1\r\nRequest-Id: 1\r\nContent-Length: 65536\r\n\r\n" + b"x" * 65536, 200),
+    ],
+)
+def test_bad_input_gets_its_status_and_loses_no_other_answer(said: bytes, status: int) -> None:
+    async def script(world: World) -> None:
+        good = asyncio.create_task(world.ask(world.request("good")))
+        assert (await world.ask(said))[0] == status
+        assert (await good)[0] == 200
+
+    play(script)
+
+
+@pytest.mark.parametrize("way", WAYS)
+def test_an_irreversible_one_is_sent_again_only_where_it_never_ran(way: Told) -> None:
+    async def script(world: World) -> None:
+        world.behave = {"w0": way, "w1": way}
+        status = (await world.ask(world.request("a", "book")))[0]
+        sends = len([s for s in world.sent if s[1] == "a"])
+        assert (status == 503 and sends > 1) if way is turn_away else (status == 504 and sends == 1)
+
+    play(script)
+
+
+def test_a_worker_that_is_not_there_has_not_run_it() -> None:
+    async def script(world: World) -> None:
+        world.servers[0].close()
+        statuses = [(await world.ask(world.request(f"r{n}", "book")))[0] for n in range(6)]
+        assert statuses == [200] * 6
+
+    play(script)
+
+
+def test_a_client_that_leaves_or_dawdles_disturbs_nobody() -> None:
+    async def script(world: World) -> None:
+        world.behave = {"w0": say_nothing, "w1": say_nothing}
+        _, leaver = await world.connect()
+        leaver.write(world.request("gone", "book"))
+        _, slow = await world.connect()
+        slow.write(world.request("slow")[:30])
+        await asyncio.sleep(0.05)
+        leaver.transport.abort()
+        world.behave = {}
+        assert (await world.ask(world.request("r")))[0] == 200
+        await asyncio.sleep(1)
+        slow.close()
+
+    play(script)
+
+
+def test_drains_are_heard_and_a_lying_discovery_is_asked_again() -> None:
+    async def script(world: World) -> None:
+        world.discovery_says = b'{"version":"soon"}'
+        await world.tell([{**world.entries[0], "state": "Terminating"}, world.entries[1]])
+        await asyncio.sleep(1)
+        assert world.watches >= 3
+        world.sent.clear()
+        for number in range(8):
+            assert (await world.ask(world.request(f"r{number}")))[0] == 200
+        assert {worker for worker, _ in world.sent} == {"w1"}
+
+    play(script)
+
+
+def test_a_failing_decision_is_logged_and_its_submission_answered(capsys: Any) -> None:
+    async def script(world: World) -> None:
+        def fault(*what: Any) -> None:
+            raise ZeroDivisionError("a fault in the decisions")
+
+        world.service.router.dispatcher.hand_off_ended = fault  # type: ignore[method-assign]
+        world.behave = {"w0": fail, "w1": fail}
+        assert (await world.ask(world.request("r", "book")))[0] == 504
+        assert (await world.ask(b"GET /-/ready HTTP/1.1\r\n\r\n"))[0] == 200
+
+    play(script)
+    assert "a fault in the decisions" in capsys.readouterr().err
+
+
+def test_the_end_takes_what_still_comes_and_finishes_it() -> None:
+    async def script(world: World) -> None:
+        world.behave = {"w0": slow_job, "w1": slow_job}
+        kept_reader, kept = await world.connect()
+        kept.write(world.request("first"))
+        await message(kept_reader)
+        busy = asyncio.create_task(world.ask(world.request("busy")))
+        await asyncio.sleep(0.05)
+        world.service._leave()
+        assert (await asyncio.wait_for(kept_reader.read(), 1)) == b""  # closed between requests
+        status, headers, _ = await world.ask(world.request("late"))
+        assert status == 200 and headers["connection"] == "close"
+        assert (await busy)[0] == 200
+        await asyncio.wait_for(world.running, 2)
+        kept.close()
+
+    async def slow_job(reader: Any, writer: Any, headers: dict[str, str], body: bytes) -> None:
+        await asyncio.sleep(0.2)
+        await World.serve(worlds[0], reader, writer, headers, body)
+
+    worlds: list[World] = []
+
+    async def with_world(world: World) -> None:
+        worlds.append(world)
+        await script(world)
+
+    play(with_world)
+
+
+def test_beyond_its_sockets_clients_are_told_so_and_idle_ones_make_way() -> None:
+    async def script(world: World) -> None:
+        idle = [await world.connect() for _ in range(40)]
+        assert (await world.ask(world.request("r")))[0] == 200
+        assert len(world.service.door.sessions) <= world.service.door.most_sessions + 1
+        for _, writer in idle:
+            writer.close()
+
+    play(script, sockets=64)
+
+
+# ---- A seeded random run ----
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_random_trouble_keeps_the_rules(seed: int) -> None:
+    chance = random.Random(seed)
+
+    async def client(world: World, number: int) -> None:
+        await asyncio.sleep(chance.random() * 1.5)
+        request_id, grade = f"r{number}", chance.choice(["look", "book"])
+        reader, writer = await world.connect()
+        writer.write(world.request(request_id, grade))
+        if chance.random() < 0.1:
+            await asyncio.sleep(chance.random() / 10)
+            writer.close()
+            return
+        started = asyncio.get_running_loop().time()
+        first, _, body = await asyncio.wait_for(message(reader), 3)
+        writer.close()
+        status = int(first.split()[1])
+        assert asyncio.get_running_loop().time() - started < 0.9 + 0.5, "in time, on a busy machine too"
+        assert status in (200, 503, 504)
+        runs, sends = world.ran[request_id], len([s for s in world.sent if s[1] == request_id])
+        if status == 200:
+            assert body == f"{request_id}:x".encode() and runs
+        if grade == "book":
+            assert runs <= 1, "no effect twice"
+            assert status != 503 or not runs, "a nack promises that it never ran"
+        await asyncio.sleep(0.3)
+        assert sends == len([s for s in world.sent if s[1] == request_id]), "nothing after the answer"
+
+    async def script(world: World) -> None:
+        async def trouble() -> None:
+            while True:
+                await asyncio.sleep(0.1)
+                name = f"w{chance.randrange(4)}"
+                world.behave[name] = chance.choice([world.serve, world.serve, *WAYS])
+
+        troubled = asyncio.create_task(trouble())
+        await asyncio.gather(*(client(world, number) for number in range(80)))
+        troubled.cancel()
+        await asyncio.sleep(1)
+
+    play(script, workers=4)
