--- a/ploverspoke/program/standing_orders.py
+++ b/ploverspoke/program/standing_orders.py
@@ -7,6 +7,7 @@
 
 from .checked import Checked
 
+ROSTER_ASK_WITHIN = 10_000_000_000  # ns, where no rule says it: retries of a lost watch are no rarer
 REPORTS = {"inline": "answers", "on_probe": "probes", "off": "none"}
 
 
@@ -24,7 +25,7 @@
         "dispatcher_number": profile.whole("SlotNo", 0),
         "zone": profile.whole("Zone", 0),
         "roster_must_be_asked": profile.text("Discovery", "push") == "ask",
-        "roster_ask_within": rules.time("MustAskInUs", 0),
+        "roster_ask_within": rules.time("MustAskInUs", 0) or ROSTER_ASK_WITHIN,
         "weight_meaning": profile.text("WeightKind", "off"),
         # One value for each service grade.
         "expected_time": [g.time("ExpectedTimeUs") for g in grades],
--- a/ploverspoke/routing/door.py
+++ b/ploverspoke/routing/door.py
@@ -1,6 +1,7 @@
 """The door to clients: takes their connections, reads one request after the other, gives the answers."""
 
 import asyncio
+import traceback
 from collections import deque
 
 from ploverspoke.protocol import clients
@@ -128,6 +129,9 @@
                     self.submission = submission
         except Garbled as error:
             self._answer(400, str(error).encode())
+        except Exception:
+            say(f"a request could not be taken: {traceback.format_exc()}")
+            self._answer(500, b"a fault of ours")
 
     def _answer_about_us(self, method: str, target: str) -> None:
         if target.partition("?")[0] not in ("/-/ready", "/-/healthy"):
--- a/ploverspoke/routing/router.py
+++ b/ploverspoke/routing/router.py
@@ -102,11 +102,14 @@
         self.body_bytes = 0
         self.events: deque[tuple[Event, tuple[Any, ...]]] = deque()
         self.telling = False
-        hold = min(LONGEST_HOLD, orders["roster_ask_within"] or LONGEST_HOLD)
+        hold = min(LONGEST_HOLD, orders["roster_ask_within"])
         self.roster = RosterWatch(
             loop, deadlines, discovery_address, hold, self._roster_told, self._roster_lost
         )
         self.dispatcher = Dispatcher(self, seed, orders)
+        if not orders["roster_must_be_asked"]:
+            # Where changes are to come unprompted, nothing but this watch makes them come on sockets.
+            self.roster.start()
 
     # ---- From clients ----
 
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -308,7 +308,9 @@
     play(script)
 
 
-def test_drains_are_heard_and_a_lying_discovery_is_asked_again() -> None:
+@pytest.mark.parametrize("mode", ["ask", "push"])
+def test_drains_are_heard_and_a_lying_discovery_is_asked_again(mode: str) -> None:
+    # Where changes are to come unprompted nobody asked for them on sockets.
     async def script(world: World) -> None:
         world.discovery_says = b'{"version":"soon"}'
         await world.tell([{**world.entries[0], "state": "Terminating"}, world.entries[1]])
@@ -319,7 +321,7 @@
             assert (await world.ask(world.request(f"r{number}")))[0] == 200
         assert {worker for worker, _ in world.sent} == {"w1"}
 
-    play(script)
+    play(script, Discovery=mode)
 
 
 def test_a_failing_decision_is_logged_and_its_submission_answered(capsys: Any) -> None:
