--- a/ploverspoke/program/checked.py
+++ b/ploverspoke/program/checked.py
@@ -53,13 +53,8 @@
         return found
 
     def whole(self, name: str, default: int | None = None, least: int = 0) -> int:
-        found = self._get(name, default)
-        if (
-            isinstance(found, bool)
-            or not isinstance(found, int | float)
-            or found != int(found)
-            or found < least
-        ):
+        found = self.number(name, default)
+        if found < least or found % 1:
             raise self.bad(name, f"a whole number of {least} or more")
         return int(found)
 
@@ -69,7 +64,7 @@
 
     def number(self, name: str, default: float | None = None) -> float:
         found = self._get(name, default)
-        if isinstance(found, bool) or not isinstance(found, int | float):
+        if isinstance(found, bool) or not isinstance(found, int | float) or not abs(found) < 1e300:
             raise self.bad(name, "a number")
         return float(found)
 
--- a/ploverspoke/program/service.py
+++ b/ploverspoke/program/service.py
@@ -3,6 +3,7 @@
 import asyncio
 import gc
 import os
+import resource
 import signal
 import sys
 
@@ -32,7 +33,9 @@
         self.loop = loop
         self.briefing = briefing
         self.deadlines = Deadlines(loop)
-        sockets = briefing.sockets - SOCKETS_KEPT
+        allowed = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+        told = briefing.sockets
+        sockets = (told if allowed == resource.RLIM_INFINITY else min(told, allowed)) - SOCKETS_KEPT
         for_workers = int(sockets * WORKERS_SHARE)
         orders = briefing.orders
         self.pool = Pool(loop, self.deadlines, for_workers, orders["idle_limit"], orders["connect_time_out"])
--- a/ploverspoke/protocol/clients.py
+++ b/ploverspoke/protocol/clients.py
@@ -35,25 +35,14 @@
         """The client sends the body only after a word from us."""
 
 
-class RequestReader(Message):
+class RequestReader(Message[httptools.HttpRequestParser]):
     """Reads the requests of one connection; a second one may follow the first at once."""
 
     def __init__(self, listener: RequestListener) -> None:
-        super().__init__()
+        super().__init__(httptools.HttpRequestParser)
         self.listener = listener
-        self.parser = httptools.HttpRequestParser(self)
         self.target = b""
         self.inside = False  # a request has begun and not ended
-        self.failure: Garbled | None = None
-
-    def feed(self, data: memoryview) -> None:
-        """Raises Garbled, or TooLong, after which nothing more can be read."""
-        try:
-            self.parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            raise Garbled("no other protocol is spoken here") from None
-        except httptools.HttpParserError as error:
-            raise self.failure or Garbled(str(error)) from None
 
     def on_message_begin(self) -> None:
         super().on_message_begin()
@@ -61,23 +50,15 @@
         self.inside = True
 
     def on_url(self, part: bytes) -> None:
+        self.grow_head(len(part))
         self.target += part
-        self.head_size += len(part)
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        try:
-            super().on_header(name, value)
-        except Garbled as error:
-            self.failure = error
-            raise
 
     def on_headers_complete(self) -> None:
         if self.headers.get("expect", "").lower() == "100-continue":
             self.listener.body_awaited()
 
     def body_too_long(self) -> NoReturn:
-        self.failure = TooLong("body too long")
-        raise self.failure
+        self.fail(TooLong("body too long"))
 
     def on_message_complete(self) -> None:
         self.inside = False
@@ -86,7 +67,7 @@
             self.target.decode("latin-1"),
             self.headers,
             bytes(self.body),
-            self.parser.should_keep_alive(),
+            self.lasts(),
         )
 
 
--- a/ploverspoke/protocol/discovery.py
+++ b/ploverspoke/protocol/discovery.py
@@ -19,32 +19,29 @@
     return head(f"GET {target} HTTP/1.1", {"Host": address})
 
 
-class ListAnswer(Message):
-    """Reads one answer and says when it is complete: its status, its body, whether the connection lasts."""
+class ListAnswer(Message[httptools.HttpResponseParser]):
+    """Reads one answer and says when it is complete: its body, and whether the connection lasts."""
 
-    def __init__(self, complete: Callable[[int, bytearray, bool], None]) -> None:
-        super().__init__()
-        self.complete = complete
-        self.parser = httptools.HttpResponseParser(self)
-
-    def feed(self, data: memoryview) -> None:
-        try:
-            self.parser.feed_data(data)
-        except (httptools.HttpParserUpgrade, httptools.HttpParserError) as error:
-            raise Garbled(str(error)) from None
+    longest_body = LONGEST_LIST
 
-    def on_body(self, part: bytes) -> None:
-        if len(self.body) + len(part) > LONGEST_LIST:
-            raise Garbled("list too long")
-        self.body += part
+    def __init__(self, complete: Callable[[bytes, bool], None]) -> None:
+        super().__init__(httptools.HttpResponseParser)
+        self.complete = complete
 
     def on_message_complete(self) -> None:
         status = self.parser.get_status_code()
-        if status >= 200:
-            self.complete(status, self.body, self.parser.should_keep_alive())
+        if status < 200:
+            return
+        if status != 200:
+            self.fail(Garbled(f"answered {status}"))
+        self.complete(bytes(self.body), self.lasts())
+
+
+def is_finite(value: Any) -> bool:
+    return isinstance(value, int | float) and abs(value) < 1e300
 
 
-def read_list(body: bytes | bytearray, enter: Callable[..., None]) -> tuple[int, bool]:
+def read_list(body: bytes, enter: Callable[..., None]) -> tuple[int, bool]:
     """Enter each worker of a list; gives its version and whether it is whole. Raises Garbled."""
     try:
         told = json.loads(body)
@@ -67,7 +64,7 @@
             raise Garbled("an entry of the list lacks id or addr")
         weight, started = entry.get("weight", 1.0), entry.get("started_ms", 0)
         rack = entry.get("cell", 0)
-        if not isinstance(weight, int | float) or not isinstance(started, int | float):
+        if not is_finite(weight) or not is_finite(started):
             raise Garbled(f"weight or started_ms of {worker} is no number")
         enter(
             worker,
--- a/ploverspoke/protocol/heads.py
+++ b/ploverspoke/protocol/heads.py
@@ -1,6 +1,8 @@
 """What requests and answers have in common: the head and the collected body of one message at a time."""
 
-from typing import NoReturn
+from typing import Generic, NoReturn, TypeVar
+
+import httptools
 
 MOST_HEADERS = 100
 LONGEST_HEAD = 16 * 1024
@@ -11,13 +13,38 @@
     """What came is not what the protocol promises."""
 
 
-class Message:
+P = TypeVar("P", httptools.HttpRequestParser, httptools.HttpResponseParser)
+
+
+class Message(Generic[P]):
     """The part of httptools' callbacks that is alike for requests and answers."""
 
-    def __init__(self) -> None:
+    longest_body = LONGEST_BODY
+
+    def __init__(self, parser: type[P]) -> None:
+        self.parser: P = parser(self)
         self.headers: dict[str, str] = {}
         self.body = bytearray()
         self.head_size = 0
+        self.failure: Garbled | None = None
+
+    def feed(self, data: memoryview) -> None:
+        """Raises Garbled, after which nothing more can be read."""
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            pass  # no other protocol is spoken here; what follows is not read
+        except httptools.HttpParserError as error:
+            raise self.failure or Garbled(str(error)) from None
+
+    def fail(self, failure: Garbled) -> NoReturn:
+        """Out of a callback, through the parser, to who feeds it."""
+        self.failure = failure
+        raise failure
+
+    def lasts(self) -> bool:
+        """Whether the connection can carry another message."""
+        return bool(self.parser.should_keep_alive()) and not self.parser.should_upgrade()
 
     def on_message_begin(self) -> None:
         self.headers = {}
@@ -25,19 +52,24 @@
         self.head_size = 0
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        self.head_size += len(name) + len(value)
-        if len(self.headers) >= MOST_HEADERS or self.head_size > LONGEST_HEAD:
-            raise Garbled("head too long")
+        self.grow_head(len(name) + len(value))
         key, text = name.decode("latin-1").lower(), value.decode("latin-1")
         self.headers[key] = f"{self.headers[key]}, {text}" if key in self.headers else text
+        if len(self.headers) > MOST_HEADERS:
+            self.fail(Garbled("head too long"))
+
+    def grow_head(self, size: int) -> None:
+        self.head_size += size
+        if self.head_size > LONGEST_HEAD:
+            self.fail(Garbled("head too long"))
 
     def on_body(self, part: bytes) -> None:
-        if len(self.body) + len(part) > LONGEST_BODY:
+        if len(self.body) + len(part) > self.longest_body:
             self.body_too_long()
         self.body += part
 
     def body_too_long(self) -> NoReturn:
-        raise Garbled("body too long")
+        self.fail(Garbled("body too long"))
 
 
 def head(first_line: str, headers: dict[str, str]) -> bytes:
--- a/ploverspoke/protocol/workers.py
+++ b/ploverspoke/protocol/workers.py
@@ -66,7 +66,7 @@
     report = {}
     for name, value in values.items():
         ours = LOAD_NAMES.get(name)
-        if ours is not None and isinstance(value, int | float) and not isinstance(value, bool):
+        if ours is not None and isinstance(value, int | float) and abs(value) < 1e300:
             report[x0 if ours == "x0" else ours] = float(value)
     return report
 
@@ -78,27 +78,17 @@
         return None
 
 
-class Answer(Message):
+class Answer(Message[httptools.HttpResponseParser]):
     """The answer to one request of ours."""
 
     def __init__(self, listener: AnswerListener, x0: str) -> None:
-        super().__init__()
+        super().__init__(httptools.HttpResponseParser)
         self.listener = listener
         self.x0 = x0
-        self.parser = httptools.HttpResponseParser(self)
         self.status = 0
         self.has_ended = False
         self.over = False
 
-    def feed(self, data: memoryview) -> None:
-        """Raises Garbled, after which nothing more can be read."""
-        if self.over:
-            raise Garbled("more than one answer")
-        try:
-            self.parser.feed_data(data)
-        except (httptools.HttpParserUpgrade, httptools.HttpParserError) as error:
-            raise Garbled(str(error)) from None
-
     def end(self, end: End, result: str = "", load: Load | None = None) -> None:
         if not self.has_ended:
             self.has_ended = True
@@ -108,6 +98,11 @@
         text = self.headers.get("server-load")
         return None if text is None else load_report(_loads(text), self.x0)
 
+    def on_message_begin(self) -> None:
+        if self.over:
+            self.fail(Garbled("more than one answer"))
+        super().on_message_begin()
+
     def on_headers_complete(self) -> None:
         self.status = self.parser.get_status_code()
 
@@ -115,7 +110,7 @@
         if self.status >= 200:
             self.over = True
             self.complete()
-            self.listener.message_over(self.parser.should_keep_alive())
+            self.listener.message_over(self.lasts())
 
     def complete(self) -> None:
         raise NotImplementedError
@@ -165,7 +160,9 @@
             self.listener.started()
         elif state == "running":
             share = said.get("share")
-            self.listener.progressed(float(share) if isinstance(share, int | float) else 0.0)
+            self.listener.progressed(
+                float(share) if isinstance(share, int | float) and 0 <= share <= 1 else 0.0
+            )
         elif state == "done" and isinstance(said.get("result"), str):
             self.end(End.SERVED, said["result"], load)
         elif state in ENDS:
--- a/ploverspoke/routing/roster.py
+++ b/ploverspoke/routing/roster.py
@@ -21,7 +21,7 @@
         deadlines: Deadlines,
         address: str,
         hold: int,
-        told: Callable[[bytes | bytearray], int],  # gives the version; raises Garbled
+        told: Callable[[bytes], int],  # gives the version; raises Garbled
         lost: Callable[[], None],
     ) -> None:
         self.loop = loop
@@ -75,18 +75,17 @@
         buffer.read(len(data))
         data.release()
 
-    def _complete(self, status: int, body: bytearray, lasts: bool) -> None:
+    def _complete(self, body: bytes, lasts: bool) -> None:
         """One answer is whole; the next call goes out at once, for the watch to go on."""
         self.deadlines.call_off(self.late)
-        if status != 200:
-            raise Garbled(f"answered {status}")
-        self.loop.call_soon(self._take, bytes(body), lasts)
+        self.loop.call_soon(self._take, body, lasts)
 
     def _take(self, body: bytes, lasts: bool) -> None:
         try:
             self.version = self.told(body)
-        except Garbled as error:
-            say(f"discovery: {error}")
+        except Exception as error:
+            # Whatever a list holds, it must not end the watch for good.
+            say(f"discovery: {type(error).__name__}: {error}")
             self._fail()
             return
         if lasts and self.connection is not None:
--- a/ploverspoke/routing/router.py
+++ b/ploverspoke/routing/router.py
@@ -31,6 +31,8 @@
 LONGEST_HOLD = 20 * SECOND  # of one call of the watch
 MOST_BODY_BYTES = 32 * 1024 * 1024  # of submissions held at once
 
+ANSWER_EARLY = 20 * MILLISECOND  # than the client gives up
+
 Event = Callable[..., None]
 
 
@@ -126,7 +128,8 @@
         figures, hint = clients.figures(headers), clients.work_hint(headers)
         if len(self.submissions) >= self.orders["most_open"] or self.body_bytes > MOST_BODY_BYTES:
             return None
-        abandon_at = self.now() + patience
+        # What waited for us to be read, and the way back, are time that the client has not.
+        abandon_at = self.now() + patience - min(ANSWER_EARLY, patience // 10)
         submission = Submission(client, method, target, headers, body, abandon_at)
         submission.number = self.submissions.add(submission)
         self.body_bytes += len(body)
@@ -194,7 +197,7 @@
         )
         self._forget(submission)
 
-    def _roster_told(self, body: bytes | bytearray) -> int:
+    def _roster_told(self, body: bytes) -> int:
         listings: list[Listing] = []
         version, whole = discovery.read_list(body, partial(self._enter, listings))
         self._roster_changed(listings, whole)
@@ -225,9 +228,8 @@
         weight: float,
         started_ms: int,
     ) -> None:
-        condition = CONDITIONS.get(state)
-        if condition is None:
-            raise Garbled(f"unknown state {state!r} of {worker}")
+        # A state that we do not know is no invitation.
+        condition = CONDITIONS.get(str(state), "draining")
         before = self.addresses.get(worker)
         if before is not None and (condition == "gone" or address != before):
             self.pool.drop(before)
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -1,4 +1,4 @@
-"""A stand-in host that keeps books on the four rules and plays workers at random."""
+"""A stand-in host that keeps books on the four rules and plays workers at random; a deployment's settings."""
 
 import random
 from collections.abc import Mapping
@@ -45,6 +45,30 @@
     "probe_price": 1.0,
 }
 
+# A deployment's settings, as a service reads them.
+SETTINGS: dict[str, Any] = {
+    "Discovery": "ask",
+    "Domain": {"ProgressUs": 1_000_000, "TellsStart": True, "ReportX0": "free slots"},
+    "HostTypes": ["plain"],
+    "Invariants": {
+        "ColdShare": 0.3,
+        "FallUs": 2_000_000,
+        "MustAskInUs": 10_000_000,
+        "StopSendingWithinUs": 500_000,
+        "TipMultiple": 3.0,
+        "WarmWithinUs": 1_000_000,
+    },
+    "Limits": {"Cancel": True, "ConnectTimeoutUs": 150_000, "MaxHandOffs": 6, "Probing": True},
+    "Localities": ["a"],
+    "Report": {"Fields": ["backlog", "x0"], "Via": "on_probe"},
+    "RoundUs": 2000,
+    "ServiceGrades": [
+        {"Name": "look", "Repeat": "free", "ExpectedTimeUs": 500_000, "AbandonTimeUs": 900_000},
+        {"Name": "book", "Repeat": "single_shot", "ExpectedTimeUs": 500_000, "AbandonTimeUs": 900_000},
+    ],
+    "Tenants": [{"Name": "acme"}],
+}
+
 
 def listing(name: str, condition: str = "ready", kind: int = 0, rack: int = 0, started: int = 0) -> Listing:
     return Listing(name, 0, kind, rack, condition, 1.0, started)
--- /dev/null
+++ b/tests/test_briefing.py
@@ -0,0 +1,77 @@
+"""The configuration: what is read, and the key that a complaint names."""
+
+import copy
+import json
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from ploverspoke.program.briefing import read_briefing
+from ploverspoke.program.checked import BadKey
+
+from .stage import SETTINGS
+
+GOOD: dict[str, Any] = {
+    "name": "n3",
+    "listen": "127.0.0.1:8081",
+    "discovery": "127.0.0.2:8500",
+    "seed": "8c1f30d27a5be964",
+    "limits": {"cores": 1.0, "memory_mb": 2048, "sockets": 4096},
+    "settings": SETTINGS,
+}
+
+
+def read(told: Any, folder: Path, **environment: str) -> Any:
+    path = folder / "config.json"
+    path.write_text(told if isinstance(told, str) else json.dumps(told))
+    return read_briefing({"RELAY_CONFIG": str(path), **environment})
+
+
+def test_what_is_left_out_gets_its_default(tmp_path: Path) -> None:
+    briefing = read(GOOD, tmp_path)
+    assert briefing.listen == ("127.0.0.1", 8081) and briefing.seed == 0x8C1F30D27A5BE964
+    assert briefing.sockets == 4096 and briefing.orders["idle_limit"] == 30_000_000_000
+    assert briefing.orders["repeat"] == ["redoable", "irreversible"]
+    less = {key: value for key, value in GOOD.items() if key not in ("listen", "limits", "name")}
+    briefing = read(less, tmp_path, RELAY_LISTEN="127.0.0.1:99", RELAY_NAME="n4")
+    assert briefing.listen == ("127.0.0.1", 99) and briefing.name == "n4" and briefing.sockets == 1024
+
+
+@pytest.mark.parametrize(
+    ("path", "value", "complaint"),
+    [
+        (["listen"], "nowhere", "listen is 'nowhere'"),
+        (["listen"], "127.0.0.1:0", "listen is"),
+        (["discovery"], None, "discovery"),
+        (["seed"], "xyz", "seed is 'xyz'"),
+        (["limits", "sockets"], 3, "limits.sockets is 3"),
+        (["limits", "sockets"], "many", "limits.sockets is 'many'"),
+        (["limits", "sockets"], float("nan"), "limits.sockets is nan"),
+        (["known"], 4, "known is 4"),
+        (["settings"], [], "settings: expected an object"),
+        (["settings", "ServiceGrades"], [], "settings.ServiceGrades"),
+        (["settings", "ServiceGrades", 1, "Repeat"], "often", r"ServiceGrades\[1\].Repeat is 'often'"),
+        (["settings", "ServiceGrades", 0, "AbandonTimeUs"], "soon", r"ServiceGrades\[0\].AbandonTimeUs"),
+        (["settings", "Invariants", "ColdShare"], None, "settings.Invariants.ColdShare"),
+        (["settings", "Limits", "Cancel"], 1, "settings.Limits.Cancel is 1"),
+        (["settings", "Domain"], {"ClassKind": [1]}, "settings.Domain.ClassKind"),
+    ],
+)
+def test_a_bad_value_is_named_by_its_key(path: list[Any], value: Any, complaint: str, tmp_path: Path) -> None:
+    told = copy.deepcopy(GOOD)
+    table: Any = told
+    for step in path[:-1]:
+        table = table[step]
+    table[path[-1]] = value
+    with pytest.raises(BadKey, match=complaint):
+        read(told, tmp_path)
+
+
+def test_a_file_that_is_none_is_named(tmp_path: Path) -> None:
+    with pytest.raises(BadKey, match="RELAY_CONFIG is not set"):
+        read_briefing({})
+    with pytest.raises(BadKey, match="cannot be read"):
+        read_briefing({"RELAY_CONFIG": str(tmp_path / "none")})
+    with pytest.raises(BadKey, match="no JSON"):
+        read("{", tmp_path)
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -1,6 +1,15 @@
 """Bytes to calls and back, without sockets."""
 
-from ploverspoke.protocol import workers
+import contextlib
+import random
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from ploverspoke.protocol import clients, discovery, workers
+from ploverspoke.protocol.heads import Garbled
+from ploverspoke.transport.ends import End
 
 
 def test_a_job_keeps_all_that_its_client_said_of_it() -> None:
@@ -26,3 +35,97 @@
         "request-id: 7",
         "request-timeout-ms: 2500",
     ]
+
+
+class Heard:
+    """Listens to requests and answers alike."""
+
+    def __init__(self) -> None:
+        self.requests: list[tuple[str, bytes, bool]] = []
+        self.said: list[Any] = []
+
+    def request_came(self, method: str, target: str, headers: Any, body: bytes, keep_alive: bool) -> None:
+        self.requests.append((target, body, keep_alive))
+
+    def body_awaited(self) -> None:
+        pass
+
+    def started(self) -> None:
+        self.said.append("started")
+
+    def progressed(self, share_done: float) -> None:
+        self.said.append(share_done)
+
+    def ended(self, end: End, result: str, load: Any) -> None:
+        self.said.append((end, result, load))
+
+    def message_over(self, reusable: bool) -> None:
+        self.said.append(reusable)
+
+
+def in_pieces(chance: random.Random, text: bytes, feed: Callable[[memoryview], None]) -> None:
+    while text:
+        size = chance.randint(1, 40)
+        feed(memoryview(text[:size]))
+        text = text[size:]
+
+
+@pytest.mark.parametrize("seed", range(30))
+def test_messages_are_read_alike_however_they_are_cut(seed: int) -> None:
+    chance, heard = random.Random(seed), Heard()
+    chunked = b"POST /a/1?q HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n"
+    plain = b"POST /b HTTP/1.1\r\nContent-Length: 3\r\nConnection: close\r\n\r\nxyz"
+    in_pieces(chance, chunked * 2 + plain, clients.RequestReader(heard).feed)
+    assert heard.requests == [("/a/1?q", b"abc", True)] * 2 + [("/b", b"xyz", False)]
+    lines = (
+        b'{"id":"7","state":"started"}\n{"id":"7","state":"running","share":0.5}\n'
+        b'{"id":"7","state":"done","result":"ok","load":{"queue":2,"x0":1,"eps":"?"}}\n'
+    )
+    answer = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    answer += b"%x\r\n" % len(lines) + lines + b"\r\n0\r\n\r\n"
+    in_pieces(chance, answer, workers.JobAnswer(heard, "free_slots", "7").feed)
+    load = {"waiting": 2.0, "free_slots": 1.0}
+    assert heard.said == ["started", 0.5, (End.SERVED, "ok", load), True]
+
+
+@pytest.mark.parametrize("seed", range(30))
+def test_garbage_is_garbled_and_nothing_else(seed: int) -> None:
+    chance, heard = random.Random(seed), Heard()
+    head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    odd = [
+        b'{"id":"7","state":[]}\n',
+        b"[" * 5000 + b"\n",
+        b'{"id":"7","state":"done","result":1}\n',
+        b"\xff\n",
+    ]
+    number = b'{"id":"7","state":"failed","load":{"queue":1' + b"0" * 400 + b"}}\n"
+    line = chance.choice([*odd, number, chance.randbytes(40) + b"\n"])
+    readers: list[Any] = [
+        clients.RequestReader(heard),
+        workers.JobAnswer(heard, "x0", "7"),
+        workers.ProbeAnswer(heard, "x0"),
+        discovery.ListAnswer(lambda body, lasts: None),
+    ]
+    for reader in readers:
+        with contextlib.suppress(Garbled):
+            reader.feed(
+                memoryview(chance.choice([b"", head + b"%x\r\n" % len(line) + line]) + chance.randbytes(99))
+            )
+    assert not [said for said in heard.said if said[0] is End.SERVED]
+
+
+@pytest.mark.parametrize(
+    "told",
+    [
+        b"",
+        b"[]",
+        b'{"version":1,"full":true,"servers":[3]}',
+        b'{"version":1,"full":true,"servers":[{"id":1,"addr":""}]}',
+        b'{"version":1,"full":true,"servers":[{"id":"a","addr":"x","weight":"much"}]}',
+        b'{"version":1,"full":true,"servers":[{"id":"a","addr":"x","started_ms":Infinity}]}',
+        b'{"version":"1","full":true,"servers":[]}',
+    ],
+)
+def test_a_list_that_is_none_is_garbled(told: bytes) -> None:
+    with pytest.raises(Garbled):
+        discovery.read_list(told, lambda *entry: None)
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -15,28 +15,8 @@
 from ploverspoke.program.service import Service
 from ploverspoke.program.standing_orders import names, standing_orders
 
-SETTINGS: dict[str, Any] = {
-    "Discovery": "ask",
-    "Domain": {"ProgressUs": 1_000_000, "TellsStart": True, "ReportX0": "free slots"},
-    "HostTypes": ["plain"],
-    "Invariants": {
-        "ColdShare": 0.3,
-        "FallUs": 2_000_000,
-        "MustAskInUs": 10_000_000,
-        "StopSendingWithinUs": 500_000,
-        "TipMultiple": 3.0,
-        "WarmWithinUs": 1_000_000,
-    },
-    "Limits": {"Cancel": True, "ConnectTimeoutUs": 150_000, "MaxHandOffs": 6, "Probing": True},
-    "Localities": ["a"],
-    "Report": {"Fields": ["backlog", "x0"], "Via": "on_probe"},
-    "RoundUs": 2000,
-    "ServiceGrades": [
-        {"Name": "look", "Repeat": "free", "ExpectedTimeUs": 500_000, "AbandonTimeUs": 900_000},
-        {"Name": "book", "Repeat": "single_shot", "ExpectedTimeUs": 500_000, "AbandonTimeUs": 900_000},
-    ],
-    "Tenants": [{"Name": "acme"}],
-}
+from .stage import SETTINGS
+
 Told = Callable[[asyncio.StreamReader, asyncio.StreamWriter, dict[str, str], bytes], Awaitable[None]]
 
 
--- /dev/null
+++ b/tests/test_transport.py
@@ -0,0 +1,146 @@
+"""Slots, deadlines, buffers and pools."""
+
+import asyncio
+import random
+from collections.abc import Iterator
+from typing import Any
+
+import pytest
+
+from ploverspoke.transport.buffers import FIRST_SIZE, LEAST_SPACE, ReadBuffer
+from ploverspoke.transport.connections import Connection
+from ploverspoke.transport.deadlines import Deadline, Deadlines
+from ploverspoke.transport.ends import End
+from ploverspoke.transport.pools import Pool
+from ploverspoke.transport.slots import SlotTable
+
+MS = 1_000_000
+
+
+@pytest.fixture
+def loop() -> Iterator[asyncio.AbstractEventLoop]:
+    loop = asyncio.new_event_loop()
+    yield loop
+    loop.close()
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_a_stale_number_finds_nobody(seed: int) -> None:
+    chance, table = random.Random(seed), SlotTable[str]()
+    seated: dict[int, str] = {}
+    gone: list[int] = []
+    for step in range(500):
+        if seated and chance.random() < 0.5:
+            number = chance.choice(list(seated))
+            assert table.remove(number) == seated.pop(number)
+            gone.append(number)
+        else:
+            number = table.add(str(step))
+            assert number not in seated and number not in gone
+            seated[number] = str(step)
+        assert all(table.get(number) == item for number, item in seated.items())
+        assert all(table.get(number) is None and table.remove(number) is None for number in gone[-20:])
+        assert len(table) == len(seated) and sorted(table) == sorted(seated.values())
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_deadlines_are_met_in_order_and_not_when_called_off(
+    seed: int, loop: asyncio.AbstractEventLoop
+) -> None:
+    chance, deadlines = random.Random(seed), Deadlines(loop)
+    met: list[int] = []
+    start = deadlines.now()
+    hung: list[tuple[int, Deadline]] = []
+    for number in range(600):
+        when = chance.randrange(-5, 30)
+        hung.append((when, deadlines.at(start + when * MS, lambda n=number: met.append(n))))  # type: ignore[misc]
+    off = set(chance.sample(range(600), 400))
+    for number in off:
+        deadlines.call_off(hung[number][1])
+    loop.run_until_complete(asyncio.sleep(0.1))
+    assert set(met) == set(range(600)) - off
+    assert [hung[number][0] for number in met] == sorted(hung[number][0] for number in met)
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_a_buffer_loses_nothing_and_shrinks_again(seed: int) -> None:
+    chance, buffer, held = random.Random(seed), ReadBuffer(), b""
+    most = 0  # held since it was last empty
+    for _ in range(400):
+        part = chance.randbytes(chance.choice([1, 100, 3000]))
+        space = buffer.space()
+        part = part[: len(space)]
+        assert part
+        space[: len(part)] = part
+        space.release()
+        buffer.filled(len(part))
+        most = max(most, len(held) + len(part)) if held else len(part)
+        held += part
+        assert len(buffer.data) <= max(FIRST_SIZE, 2 * (most + LEAST_SPACE))
+        done = chance.choice([0, len(held) // 2, len(held)])
+        with buffer.unread() as unread:
+            assert unread == held
+        buffer.read(done)
+        held = held[done:]
+    buffer.read(len(buffer))
+    buffer.space().release()
+    assert len(buffer.data) == FIRST_SIZE
+
+
+class Caller:
+    def __init__(self) -> None:
+        self.connection: Connection | None = None
+        self.end: End | None = None
+
+    def connected(self, connection: Connection) -> None:
+        self.connection = connection
+
+    def not_connected(self, end: End) -> None:
+        self.end = end
+
+    def bytes_came(self) -> None:
+        pass
+
+    def connection_ended(self) -> None:
+        pass
+
+    def all_written(self) -> None:
+        pass
+
+
+def test_a_pool_uses_again_drops_in_time_and_stays_within_its_number(
+    loop: asyncio.AbstractEventLoop,
+) -> None:
+    async def script() -> None:
+        served: list[Any] = []
+
+        async def hold(reader: Any, writer: Any) -> None:
+            served.append(writer)
+            await reader.read()
+            writer.close()
+
+        server = await asyncio.start_server(hold, "127.0.0.1", 0)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        pool = Pool(loop, Deadlines(loop), 2, 300 * MS, 500 * MS)
+
+        async def call(where: str) -> Caller:
+            caller = Caller()
+            pool.call(where, caller)
+            while caller.connection is None and caller.end is None:
+                await asyncio.sleep(0.001)
+            return caller
+
+        first, second = await call(address), await call(address)
+        assert first.connection is not None and second.connection is not None
+        assert (await call(address)).end is End.NO_SOCKET
+        pool.rest(address, first.connection)
+        assert (await call(address)).connection is first.connection and len(served) == 2
+        pool.rest(address, first.connection)
+        assert (await call("127.0.0.1:1")).end is End.REFUSED  # the one at rest made way
+        pool.rest(address, second.connection)
+        await asyncio.sleep(0.6)
+        # Dropped before the other side's limit: a request that crosses its close would be a reset.
+        assert not second.connection.open and pool.open_count == 0
+        server.close()
+
+    loop.run_until_complete(script())
