--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -1,11 +1,16 @@
 """The whole dispatcher on loopback sockets, before stand-in workers and a stand-in discovery."""
 
 import asyncio
+import contextlib
 import json
+import os
 import random
+import signal
 import socket
+import sys
 from collections import Counter
 from collections.abc import Awaitable, Callable, Coroutine
+from pathlib import Path
 from typing import Any
 
 import pytest
@@ -52,23 +57,14 @@
         self.servers: list[asyncio.Server] = []
 
     async def start(self, workers: int, sockets: int = 256, **settings: Any) -> None:
-        for number in range(workers):
-            name = f"w{number}"
-            server = await asyncio.start_server(self._worker(name), "127.0.0.1", 0)
-            self.servers.append(server)
-            self.entries.append(listed(name, server.sockets[0].getsockname()[1]))
-        discovery = await asyncio.start_server(self._discovery, "127.0.0.1", 0)
-        self.servers.append(discovery)
-        with socket.socket() as free:
-            free.bind(("127.0.0.1", 0))
-            self.port = free.getsockname()[1]
+        discovery = await self.surround(workers)
         told = {**SETTINGS, **settings}
         self.service = Service(
             asyncio.get_running_loop(),
             Briefing(
                 "n0",
                 ("127.0.0.1", self.port),
-                f"127.0.0.1:{discovery.sockets[0].getsockname()[1]}",
+                discovery,
                 1,
                 sockets,
                 {"version": 1, "full": True, "servers": self.entries},
@@ -80,6 +76,20 @@
         while self.service.door.server is None:
             await asyncio.sleep(0.001)
 
+    async def surround(self, workers: int) -> str:
+        """Start workers and discovery; gives the address of the latter."""
+        for number in range(workers):
+            name = f"w{number}"
+            server = await asyncio.start_server(self._worker(name), "127.0.0.1", 0)
+            self.servers.append(server)
+            self.entries.append(listed(name, server.sockets[0].getsockname()[1]))
+        discovery = await asyncio.start_server(self._discovery, "127.0.0.1", 0)
+        self.servers.append(discovery)
+        with socket.socket() as free:
+            free.bind(("127.0.0.1", 0))
+            self.port = free.getsockname()[1]
+        return f"127.0.0.1:{discovery.sockets[0].getsockname()[1]}"
+
     def _worker(self, name: str) -> Callable[..., Coroutine[Any, Any, None]]:
         async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             try:
@@ -402,3 +412,53 @@
         await asyncio.sleep(1)
 
     play(script, workers=4)
+
+
+def test_the_program_starts_serves_and_ends_by_its_signal(tmp_path: Path) -> None:
+    # Clients go on over kept connections and, for a while, new ones; what was taken must be answered.
+    async def client(world: World, name: str, until: float, statuses: list[int]) -> None:
+        number, kept = 0, None
+        while asyncio.get_running_loop().time() < until:
+            number += 1
+            for _ in range(2):  # once more where the close crossed the request
+                reader, writer = kept or await world.connect()
+                writer.write(world.request(f"{name}-{number}"))
+                try:
+                    first, headers, _ = await asyncio.wait_for(message(reader), 3)
+                except (asyncio.IncompleteReadError, ConnectionError) as error:
+                    assert kept and not getattr(error, "partial", b""), "cut off while it was answered"
+                    kept = None
+                    continue
+                statuses.append(int(first.split()[1]))
+                kept = None if headers.get("connection") == "close" else (reader, writer)
+                break
+            await asyncio.sleep(0.01)
+
+    async def run() -> tuple[int | None, list[int]]:
+        world, statuses = World(), list[int]()
+        discovery = await world.surround(2)
+        known = {"version": 1, "full": True, "servers": world.entries}
+        config = {"listen": f"127.0.0.1:{world.port}", "discovery": discovery, "known": known}
+        path = tmp_path / "config.json"
+        path.write_text(json.dumps({**config, "settings": SETTINGS}))
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "ploverspoke", env={**os.environ, "RELAY_CONFIG": str(path)}
+        )
+        for _ in range(500):
+            with contextlib.suppress(ConnectionError):
+                assert (await world.ask(b"GET /-/ready HTTP/1.1\r\n\r\n"))[0] == 200
+                break
+            await asyncio.sleep(0.02)
+        end = asyncio.get_running_loop().time() + 0.8
+        clients = asyncio.gather(*(client(world, f"c{n}", end, statuses) for n in range(8)))
+        await asyncio.sleep(0.4)
+        process.send_signal(signal.SIGTERM)
+        await clients
+        code = await asyncio.wait_for(process.wait(), 4)
+        for server in world.servers:
+            server.close()
+        return code, statuses
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        code, statuses = runner.run(run())
+    assert code == 0 and len(statuses) > 50 and set(statuses) == {200}
