A broken watch is not gone on with beside the next one; readers are fed in one place

Read through for what two ends of one connection can do to the watch: where it broke between an answer and its being taken, the old watch opened a connection outside of any watch and the next could get none.

--- a/ploverspoke/routing/door.py
+++ b/ploverspoke/routing/door.py
@@ -98,14 +98,10 @@
         self._watch_pace()
 
     def _feed(self) -> None:
-        buffer = self.connection.buffer
-        data = buffer.unread()
         try:
-            self.reader.feed(data)
+            self.connection.feed(self.reader)
         except Garbled as error:
             self.failure = error
-        buffer.read(len(data))
-        data.release()
 
     def _handle(
         self, method: str, target: str, headers: dict[str, str], body: bytes, keep_alive: bool
--- a/ploverspoke/routing/errands.py
+++ b/ploverspoke/routing/errands.py
@@ -75,14 +75,10 @@
     def bytes_came(self) -> None:
         if self.connection is None:
             return
-        buffer = self.connection.buffer
-        data = buffer.unread()
         try:
-            self.answer.feed(data)
+            self.connection.feed(self.answer)
         except Garbled:
             self.cause = End.GARBLED
-        buffer.read(len(data))
-        data.release()
         if self.cause is not None:
             self.connection.abort()
         elif self.answer.over:
--- a/ploverspoke/routing/roster.py
+++ b/ploverspoke/routing/roster.py
@@ -65,15 +65,11 @@
     def bytes_came(self) -> None:
         if self.connection is None:
             return
-        buffer = self.connection.buffer
-        data = buffer.unread()
         try:
-            self.answer.feed(data)
+            self.connection.feed(self.answer)
         except Garbled as error:
             say(f"discovery: {error}")
             self.loop.call_soon(self._fail)
-        buffer.read(len(data))
-        data.release()
 
     def _complete(self, body: bytes, lasts: bool) -> None:
         """One answer is whole; the next call goes out at once, for the watch to go on."""
@@ -88,6 +84,8 @@
             say(f"discovery: {type(error).__name__}: {error}")
             self._fail()
             return
+        if not self.watching:
+            return  # the connection broke meanwhile: that has been told, and a new watch will be asked for
         if lasts and self.connection is not None:
             self._ask()
         else:
--- a/ploverspoke/transport/connections.py
+++ b/ploverspoke/transport/connections.py
@@ -20,6 +20,10 @@
         """What had to wait to be written has gone out."""
 
 
+class Reader(Protocol):
+    def feed(self, data: memoryview) -> None: ...
+
+
 class Connection(asyncio.BufferedProtocol):
     def __init__(self, came: "Callable[[Connection], None] | None" = None) -> None:
         self.came = came  # told of a connection that the other side has opened
@@ -71,6 +75,15 @@
         if self.open and self.transport is not None:
             self.transport.write(data)
 
+    def feed(self, reader: Reader) -> None:
+        """Give the reader all that is unread."""
+        data = self.buffer.unread()
+        try:
+            reader.feed(data)
+        finally:
+            self.buffer.read(len(data))
+            data.release()
+
     def hold_reading(self, hold: bool) -> None:
         """Read no more for now, so that who sends too much has to wait."""
         if self.open and self.transport is not None and self.reading == hold:
