--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -55,6 +55,7 @@
         self.watches = 0
         self.discovery_says = b""  # in place of the list, once
         self.servers: list[asyncio.Server] = []
+        self.told: list[tuple[asyncio.StreamReader, asyncio.StreamWriter]] = []  # who calls discovery
 
     async def start(self, workers: int, sockets: int = 256, **settings: Any) -> None:
         discovery = await self.surround(workers)
@@ -118,6 +119,7 @@
         writer.write(chunk(done) + b"0\r\n\r\n")
 
     async def _discovery(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.told.append((reader, writer))
         try:
             while True:
                 first, _, _ = await message(reader)
@@ -314,6 +316,52 @@
     play(script, Discovery=mode)
 
 
+def test_discovery_may_be_down_and_come_back() -> None:
+    async def script(world: World) -> None:
+        discovery = world.servers[-1]
+        host, port = discovery.sockets[0].getsockname()
+        discovery.close()
+        for _, writer in world.told:
+            writer.transport.abort()
+        world.told.clear()
+        await asyncio.sleep(0.1)
+        asked = world.watches
+        assert (await world.ask(world.request("r")))[0] == 200
+        await asyncio.sleep(1.2)  # calls to an address where nobody listens
+        world.version, world.entries = 7, world.entries[1:]
+        world.servers[-1] = await asyncio.start_server(world._discovery, host, port)
+        for _ in range(300):
+            await asyncio.sleep(0.02)
+            if world.service.router.roster.version == 7:
+                break
+        assert world.service.router.roster.version == 7 and world.watches - asked < 4
+        world.sent.clear()
+        for number in range(6):
+            assert (await world.ask(world.request(f"s{number}")))[0] == 200
+        assert {worker for worker, _ in world.sent} == {"w1"}
+
+    play(script)
+
+
+def test_a_worker_that_takes_no_more_connections_has_not_run_it() -> None:
+    # A full table of connections: new ones never come up, and say nothing.
+    async def script(world: World) -> None:
+        with socket.socket() as deaf, contextlib.ExitStack() as held:
+            deaf.bind(("127.0.0.1", 0))
+            deaf.listen(0)
+            for _ in range(4):
+                filler = held.enter_context(socket.socket())
+                filler.setblocking(False)
+                filler.connect_ex(deaf.getsockname())
+            mute = {**world.entries[0], "addr": f"127.0.0.1:{deaf.getsockname()[1]}"}
+            await world.tell([mute, world.entries[1]])
+            answers = [world.ask(world.request(f"r{n}", "book")) for n in range(4)]
+            assert [status for status, _, _ in await asyncio.gather(*answers)] == [200] * 4
+            assert set(world.ran.values()) == {1} and world.service.router.dispatcher.workers["w0"].aside
+
+    play(script, Limits={**SETTINGS["Limits"], "Probing": False})
+
+
 def test_a_failing_decision_is_logged_and_its_submission_answered(capsys: Any) -> None:
     async def script(world: World) -> None:
         def fault(*what: Any) -> None:
