Odd requests: slots that are no number, endless patience; the newest client is not the one sent off

Read through and played with stand-ins: with all other connections busy a new client's was the only idle one and was closed to make room, again and again; a stated patience of ages would have held a submission that long (now at most its grade's abandon time); slots=nan reached the decisions; a connection that was not up when a short time-out ended spoke against its worker.

--- a/ploverspoke/protocol/clients.py
+++ b/ploverspoke/protocol/clients.py
@@ -20,6 +20,7 @@
 SECOND = 1_000_000_000
 MILLISECOND = 1_000_000
 MICROSECOND = 1_000
+MOST_SLOTS = 1e6
 
 
 class TooLong(Garbled):
@@ -98,18 +99,19 @@
     return (whole(headers, "work-hint") or 0) * MICROSECOND
 
 
-def figures(headers: dict[str, str]) -> dict[str, float]:
-    """The further figures of a request."""
-    found = {}
+def slots(headers: dict[str, str]) -> float:
+    """How many slots the job takes; the other figures of a request are not ours to judge."""
     for pair in headers.get("request-info", "").split(","):
-        name, equals, value = pair.partition("=")
-        if not equals:
-            continue
-        try:
-            found[name.strip().lower()] = float(value)
-        except ValueError:
-            raise Garbled(f"request-info: {name.strip()} is no number") from None
-    return found
+        name, _, value = pair.partition("=")
+        if name.strip().lower() == "slots":
+            try:
+                number = float(value)
+            except ValueError:
+                number = 0.0
+            if not 0 < number < MOST_SLOTS:
+                raise Garbled("request-info: slots is no number above 0")
+            return number
+    return 1.0
 
 
 def answer(status: int, body: bytes, keep: bool, come_back_after: int = 0) -> bytes:
--- a/ploverspoke/routing/door.py
+++ b/ploverspoke/routing/door.py
@@ -225,9 +225,10 @@
 
     def _came(self, connection: Connection) -> None:
         self.last_came = self.deadlines.now()
-        ClientSession(self, connection)
+        newest = ClientSession(self, connection)
         if self.is_crowded():
-            longest = min((s for s in self.sessions if s.is_idle()), key=_idle_since, default=None)
+            idle = (s for s in self.sessions if s.is_idle() and s is not newest)
+            longest = min(idle, key=_idle_since, default=None)
             if longest is None:
                 say(f"{len(self.sessions)} client connections and none idle: answering with nacks")
             else:
--- a/ploverspoke/routing/errands.py
+++ b/ploverspoke/routing/errands.py
@@ -124,7 +124,8 @@
     # ---- Its end ----
 
     def _too_late(self) -> None:
-        self._stop(End.TIMED_OUT, End.NEVER_UP)
+        # With little time left a connection that is not up yet says nothing of its worker.
+        self._stop(End.TIMED_OUT, End.WITHHELD)
 
     def _stop(self, sent: End, unsent: End) -> None:
         if self.connection is not None:
--- a/ploverspoke/routing/router.py
+++ b/ploverspoke/routing/router.py
@@ -118,14 +118,14 @@
     def take(
         self, client: Client, method: str, target: str, headers: dict[str, str], body: bytes
     ) -> Submission | None:
-        """Take a submission; None where there is no room for one more. Raises Garbled, KeyError."""
+        """Take a submission; None where there is no room for one more. Raises Garbled."""
         grade = self.grades[clients.grade_name(target)]
         if not headers.get("request-id"):
             raise Garbled("request-id is missing")
-        patience = clients.patience(headers)
-        if patience is None:
-            patience = self.orders["abandon_time"][grade]
-        figures, hint = clients.figures(headers), clients.work_hint(headers)
+        longest: int = self.orders["abandon_time"][grade]
+        stated = clients.patience(headers)
+        patience = longest if stated is None else min(stated, longest)
+        slots, hint = clients.slots(headers), clients.work_hint(headers)
         if len(self.submissions) >= self.orders["most_open"] or self.body_bytes > MOST_BODY_BYTES:
             return None
         # What waited for us to be read, and the way back, are time that the client has not.
@@ -139,7 +139,7 @@
             self.dispatcher.submission_arrived,
             submission.number,
             grade,
-            figures.get("slots", 1.0),
+            slots,
             abandon_at,
             self.customers.get(headers.get("tenant", ""), 0),
             hint,
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -245,6 +245,11 @@
             b"POST /look HTTP/1.1\r\nRequest-Id: 1\r\nRequest-Timeout-Ms: soon\r\nContent-Length: 0\r\n\r\n",
             400,
         ),
+        (
+            b"POST /look HTTP/1.1\r\nRequest-Id: 1\r\nRequest-Info: slots=nan\r\nContent-Length: 0\r\n\r\n",
+            400,
+        ),
+        (b"POST /look HTTP/1.1\r\nRequest-Id: 1\r\nRequest-Info: slots=0\r\nContent-Length: 0\r\n\r\n", 400),
         (b"POST /look HTTP/1.1\r\nRequest-Id: 1\r\nContent-Length: -4\r\n\r\n", 400),
         (b"POST /look HTTP/1.1\r\n" + b"A: " + b"b" * 20_000 + b"\r\n\r\n", 400),
         (b"POST /look HTTP/1.1\r\nRequest-Id: 1\r\nContent-Length: 65537\r\n\r\n" + b"x" * 65537, 413),
@@ -412,6 +417,12 @@
         assert len(world.service.door.sessions) <= world.service.door.most_sessions + 1
         for _, writer in idle:
             writer.close()
+        await asyncio.sleep(0.05)
+        # The newest was closed when it alone was idle: it came back at once, and was closed again.
+        world.behave = {"w0": say_nothing, "w1": say_nothing}
+        busy = [world.ask(world.request(f"b{n}", "book")) for n in range(40)]
+        statuses = [status for status, _, _ in await asyncio.gather(*busy)]
+        assert set(statuses) == {503, 504}
 
     play(script, sockets=64)
 
