--- a/ploverspoke/routing/door.py
+++ b/ploverspoke/routing/door.py
@@ -37,7 +37,7 @@
         self.failure: Garbled | None = None  # of the reader; told when all before it is answered
         self.idle_since = door.deadlines.now()
         self.late: Deadline | None = None
-        self.number = door.sessions.add(self)
+        door.sessions[connection.number] = self
         connection.user = self
 
     def is_idle(self) -> bool:
@@ -57,7 +57,7 @@
             self._read_on()
 
     def connection_ended(self) -> None:
-        self.door.sessions.remove(self.number)
+        del self.door.sessions[self.connection.number]
         self.door.deadlines.call_off(self.late)
         self.closing = True
         self.waiting.clear()
@@ -210,14 +210,15 @@
         self.deadlines = deadlines
         self.router = router
         self.most_sessions = most_sessions
-        self.sessions: SlotTable[ClientSession] = SlotTable()
+        self.connections: SlotTable[Connection] = SlotTable()
+        self.sessions: dict[int, ClientSession] = {}  # by their connection's number
         self.leaving = False
         self.last_came = 0
         self.server: asyncio.Server | None = None
 
     async def open(self, host: str, port: int) -> None:
         self.server = await self.loop.create_server(
-            lambda: Connection(self._came), host, port, backlog=BACKLOG, reuse_address=True
+            lambda: Connection(self.connections, self._came), host, port, backlog=BACKLOG, reuse_address=True
         )
 
     def is_crowded(self) -> bool:
@@ -227,7 +228,7 @@
         self.last_came = self.deadlines.now()
         newest = ClientSession(self, connection)
         if self.is_crowded():
-            idle = (s for s in self.sessions if s.is_idle() and s is not newest)
+            idle = (s for s in self.sessions.values() if s.is_idle() and s is not newest)
             longest = min(idle, key=_idle_since, default=None)
             if longest is None:
                 say(f"{len(self.sessions)} client connections and none idle: answering with nacks")
@@ -237,18 +238,18 @@
     def leave(self) -> None:
         """Close what stands between requests; what comes is still taken, for one answer a connection."""
         self.leaving = True
-        for session in self.sessions:
+        for session in self.sessions.values():
             session.leave()
 
     def shut(self) -> None:
         """Take no more connections."""
         if self.server is not None:
             self.server.close()
-        for session in self.sessions:
+        for session in self.sessions.values():
             session.leave()
 
     def is_empty(self) -> bool:
-        return not len(self.sessions)
+        return not self.sessions
 
 
 def _idle_since(session: ClientSession) -> int:
--- a/ploverspoke/routing/errands.py
+++ b/ploverspoke/routing/errands.py
@@ -89,7 +89,6 @@
             else:
                 connection.user = None
                 connection.close()
-                self.pool.closed()
 
     def connection_ended(self) -> None:
         if self.connection is None:
@@ -97,7 +96,6 @@
         # Only what is certain to be still with us, in whole or in part, has certainly not run.
         unsent = self.connection.unsent and not self.answer.status
         self.connection = None
-        self.pool.closed()
         self._end(self.cause or (End.UNSENT if unsent else End.BROKEN))
 
     def all_written(self) -> None:
--- a/ploverspoke/routing/roster.py
+++ b/ploverspoke/routing/roster.py
@@ -31,7 +31,8 @@
         self.told = told
         self.lost = lost
         self.version: int | None = None
-        self.pool = Pool(loop, deadlines, 1, ANSWER_TIME, ANSWER_TIME)
+        # One at a time, but the next may come up before the last is quite closed.
+        self.pool = Pool(loop, deadlines, 2, ANSWER_TIME, ANSWER_TIME)
         self.connection: Connection | None = None
         self.opening: Opening | None = None
         self.answer = discovery.ListAnswer(self._complete)
@@ -104,7 +105,6 @@
         if connection is not None:
             connection.user = None
             connection.abort()
-            self.pool.closed()
 
     def _fail(self) -> None:
         if self.watching:
--- a/ploverspoke/transport/connections.py
+++ b/ploverspoke/transport/connections.py
@@ -5,6 +5,7 @@
 from typing import Protocol, cast
 
 from .buffers import ReadBuffer
+from .slots import SlotTable
 
 
 class ConnectionUser(Protocol):
@@ -25,7 +26,11 @@
 
 
 class Connection(asyncio.BufferedProtocol):
-    def __init__(self, came: "Callable[[Connection], None] | None" = None) -> None:
+    def __init__(
+        self, table: "SlotTable[Connection]", came: "Callable[[Connection], None] | None" = None
+    ) -> None:
+        self.table = table  # where it has a number as long as it is open
+        self.number = 0
         self.came = came  # told of a connection that the other side has opened
         self.user: ConnectionUser | None = None
         self.transport: asyncio.Transport | None = None
@@ -41,6 +46,7 @@
         # Any byte that stays with us counts, so that it is known whether a request has gone out whole.
         self.transport.set_write_buffer_limits(high=0)
         self.open = True
+        self.number = self.table.add(self)
         if self.came is not None:
             self.came(self)
 
@@ -65,6 +71,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.open = False
+        self.table.remove(self.number)
         user, self.user = self.user, None
         if user is not None:
             user.connection_ended()
--- a/ploverspoke/transport/pools.py
+++ b/ploverspoke/transport/pools.py
@@ -9,6 +9,7 @@
 from .deadlines import Deadline, Deadlines
 from .ends import End
 from .log_lines import say
+from .slots import SlotTable
 
 KEPT_SHARE = 0.7  # of the time after which workers close an idle connection: a late use would be reset
 DROPPED_LATE_BY = 250_000_000  # ns; looks for idle ones are no more frequent
@@ -22,20 +23,17 @@
     def not_connected(self, end: End) -> None: ...
 
 
-class Idle:
-    """A connection at rest; a word from the other side then means no good."""
+class AtRest:
+    """Who has a connection while it rests: a word from the other side then means no good."""
 
-    def __init__(self, pool: "Pool", address: str, connection: Connection, since: int) -> None:
-        self.pool = pool
-        self.address = address
+    def __init__(self, connection: Connection) -> None:
         self.connection = connection
-        self.since = since
 
     def bytes_came(self) -> None:
         self.connection.abort()
 
     def connection_ended(self) -> None:
-        self.pool.forget(self)
+        pass
 
     def all_written(self) -> None:
         pass
@@ -54,7 +52,7 @@
         host, _, port = address.rpartition(":")
         connection, end = None, End.NEVER_UP
         try:
-            _, connection = await self.pool.loop.create_connection(Connection, host, int(port))
+            _, connection = await self.pool.loop.create_connection(self.pool.make, host, int(port))
         except ConnectionRefusedError:
             end = End.REFUSED
         except OSError as error:
@@ -69,6 +67,7 @@
             connection.abort()
         else:
             caller, self.caller = self.caller, None
+            self.pool.opening -= 1
             connection.user = caller
             caller.connected(connection)
 
@@ -82,12 +81,12 @@
         self.task.cancel()
         if self.caller is not None:
             self.caller = None
-            self.pool.closed()
+            self.pool.opening -= 1
 
     def _fail(self, end: End) -> None:
         caller, self.caller = self.caller, None
         if caller is not None:
-            self.pool.closed()
+            self.pool.opening -= 1
             caller.not_connected(end)
 
 
@@ -105,78 +104,80 @@
         self.most_open = most_open
         self.keep_for = int(idle_limit * KEPT_SHARE)
         self.connect_time_out = connect_time_out
-        self.open_count = 0  # with those on their way up
-        self.idle: dict[str, list[Idle]] = defaultdict(list)  # by address, the latest used last
+        self.connections: SlotTable[Connection] = SlotTable()
+        self.opening = 0
+        self.resting: dict[str, list[tuple[int, int]]] = defaultdict(list)  # number and since, by address
         self.sweep: Deadline | None = None
 
+    def make(self) -> Connection:
+        return Connection(self.connections)
+
     def call(self, address: str, caller: Caller) -> Opening | None:
-        """Give the caller a connection there: at once where one is idle, else when it is up."""
-        resting = self.idle.get(address)
+        """Give the caller a connection there: at once where one rests, else when it is up."""
+        resting = self.resting.get(address)
         while resting:
-            idle = resting.pop()
-            if idle.connection.open and self.deadlines.now() - idle.since < self.keep_for:
-                idle.connection.user = caller
-                caller.connected(idle.connection)
+            number, since = resting.pop()  # the latest used
+            connection = self.connections.get(number)
+            if connection is not None and self.deadlines.now() - since < self.keep_for:
+                connection.user = caller
+                caller.connected(connection)
                 return None
-            self._close(idle)
-        if self.open_count >= self.most_open and not self._close_longest_idle():
+            self._close(number)
+        if self.held() >= self.most_open and not self._close_longest_at_rest():
             caller.not_connected(End.NO_SOCKET)
             return None
-        self.open_count += 1
+        self.opening += 1
         return Opening(self, address, caller, self.connect_time_out)
 
+    def held(self) -> int:
+        """Sockets that are open or on their way up."""
+        return len(self.connections) + self.opening
+
     def rest(self, address: str, connection: Connection) -> None:
         """A caller is done with it, and it can carry another request."""
         if not connection.open:
-            self.open_count -= 1
             return
-        idle = Idle(self, address, connection, self.deadlines.now())
-        connection.user = idle
-        self.idle[address].append(idle)
+        now = self.deadlines.now()
+        connection.user = AtRest(connection)
+        self.resting[address].append((connection.number, now))
         if self.sweep is None:
-            self.sweep = self.deadlines.at(idle.since + self.keep_for, self._drop_stale)
-
-    def closed(self) -> None:
-        """A connection that a caller had is gone."""
-        self.open_count -= 1
-
-    def forget(self, idle: Idle) -> None:
-        """It was closed from the other side."""
-        resting = self.idle.get(idle.address, [])
-        if idle in resting:
-            resting.remove(idle)
-            self.open_count -= 1
+            self.sweep = self.deadlines.at(now + self.keep_for, self._drop_stale)
 
     def drop(self, address: str) -> None:
         """Nobody is called there any more."""
-        for idle in self.idle.pop(address, []):
-            self._close(idle)
-
-    def _close(self, idle: Idle) -> None:
-        idle.connection.user = None
-        idle.connection.close()
-        self.open_count -= 1
-
-    def _close_longest_idle(self) -> bool:
-        oldest = min((resting[0] for resting in self.idle.values() if resting), key=_since, default=None)
-        if oldest is None:
-            return False
-        self.idle[oldest.address].remove(oldest)
-        self._close(oldest)
-        return True
+        for number, _ in self.resting.pop(address, []):
+            self._close(number)
+
+    def _close(self, number: int) -> None:
+        """Close it, unless the other side has done so: then its number is stale."""
+        connection = self.connections.get(number)
+        if connection is not None:
+            connection.user = None
+            connection.abort()
+
+    def _close_longest_at_rest(self) -> bool:
+        while oldest := self._oldest():
+            number, _ = self.resting[oldest].pop(0)
+            if self.connections.get(number) is not None:
+                self._close(number)
+                return True
+        return False
+
+    def _oldest(self) -> str | None:
+        """The address that was not called for the longest time, of those where a connection rests."""
+        return min((a for a, resting in self.resting.items() if resting), key=self._since, default=None)
+
+    def _since(self, address: str) -> int:
+        return self.resting[address][0][1]
 
     def _drop_stale(self) -> None:
         """Drop those that the other side would soon close by itself."""
-        limit = self.deadlines.now() - self.keep_for
-        for resting in self.idle.values():
-            while resting and resting[0].since <= limit:
-                self._close(resting.pop(0))
-        oldest = min((resting[0].since for resting in self.idle.values() if resting), default=None)
+        now = self.deadlines.now()
+        for resting in self.resting.values():
+            while resting and now - resting[0][1] >= self.keep_for:
+                self._close(resting.pop(0)[0])
         self.sweep = None
+        oldest = self._oldest()
         if oldest is not None:
-            when = max(oldest + self.keep_for, self.deadlines.now() + DROPPED_LATE_BY)
+            when = max(self._since(oldest) + self.keep_for, now + DROPPED_LATE_BY)
             self.sweep = self.deadlines.at(when, self._drop_stale)
-
-
-def _since(idle: Idle) -> int:
-    return idle.since
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -54,6 +54,7 @@
         self.behave: dict[str, Told] = {}
         self.watches = 0
         self.discovery_says = b""  # in place of the list, once
+        self.discovery_lasts = True
         self.servers: list[asyncio.Server] = []
         self.told: list[tuple[asyncio.StreamReader, asyncio.StreamWriter]] = []  # who calls discovery
 
@@ -132,7 +133,10 @@
                     or json.dumps({"version": self.version, "full": True, "servers": self.entries}).encode()
                 )
                 self.discovery_says = b""
-                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+                more = b"" if self.discovery_lasts else b"Connection: close\r\n"
+                writer.write(b"HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n" % (more, len(body)) + body)
+                if not self.discovery_lasts:
+                    writer.close()
         except (asyncio.IncompleteReadError, ConnectionError):
             writer.close()
 
@@ -218,7 +222,7 @@
             writer.write(world.request(f"r{number}", body=b"abc"))
             first, headers, body = await message(reader)
             assert first == "HTTP/1.1 200 OK" and body == f"r{number}:abc".encode()
-        assert world.service.pool.open_count <= 2
+        assert world.service.pool.held() <= 2
         writer.close()
 
     play(script)
@@ -305,10 +309,11 @@
     play(script)
 
 
-@pytest.mark.parametrize("mode", ["ask", "push"])
-def test_drains_are_heard_and_a_lying_discovery_is_asked_again(mode: str) -> None:
+@pytest.mark.parametrize(("mode", "lasts"), [("ask", True), ("push", True), ("ask", False)])
+def test_drains_are_heard_and_a_lying_discovery_is_asked_again(mode: str, lasts: bool) -> None:
     # Where changes are to come unprompted nobody asked for them on sockets.
     async def script(world: World) -> None:
+        world.discovery_lasts = lasts
         world.discovery_says = b'{"version":"soon"}'
         await world.tell([{**world.entries[0], "state": "Terminating"}, world.entries[1]])
         await asyncio.sleep(1)
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -140,7 +140,7 @@
         pool.rest(address, second.connection)
         await asyncio.sleep(0.6)
         # Dropped before the other side's limit: a request that crosses its close would be a reset.
-        assert not second.connection.open and pool.open_count == 0
+        assert not second.connection.open and pool.held() == 0
         server.close()
 
     loop.run_until_complete(script())
