--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -353,6 +353,20 @@
     play(script)
 
 
+def test_a_discovery_that_falls_silent_is_called_anew() -> None:
+    # A cut network leaves the watch open for good: the wait that it was allowed is over, and nothing comes.
+    async def script(world: World) -> None:
+        first = world.watches
+        await asyncio.sleep(2.6)
+        assert world.watches > first and len(world.told) > 1
+        world.version, world.entries = 2, world.entries[:1]
+        world.news.set()
+        await asyncio.sleep(0.3)
+        assert world.service.router.roster.version == 2
+
+    play(script, Invariants={**SETTINGS["Invariants"], "MustAskInUs": 100_000})
+
+
 def test_a_worker_that_takes_no_more_connections_has_not_run_it() -> None:
     # A full table of connections: new ones never come up, and say nothing.
     async def script(world: World) -> None:
