--- a/ploverspoke/transport/pools.py
+++ b/ploverspoke/transport/pools.py
@@ -52,7 +52,9 @@
         host, _, port = address.rpartition(":")
         connection, end = None, End.NEVER_UP
         try:
-            _, connection = await self.pool.loop.create_connection(self.pool.make, host, int(port))
+            _, connection = await self.pool.loop.create_connection(
+                self.pool.make, host.strip("[]"), int(port)
+            )
         except ConnectionRefusedError:
             end = End.REFUSED
         except OSError as error:
