Tidied: one way to answer in the router, JSON checks and units of time in one place

The final answer was written out four times in the router; reading JSON and the check for a finite number stood twice in protocol and once in program; units of time in six files. Gone: the roster watch's note of a connection on its way up, never read; a count of taken slots that follows from the others; arguments of an errand that its pool has; two equal ends of the start. A comment on the cold credit said debt where it is credit.

--- a/ploverspoke/decisions/dispatcher.py
+++ b/ploverspoke/decisions/dispatcher.py
@@ -167,9 +167,8 @@
         self.roster_failures = 0
         self.answer_times: dict[int, deque[int]] = defaultdict(lambda: deque(maxlen=32))
         self.kind_paces: dict[int, deque[float]] = defaultdict(lambda: deque(maxlen=64))
-        self.most_free: dict[int, float] = defaultdict(
-            float
-        )  # slots free at once, as reported, by machine kind
+        # Slots free at once, as reported, by machine kind.
+        self.most_free: dict[int, float] = defaultdict(float)
         self.asks_each = min(MOST_ASKED, ASKING_COST / max(1e-9, self.orders["probe_price"]))  # submission
         self.may_ask = 0.0  # probes that may be sent before hand-offs
         self.asked_at = 0
@@ -964,7 +963,7 @@
         """A cold worker gets credit with time: a part of what our warm workers bear of us, by its warmth.
 
         What all dispatchers give it adds up to the same part of what they give a warm one, however many they
-        are. The credit starts at a random debt, so that they do not all send their first job at once.
+        are. It starts at a random part of a job, so that they do not all send their first one at once.
         """
         span = self.orders["warm_within"]
         warmth = min(1.0, max(0.0, 1 - (worker.warm_at - now) / span))
--- a/ploverspoke/program/checked.py
+++ b/ploverspoke/program/checked.py
@@ -3,7 +3,8 @@
 from collections.abc import Mapping
 from typing import Any
 
-MICROSECOND = 1_000  # in nanoseconds
+from ploverspoke.protocol.values import is_finite
+from ploverspoke.transport.units import MICROSECOND
 
 
 class BadKey(ValueError):
@@ -64,7 +65,7 @@
 
     def number(self, name: str, default: float | None = None) -> float:
         found = self._get(name, default)
-        if isinstance(found, bool) or not isinstance(found, int | float) or not abs(found) < 1e300:
+        if isinstance(found, bool) or not is_finite(found):
             raise self.bad(name, "a number")
         return float(found)
 
--- a/ploverspoke/program/service.py
+++ b/ploverspoke/program/service.py
@@ -15,11 +15,11 @@
 from ploverspoke.transport.deadlines import Deadlines
 from ploverspoke.transport.log_lines import say
 from ploverspoke.transport.pools import Pool
+from ploverspoke.transport.units import MILLISECOND
 
 from .briefing import Briefing, read_briefing
 from .checked import BadKey
 
-MILLISECOND = 1_000_000
 SOCKETS_KEPT = 32  # descriptors for the loop, the door, discovery and the log
 WORKERS_SHARE = 0.4  # of the others, for connections to workers
 STILL_COMING = 700 * MILLISECOND  # after the signal to end, connections may go on coming for so long
@@ -85,12 +85,8 @@
 def main() -> int:
     try:
         briefing = read_briefing(os.environ)
-    except BadKey as error:
-        print(f"ploverspoke: {error}", file=sys.stderr)
-        return 2
-    loop = uvloop.new_event_loop()
-    asyncio.set_event_loop(loop)
-    try:
+        loop = uvloop.new_event_loop()
+        asyncio.set_event_loop(loop)
         service = Service(loop, briefing)
         gc.collect()
         gc.freeze()
--- a/ploverspoke/program/standing_orders.py
+++ b/ploverspoke/program/standing_orders.py
@@ -4,10 +4,11 @@
 from typing import Any
 
 from ploverspoke.protocol.words import GROUPS, LOAD_NAMES, REPEATS
+from ploverspoke.transport.units import SECOND
 
 from .checked import Checked
 
-ROSTER_ASK_WITHIN = 10_000_000_000  # ns, where no rule says it: retries of a lost watch are no rarer
+ROSTER_ASK_WITHIN = 10 * SECOND  # where no rule says it: retries of a lost watch are no rarer
 REPORTS = {"inline": "answers", "on_probe": "probes", "off": "none"}
 
 
--- a/ploverspoke/protocol/clients.py
+++ b/ploverspoke/protocol/clients.py
@@ -4,6 +4,8 @@
 
 import httptools
 
+from ploverspoke.transport.units import MICROSECOND, MILLISECOND, SECOND
+
 from .heads import Garbled, Message, head
 
 REASONS = {
@@ -17,9 +19,6 @@
     503: "Service Unavailable",
     504: "Gateway Timeout",
 }
-SECOND = 1_000_000_000
-MILLISECOND = 1_000_000
-MICROSECOND = 1_000
 MOST_SLOTS = 1e6
 
 
--- a/ploverspoke/protocol/discovery.py
+++ b/ploverspoke/protocol/discovery.py
@@ -1,12 +1,14 @@
 """The list of workers, as discovery tells it."""
 
-import json
 from collections.abc import Callable, Mapping
 from typing import Any
 
 import httptools
 
+from ploverspoke.transport.units import MILLISECOND
+
 from .heads import Garbled, Message, head
+from .values import is_finite, parse
 
 LONGEST_LIST = 4 * 1024 * 1024
 
@@ -15,7 +17,7 @@
     """A watch from that version on that may wait so many ns; the whole list where we have none."""
     target = "/api/targets"
     if version is not None:
-        target += f"?from={version}&hold_ms={hold // 1_000_000}"
+        target += f"?from={version}&hold_ms={hold // MILLISECOND}"
     return head(f"GET {target} HTTP/1.1", {"Host": address})
 
 
@@ -37,22 +39,14 @@
         self.complete(bytes(self.body), self.lasts())
 
 
-def is_finite(value: Any) -> bool:
-    return isinstance(value, int | float) and abs(value) < 1e300
-
-
 def read_list(body: bytes, enter: Callable[..., None]) -> tuple[int, bool]:
     """Enter each worker of a list; gives its version and whether it is whole. Raises Garbled."""
-    try:
-        told = json.loads(body)
-    except (ValueError, RecursionError):
-        raise Garbled("the list is no JSON") from None
-    return enter_list(told, enter)
+    return enter_list(parse(body), enter)
 
 
 def enter_list(told: Any, enter: Callable[..., None]) -> tuple[int, bool]:
     if not isinstance(told, Mapping):
-        raise Garbled("the list is no object")
+        raise Garbled("the list is no JSON object")
     version, whole, servers = told.get("version"), told.get("full"), told.get("servers")
     if not isinstance(version, int) or not isinstance(whole, bool) or not isinstance(servers, list):
         raise Garbled("the list lacks version, full or servers")
--- a/ploverspoke/protocol/workers.py
+++ b/ploverspoke/protocol/workers.py
@@ -1,17 +1,17 @@
 """What is sent to workers, and their answers, read line by line."""
 
-import json
 from collections.abc import Mapping
 from typing import Any, Protocol
 
 import httptools
 
 from ploverspoke.transport.ends import End
+from ploverspoke.transport.units import MILLISECOND
 
 from .heads import LONGEST_BODY, Garbled, Message, head
+from .values import is_finite, parse
 from .words import LOAD_NAMES
 
-MILLISECOND = 1_000_000
 LONGEST_LINE = LONGEST_BODY + 4 * 1024  # a whole result and what stands round it
 
 Load = dict[str, float]
@@ -66,18 +66,11 @@
     report = {}
     for name, value in values.items():
         ours = LOAD_NAMES.get(name)
-        if ours is not None and isinstance(value, int | float) and abs(value) < 1e300:
+        if ours is not None and is_finite(value):
             report[x0 if ours == "x0" else ours] = float(value)
     return report
 
 
-def _loads(text: str | bytes | bytearray) -> Any:
-    try:
-        return json.loads(text)
-    except (ValueError, RecursionError):
-        return None
-
-
 class Answer(Message[httptools.HttpResponseParser]):
     """The answer to one request of ours."""
 
@@ -96,7 +89,7 @@
 
     def header_load(self) -> Load | None:
         text = self.headers.get("server-load")
-        return None if text is None else load_report(_loads(text), self.x0)
+        return None if text is None else load_report(parse(text), self.x0)
 
     def on_message_begin(self) -> None:
         if self.over:
@@ -151,7 +144,7 @@
     def line(self, text: bytearray) -> None:
         if not text.strip():
             return
-        said = _loads(text)
+        said = parse(text)
         if not isinstance(said, dict) or said.get("id") != self.request_id:
             self.end(End.GARBLED)
             return
@@ -178,5 +171,5 @@
     """200 or 503, with the load report where there is one."""
 
     def complete(self) -> None:
-        load = load_report(_loads(self.body), self.x0) or self.header_load()
+        load = load_report(parse(self.body), self.x0) or self.header_load()
         self.end(End.SERVED if self.status == 200 else End.FAILED, load=load)
--- a/ploverspoke/routing/door.py
+++ b/ploverspoke/routing/door.py
@@ -10,12 +10,11 @@
 from ploverspoke.transport.deadlines import Deadline, Deadlines
 from ploverspoke.transport.log_lines import say
 from ploverspoke.transport.slots import SlotTable
+from ploverspoke.transport.units import SECOND
 
 from .router import Router
 from .submissions import Submission
 
-MILLISECOND = 1_000_000
-SECOND = 1_000_000_000
 SLOW_CLIENT = 10 * SECOND  # for a request to come whole, or an answer to be read
 LINGER = SECOND  # for a client to read why it was turned away
 MOST_AHEAD = 64 * 1024  # bytes that a client may send ahead of its answer
@@ -229,7 +228,7 @@
         newest = ClientSession(self, connection)
         if self.is_crowded():
             idle = (s for s in self.sessions.values() if s.is_idle() and s is not newest)
-            longest = min(idle, key=_idle_since, default=None)
+            longest = min(idle, key=lambda s: s.idle_since, default=None)
             if longest is None:
                 say(f"{len(self.sessions)} client connections and none idle: answering with nacks")
             else:
@@ -245,12 +244,7 @@
         """Take no more connections."""
         if self.server is not None:
             self.server.close()
-        for session in self.sessions.values():
-            session.leave()
+        self.leave()
 
     def is_empty(self) -> bool:
         return not self.sessions
-
-
-def _idle_since(session: ClientSession) -> int:
-    return session.idle_since
--- a/ploverspoke/routing/errands.py
+++ b/ploverspoke/routing/errands.py
@@ -1,17 +1,16 @@
 """Errands: one request to a worker each, a hand-off or a probe, from the call for a connection to its end."""
 
-import asyncio
 from collections.abc import Callable
 from typing import Protocol
 
 from ploverspoke.protocol.heads import Garbled
 from ploverspoke.protocol.workers import Answer, AnswerListener, Load
 from ploverspoke.transport.connections import Connection
-from ploverspoke.transport.deadlines import Deadlines
 from ploverspoke.transport.ends import End
 from ploverspoke.transport.pools import Opening, Pool
+from ploverspoke.transport.units import MILLISECOND
 
-LINGER = 500_000_000  # ns for the rest of an answer whose outcome is known
+LINGER = 500 * MILLISECOND  # for the rest of an answer whose outcome is known
 
 
 class Sender(Protocol):
@@ -28,18 +27,15 @@
 class Errand:
     def __init__(
         self,
-        loop: asyncio.AbstractEventLoop,
         pool: Pool,
-        deadlines: Deadlines,
         address: str,
         message: Callable[[int], bytes],  # given the time left for it
         answer: Callable[[AnswerListener], Answer],
         time_out: int,
         sender: Sender,
     ) -> None:
-        self.loop = loop
         self.pool = pool
-        self.deadlines = deadlines
+        self.deadlines = pool.deadlines
         self.address = address
         self.message = message
         self.answer = answer(self)
@@ -48,8 +44,8 @@
         self.opening: Opening | None = None
         self.cause: End | None = None  # why we closed the connection
         self.reusable = False
-        self.until = deadlines.now() + time_out
-        self.late = deadlines.at(self.until, self._too_late)
+        self.until = self.deadlines.now() + time_out
+        self.late = self.deadlines.at(self.until, self._too_late)
         self.opening = pool.call(address, self)
 
     def give_up(self) -> None:
@@ -143,4 +139,4 @@
         self.deadlines.call_off(self.late)
         if self.connection is not None:
             self.late = self.deadlines.at(self.deadlines.now() + LINGER, self._too_late)
-        self.loop.call_soon(sender.errand_ended, end, result, load)
+        self.pool.loop.call_soon(sender.errand_ended, end, result, load)
--- a/ploverspoke/routing/roster.py
+++ b/ploverspoke/routing/roster.py
@@ -9,9 +9,10 @@
 from ploverspoke.transport.deadlines import Deadline, Deadlines
 from ploverspoke.transport.ends import End
 from ploverspoke.transport.log_lines import say
-from ploverspoke.transport.pools import Opening, Pool
+from ploverspoke.transport.pools import Pool
+from ploverspoke.transport.units import SECOND
 
-ANSWER_TIME = 2_000_000_000  # ns that an answer may take beyond the wait it was allowed
+ANSWER_TIME = 2 * SECOND  # that an answer may take beyond the wait it was allowed
 
 
 class RosterWatch:
@@ -34,7 +35,6 @@
         # One at a time, but the next may come up before the last is quite closed.
         self.pool = Pool(loop, deadlines, 2, ANSWER_TIME, ANSWER_TIME)
         self.connection: Connection | None = None
-        self.opening: Opening | None = None
         self.answer = discovery.ListAnswer(self._complete)
         self.late: Deadline | None = None
         self.watching = False
@@ -45,22 +45,19 @@
             self.loop.call_soon(self._connect)
 
     def _connect(self) -> None:
-        self.opening = self.pool.call(self.address, self)
+        self.pool.call(self.address, self)
 
-    def _ask(self) -> None:
-        if self.connection is not None:
-            limit = self.hold + ANSWER_TIME
-            self.late = self.deadlines.at(self.deadlines.now() + limit, self._fail)
-            self.answer = discovery.ListAnswer(self._complete)
-            self.connection.write(discovery.watch(self.version, self.hold, self.address))
+    def _ask(self, connection: Connection) -> None:
+        limit = self.hold + ANSWER_TIME
+        self.late = self.deadlines.at(self.deadlines.now() + limit, self._fail)
+        self.answer = discovery.ListAnswer(self._complete)
+        connection.write(discovery.watch(self.version, self.hold, self.address))
 
     def connected(self, connection: Connection) -> None:
-        self.opening = None
         self.connection = connection
-        self._ask()
+        self._ask(connection)
 
     def not_connected(self, end: End) -> None:
-        self.opening = None
         self._fail()
 
     def bytes_came(self) -> None:
@@ -88,7 +85,7 @@
         if not self.watching:
             return  # the connection broke meanwhile: that has been told, and a new watch will be asked for
         if lasts and self.connection is not None:
-            self._ask()
+            self._ask(self.connection)
         else:
             self._hang_up()
             self._connect()
--- a/ploverspoke/routing/router.py
+++ b/ploverspoke/routing/router.py
@@ -19,18 +19,16 @@
 from ploverspoke.transport.log_lines import say
 from ploverspoke.transport.pools import Pool
 from ploverspoke.transport.slots import SlotTable
+from ploverspoke.transport.units import MILLISECOND, SECOND
 
 from .errands import Errand
 from .outcomes import OUTCOMES
 from .roster import RosterWatch
 from .submissions import Client, Submission
 
-MILLISECOND = 1_000_000
-SECOND = 1_000_000_000
 PROBE_TIME_OUT = 250 * MILLISECOND
 LONGEST_HOLD = 20 * SECOND  # of one call of the watch
 MOST_BODY_BYTES = 32 * 1024 * 1024  # of submissions held at once
-
 ANSWER_EARLY = 20 * MILLISECOND  # than the client gives up
 
 Event = Callable[..., None]
@@ -88,7 +86,6 @@
         orders: StandingOrders,
         names: Mapping[str, list[str]],
     ) -> None:
-        self.loop = loop
         self.deadlines = deadlines
         self.pool = pool
         self.orders = orders
@@ -181,10 +178,8 @@
     def hand_off_ended(self, hand_off: HandOff, end: End, result: str, load: Load | None) -> None:
         submission = hand_off.submission
         submission.hand_offs[hand_off.index] = None
-        if end is End.SERVED and submission.client is not None:
-            client = submission.client
-            self._close(submission)
-            client.satisfied(result)
+        if end is End.SERVED:
+            self._answer(submission, lambda client: client.satisfied(result))
         self.tell(
             self.dispatcher.hand_off_ended,
             submission.number,
@@ -258,9 +253,7 @@
         hand_off = HandOff(self, submission, len(submission.hand_offs), worker)
         submission.hand_offs.append(None)
         submission.hand_offs[-1] = Errand(
-            self.loop,
             self.pool,
-            self.deadlines,
             address,
             lambda left: workers.job(
                 submission.method,
@@ -282,20 +275,10 @@
             errand.give_up()
 
     def nack(self, submission_id: int, come_back_after: int) -> None:
-        submission = self.submissions.get(submission_id)
-        if submission is not None and submission.client is not None:
-            client = submission.client
-            self._close(submission)
-            client.nacked(come_back_after)
-            self._forget(submission)
+        self._answer(self.submissions.get(submission_id), lambda client: client.nacked(come_back_after))
 
     def abandon(self, submission_id: int) -> None:
-        submission = self.submissions.get(submission_id)
-        if submission is not None and submission.client is not None:
-            client = submission.client
-            self._close(submission)
-            client.abandoned()
-            self._forget(submission)
+        self._answer(self.submissions.get(submission_id), lambda client: client.abandoned())
 
     def wake_at(self, token: int, when: int) -> None:
         self.deadlines.at(when, lambda: self.tell(self.dispatcher.woken, token))
@@ -304,9 +287,7 @@
         address = self.addresses.get(worker, "")
         with_load = self.orders["load_reports"] != "none"
         Errand(
-            self.loop,
             self.pool,
-            self.deadlines,
             address,
             lambda left: workers.probe(with_load, address),
             partial(workers.ProbeAnswer, x0=self.x0),
@@ -322,6 +303,14 @@
 
     # ---- The life of a submission ----
 
+    def _answer(self, submission: Submission | None, give: Callable[[Client], None]) -> None:
+        """Its one final answer, unless it has had that or its client has left."""
+        if submission is not None and submission.client is not None:
+            client = submission.client
+            self._close(submission)
+            give(client)
+            self._forget(submission)
+
     def _close(self, submission: Submission) -> None:
         """It gets its answer now, or wants none any more: nothing is sent for it from here on."""
         submission.client = None
@@ -342,13 +331,10 @@
 
     def _answer_for_decisions(self, submission: Submission) -> None:
         """A fault or the end: what was never handed off is nacked, the rest abandoned."""
-        client = submission.client
-        if client is None:
+        if submission.client is None:
             return
-        self._close(submission)
         if submission.hand_offs:
-            client.abandoned()
+            self.abandon(submission.number)
         else:
-            client.nacked(0)
+            self.nack(submission.number, 0)
         self.tell(self.dispatcher.client_left, submission.number)
-        self._forget(submission)
--- a/ploverspoke/simwire/adapter.py
+++ b/ploverspoke/simwire/adapter.py
@@ -11,11 +11,10 @@
 from ploverspoke.program.checked import BadKey
 from ploverspoke.program.standing_orders import standing_orders
 from ploverspoke.protocol.words import CONDITIONS
+from ploverspoke.transport.units import MICROSECOND
 
 from .codec import Fields, Malformed, read_line, write_line
 
-MICROSECOND = 1_000  # in nanoseconds
-
 OUTCOMES = {
     "delivered": "satisfied",
     "app_error": "worker_error",
--- a/ploverspoke/transport/deadlines.py
+++ b/ploverspoke/transport/deadlines.py
@@ -7,8 +7,8 @@
 from collections.abc import Callable
 
 from .log_lines import say
+from .units import SECOND
 
-NANOSECONDS = 1_000_000_000
 FEWEST_TO_CLEAR = 256
 
 
@@ -68,7 +68,7 @@
                 return
             self.timer.cancel()
         self.timer_for = when
-        self.timer = self.loop.call_later(max(0, when - self.now()) / NANOSECONDS, self._ring)
+        self.timer = self.loop.call_later(max(0, when - self.now()) / SECOND, self._ring)
 
     def _ring(self) -> None:
         self.timer = None
--- a/ploverspoke/transport/pools.py
+++ b/ploverspoke/transport/pools.py
@@ -10,9 +10,10 @@
 from .ends import End
 from .log_lines import say
 from .slots import SlotTable
+from .units import MILLISECOND
 
 KEPT_SHARE = 0.7  # of the time after which workers close an idle connection: a late use would be reset
-DROPPED_LATE_BY = 250_000_000  # ns; looks for idle ones are no more frequent
+DROPPED_LATE_BY = 250 * MILLISECOND  # looks for idle ones are no more frequent
 
 
 class Caller(ConnectionUser, Protocol):
--- a/ploverspoke/transport/slots.py
+++ b/ploverspoke/transport/slots.py
@@ -13,7 +13,6 @@
         self.items: list[T | None] = []
         self.numbers: list[int] = []  # of the tenant that has a slot, or had it last
         self.vacant: list[int] = []
-        self.taken = 0
 
     def add(self, item: T) -> int:
         """Seat the item; its number is never given to another."""
@@ -27,7 +26,6 @@
             self.items.append(None)
             self.numbers.append(slot + (1 << SLOT_BITS))
         self.items[slot] = item
-        self.taken += 1
         return self.numbers[slot]
 
     def get(self, number: int) -> T | None:
@@ -43,11 +41,10 @@
             slot = number & ((1 << SLOT_BITS) - 1)
             self.items[slot] = None
             self.vacant.append(slot)
-            self.taken -= 1
         return item
 
     def __len__(self) -> int:
-        return self.taken
+        return len(self.items) - len(self.vacant)
 
     def __iter__(self) -> Iterator[T]:
         return iter([item for item in self.items if item is not None])
