--- a/ploverspoke/program/briefing.py
+++ b/ploverspoke/program/briefing.py
@@ -5,6 +5,9 @@
 from collections.abc import Mapping
 from typing import Any, NamedTuple
 
+from ploverspoke.protocol.discovery import enter_list
+from ploverspoke.protocol.heads import Garbled
+
 from .checked import BadKey, Checked
 from .standing_orders import names, standing_orders
 
@@ -32,7 +35,7 @@
             told = json.load(file)
     except OSError as error:
         raise BadKey(f"RELAY_CONFIG: {path} cannot be read: {error.strerror}") from None
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise BadKey(f"RELAY_CONFIG: {path} is no JSON: {error}") from None
     top = Checked(told)
     if "settings" not in top.value:
@@ -45,8 +48,11 @@
     except ValueError:
         raise top.bad("seed", "a hexadecimal number in a text") from None
     known = top.value.get("known")
-    if known is not None and not isinstance(known, Mapping):
-        raise top.bad("known", "a list in discovery's form")
+    if known is not None:
+        try:
+            enter_list(known, lambda *entry: None)
+        except Garbled as error:
+            raise top.bad("known", f"a list in discovery's form ({error})") from None
     return Briefing(
         top.text("name", environment.get("RELAY_NAME", "dispatcher")),
         listen,
--- a/ploverspoke/program/service.py
+++ b/ploverspoke/program/service.py
@@ -9,7 +9,6 @@
 
 import uvloop
 
-from ploverspoke.protocol.heads import Garbled
 from ploverspoke.routing.door import Door
 from ploverspoke.routing.router import Router
 from ploverspoke.transport.deadlines import Deadlines
@@ -49,17 +48,36 @@
         self.over = asyncio.Event()
 
     async def run(self) -> None:
-        if self.briefing.known is not None:
-            try:
-                self.router.known(self.briefing.known)
-            except Garbled as error:
-                raise BadKey(f"known: {error}") from None
         for number in (signal.SIGTERM, signal.SIGINT):
             self.loop.add_signal_handler(number, self._leave)
+        self.loop.add_signal_handler(signal.SIGHUP, self._read_again)
+        if self.briefing.known is not None:
+            self.router.known(self.briefing.known)
         await self.door.open(*self.briefing.listen)
         say(f"{self.briefing.name} serves at {':'.join(map(str, self.briefing.listen))}")
         await self.over.wait()
 
+    def _read_again(self) -> None:
+        """A new configuration, read whole before anything changes: a bad one leaves all as it is."""
+        try:
+            new = read_briefing(os.environ)
+        except BadKey as error:
+            say(f"new configuration not taken, the old one goes on: {error}")
+            return
+        old = self.briefing
+        for key, changed in (
+            ("name", new.name != old.name),
+            ("listen", new.listen != old.listen),
+            ("limits", new.sockets != old.sockets),
+            ("settings", new.orders != old.orders or new.names != old.names),
+        ):
+            if changed:
+                say(f"new configuration: {key} stays as it was until the next start")
+        if new.discovery != old.discovery:
+            say(f"new configuration: discovery is at {new.discovery} now")
+            self.router.move_roster(new.discovery)
+        self.briefing = old._replace(discovery=new.discovery)
+
     def _leave(self) -> None:
         """Take what still comes, finish what was taken, then end."""
         if not self.leaving_since:
--- a/ploverspoke/routing/roster.py
+++ b/ploverspoke/routing/roster.py
@@ -1,4 +1,4 @@
-"""The watch on discovery: one call after the other, until one fails."""
+"""The watch on one address of discovery: one call after the other, until one fails."""
 
 import asyncio
 from collections.abc import Callable
@@ -9,7 +9,7 @@
 from ploverspoke.transport.deadlines import Deadline, Deadlines
 from ploverspoke.transport.ends import End
 from ploverspoke.transport.log_lines import say
-from ploverspoke.transport.pools import Pool
+from ploverspoke.transport.pools import Opening, Pool
 from ploverspoke.transport.units import SECOND
 
 ANSWER_TIME = 2 * SECOND  # that an answer may take beyond the wait it was allowed
@@ -35,17 +35,29 @@
         # One at a time, but the next may come up before the last is quite closed.
         self.pool = Pool(loop, deadlines, 2, ANSWER_TIME, ANSWER_TIME)
         self.connection: Connection | None = None
+        self.opening: Opening | None = None
         self.answer = discovery.ListAnswer(self._complete)
         self.late: Deadline | None = None
         self.watching = False
+        self.stopped = False
 
     def start(self) -> None:
-        if not self.watching:
+        if not self.watching and not self.stopped:
             self.watching = True
             self.loop.call_soon(self._connect)
 
+    def stop(self) -> None:
+        """Another watch has taken over: whatever still comes here is not told."""
+        self.stopped = True
+        self.watching = False
+        self.deadlines.call_off(self.late)
+        self._hang_up()
+        if self.opening is not None:
+            self.opening.give_up()
+
     def _connect(self) -> None:
-        self.pool.call(self.address, self)
+        if self.watching:
+            self.opening = self.pool.call(self.address, self)
 
     def _ask(self, connection: Connection) -> None:
         limit = self.hold + ANSWER_TIME
@@ -54,6 +66,7 @@
         connection.write(discovery.watch(self.version, self.hold, self.address))
 
     def connected(self, connection: Connection) -> None:
+        self.opening = None
         self.connection = connection
         self._ask(connection)
 
@@ -75,6 +88,8 @@
         self.loop.call_soon(self._take, body, lasts)
 
     def _take(self, body: bytes, lasts: bool) -> None:
+        if self.stopped:
+            return
         try:
             self.version = self.told(body)
         except Exception as error:
--- a/ploverspoke/routing/router.py
+++ b/ploverspoke/routing/router.py
@@ -101,10 +101,8 @@
         self.body_bytes = 0
         self.events: deque[tuple[Event, tuple[Any, ...]]] = deque()
         self.telling = False
-        hold = min(LONGEST_HOLD, orders["roster_ask_within"])
-        self.roster = RosterWatch(
-            loop, deadlines, discovery_address, hold, self._roster_told, self._roster_lost
-        )
+        self.loop = loop
+        self.roster = self._watch_on(discovery_address)
         self.dispatcher = Dispatcher(self, seed, orders)
         if not orders["roster_must_be_asked"]:
             # Where changes are to come unprompted, nothing but this watch makes them come on sockets.
@@ -204,6 +202,16 @@
         self.roster.version, _ = discovery.enter_list(told, partial(self._enter, listings))
         self._roster_changed(listings, True)
 
+    def move_roster(self, address: str) -> None:
+        """Discovery has another address: its versions are its own, so its whole list is asked for at once."""
+        self.roster.stop()
+        self.roster = self._watch_on(address)
+        self.roster.start()
+
+    def _watch_on(self, address: str) -> RosterWatch:
+        hold = min(LONGEST_HOLD, self.orders["roster_ask_within"])
+        return RosterWatch(self.loop, self.deadlines, address, hold, self._roster_told, self._roster_lost)
+
     def _roster_changed(self, listings: list[Listing], whole: bool) -> None:
         dispatcher = self.dispatcher
         self.tell(dispatcher.roster_complete if whole else dispatcher.roster_changed, listings)
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -492,6 +492,69 @@
     play(script, workers=4)
 
 
+async def started(world: World, path: Path) -> tuple[asyncio.subprocess.Process, dict[str, Any], Path]:
+    """The program itself, ready; its configuration, and the file of its log."""
+    discovery = await world.surround(2)
+    known = {"version": 1, "full": True, "servers": world.entries}
+    config = {"listen": f"127.0.0.1:{world.port}", "discovery": discovery, "known": known}
+    path.write_text(json.dumps({**config, "settings": SETTINGS}))
+    log = path.with_suffix(".log")
+    with log.open("wb") as file:
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "ploverspoke", env={**os.environ, "RELAY_CONFIG": str(path)}, stderr=file
+        )
+    for _ in range(500):
+        with contextlib.suppress(ConnectionError):
+            assert (await world.ask(b"GET /-/ready HTTP/1.1\r\n\r\n"))[0] == 200
+            break
+        await asyncio.sleep(0.02)
+    return process, {**config, "settings": SETTINGS}, log
+
+
+def test_a_new_configuration_moves_discovery_and_a_bad_one_changes_nothing(tmp_path: Path) -> None:
+    # The signal ended the program, and what it had taken was lost.
+    async def run() -> None:
+        world, moved = World(), World()
+        path = tmp_path / "config.json"
+        process, told, log = await started(world, path)
+        address = await moved.surround(0)  # by chance its list has the number of the first one's
+        moved.entries = world.entries[1:]
+        kept, writer = await world.connect()
+
+        async def signalled(text: str, *numbers: signal.Signals) -> None:
+            path.write_text(text)
+            for number in numbers or (signal.SIGHUP,):
+                process.send_signal(number)
+            await asyncio.sleep(0.3)
+
+        world.behave = {"w0": say_nothing, "w1": say_nothing}
+        waits = asyncio.create_task(world.ask(world.request("taken", "book")))
+        await asyncio.sleep(0.05)
+        world.behave = {}
+        for bad in ("{", "[" * 100_000, json.dumps({**told, "discovery": "nowhere"})):
+            await signalled(bad)
+        assert moved.watches == 0 and log.read_text().count("the old one goes on") == 3
+        await signalled(json.dumps({**told, "discovery": address, "listen": "127.0.0.1:9"}))
+        await signalled(json.dumps({**told, "discovery": address}))
+        assert moved.watches == 2, "its whole list, and then the watch"
+        assert "listen stays as it was" in log.read_text()
+        assert (await waits)[0] == 504
+        world.sent.clear()
+        for number in range(6):
+            writer.write(world.request(f"r{number}"))
+            assert (await message(kept))[0] == "HTTP/1.1 200 OK"
+        assert {worker for worker, _ in world.sent} == {"w1"}
+        writer.close()
+        # Twice at once, and beside the signal to end.
+        await signalled(json.dumps(told), signal.SIGHUP, signal.SIGHUP, signal.SIGTERM, signal.SIGHUP)
+        assert await asyncio.wait_for(process.wait(), 4) == 0
+        for server in world.servers + moved.servers:
+            server.close()
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(run())
+
+
 def test_the_program_starts_serves_and_ends_by_its_signal(tmp_path: Path) -> None:
     # Clients go on over kept connections and, for a while, new ones; what was taken must be answered.
     async def client(world: World, name: str, until: float, statuses: list[int]) -> None:
@@ -514,19 +577,7 @@
 
     async def run() -> tuple[int | None, list[int]]:
         world, statuses = World(), list[int]()
-        discovery = await world.surround(2)
-        known = {"version": 1, "full": True, "servers": world.entries}
-        config = {"listen": f"127.0.0.1:{world.port}", "discovery": discovery, "known": known}
-        path = tmp_path / "config.json"
-        path.write_text(json.dumps({**config, "settings": SETTINGS}))
-        process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "ploverspoke", env={**os.environ, "RELAY_CONFIG": str(path)}
-        )
-        for _ in range(500):
-            with contextlib.suppress(ConnectionError):
-                assert (await world.ask(b"GET /-/ready HTTP/1.1\r\n\r\n"))[0] == 200
-                break
-            await asyncio.sleep(0.02)
+        process, _, _ = await started(world, tmp_path / "config.json")
         end = asyncio.get_running_loop().time() + 0.8
         clients = asyncio.gather(*(client(world, f"c{n}", end, statuses) for n in range(8)))
         await asyncio.sleep(0.4)
