--- a/ploverspoke/decisions/dispatcher.py
+++ b/ploverspoke/decisions/dispatcher.py
@@ -92,7 +92,7 @@
         self.cold_credit = 0.0  # slots times nanoseconds that it may get while it is cold
         self.cold_credit_at = 0
         self.crowd = 0.0  # jobs held for each core, as the roster's live weight tells
-        self.probed_for = ""  # "room" or "return" while a probe of ours is out
+        self.probed_for = ""  # "room", "return" or "life" while a probe of ours is out
         self.waiting = self.free = 0.0  # as last reported
         self.reported_at = 0
 
@@ -310,8 +310,7 @@
             # for it again and again it got a copy of the job each time, where recalled work goes on.
             self._cut_room(worker, worker.running, 0, now)
         elif outcome in ("unreachable", "broken_off"):
-            # Proof, not a guess: when a whole zone is cut off, no bound may keep us sending there.
-            self._set_aside(worker, now, bounded=False)
+            self._doubt(worker, now)
         if outcome in ("satisfied", "worker_error"):
             worker.errors.append(outcome == "worker_error")
             if outcome == "worker_error" and sum(worker.errors) >= ERRORS_BAD:
@@ -362,6 +361,8 @@
             self._reported(worker, load, now)
         if probed_for == "room":
             self._answered(worker, outcome, took, now)
+        elif probed_for == "life" and outcome in ("unreachable", "broken_off", "timed_out"):
+            self._set_aside(worker, now, bounded=False)
         elif worker.aside and outcome == "satisfied":
             self._take_back(worker)
         elif worker.aside:
@@ -606,7 +607,7 @@
     def _answered(self, worker: Worker, outcome: str, took: int, now: int) -> None:
         if outcome == "satisfied":
             self.answer_times[worker.listing.zone].append(took)
-        elif outcome == "unreachable":
+        elif outcome in ("unreachable", "broken_off"):
             self._set_aside(worker, now, bounded=False)
         else:
             self._cut_room(worker, worker.running, 0, now)
@@ -912,6 +913,22 @@
             return job.group
         return ("none", 0) if repeat == "irreversible" else self._group_of(job, worker)
 
+    def _doubt(self, worker: Worker, now: int) -> None:
+        """A connection to it broke or did not come up.
+
+        One break is no proof: where connections are reset now and then, each set a good worker aside until
+        none was left. A probe tells, and until its answer nothing goes there; else a second break does.
+        """
+        if self.orders["probing_permitted"]:
+            if not worker.aside and not worker.probed_for:
+                worker.probed_for = "life"
+                self.host.probe(worker.name)
+            return
+        worker.errors.append(True)
+        if sum(worker.errors) >= ERRORS_BAD:
+            # Proof, not a guess: when a whole zone is cut off, no bound may keep us sending there.
+            self._set_aside(worker, now, bounded=False)
+
     def _set_aside(self, worker: Worker, now: int, bounded: bool = True) -> None:
         """Send nothing there for a while. Where many look bad at once, the reading is usually wrong."""
         aside = sum(w.aside for w in self.workers.values() if w.ready)
--- a/ploverspoke/routing/errands.py
+++ b/ploverspoke/routing/errands.py
@@ -11,6 +11,8 @@
 from ploverspoke.transport.units import MILLISECOND
 
 LINGER = 500 * MILLISECOND  # for the rest of an answer whose outcome is known
+# A worker that has dropped a connection, or wants no new one, shows it this soon after the first bytes.
+LAST_BYTE_AFTER = 2 * MILLISECOND
 
 
 class Sender(Protocol):
@@ -33,7 +35,10 @@
         answer: Callable[[AnswerListener], Answer],
         time_out: int,
         sender: Sender,
+        in_two: bool = False,
+        fresh: bool = False,
     ) -> None:
+        """In two: the last byte is written a moment later, so that a dropped connection has not run it."""
         self.pool = pool
         self.deadlines = pool.deadlines
         self.address = address
@@ -44,17 +49,19 @@
         self.opening: Opening | None = None
         self.cause: End | None = None  # why we closed the connection
         self.reusable = False
+        self.in_two = in_two
+        self.last_byte: bytes | None = None  # not written yet
         self.until = self.deadlines.now() + time_out
         self.late = self.deadlines.at(self.until, self._too_late)
-        self.opening = pool.call(address, self)
+        self.opening = pool.call(address, self, fresh)
 
     def give_up(self) -> None:
         """Stop waiting: the connection is closed, and what was not sent yet is not sent."""
         self._stop(End.RECALLED, End.WITHHELD)
 
     def withhold(self) -> None:
-        """Do not send it if it has not been sent; else wait on for its end."""
-        if self.connection is None:
+        """Do not send it if it has not been sent whole; else wait on for its end."""
+        if self.connection is None or self.last_byte is not None:
             self._stop(End.WITHHELD, End.WITHHELD)
 
     # ---- The connection ----
@@ -62,7 +69,18 @@
     def connected(self, connection: Connection) -> None:
         self.opening = None
         self.connection = connection
-        connection.write(self.message(self.until - self.deadlines.now()))
+        message = self.message(self.until - self.deadlines.now())
+        if not self.in_two:
+            connection.write(message)
+            return
+        self.last_byte = message[-1:]
+        connection.write(message[:-1])
+        self.deadlines.at(self.deadlines.now() + LAST_BYTE_AFTER, self._write_last)
+
+    def _write_last(self) -> None:
+        last, self.last_byte = self.last_byte, None
+        if last is not None and self.connection is not None:
+            self.connection.write(last)
 
     def not_connected(self, end: End) -> None:
         self.opening = None
@@ -90,8 +108,8 @@
         if self.connection is None:
             return
         # Only what is certain to be still with us, in whole or in part, has certainly not run.
-        unsent = self.connection.unsent and not self.answer.status
-        self.connection = None
+        unsent = self.last_byte is not None or (self.connection.unsent and not self.answer.status)
+        self.connection = self.last_byte = None
         self._end(self.cause or (End.UNSENT if unsent else End.BROKEN))
 
     def all_written(self) -> None:
@@ -108,8 +126,9 @@
             self.sender.errand_progressed(share_done)
 
     def ended(self, end: End, result: str, load: Load | None) -> None:
-        if end is End.GARBLED:
-            self.cause = end
+        if end is End.GARBLED or self.last_byte is not None:
+            # Answered before it was whole: the rest is not written any more.
+            self.cause, self.last_byte = end, None
         self._end(end, result, load)
 
     def message_over(self, reusable: bool) -> None:
@@ -124,7 +143,8 @@
     def _stop(self, sent: End, unsent: End) -> None:
         if self.connection is not None:
             # The end is told when the connection is closed: no second copy may be out beside an open one.
-            self.cause = self.cause or sent
+            self.cause = self.cause or (sent if self.last_byte is None else unsent)
+            self.last_byte = None
             self.connection.abort()
         elif self.sender is not None:
             if self.opening is not None:
--- a/ploverspoke/routing/router.py
+++ b/ploverspoke/routing/router.py
@@ -62,6 +62,7 @@
         self.router = router
         self.worker = worker
         self.sent_at = router.now()
+        self.repeated = False
 
     def errand_started(self) -> None:
         pass
@@ -70,6 +71,11 @@
         pass
 
     def errand_ended(self, end: End, result: str, load: Load | None) -> None:
+        if end in (End.BROKEN, End.UNSENT) and not self.repeated:
+            # A connection that breaks says little of its worker, and a probe may be sent twice.
+            self.repeated = True
+            self.router.send_probe(self)
+            return
         took = self.router.now() - self.sent_at
         event = self.router.dispatcher.probe_answered
         self.router.tell(event, self.worker, OUTCOMES[end], took, load)
@@ -125,7 +131,7 @@
             return None
         # What waited for us to be read, and the way back, are time that the client has not.
         abandon_at = self.now() + patience - min(ANSWER_EARLY, patience // 10)
-        submission = Submission(client, method, target, headers, body, abandon_at)
+        submission = Submission(client, grade, method, target, headers, body, abandon_at)
         submission.number = self.submissions.add(submission)
         self.body_bytes += len(body)
         # The decisions answer in time; this guards the client against a fault in them.
@@ -274,6 +280,7 @@
             partial(workers.JobAnswer, x0=self.x0, request_id=submission.request_id),
             time_out,
             hand_off,
+            in_two=self.orders["repeat"][submission.grade] != "redoable",
         )
 
     def recall(self, submission_id: int, hand_off: int) -> None:
@@ -292,7 +299,10 @@
         self.deadlines.at(when, lambda: self.tell(self.dispatcher.woken, token))
 
     def probe(self, worker: str) -> None:
-        address = self.addresses.get(worker, "")
+        self.send_probe(Probe(self, worker))
+
+    def send_probe(self, probe: Probe) -> None:
+        address = self.addresses.get(probe.worker, "")
         with_load = self.orders["load_reports"] != "none"
         Errand(
             self.pool,
@@ -300,7 +310,8 @@
             lambda left: workers.probe(with_load, address),
             partial(workers.ProbeAnswer, x0=self.x0),
             PROBE_TIME_OUT,
-            Probe(self, worker),
+            probe,
+            fresh=probe.repeated,
         )
 
     def watch_roster(self) -> None:
--- a/ploverspoke/routing/submissions.py
+++ b/ploverspoke/routing/submissions.py
@@ -21,6 +21,7 @@
     def __init__(
         self,
         client: Client,
+        grade: int,
         method: str,
         target: str,
         headers: dict[str, str],
@@ -29,6 +30,7 @@
     ) -> None:
         self.number = 0
         self.client: Client | None = client  # None: answered, or the client has left
+        self.grade = grade
         self.method = method
         self.target = target
         self.headers = headers
--- a/ploverspoke/transport/pools.py
+++ b/ploverspoke/transport/pools.py
@@ -51,7 +51,7 @@
 
     async def open(self, address: str) -> None:
         host, _, port = address.rpartition(":")
-        connection, end = None, End.NEVER_UP
+        connection, end = None, End.UNSENT
         try:
             _, connection = await self.pool.loop.create_connection(
                 self.pool.make, host.strip("[]"), int(port)
@@ -61,7 +61,10 @@
         except OSError as error:
             if error.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
                 end = End.NO_SOCKET
+            elif error.errno != errno.ECONNRESET:
+                end = End.NEVER_UP
         except ValueError:
+            end = End.NEVER_UP
             say(f"a worker's address is none: {address!r}")
         self.pool.deadlines.call_off(self.late)
         if connection is None or not connection.open:
@@ -115,9 +118,9 @@
     def make(self) -> Connection:
         return Connection(self.connections)
 
-    def call(self, address: str, caller: Caller) -> Opening | None:
-        """Give the caller a connection there: at once where one rests, else when it is up."""
-        resting = self.resting.get(address)
+    def call(self, address: str, caller: Caller, fresh: bool = False) -> Opening | None:
+        """Give the caller a connection there: at once where one rests, else (or if fresh) when it is up."""
+        resting = None if fresh else self.resting.get(address)
         while resting:
             number, since = resting.pop()  # the latest used
             connection = self.connections.get(number)
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -2,6 +2,8 @@
 
 from collections import deque
 
+import pytest
+
 from .stage import MS, SECOND, Stage, listing
 
 
@@ -107,6 +109,7 @@
     stage.submit(1)
     worker = stage.dispatcher.workers[stage.where(1)]
     stage.end(1, "unreachable")
+    stage.dispatcher.probe_answered(stage.probes.pop(), "unreachable", MS, None)
     assert worker.aside
     stage.pass_time(13 * SECOND)
     assert stage.probes == [worker.name]
@@ -116,6 +119,29 @@
     assert not worker.aside
 
 
+@pytest.mark.parametrize("probing", [True, False])
+@pytest.mark.parametrize("outcome", ["unreachable", "broken_off"])
+def test_one_broken_connection_dismisses_no_worker(outcome: str, probing: bool) -> None:
+    # Where connections are reset now and then all workers were set aside within seconds.
+    stage = Stage([listing(n) for n in "abc"], probing_permitted=probing)
+    stage.submit(0)
+    worker = stage.dispatcher.workers[stage.where(0)]
+    stage.end(0, outcome)
+    if probing:
+        stage.submit(1)
+        assert stage.probes == [worker.name] and stage.where(1) != worker.name
+        stage.dispatcher.probe_answered(stage.probes.pop(), "satisfied", MS, None)
+    assert not any(w.aside for w in stage.dispatcher.workers.values())
+    alone = Stage([listing("a")], probing_permitted=probing)
+    for number in range(2):
+        alone.submit(number)
+    alone.end(0, outcome)
+    alone.end(1, outcome)
+    if probing:
+        alone.dispatcher.probe_answered(alone.probes.pop(), "broken_off", MS, None)
+    assert alone.dispatcher.workers["a"].aside
+
+
 def test_only_a_part_of_the_workers_is_set_aside() -> None:
     stage = Stage([listing(n) for n in "abcdef"])
     for worker in list(stage.dispatcher.workers.values()):
@@ -137,6 +163,7 @@
     stage.submit(1)
     while stage.tries[1] and stage.where(1):
         stage.end(1, "unreachable")
+        stage.dispatcher.probe_answered(stage.probes.pop(), "unreachable", MS, None)
         stage.pass_time(100 * MS)
     assert sum(w.aside for w in stage.dispatcher.workers.values()) == len(stage.tries[1]) > 1
 
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -367,6 +367,28 @@
     play(script, Invariants={**SETTINGS["Invariants"], "MustAskInUs": 100_000})
 
 
+def test_a_connection_dropped_under_a_job_has_not_run_it() -> None:
+    # Workers drop resting connections unseen, or reset new ones: irreversible jobs were lost with each.
+    async def script(world: World) -> None:
+        async def drop_jobs(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            while await reader.readexactly(1) != b"P":
+                await reader.readuntil(b"\r\n\r\n")
+                writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: 18\r\n\r\n{"queue":0,"x0":4}')
+            dropped.append(writer)
+            writer.transport.abort()
+
+        dropped: list[asyncio.StreamWriter] = []
+        server = await asyncio.start_server(drop_jobs, "127.0.0.1", 0)
+        world.servers.append(server)
+        port = server.sockets[0].getsockname()[1]
+        await world.tell([{**world.entries[0], "addr": f"127.0.0.1:{port}"}, world.entries[1]])
+        statuses = [(await world.ask(world.request(f"r{n}", "book")))[0] for n in range(12)]
+        assert statuses == [200] * 12 and dropped and set(world.ran.values()) == {1}
+        assert not world.service.router.dispatcher.workers["w0"].aside, "its probes were answered"
+
+    play(script)
+
+
 def test_a_worker_that_takes_no_more_connections_has_not_run_it() -> None:
     # A full table of connections: new ones never come up, and say nothing.
     async def script(world: World) -> None:
