--- a/ploverspoke/program/service.py
+++ b/ploverspoke/program/service.py
@@ -22,8 +22,9 @@
 SOCKETS_KEPT = 32  # descriptors for the loop, the door, discovery and the log
 WORKERS_SHARE = 0.4  # of the others, for connections to workers
 STILL_COMING = 700 * MILLISECOND  # after the signal to end, connections may go on coming for so long
-QUIET = 250 * MILLISECOND  # and none has come for so long
-LAST_ANSWERS = 3200 * MILLISECOND  # after the signal whoever still waits is answered
+STILL_SERVED = 2200 * MILLISECOND  # and clients go on over theirs: nobody else may be there for them yet
+LAST_ANSWERS = 3400 * MILLISECOND  # after the signal whoever still waits is answered
+LAST_WORD = 3550 * MILLISECOND  # and nobody is waited for any more
 LOOK_EVERY = 20 * MILLISECOND
 
 
@@ -44,7 +45,6 @@
         # One connection in eight stays free, to tell those beyond the limit so.
         self.door = Door(loop, self.deadlines, self.router, (sockets - for_workers) * 7 // 8)
         self.leaving_since = 0
-        self.shut = False
         self.over = asyncio.Event()
 
     async def run(self) -> None:
@@ -89,12 +89,11 @@
     def _look_whether_over(self) -> None:
         now = self.deadlines.now()
         since = now - self.leaving_since
-        if not self.shut and since >= STILL_COMING and now - self.door.last_came >= QUIET:
-            self.shut = True
+        if since >= (STILL_COMING if self.door.is_empty() else STILL_SERVED):
             self.door.shut()
-        if since >= LAST_ANSWERS and len(self.router.submissions):
+        if since >= LAST_ANSWERS:
             self.router.answer_all()
-        if self.shut and self.door.is_empty():
+        if (self.door.is_shut and self.door.is_empty()) or since >= LAST_WORD:
             self.over.set()
         else:
             self.deadlines.at(now + LOOK_EVERY, self._look_whether_over)
--- a/ploverspoke/routing/door.py
+++ b/ploverspoke/routing/door.py
@@ -152,7 +152,7 @@
     def _answer(self, status: int, body: bytes, come_back_after: int = 0) -> None:
         self.answering = False
         self.submission = None
-        keep = self.keep and not self.door.leaving and not self.door.is_crowded()
+        keep = self.keep and not self.door.is_shut and not self.door.is_crowded()
         self.connection.write(clients.answer(status, body, keep, come_back_after))
         self.idle_since = self.door.deadlines.now()
         if not keep:
@@ -212,7 +212,7 @@
         self.connections: SlotTable[Connection] = SlotTable()
         self.sessions: dict[int, ClientSession] = {}  # by their connection's number
         self.leaving = False
-        self.last_came = 0
+        self.is_shut = False
         self.server: asyncio.Server | None = None
 
     async def open(self, host: str, port: int) -> None:
@@ -224,7 +224,6 @@
         return len(self.sessions) > self.most_sessions
 
     def _came(self, connection: Connection) -> None:
-        self.last_came = self.deadlines.now()
         newest = ClientSession(self, connection)
         if self.is_crowded():
             idle = (s for s in self.sessions.values() if s.is_idle() and s is not newest)
@@ -235,16 +234,18 @@
                 longest.leave()
 
     def leave(self) -> None:
-        """Close what stands between requests; what comes is still taken, for one answer a connection."""
+        """Say that we are not ready for new clients; what comes is still taken."""
         self.leaving = True
-        for session in self.sessions.values():
-            session.leave()
 
     def shut(self) -> None:
-        """Take no more connections."""
+        """Take no more connections, and close each as soon as it stands between requests."""
+        if self.is_shut:
+            return
+        self.is_shut = True
         if self.server is not None:
             self.server.close()
-        self.leave()
+        for session in self.sessions.values():
+            session.leave()
 
     def is_empty(self) -> bool:
         return not self.sessions
--- a/ploverspoke/routing/router.py
+++ b/ploverspoke/routing/router.py
@@ -349,10 +349,10 @@
             self._answer_for_decisions(submission)
 
     def _answer_for_decisions(self, submission: Submission) -> None:
-        """A fault or the end: what was never handed off is nacked, the rest abandoned."""
+        """A fault or the end: what was never handed off or is redoable is nacked, the rest abandoned."""
         if submission.client is None:
             return
-        if submission.hand_offs:
+        if submission.hand_offs and self.orders["repeat"][submission.grade] != "redoable":
             self.abandon(submission.number)
         else:
             self.nack(submission.number, 0)
