--- a/ploverspoke/decisions/dispatcher.py
+++ b/ploverspoke/decisions/dispatcher.py
@@ -130,6 +130,7 @@
         self.last_chance = abandon_at  # nothing is sent from here on; a bound repeat must be sent before it
         self.hand_offs = 0
         self.at: Worker | None = None  # where it is out now
+        self.back_from: Worker | None = None  # where its last hand-off failed
         self.sent_at = 0
         self.started_at = 0
         self.recalled = False
@@ -359,6 +360,8 @@
         probed_for, worker.probed_for = worker.probed_for, ""
         if outcome == "satisfied" and load:
             self._reported(worker, load, now)
+        elif outcome == "satisfied":
+            worker.heard_at = now
         if probed_for == "room":
             self._answered(worker, outcome, took, now)
         elif probed_for == "life" and outcome in ("unreachable", "broken_off", "timed_out"):
@@ -543,11 +546,15 @@
         return found
 
     def _better(self, drawn: list[Worker], job: Submission | None) -> Worker:
-        """The one with fewer of our slots in flight; of equals the faster, or the first by the hash."""
+        """The one with fewer of our slots in flight; of equals the faster, or the first by the hash.
+
+        Not the one that it comes back from, though: that one may break whatever it is sent.
+        """
         if job is not None and job.subject and self.orders["fetch_price"]:
             # Each change of place is a fetch, so the first keeps it until it is well ahead.
             return drawn[0] if drawn[0].in_flight <= drawn[-1].in_flight + FIRST_ROOM else drawn[-1]
-        return min(drawn, key=lambda w: (w.in_flight, self._pace(w)))
+        back_from = None if job is None else job.back_from
+        return min(drawn, key=lambda w: (w is back_from, w.in_flight, self._pace(w)))
 
     def _is_roomy(self, worker: Worker, job_type: JobType, now: int, job: Submission | None) -> bool:
         if job is not None and job.group is not None and job.group != self._group_of(job, worker):
@@ -617,11 +624,17 @@
 
     def _settle(self, job_type: JobType, now: int) -> None:
         """The head goes to the better of those that answered, or to none where all may wait too long."""
-        answered = [
-            w for w in job_type.asked if not w.probed_for and not w.aside and now - w.reported_at <= FRESH
-        ]
+        there = [w for w in job_type.asked if not w.probed_for and not w.aside]
+        answered = [w for w in there if now - w.reported_at <= FRESH]
+        # A worker that has just started has no report yet. Asked on and on, the head would block its queue.
+        silent_on_load = [] if answered else [w for w in there if now - w.heard_at < KNOWN]
         job_type.asked = []
         for job in self._heads(job_type):
+            roomy = [w for w in silent_on_load if self._is_roomy(w, job_type, now, job)]
+            if roomy:
+                job_type.queue.remove(job)
+                self._hand_off(job, self._better(roomy, job), now)
+                break
             fit = [w for w in answered if self._allowed(w, job_type, now, job)]
             if not fit:
                 continue
@@ -794,6 +807,7 @@
         if now >= job.last_chance or job.hand_offs >= self.orders["most_hand_offs"]:
             self._finish_unsatisfied(job)
             return
+        job.back_from = worker
         job.type.queue.appendleft(job)
         self._wake(job, job.last_chance)
         self._run_clock(now)
--- a/ploverspoke/protocol/workers.py
+++ b/ploverspoke/protocol/workers.py
@@ -121,7 +121,8 @@
         if self.status < 200 or self.status == 200:
             return
         unstarted = self.status in (503, 504) and self.headers.get("not-started", "").strip() == "1"
-        self.end(End.RETURNED if unstarted else End.FAILED, load=self.header_load())
+        failed = End.REJECTED if 400 <= self.status < 500 else End.FAILED
+        self.end(End.RETURNED if unstarted else failed, load=self.header_load())
 
     def on_body(self, part: bytes) -> None:
         if self.status != 200 or self.has_ended:
--- a/ploverspoke/routing/door.py
+++ b/ploverspoke/routing/door.py
@@ -149,10 +149,14 @@
     def abandoned(self) -> None:
         self._answer(504, b"abandoned")
 
+    def rejected(self) -> None:
+        self._answer(400, b"no worker can use it")
+
     def _answer(self, status: int, body: bytes, come_back_after: int = 0) -> None:
         self.answering = False
         self.submission = None
-        keep = self.keep and not self.door.is_shut and not self.door.is_crowded()
+        # Who sends what cannot be used is done with: else the same comes again, as fast as it can be sent.
+        keep = self.keep and not 400 <= status < 500 and not self.door.is_shut and not self.door.is_crowded()
         self.connection.write(clients.answer(status, body, keep, come_back_after))
         self.idle_since = self.door.deadlines.now()
         if not keep:
--- a/ploverspoke/routing/outcomes.py
+++ b/ploverspoke/routing/outcomes.py
@@ -6,6 +6,7 @@
     End.SERVED: "satisfied",
     End.FAILED: "worker_error",
     End.RETURNED: "full",  # never ran
+    End.REJECTED: "rejected",  # final, and no fault of the worker's
     End.LOST: "broken_off",
     End.REFUSED: "unreachable",  # never ran
     End.NEVER_UP: "unreachable",  # never ran
--- a/ploverspoke/routing/router.py
+++ b/ploverspoke/routing/router.py
@@ -184,6 +184,9 @@
         submission.hand_offs[hand_off.index] = None
         if end is End.SERVED:
             self._answer(submission, lambda client: client.satisfied(result))
+        elif end is End.REJECTED:
+            # Sent to one worker after the other it set them aside, one by one.
+            self._answer(submission, lambda client: client.rejected())
         self.tell(
             self.dispatcher.hand_off_ended,
             submission.number,
--- a/ploverspoke/routing/submissions.py
+++ b/ploverspoke/routing/submissions.py
@@ -16,6 +16,9 @@
 
     def abandoned(self) -> None: ...
 
+    def rejected(self) -> None:
+        """The request is at fault."""
+
 
 class Submission:
     def __init__(
--- a/ploverspoke/transport/ends.py
+++ b/ploverspoke/transport/ends.py
@@ -8,6 +8,7 @@
     SERVED = auto()
     FAILED = auto()
     RETURNED = auto()  # not started, or turned away
+    REJECTED = auto()  # the request itself is of no use to any worker
     LOST = auto()  # the job was killed
     # The connection said so.
     REFUSED = auto()
--- a/tests/test_asking.py
+++ b/tests/test_asking.py
@@ -20,6 +20,18 @@
     assert stage.where(1) == "b"
 
 
+def test_a_worker_without_a_report_yet_is_not_asked_again_and_again() -> None:
+    # At each start workers had none: the head asked until its credit was gone, and all behind it were nacked.
+    stage = Stage([listing("a"), listing("b")], **ASKING)
+    stage.submit(1, grade=2)
+    stage.submit(2, grade=0)
+    asked = list(stage.probes)
+    for worker in asked:
+        stage.probes.remove(worker)
+        stage.dispatcher.probe_answered(worker, "satisfied", MS, None)
+    assert stage.where(1) and stage.where(2) and not stage.probes
+
+
 def test_what_can_be_taken_back_does_not_ask() -> None:
     stage = Stage([listing("a"), listing("b")], **ASKING)
     stage.submit(1, grade=0)
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -284,6 +284,34 @@
     play(script)
 
 
+def test_what_a_worker_rejects_is_final_and_blames_no_worker() -> None:
+    # Each sent such a job to one worker after the other, and their errors set them aside.
+    async def script(world: World) -> None:
+        async def reject(reader: Any, writer: Any, headers: dict[str, str], body: bytes) -> None:
+            writer.write(b"HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n")
+
+        world.behave = {"w0": reject, "w1": reject}
+        for number in range(6):
+            status, headers, _ = await world.ask(world.request(f"r{number}"))
+            assert status == 400 and headers["connection"] == "close"
+        assert len(world.sent) == 6
+        assert not any(w.aside for w in world.service.router.dispatcher.workers.values())
+
+    play(script)
+
+
+def test_a_pipeline_of_useless_requests_ends_with_the_first() -> None:
+    # Hundreds of them were answered one by one, with what came after them waiting.
+    async def script(world: World) -> None:
+        reader, writer = await world.connect()
+        writer.write(world.request("a", "unknown") * 300 + world.request("b"))
+        assert (await asyncio.wait_for(reader.read(), 2)).count(b"HTTP/1.1 404") == 1
+        assert not world.sent
+        writer.close()
+
+    play(script)
+
+
 def test_a_worker_that_is_not_there_has_not_run_it() -> None:
     async def script(world: World) -> None:
         world.servers[0].close()
