--- a/ploverspoke/decisions/dispatcher.py
+++ b/ploverspoke/decisions/dispatcher.py
@@ -638,7 +638,8 @@
             fit = [w for w in answered if self._allowed(w, job_type, now, job)]
             if not fit:
                 continue
-            best = min(fit, key=lambda w: self._pace(w) * (2 + self._load(w, now) / self._slots_of(w)))
+            weighed = [(self._pace(w) * (2 + self._load(w, now) / self._slots_of(w)), w) for w in fit]
+            best = min(weighed, key=lambda pair: (pair[1] is job.back_from, pair[0]))[1]
             job.far = True
             if job.rounds < ASK_ROUNDS and self._load(best, now) + job_type.slots > 0:
                 more = [w for w in self._draw_two(job_type, now, job) if w not in fit]
