--- a/ploverspoke/program/briefing.py
+++ b/ploverspoke/program/briefing.py
@@ -7,11 +7,13 @@
 
 from ploverspoke.protocol.discovery import enter_list
 from ploverspoke.protocol.heads import Garbled
+from ploverspoke.transport.units import MEBIBYTE
 
 from .checked import BadKey, Checked
 from .standing_orders import names, standing_orders
 
 FEWEST_SOCKETS = 64
+LEAST_MEMORY_MB = 32
 
 
 class Briefing(NamedTuple):
@@ -20,6 +22,7 @@
     discovery: str
     seed: int
     sockets: int  # descriptors that the whole program may hold
+    memory: int  # bytes that it may take
     known: Mapping[str, Any] | None  # the list of workers as it was last had, in discovery's form
     orders: dict[str, Any]
     names: dict[str, list[str]]
@@ -53,12 +56,14 @@
             enter_list(known, lambda *entry: None)
         except Garbled as error:
             raise top.bad("known", f"a list in discovery's form ({error})") from None
+    limits = top.part("limits")
     return Briefing(
         top.text("name", environment.get("RELAY_NAME", "dispatcher")),
         listen,
         top.text("discovery", environment.get("RELAY_DISCOVERY")),
         seed_number,
-        top.part("limits").whole("sockets", 1024, least=FEWEST_SOCKETS),
+        limits.whole("sockets", 1024, least=FEWEST_SOCKETS),
+        limits.whole("memory_mb", 192, least=LEAST_MEMORY_MB) * MEBIBYTE,
         known,
         standing_orders(top.value["settings"], "settings"),
         names(top.value["settings"], "settings"),
--- a/ploverspoke/program/service.py
+++ b/ploverspoke/program/service.py
@@ -14,13 +14,12 @@
 from ploverspoke.transport.deadlines import Deadlines
 from ploverspoke.transport.log_lines import say
 from ploverspoke.transport.pools import Pool
+from ploverspoke.transport.shares import share_out
 from ploverspoke.transport.units import MILLISECOND
 
 from .briefing import Briefing, read_briefing
 from .checked import BadKey
 
-SOCKETS_KEPT = 32  # descriptors for the loop, the door, discovery and the log
-WORKERS_SHARE = 0.4  # of the others, for connections to workers
 STILL_COMING = 700 * MILLISECOND  # after the signal to end, connections may go on coming for so long
 STILL_SERVED = 2200 * MILLISECOND  # and clients go on over theirs: nobody else may be there for them yet
 LAST_ANSWERS = 3400 * MILLISECOND  # after the signal whoever still waits is answered
@@ -35,15 +34,16 @@
         self.deadlines = Deadlines(loop)
         allowed = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
         told = briefing.sockets
-        sockets = (told if allowed == resource.RLIM_INFINITY else min(told, allowed)) - SOCKETS_KEPT
-        for_workers = int(sockets * WORKERS_SHARE)
+        sockets = told if allowed == resource.RLIM_INFINITY else min(told, allowed)
+        shares = share_out(sockets, briefing.memory)
         orders = briefing.orders
-        self.pool = Pool(loop, self.deadlines, for_workers, orders["idle_limit"], orders["connect_time_out"])
+        self.pool = Pool(
+            loop, self.deadlines, shares.workers, orders["idle_limit"], orders["connect_time_out"]
+        )
         self.router = Router(
             loop, self.deadlines, self.pool, briefing.discovery, briefing.seed, orders, briefing.names
         )
-        # One connection in eight stays free, to tell those beyond the limit so.
-        self.door = Door(loop, self.deadlines, self.router, (sockets - for_workers) * 7 // 8)
+        self.door = Door(loop, self.deadlines, self.router, shares.clients, shares.buffered)
         self.leaving_since = 0
         self.over = asyncio.Event()
 
@@ -53,7 +53,7 @@
         self.loop.add_signal_handler(signal.SIGHUP, self._read_again)
         if self.briefing.known is not None:
             self.router.known(self.briefing.known)
-        await self.door.open(*self.briefing.listen)
+        self.door.listener.open(*self.briefing.listen)
         say(f"{self.briefing.name} serves at {':'.join(map(str, self.briefing.listen))}")
         await self.over.wait()
 
@@ -68,7 +68,7 @@
         for key, changed in (
             ("name", new.name != old.name),
             ("listen", new.listen != old.listen),
-            ("limits", new.sockets != old.sockets),
+            ("limits", (new.sockets, new.memory) != (old.sockets, old.memory)),
             ("settings", new.orders != old.orders or new.names != old.names),
         ):
             if changed:
--- a/ploverspoke/protocol/clients.py
+++ b/ploverspoke/protocol/clients.py
@@ -6,7 +6,7 @@
 
 from ploverspoke.transport.units import MICROSECOND, MILLISECOND, SECOND
 
-from .heads import Garbled, Message, head
+from .heads import LONGEST_BODY, Garbled, Message, head
 
 REASONS = {
     200: "OK",
@@ -14,6 +14,7 @@
     404: "Not Found",
     405: "Method Not Allowed",
     408: "Request Timeout",
+    409: "Conflict",
     413: "Content Too Large",
     500: "Internal Server Error",
     503: "Service Unavailable",
@@ -25,8 +26,27 @@
 class TooLong(Garbled):
     """A body over the limit."""
 
+    status = 413
+
+
+class UnknownGrade(Garbled):
+    status = 404
+
+
+class WrongMethod(Garbled):
+    status = 405
+
+
+class IdInUse(Garbled):
+    """An id names one submission only: sent on again it would be a second copy of that one."""
+
+    status = 409
+
 
 class RequestListener(Protocol):
+    def head_came(self, method: str, target: str, headers: dict[str, str]) -> None:
+        """Raises Garbled where the rest need not be read."""
+
     def request_came(
         self, method: str, target: str, headers: dict[str, str], body: bytes, keep_alive: bool
     ) -> None: ...
@@ -54,16 +74,31 @@
         self.target += part
 
     def on_headers_complete(self) -> None:
+        super().on_headers_complete()
+        length = self.headers.get("content-length")
+        coding = self.headers.get("transfer-encoding")
+        if coding is not None and (length is not None or coding.lower() != "chunked"):
+            # Read one way here and another way there, its body may hide a request.
+            self.fail(Garbled("the length of the body is not clear"))
+        if length is not None and (len(length) > 18 or int(length) > LONGEST_BODY):
+            self.fail(TooLong("body too long"))
+        try:
+            self.listener.head_came(self.method(), self.target.decode("latin-1"), self.headers)
+        except Garbled as error:
+            self.fail(error)
         if self.headers.get("expect", "").lower() == "100-continue":
             self.listener.body_awaited()
 
+    def method(self) -> str:
+        return self.parser.get_method().decode("latin-1")
+
     def body_too_long(self) -> NoReturn:
         self.fail(TooLong("body too long"))
 
     def on_message_complete(self) -> None:
         self.inside = False
         self.listener.request_came(
-            self.parser.get_method().decode("latin-1"),
+            self.method(),
             self.target.decode("latin-1"),
             self.headers,
             bytes(self.body),
--- a/ploverspoke/protocol/heads.py
+++ b/ploverspoke/protocol/heads.py
@@ -7,11 +7,14 @@
 MOST_HEADERS = 100
 LONGEST_HEAD = 16 * 1024
 LONGEST_BODY = 64 * 1024
+CHUNKING = 8  # a body in the smallest chunks takes so many bytes for each of its own
 
 
 class Garbled(Exception):
     """What came is not what the protocol promises."""
 
+    status = 400  # for a client that sent it
+
 
 P = TypeVar("P", httptools.HttpRequestParser, httptools.HttpResponseParser)
 
@@ -26,10 +29,16 @@
         self.headers: dict[str, str] = {}
         self.body = bytearray()
         self.head_size = 0
+        self.in_head = True
+        self.fed = 0  # bytes, in this message
         self.failure: Garbled | None = None
 
     def feed(self, data: memoryview) -> None:
         """Raises Garbled, after which nothing more can be read."""
+        self.fed += len(data)
+        # The parser keeps what it has of one header; a line without end would be kept without end.
+        if self.fed > 2 * LONGEST_HEAD + (0 if self.in_head else CHUNKING * self.longest_body):
+            raise Garbled("head too long" if self.in_head else "message too long")
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -50,6 +59,11 @@
         self.headers = {}
         self.body = bytearray()
         self.head_size = 0
+        self.in_head = True
+        self.fed = 0
+
+    def on_headers_complete(self) -> None:
+        self.in_head = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
         self.grow_head(len(name) + len(value))
--- a/ploverspoke/protocol/workers.py
+++ b/ploverspoke/protocol/workers.py
@@ -97,6 +97,7 @@
         super().on_message_begin()
 
     def on_headers_complete(self) -> None:
+        super().on_headers_complete()
         self.status = self.parser.get_status_code()
 
     def on_message_complete(self) -> None:
--- a/ploverspoke/routing/door.py
+++ b/ploverspoke/routing/door.py
@@ -8,17 +8,19 @@
 from ploverspoke.protocol.heads import Garbled
 from ploverspoke.transport.connections import Connection
 from ploverspoke.transport.deadlines import Deadline, Deadlines
+from ploverspoke.transport.listener import Listener
 from ploverspoke.transport.log_lines import say
 from ploverspoke.transport.slots import SlotTable
-from ploverspoke.transport.units import SECOND
+from ploverspoke.transport.units import MILLISECOND, SECOND
 
 from .router import Router
 from .submissions import Submission
 
-SLOW_CLIENT = 10 * SECOND  # for a request to come whole, or an answer to be read
+SLOW_REQUEST = 2500 * MILLISECOND  # for one to come whole, the first from the connecting on
+SPEAKS_WITHIN = 100 * MILLISECOND  # a usual client, on a new connection
+SLOW_READER = 10 * SECOND  # for an answer to be read
 LINGER = SECOND  # for a client to read why it was turned away
 MOST_AHEAD = 64 * 1024  # bytes that a client may send ahead of its answer
-BACKLOG = 512
 
 
 class ClientSession:
@@ -34,10 +36,15 @@
         self.keep = True
         self.closing = False
         self.failure: Garbled | None = None  # of the reader; told when all before it is answered
+        self.held = 0  # bytes of requests, read and not yet taken
+        self.served = False  # with an answer that is no error of its own
+        self.unwelcome = False  # beyond what we have room for
         self.idle_since = door.deadlines.now()
         self.late: Deadline | None = None
         door.sessions[connection.number] = self
+        door.unserved[connection.number] = self
         connection.user = self
+        self._watch_pace()
 
     def is_idle(self) -> bool:
         busy = self.answering or self.waiting or self.closing or self.reader.inside
@@ -56,7 +63,9 @@
             self._read_on()
 
     def connection_ended(self) -> None:
-        del self.door.sessions[self.connection.number]
+        self.door.forget(self)
+        self.door.held -= self.held
+        self.held = 0
         self.door.deadlines.call_off(self.late)
         self.closing = True
         self.waiting.clear()
@@ -75,6 +84,10 @@
     ) -> None:
         self.waiting.append((method, target, headers, body, keep_alive))
 
+    def head_came(self, method: str, target: str, headers: dict[str, str]) -> None:
+        if not target.startswith("/-/"):
+            self.door.router.check(method, target, headers)
+
     def body_awaited(self) -> None:
         if not self.answering and not self.waiting:
             self.connection.write(clients.CONTINUE)
@@ -87,9 +100,7 @@
                 self.answering = True
                 self._handle(*self.waiting.popleft())
             elif self.failure is not None:
-                self.keep = False
-                too_long = isinstance(self.failure, clients.TooLong)
-                self._answer(413 if too_long else 400, str(self.failure).encode())
+                self._answer(self.failure.status, str(self.failure).encode())
             elif len(self.connection.buffer):
                 self._feed()
             else:
@@ -101,29 +112,35 @@
             self.connection.feed(self.reader)
         except Garbled as error:
             self.failure = error
+        self._weigh()
+        if self.door.is_full():
+            self.waiting.clear()
+            self.keep = False
+            self.nacked(0)
+
+    def _weigh(self) -> None:
+        held = len(self.reader.body) if self.reader.inside else 0
+        held += sum(len(body) for _, _, _, body, _ in self.waiting)
+        self.door.held += held - self.held
+        self.held = held
 
     def _handle(
         self, method: str, target: str, headers: dict[str, str], body: bytes, keep_alive: bool
     ) -> None:
-        self.keep = keep_alive
+        self.keep = keep_alive and not self.unwelcome
+        self._weigh()
         if target.startswith("/-/"):
             self._answer_about_us(method, target)
             return
         try:
-            if clients.grade_name(target) not in self.door.router.grades:
-                self._answer(404, b"no such service grade")
-            elif method != "POST":
-                self._answer(405, b"submissions come by POST")
-            elif self.door.is_crowded():
+            take = self.door.router.take
+            submission = None if self.unwelcome else take(self, method, target, headers, body)
+            if submission is None:
                 self.nacked(0)
-            else:
-                submission = self.door.router.take(self, method, target, headers, body)
-                if submission is None:
-                    self.nacked(0)
-                elif submission.client is not None:
-                    self.submission = submission
+            elif submission.client is not None:
+                self.submission = submission
         except Garbled as error:
-            self._answer(400, str(error).encode())
+            self._answer(error.status, str(error).encode())
         except Exception:
             say(f"a request could not be taken: {traceback.format_exc()}")
             self._answer(500, b"a fault of ours")
@@ -156,7 +173,11 @@
         self.answering = False
         self.submission = None
         # Who sends what cannot be used is done with: else the same comes again, as fast as it can be sent.
-        keep = self.keep and not 400 <= status < 500 and not self.door.is_shut and not self.door.is_crowded()
+        refused = 400 <= status < 500
+        if not refused and not self.served:
+            self.served = True
+            self.door.unserved.pop(self.connection.number, None)
+        keep = self.keep and not refused and not self.door.is_shut
         self.connection.write(clients.answer(status, body, keep, come_back_after))
         self.idle_since = self.door.deadlines.now()
         if not keep:
@@ -176,6 +197,8 @@
         self.waiting.clear()
         buffer = self.connection.buffer
         buffer.read(len(buffer))
+        if isinstance(self.failure, clients.TooLong):
+            self.connection.hold_reading(True)  # it may have much more to send
         self.connection.finish()
         self.door.deadlines.call_off(self.late)
         self.late = self.door.deadlines.at(self.door.deadlines.now() + LINGER, self.connection.abort)
@@ -190,52 +213,78 @@
         """A client that neither sends its request whole nor reads its answer is not waited for forever."""
         if self.closing:
             return
-        slow = self.connection.unsent or (self.reader.inside and not self.answering)
-        if not slow:
+        awaited = (self.reader.inside or not self.served) and not self.answering
+        if not awaited and not self.connection.unsent:
             self.door.deadlines.call_off(self.late)
             self.late = None
         elif self.late is None:
-            self.late = self.door.deadlines.at(self.door.deadlines.now() + SLOW_CLIENT, self._too_slow)
+            # Set once: what comes in drips renews nothing.
+            span = SLOW_REQUEST if awaited else SLOW_READER
+            self.late = self.door.deadlines.at(self.door.deadlines.now() + span, self._too_slow)
 
     def _too_slow(self) -> None:
-        if self.connection.unsent:
+        if self.connection.unsent or not self.reader.target:
             self.connection.abort()
         elif not self.answering:
-            self.keep = False
             self._answer(408, b"the request did not come whole")
 
 
 class Door:
     def __init__(
-        self, loop: asyncio.AbstractEventLoop, deadlines: Deadlines, router: Router, most_sessions: int
+        self,
+        loop: asyncio.AbstractEventLoop,
+        deadlines: Deadlines,
+        router: Router,
+        most_sessions: int,
+        most_buffered: int,
     ) -> None:
         self.loop = loop
         self.deadlines = deadlines
         self.router = router
         self.most_sessions = most_sessions
+        self.most_buffered = most_buffered
+        self.held = 0  # bytes of requests that are not yet taken
         self.connections: SlotTable[Connection] = SlotTable()
         self.sessions: dict[int, ClientSession] = {}  # by their connection's number
+        self.unserved: dict[int, ClientSession] = {}  # those that nothing good came from yet, oldest first
         self.leaving = False
         self.is_shut = False
-        self.server: asyncio.Server | None = None
-
-    async def open(self, host: str, port: int) -> None:
-        self.server = await self.loop.create_server(
-            lambda: Connection(self.connections, self._came), host, port, backlog=BACKLOG, reuse_address=True
+        self.listener = Listener(
+            loop, deadlines, lambda: Connection(self.connections, self._came), self._has_room
         )
 
-    def is_crowded(self) -> bool:
-        return len(self.sessions) > self.most_sessions
+    def _has_room(self, coming: int) -> bool:
+        """Room to take one more, be it to tell it that there is none."""
+        return len(self.sessions) + coming < self.most_sessions * 8 // 7 or self._make_room()
+
+    def _make_room(self) -> bool:
+        """Those that said nothing for a while make way first, the oldest before others; then idle ones."""
+        silent_since = self.deadlines.now() - SPEAKS_WITHIN
+        found = next((s for s in self.unserved.values() if not s.answering), None)
+        if found is None:
+            idle = (s for s in self.sessions.values() if s.served and s.is_idle())
+            found = min(idle, key=lambda s: s.idle_since, default=None)
+        elif found.idle_since > silent_since:
+            return False
+        if found is None:
+            return False
+        self.forget(found)
+        found.closing = True
+        found.connection.close()
+        return True
+
+    def forget(self, session: ClientSession) -> None:
+        self.sessions.pop(session.connection.number, None)
+        self.unserved.pop(session.connection.number, None)
+
+    def is_full(self) -> bool:
+        return self.held + self.router.body_bytes > self.most_buffered
 
     def _came(self, connection: Connection) -> None:
         newest = ClientSession(self, connection)
-        if self.is_crowded():
-            idle = (s for s in self.sessions.values() if s.is_idle() and s is not newest)
-            longest = min(idle, key=lambda s: s.idle_since, default=None)
-            if longest is None:
-                say(f"{len(self.sessions)} client connections and none idle: answering with nacks")
-            else:
-                longest.leave()
+        if len(self.sessions) > self.most_sessions and not self._make_room():
+            say(f"{len(self.sessions)} client connections and none idle: turning the newest away")
+            newest.unwelcome = True
 
     def leave(self) -> None:
         """Say that we are not ready for new clients; what comes is still taken."""
@@ -246,8 +295,7 @@
         if self.is_shut:
             return
         self.is_shut = True
-        if self.server is not None:
-            self.server.close()
+        self.listener.close()
         for session in self.sessions.values():
             session.leave()
 
--- a/ploverspoke/routing/router.py
+++ b/ploverspoke/routing/router.py
@@ -27,8 +27,8 @@
 from .submissions import Client, Submission
 
 PROBE_TIME_OUT = 250 * MILLISECOND
+IDS_KEPT = 4096  # of the latest submissions
 LONGEST_HOLD = 20 * SECOND  # of one call of the watch
-MOST_BODY_BYTES = 32 * 1024 * 1024  # of submissions held at once
 ANSWER_EARLY = 20 * MILLISECOND  # than the client gives up
 
 Event = Callable[..., None]
@@ -105,6 +105,8 @@
         self.addresses: dict[str, str] = {}
         self.submissions: SlotTable[Submission] = SlotTable()
         self.body_bytes = 0
+        self.ids: set[str] = set()
+        self.latest_ids: deque[str] = deque()
         self.events: deque[tuple[Event, tuple[Any, ...]]] = deque()
         self.telling = False
         self.loop = loop
@@ -116,24 +118,37 @@
 
     # ---- From clients ----
 
+    def check(self, method: str, target: str, headers: dict[str, str]) -> None:
+        """Whether a request with this head can be taken at all. Raises Garbled."""
+        if clients.grade_name(target) not in self.grades:
+            raise clients.UnknownGrade("no such service grade")
+        if method != "POST":
+            raise clients.WrongMethod("submissions come by POST")
+        if not headers.get("request-id"):
+            raise Garbled("request-id is missing")
+        if headers["request-id"] in self.ids:
+            raise clients.IdInUse("request-id is in use")
+        for read in (clients.patience, clients.slots, clients.work_hint):
+            read(headers)
+
     def take(
         self, client: Client, method: str, target: str, headers: dict[str, str], body: bytes
     ) -> Submission | None:
         """Take a submission; None where there is no room for one more. Raises Garbled."""
+        self.check(method, target, headers)
         grade = self.grades[clients.grade_name(target)]
-        if not headers.get("request-id"):
-            raise Garbled("request-id is missing")
         longest: int = self.orders["abandon_time"][grade]
         stated = clients.patience(headers)
         patience = longest if stated is None else min(stated, longest)
         slots, hint = clients.slots(headers), clients.work_hint(headers)
-        if len(self.submissions) >= self.orders["most_open"] or self.body_bytes > MOST_BODY_BYTES:
+        if len(self.submissions) >= self.orders["most_open"]:
             return None
         # What waited for us to be read, and the way back, are time that the client has not.
         abandon_at = self.now() + patience - min(ANSWER_EARLY, patience // 10)
         submission = Submission(client, grade, method, target, headers, body, abandon_at)
         submission.number = self.submissions.add(submission)
         self.body_bytes += len(body)
+        self._remember(submission.request_id)
         # The decisions answer in time; this guards the client against a fault in them.
         submission.last_answer = self.deadlines.at(abandon_at, partial(self._overdue, submission))
         self.tell(
@@ -149,6 +164,13 @@
         )
         return submission
 
+    def _remember(self, request_id: str) -> None:
+        """Of those that have ended, too: a copy may come when the first is just answered."""
+        self.ids.add(request_id)
+        self.latest_ids.append(request_id)
+        if len(self.latest_ids) > IDS_KEPT and len(self.latest_ids) > 2 * len(self.submissions):
+            self.ids.discard(self.latest_ids.popleft())
+
     def client_left(self, submission: Submission) -> None:
         if submission.client is not None:
             self._close(submission)
--- /dev/null
+++ b/ploverspoke/transport/listener.py
@@ -0,0 +1,79 @@
+"""Takes connections at one address, a few in each turn of the loop."""
+
+import asyncio
+import socket
+from collections.abc import Callable
+
+from .connections import Connection
+from .deadlines import Deadlines
+from .log_lines import say
+from .units import MILLISECOND
+
+BACKLOG = 512
+AT_ONCE = 8  # what these say is read before more are taken: many at once would push each other out
+PAUSE = 10 * MILLISECOND  # where there is no room for one more
+
+
+class Listener:
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        deadlines: Deadlines,
+        make: Callable[[], Connection],
+        may_take: Callable[[int], bool],  # given how many are on their way up
+    ) -> None:
+        self.loop = loop
+        self.deadlines = deadlines
+        self.make = make
+        self.may_take = may_take
+        self.socket: socket.socket | None = None
+        self.seating: set[asyncio.Task[None]] = set()
+
+    def open(self, host: str, port: int) -> None:
+        listening = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET)
+        listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listening.setblocking(False)
+        listening.bind((host, port))
+        listening.listen(BACKLOG)
+        self.socket = listening
+        self.loop.add_reader(listening, self._take_some)
+
+    def close(self) -> None:
+        listening, self.socket = self.socket, None
+        if listening is not None:
+            self.loop.remove_reader(listening)
+            listening.close()
+
+    def _take_some(self) -> None:
+        for _ in range(AT_ONCE):
+            if self.socket is None:
+                return
+            if not self.may_take(len(self.seating)):
+                self._pause(self.socket)
+                return
+            try:
+                accepted, _ = self.socket.accept()
+            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+                return
+            except OSError as error:
+                say(f"a connection could not be taken: {error.strerror}")
+                self._pause(self.socket)
+                return
+            task = self.loop.create_task(self._seat(accepted))
+            self.seating.add(task)
+            task.add_done_callback(self.seating.discard)
+
+    async def _seat(self, accepted: socket.socket) -> None:
+        try:
+            await self.loop.connect_accepted_socket(self.make, accepted)
+        except OSError:
+            accepted.close()
+
+    def _pause(self, listening: socket.socket) -> None:
+        """The others wait in the kernel's queue."""
+        self.loop.remove_reader(listening)
+        self.deadlines.at(self.deadlines.now() + PAUSE, self._go_on)
+
+    def _go_on(self) -> None:
+        if self.socket is not None:
+            self.loop.add_reader(self.socket, self._take_some)
--- a/tests/test_briefing.py
+++ b/tests/test_briefing.py
@@ -31,7 +31,8 @@
 def test_what_is_left_out_gets_its_default(tmp_path: Path) -> None:
     briefing = read(GOOD, tmp_path)
     assert briefing.listen == ("127.0.0.1", 8081) and briefing.seed == 0x8C1F30D27A5BE964
-    assert briefing.sockets == 4096 and briefing.orders["idle_limit"] == 30_000_000_000
+    assert briefing.sockets == 4096 and briefing.memory == 2048 * 1024 * 1024
+    assert briefing.orders["idle_limit"] == 30_000_000_000
     assert briefing.orders["repeat"] == ["redoable", "irreversible"]
     less = {key: value for key, value in GOOD.items() if key not in ("listen", "limits", "name")}
     briefing = read(less, tmp_path, RELAY_LISTEN="127.0.0.1:99", RELAY_NAME="n4")
@@ -46,6 +47,8 @@
         (["discovery"], None, "discovery"),
         (["seed"], "xyz", "seed is 'xyz'"),
         (["limits", "sockets"], 3, "limits.sockets is 3"),
+        (["limits", "memory_mb"], 8, "limits.memory_mb is 8"),
+        (["known"], {"version": 1, "full": True, "servers": [3]}, "an entry of the list is no object"),
         (["limits", "sockets"], "many", "limits.sockets is 'many'"),
         (["limits", "sockets"], float("nan"), "limits.sockets is nan"),
         (["known"], 4, "known is 4"),
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -44,6 +44,9 @@
         self.requests: list[tuple[str, bytes, bool]] = []
         self.said: list[Any] = []
 
+    def head_came(self, method: str, target: str, headers: Any) -> None:
+        pass
+
     def request_came(self, method: str, target: str, headers: Any, body: bytes, keep_alive: bool) -> None:
         self.requests.append((target, body, keep_alive))
 
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -58,7 +58,7 @@
         self.servers: list[asyncio.Server] = []
         self.told: list[tuple[asyncio.StreamReader, asyncio.StreamWriter]] = []  # who calls discovery
 
-    async def start(self, workers: int, sockets: int = 256, **settings: Any) -> None:
+    async def start(self, workers: int, sockets: int = 256, memory_mb: int = 64, **settings: Any) -> None:
         discovery = await self.surround(workers)
         told = {**SETTINGS, **settings}
         self.service = Service(
@@ -69,13 +69,14 @@
                 discovery,
                 1,
                 sockets,
+                memory_mb * 1024 * 1024,
                 {"version": 1, "full": True, "servers": self.entries},
                 standing_orders(told),
                 names(told),
             ),
         )
         self.running = asyncio.create_task(self.service.run())
-        while self.service.door.server is None:
+        while self.service.door.listener.socket is None or not self.watches:
             await asyncio.sleep(0.001)
 
     async def surround(self, workers: int) -> str:
@@ -284,6 +285,94 @@
     play(script)
 
 
+@pytest.mark.parametrize(
+    ("said", "status"),
+    [
+        # The rest of each never comes: they are refused by their heads.
+        (b"POST /look HTTP/1.1\r\nRequest-Id: 1\r\nContent-Length: 60000000\r\n\r\n" + b"x" * 70_000, 413),
+        (b"POST /look HTTP/1.1\r\nRequest-Id: 1\r\nContent-Length: 99999999999999999999\r\n\r\n", 400),
+        (b"POST /unknown HTTP/1.1\r\nRequest-Id: 1\r\nContent-Length: 9\r\n\r\n", 404),
+        (b"POST /look HTTP/1.1\r\nContent-Length: 9\r\n\r\n", 400),
+        (b"POST /look HTTP/1.1\r\nRequest-Id: taken\r\nContent-Length: 9\r\n\r\n", 409),
+        (b"POST /look HTTP/1.1\r\nRequest-Id: 1\r\nRequest-Timeout-Ms: x\r\nContent-Length: 9\r\n\r\n", 400),
+        (
+            b"POST /look HTTP/1.1\r\nContent-Length: 9\r\nTransfer-Encoding:chunked\r\nRequest-Id:1\r\n\r\n",
+            400,
+        ),
+        (b"POST /look HTTP/1.1\r\nRequest-Id: 1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n", 400),
+        (b"POST /look HTTP/1.1\r\nA: " + b"b" * 300_000, 400),  # was kept, as long as it came
+    ],
+)
+def test_bad_requests_are_refused_early_and_nothing_is_sent_on(said: bytes, status: int) -> None:
+    async def script(world: World) -> None:
+        world.behave = {"w0": say_nothing, "w1": say_nothing}
+        first = asyncio.create_task(world.ask(world.request("taken")))
+        await asyncio.sleep(0.05)
+        assert (await asyncio.wait_for(world.ask(said), 1))[0] == status
+        assert {request for _, request in world.sent} == {"taken"}
+        await first
+
+    play(script)
+
+
+def test_who_says_nothing_or_dawdles_is_sent_off_and_the_served_stay() -> None:
+    # A new connection that said nothing stayed for good, a started request for 10 s.
+    async def script(world: World) -> None:
+        kept_reader, kept = await world.connect()
+        kept.write(world.request("first"))
+        await message(kept_reader)
+        silent, _ = await world.connect()
+        half, half_writer = await world.connect()
+        drip, drip_writer = await world.connect()
+        half_writer.write(world.request("half")[:-1])
+        started = asyncio.get_running_loop().time()
+        for byte in b"POST /look HTTP/1.1\r\nRequest-Id":
+            if drip.at_eof() or drip._buffer:  # type: ignore[attr-defined]
+                break
+            drip_writer.write(bytes([byte]))
+            await asyncio.sleep(0.1)
+        assert await asyncio.wait_for(silent.read(), 1) == b""
+        assert (await asyncio.wait_for(half.read(), 1)).startswith(b"HTTP/1.1 408")
+        assert (await asyncio.wait_for(drip.read(), 1)).startswith(b"HTTP/1.1 408")
+        assert asyncio.get_running_loop().time() - started < 3
+        kept.write(world.request("second"))
+        assert (await message(kept_reader))[0] == "HTTP/1.1 200 OK"
+        kept.close()
+
+    play(script)
+
+
+def test_hundreds_of_silent_clients_push_nobody_out() -> None:
+    async def script(world: World) -> None:
+        kept_reader, kept = await world.connect()
+        kept.write(world.request("first"))
+        await message(kept_reader)
+        silent = [asyncio.create_task(world.connect()) for _ in range(300)]
+        await asyncio.sleep(0.3)
+        assert (await world.ask(world.request("new")))[0] == 200
+        kept.write(world.request("second"))
+        assert (await message(kept_reader))[0] == "HTTP/1.1 200 OK"
+        assert len(world.service.door.sessions) <= world.service.door.most_sessions * 8 // 7
+        for _, writer in await asyncio.gather(*silent):
+            writer.close()
+        kept.close()
+
+    play(script, sockets=128)
+
+
+def test_bodies_beyond_the_memory_are_nacked() -> None:
+    async def script(world: World) -> None:
+        world.behave = {"w0": say_nothing, "w1": say_nothing}
+        held = [asyncio.create_task(world.ask(world.request(f"r{n}", body=b"x" * 65536))) for n in range(80)]
+        await asyncio.sleep(0.3)
+        door = world.service.door
+        assert door.held + door.router.body_bytes <= door.most_buffered + 65536
+        assert {status for status, _, _ in await asyncio.gather(*held)} == {503}
+        assert not door.held and not door.router.body_bytes
+
+    play(script, memory_mb=32)
+
+
 def test_what_a_worker_rejects_is_final_and_blames_no_worker() -> None:
     # Each sent such a job to one worker after the other, and their errors set them aside.
     async def script(world: World) -> None:
