--- a/ploverspoke/routing/door.py
+++ b/ploverspoke/routing/door.py
@@ -17,7 +17,7 @@
 from .submissions import Submission
 
 SLOW_REQUEST = 2500 * MILLISECOND  # for one to come whole, the first from the connecting on
-SPEAKS_WITHIN = 100 * MILLISECOND  # a usual client, on a new connection
+SPEAKS_WITHIN = 20 * MILLISECOND  # a usual client, on a new connection
 SLOW_READER = 10 * SECOND  # for an answer to be read
 LINGER = SECOND  # for a client to read why it was turned away
 MOST_AHEAD = 64 * 1024  # bytes that a client may send ahead of its answer
@@ -254,17 +254,22 @@
         )
 
     def _has_room(self, coming: int) -> bool:
-        """Room to take one more, be it to tell it that there is none."""
-        return len(self.sessions) + coming < self.most_sessions * 8 // 7 or self._make_room()
+        """Room to take one more, be it to tell it that there is none; else it waits to be taken."""
+        held = len(self.sessions) + coming
+        if held < self.most_sessions or self._make_room():
+            return True
+        return self._oldest_unserved() is None and held < self.most_sessions * 8 // 7
+
+    def _oldest_unserved(self) -> ClientSession | None:
+        return next((s for s in self.unserved.values() if not s.answering), None)
 
     def _make_room(self) -> bool:
         """Those that said nothing for a while make way first, the oldest before others; then idle ones."""
-        silent_since = self.deadlines.now() - SPEAKS_WITHIN
-        found = next((s for s in self.unserved.values() if not s.answering), None)
+        found = self._oldest_unserved()
         if found is None:
             idle = (s for s in self.sessions.values() if s.served and s.is_idle())
             found = min(idle, key=lambda s: s.idle_since, default=None)
-        elif found.idle_since > silent_since:
+        elif self.deadlines.now() - found.idle_since < SPEAKS_WITHIN:
             return False
         if found is None:
             return False
@@ -282,7 +287,7 @@
 
     def _came(self, connection: Connection) -> None:
         newest = ClientSession(self, connection)
-        if len(self.sessions) > self.most_sessions and not self._make_room():
+        if len(self.sessions) > self.most_sessions:
             say(f"{len(self.sessions)} client connections and none idle: turning the newest away")
             newest.unwelcome = True
 
