--- a/ploverspoke/decisions/dispatcher.py
+++ b/ploverspoke/decisions/dispatcher.py
@@ -314,8 +314,8 @@
             self._doubt(worker, now)
         if outcome in ("satisfied", "worker_error"):
             worker.errors.append(outcome == "worker_error")
-            if outcome == "worker_error" and sum(worker.errors) >= ERRORS_BAD:
-                self._set_aside(worker, now)
+        if outcome == "worker_error" and sum(worker.errors) >= ERRORS_BAD:
+            self._set_aside(worker, now)
         if finished:
             self.open.pop(submission_id, None)
         if submission_id in self.open:
@@ -365,7 +365,8 @@
         if probed_for == "room":
             self._answered(worker, outcome, took, now)
         elif probed_for == "life" and outcome in ("unreachable", "broken_off", "timed_out"):
-            self._set_aside(worker, now, bounded=False)
+            self._set_aside(worker, now, bounded=outcome == "timed_out")
+            self._rescue(list(worker.out.values()), worker, worker.aside, now)
         elif worker.aside and outcome == "satisfied":
             self._take_back(worker)
         elif worker.aside:
@@ -407,8 +408,7 @@
         """Draw a type by exp(w); its head goes to a roomy worker, or an idle type leaves a placeholder."""
         weights = self._weights()
         shares = [exp(w) for w in weights]
-        draw = self.chance.fraction() * sum(shares)
-        drawn = 0
+        draw, drawn = self.chance.fraction() * sum(shares), 0
         while drawn < len(shares) - 1 and draw >= shares[drawn]:
             draw -= shares[drawn]
             drawn += 1
@@ -418,8 +418,8 @@
         else:
             pair = self._draw_two(job_type, now, None)
             if pair:
-                held = (job_type, now + job_type.mean_running_time())
-                self._better(pair, None).placeholders.append(held)
+                until = now + job_type.mean_running_time()
+                self._better(pair, None).placeholders.append((job_type, until))
         self._run_clock(now)
 
     def _serve(self, job_type: JobType, now: int) -> None:
@@ -508,9 +508,7 @@
                 # Drawing until two are roomy gives the same pairs as a list of all the roomy, for less work.
                 left = list(tier)
                 while left and len(found) < 2:
-                    at = self.chance.below(len(left))
-                    left[at], left[-1] = left[-1], left[at]
-                    worker = left.pop()
+                    worker = left.pop(self.chance.below(len(left)))
                     if self._is_roomy(worker, job_type, now, job):
                         found.append(worker)
             if found:
@@ -647,11 +645,8 @@
                     return
             # A report is late, so all that read it must not decide alike: the longer the wait beside what
             # the job can bear, the fewer go.
-            if (
-                self._expected_wait(best, job_type, now)
-                >= self.chance.fraction() * (job.timely_until - now)
-                > 0
-            ):
+            wait = self._expected_wait(best, job_type, now)
+            if wait >= self.chance.fraction() * (job.timely_until - now) > 0:
                 for worker in fit:
                     self._cut_room(worker, worker.running, 0, now)
                 return
@@ -875,18 +870,24 @@
             # shorter. Else a third of a merely crowded fleet is set aside, and the rest is crowded the more.
             silence = max(silence, WAIT_OVER_LATEST * max(self.start_lags[worker.listing.zone], default=0))
         silent = now - heard >= silence
-        if silent:
+        if silent and self.orders["probing_permitted"]:
+            # Silence on one connection may be that connection's: a probe tells whether it is the worker's.
+            self._doubt(worker, now)
+        elif silent:
             self._set_aside(worker, now)
-        for other in list(worker.out.values()) if silent else [job]:
-            if self._rescuable(other, worker, silent, now):
-                self.host.recall(other.id, other.hand_offs - 1)
-                other.recalled = True
+        self._rescue(list(worker.out.values()) if worker.aside else [job], worker, silent, now)
         job.look_at = now + silence if silent else heard + silence
         if not job.started_at and self._may_rescue(job):
             # In a jam all wait long: looks grow rarer with the wait, or they alone would use up our CPU.
             job.look_at = min(job.look_at, now + max(LOOK_AGAIN, (now - job.sent_at) // 4))
         self._wake(job, job.look_at)
 
+    def _rescue(self, jobs: list[Submission], worker: Worker, silent: bool, now: int) -> None:
+        for job in jobs:
+            if self._rescuable(job, worker, silent, now):
+                self.host.recall(job.id, job.hand_offs - 1)
+                job.recalled = True
+
     def _may_rescue(self, job: Submission) -> bool:
         return (
             self.orders["recall_permitted"]
--- a/ploverspoke/routing/errands.py
+++ b/ploverspoke/routing/errands.py
@@ -53,7 +53,7 @@
         self.last_byte: bytes | None = None  # not written yet
         self.until = self.deadlines.now() + time_out
         self.late = self.deadlines.at(self.until, self._too_late)
-        self.opening = pool.call(address, self, fresh)
+        self.opening = pool.call(address, self, 0 if fresh else pool.safe_rest() if in_two else None)
 
     def give_up(self) -> None:
         """Stop waiting: the connection is closed, and what was not sent yet is not sent."""
@@ -109,6 +109,8 @@
             return
         # Only what is certain to be still with us, in whole or in part, has certainly not run.
         unsent = self.last_byte is not None or (self.connection.unsent and not self.answer.status)
+        if self.cause is None and not self.answer.status:
+            self.pool.broke(self.connection)
         self.connection = self.last_byte = None
         self._end(self.cause or (End.UNSENT if unsent else End.BROKEN))
 
--- a/ploverspoke/transport/connections.py
+++ b/ploverspoke/transport/connections.py
@@ -38,6 +38,7 @@
         self.open = False
         self.unsent = False  # some of what was written is still with us
         self.reading = True
+        self.rested: int | None = None  # for so long before its present use; None: it is new
 
     # ---- What the loop calls ----
 
--- a/ploverspoke/transport/pools.py
+++ b/ploverspoke/transport/pools.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import errno
-from collections import defaultdict
+from collections import defaultdict, deque
 from typing import Protocol
 
 from .connections import Connection, ConnectionUser
@@ -10,9 +10,11 @@
 from .ends import End
 from .log_lines import say
 from .slots import SlotTable
-from .units import MILLISECOND
+from .units import MILLISECOND, SECOND
 
 KEPT_SHARE = 0.7  # of the time after which workers close an idle connection: a late use would be reset
+BREAKS_KEPT, BREAKS_TOLD = 16, 4  # of kept connections; so many of late say how long a rest is safe
+LATE_BREAK = 10 * SECOND
 DROPPED_LATE_BY = 250 * MILLISECOND  # looks for idle ones are no more frequent
 
 
@@ -114,18 +116,21 @@
         self.opening = 0
         self.resting: dict[str, list[tuple[int, int]]] = defaultdict(list)  # number and since, by address
         self.sweep: Deadline | None = None
+        self.breaks: deque[tuple[int, int]] = deque(maxlen=BREAKS_KEPT)  # when, and after how long a rest
 
     def make(self) -> Connection:
         return Connection(self.connections)
 
-    def call(self, address: str, caller: Caller, fresh: bool = False) -> Opening | None:
-        """Give the caller a connection there: at once where one rests, else (or if fresh) when it is up."""
-        resting = None if fresh else self.resting.get(address)
-        while resting:
+    def call(self, address: str, caller: Caller, longest_rest: int | None = None) -> Opening | None:
+        """Give the caller a connection there: one that rested, for no longer than it may, or a new one."""
+        now = self.deadlines.now()
+        resting = self.resting.get(address)
+        while resting and (longest_rest is None or now - resting[-1][1] < longest_rest):
             number, since = resting.pop()  # the latest used
             connection = self.connections.get(number)
-            if connection is not None and self.deadlines.now() - since < self.keep_for:
+            if connection is not None and now - since < self.keep_for:
                 connection.user = caller
+                connection.rested = now - since
                 caller.connected(connection)
                 return None
             self._close(number)
@@ -135,6 +140,20 @@
         self.opening += 1
         return Opening(self, address, caller, self.connect_time_out)
 
+    def broke(self, connection: Connection) -> None:
+        """It broke under a request, unanswered."""
+        if connection.rested is not None:
+            self.breaks.append((self.deadlines.now(), connection.rested))
+
+    def safe_rest(self) -> int | None:
+        """How long a connection may have rested for what must not be lost with it; None: as long as any.
+
+        Workers, or what stands between, may drop resting ones unseen, long before the limit that we are told.
+        """
+        late = self.deadlines.now() - LATE_BREAK
+        rests = sorted(rested for when, rested in self.breaks if when > late)
+        return rests[len(rests) // 4] // 2 if len(rests) >= BREAKS_TOLD else None
+
     def held(self) -> int:
         """Sockets that are open or on their way up."""
         return len(self.connections) + self.opening
