--- a/ploverspoke/protocol/discovery.py
+++ b/ploverspoke/protocol/discovery.py
@@ -10,7 +10,7 @@
 from .heads import Garbled, Message, head
 from .values import is_finite, parse
 
-LONGEST_LIST = 4 * 1024 * 1024
+LONGEST_LIST = 1024 * 1024  # read, it takes ten times that
 
 
 def watch(version: int | None, hold: int, address: str) -> bytes:
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -144,3 +144,46 @@
         server.close()
 
     loop.run_until_complete(script())
+
+
+def test_what_must_not_be_lost_goes_over_no_connection_that_rested_too_long(
+    loop: asyncio.AbstractEventLoop,
+) -> None:
+    # Workers dropped resting connections long before the limit in the settings, and the job with them.
+    pool = Pool(loop, Deadlines(loop), 9, 30_000 * MS, 500 * MS)
+    dropped = Connection(pool.connections)
+    for rested in (None, 200 * MS, 300 * MS, 400 * MS):
+        dropped.rested = rested
+        pool.broke(dropped)
+    assert pool.safe_rest() is None, "three breaks may be chance"
+    dropped.rested = 500 * MS
+    pool.broke(dropped)
+    assert pool.safe_rest() == 150 * MS
+
+    async def script() -> None:
+        async def hold(reader: Any, writer: Any) -> None:
+            await reader.read()
+            writer.close()
+
+        server = await asyncio.start_server(hold, "127.0.0.1", 0)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+
+        async def call(longest_rest: int | None) -> Connection:
+            caller = Caller()
+            pool.call(address, caller, longest_rest)
+            while caller.connection is None:
+                await asyncio.sleep(0.001)
+            return caller.connection
+
+        first = await call(None)
+        pool.rest(address, first)
+        assert await call(pool.safe_rest()) is first
+        pool.rest(address, first)
+        await asyncio.sleep(0.2)
+        assert await call(pool.safe_rest()) is not first and await call(None) is first
+        for connection in pool.connections:
+            connection.abort()
+        server.close()
+        await asyncio.sleep(0.01)
+
+    loop.run_until_complete(script())
