--- a/ploverspoke/routing/door.py
+++ b/ploverspoke/routing/door.py
@@ -37,7 +37,7 @@
         self.closing = False
         self.failure: Garbled | None = None  # of the reader; told when all before it is answered
         self.held = 0  # bytes of requests, read and not yet taken
-        self.served = False  # with an answer that is no error of its own
+        self.served = False  # a submission of its was taken
         self.unwelcome = False  # beyond what we have room for
         self.idle_since = door.deadlines.now()
         self.late: Deadline | None = None
@@ -137,8 +137,12 @@
             submission = None if self.unwelcome else take(self, method, target, headers, body)
             if submission is None:
                 self.nacked(0)
-            elif submission.client is not None:
-                self.submission = submission
+            else:
+                # Who only asks whether we are ready is not served: hundreds did, and pushed others out.
+                self.served = True
+                self.door.unserved.pop(self.connection.number, None)
+                if submission.client is not None:
+                    self.submission = submission
         except Garbled as error:
             self._answer(error.status, str(error).encode())
         except Exception:
@@ -174,9 +178,6 @@
         self.submission = None
         # Who sends what cannot be used is done with: else the same comes again, as fast as it can be sent.
         refused = 400 <= status < 500
-        if not refused and not self.served:
-            self.served = True
-            self.door.unserved.pop(self.connection.number, None)
         keep = self.keep and not refused and not self.door.is_shut
         self.connection.write(clients.answer(status, body, keep, come_back_after))
         self.idle_since = self.door.deadlines.now()
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -349,6 +349,11 @@
         await message(kept_reader)
         silent = [asyncio.create_task(world.connect()) for _ in range(300)]
         await asyncio.sleep(0.3)
+        for _ in range(60):  # that ask once and stay
+            asker = await world.connect()
+            silent.append(asyncio.create_task(asyncio.sleep(0, asker)))
+            asker[1].write(b"GET /-/ready HTTP/1.1\r\n\r\n")
+            assert (await message(asker[0]))[0] == "HTTP/1.1 200 OK"
         assert (await world.ask(world.request("new")))[0] == 200
         kept.write(world.request("second"))
         assert (await message(kept_reader))[0] == "HTTP/1.1 200 OK"
