--- a/ploverspoke/routing/router.py
+++ b/ploverspoke/routing/router.py
@@ -305,7 +305,7 @@
             partial(workers.JobAnswer, x0=self.x0, request_id=submission.request_id),
             time_out,
             hand_off,
-            in_two=self.orders["repeat"][submission.grade] != "redoable",
+            in_two=self.orders["repeat"][submission.grade] == "irreversible",
         )
 
     def recall(self, submission_id: int, hand_off: int) -> None:
