--- a/ploverspoke/routing/door.py
+++ b/ploverspoke/routing/door.py
@@ -224,7 +224,7 @@
             self.late = self.door.deadlines.at(self.door.deadlines.now() + span, self._too_slow)
 
     def _too_slow(self) -> None:
-        if self.connection.unsent or not self.reader.target:
+        if self.connection.unsent or not self.reader.inside:
             self.connection.abort()
         elif not self.answering:
             self._answer(408, b"the request did not come whole")
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -322,6 +322,8 @@
         kept.write(world.request("first"))
         await message(kept_reader)
         silent, _ = await world.connect()
+        asker, asker_writer = await world.connect()
+        asker_writer.write(b"GET /-/ready HTTP/1.1\r\n\r\n")
         half, half_writer = await world.connect()
         drip, drip_writer = await world.connect()
         half_writer.write(world.request("half")[:-1])
@@ -332,6 +334,8 @@
             drip_writer.write(bytes([byte]))
             await asyncio.sleep(0.1)
         assert await asyncio.wait_for(silent.read(), 1) == b""
+        with contextlib.suppress(ConnectionError):
+            assert (await asyncio.wait_for(asker.read(), 1)).count(b"HTTP/1.1") == 1, "no answer unasked"
         assert (await asyncio.wait_for(half.read(), 1)).startswith(b"HTTP/1.1 408")
         assert (await asyncio.wait_for(drip.read(), 1)).startswith(b"HTTP/1.1 408")
         assert asyncio.get_running_loop().time() - started < 3
