Tidied: a request's head is checked once, one way to hang up on a client

Router.take repeated the whole check that the head had passed, so each request's figures were read three times; what can change while a body comes is only whether the id is taken, and that alone is looked at again. Door._make_room wrote again what ClientSession.leave does. Two docstrings said what no longer holds.

--- a/ploverspoke/decisions/dispatcher.py
+++ b/ploverspoke/decisions/dispatcher.py
@@ -930,7 +930,7 @@
         return ("none", 0) if repeat == "irreversible" else self._group_of(job, worker)
 
     def _doubt(self, worker: Worker, now: int) -> None:
-        """A connection to it broke or did not come up.
+        """A connection to it broke, did not come up or fell silent.
 
         One break is no proof: where connections are reset now and then, each set a good worker aside until
         none was left. A probe tells, and until its answer nothing goes there; else a second break does.
--- a/ploverspoke/routing/door.py
+++ b/ploverspoke/routing/door.py
@@ -207,8 +207,11 @@
     def leave(self) -> None:
         """Close it between two requests."""
         if self.is_idle():
-            self.closing = True
-            self.connection.close()
+            self.hang_up()
+
+    def hang_up(self) -> None:
+        self.closing = True
+        self.connection.close()
 
     def _watch_pace(self) -> None:
         """A client that neither sends its request whole nor reads its answer is not waited for forever."""
@@ -275,8 +278,7 @@
         if found is None:
             return False
         self.forget(found)
-        found.closing = True
-        found.connection.close()
+        found.hang_up()
         return True
 
     def forget(self, session: ClientSession) -> None:
--- a/ploverspoke/routing/router.py
+++ b/ploverspoke/routing/router.py
@@ -126,16 +126,16 @@
             raise clients.WrongMethod("submissions come by POST")
         if not headers.get("request-id"):
             raise Garbled("request-id is missing")
-        if headers["request-id"] in self.ids:
-            raise clients.IdInUse("request-id is in use")
+        self._must_be_new(headers["request-id"])
         for read in (clients.patience, clients.slots, clients.work_hint):
             read(headers)
 
     def take(
         self, client: Client, method: str, target: str, headers: dict[str, str], body: bytes
     ) -> Submission | None:
-        """Take a submission; None where there is no room for one more. Raises Garbled."""
-        self.check(method, target, headers)
+        """Take a submission whose head was checked; None where there is no room for it. Raises Garbled."""
+        # Once more, since another with its id may have been taken while its body came.
+        self._must_be_new(headers["request-id"])
         grade = self.grades[clients.grade_name(target)]
         longest: int = self.orders["abandon_time"][grade]
         stated = clients.patience(headers)
@@ -164,6 +164,10 @@
         )
         return submission
 
+    def _must_be_new(self, request_id: str) -> None:
+        if request_id in self.ids:
+            raise clients.IdInUse("request-id is in use")
+
     def _remember(self, request_id: str) -> None:
         """Of those that have ended, too: a copy may come when the first is just answered."""
         self.ids.add(request_id)
@@ -228,7 +232,7 @@
         return version
 
     def known(self, told: Any) -> None:
-        """The list as we last had it, from what we are told at start. Raises Garbled."""
+        """The list as we last had it, from what we are told at start, where it was checked."""
         listings: list[Listing] = []
         self.roster.version, _ = discovery.enter_list(told, partial(self._enter, listings))
         self._roster_changed(listings, True)
