--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PYTHON ?= python3
 VENV = .venv/bin
 
-.PHONY: build install test lint format run ci clean
+.PHONY: build install test lint format run demo ci clean
 
 build: .venv
 	$(VENV)/python -m pip install -q -r requirements.txt
@@ -26,6 +26,10 @@
 run: build
 	exec $(VENV)/python -m ploverspoke
 
+demo: build
+	$(VENV)/python -m pip install -q -e '.[testbed]'
+	$(VENV)/ploverspoke demo
+
 ci:
 	bash .ci/run
 
--- a/ploverspoke/__main__.py
+++ b/ploverspoke/__main__.py
@@ -1,7 +1,12 @@
-"""Starts a real dispatcher."""
+"""Starts a real dispatcher; with words on the command line, whatever they ask for."""
 
 import sys
 
-from .program.service import main
+if len(sys.argv) > 1:
+    from .cli import main as command_line
 
-sys.exit(main())
+    command_line(prog_name="ploverspoke")
+else:
+    from .program.service import main
+
+    sys.exit(main())
--- /dev/null
+++ b/ploverspoke/cli.py
@@ -0,0 +1,107 @@
+"""The command line. The platform starts `python -m ploverspoke` without words and sees none of this."""
+
+import importlib
+import os
+import sys
+from importlib.metadata import PackageNotFoundError, version
+from pathlib import Path
+
+import click
+
+LATER = {  # commands whose packages are imported only when they are called
+    "testbed": (
+        "ploverspoke.testbed.commands",
+        "testbed",
+        "Experiments with the dispatcher on virtual time or sockets.",
+    ),
+    "demo": ("ploverspoke.testbed.demo", "demo", "See it work: workers, dispatchers and load on free ports."),
+}
+
+
+class Commands(click.Group):
+    def list_commands(self, ctx: click.Context) -> list[str]:
+        return sorted([*super().list_commands(ctx), *LATER])
+
+    def get_command(self, ctx: click.Context, cmd_name: str) -> click.Command | None:
+        if cmd_name not in LATER:
+            return super().get_command(ctx, cmd_name)
+        module, name, _ = LATER[cmd_name]
+        try:
+            found = getattr(importlib.import_module(module), name)
+        except ModuleNotFoundError as error:
+            if (error.name or "").startswith("ploverspoke"):
+                raise
+            raise click.ClickException(
+                f"{cmd_name} needs {error.name}: install ploverspoke[testbed]"
+            ) from None
+        assert isinstance(found, click.Command)
+        return found
+
+    def format_commands(self, ctx: click.Context, formatter: click.HelpFormatter) -> None:
+        """Told from here, so that help imports nothing."""
+        told = {name: text for name, (_, _, text) in LATER.items()}
+        told |= {name: command.get_short_help_str(80) for name, command in self.commands.items()}
+        with formatter.section("Commands"):
+            formatter.write_dl(sorted(told.items()))
+
+
+def _version() -> str:
+    try:
+        return version("ploverspoke")
+    except PackageNotFoundError:
+        return "not installed"
+
+
+@click.group(cls=Commands, context_settings={"help_option_names": ["-h", "--help"]})
+@click.version_option(_version(), prog_name="ploverspoke")
+def main() -> None:
+    """A dispatcher that runs beside each submitter and pushes jobs to workers.
+
+    Start with `ploverspoke demo`. `ploverspoke serve` runs one dispatcher; `ploverspoke check` looks at its
+    configuration first.
+    """
+
+
+CONFIG = click.argument(
+    "configuration", type=click.Path(exists=True, dir_okay=False, path_type=Path), envvar="RELAY_CONFIG"
+)
+
+
+@main.command()
+@CONFIG
+def serve(configuration: Path) -> None:
+    """Run a dispatcher with this CONFIGURATION (or that of RELAY_CONFIG) until SIGTERM.
+
+    SIGHUP reads the configuration again. Exit 0: told to end. 2: the configuration is wrong, and its key is
+    named.
+    """
+    from ploverspoke.program.service import main as service
+
+    os.environ["RELAY_CONFIG"] = str(configuration)
+    sys.exit(service())
+
+
+@main.command()
+@CONFIG
+def check(configuration: Path) -> None:
+    """Check a CONFIGURATION (or that of RELAY_CONFIG) without starting anything.
+
+    Exit 0: it can be used, and what it says is shown. 2: it cannot, and the key is named.
+    """
+    from ploverspoke.program.briefing import read_briefing
+    from ploverspoke.program.checked import BadKey
+
+    os.environ["RELAY_CONFIG"] = str(configuration)
+    try:
+        briefing = read_briefing(os.environ)
+    except BadKey as error:
+        click.echo(f"ploverspoke: {error}", err=True)
+        sys.exit(2)
+    orders = briefing.orders
+    address = ":".join(map(str, briefing.listen))
+    click.echo(f"{briefing.name} would listen on {address}, discovery {briefing.discovery}")
+    click.echo(f"limits: {briefing.sockets} descriptors, {briefing.memory >> 20} MiB")
+    for number, grade in enumerate(briefing.names["grades"]):
+        expected, abandon = orders["expected_time"][number] / 1e9, orders["abandon_time"][number] / 1e9
+        repeat = orders["repeat"][number]
+        click.echo(f"grade {grade}: {repeat}, expected in {expected:g} s, abandoned at {abandon:g} s")
--- /dev/null
+++ b/ploverspoke/testbed/baselines.py
@@ -0,0 +1,220 @@
+"""Policies to compare with, behind the same Host as the decisions. Never in the product's path.
+
+They share one frame: a submission goes to a worker at once, again where its grade allows that, and is
+nacked or
+abandoned when it may go nowhere. They differ in the choice of the worker only. The names stand in `POLICIES`.
+"""
+
+from collections.abc import Callable, Iterable, Mapping
+from typing import Any
+
+from ploverspoke.decisions.dispatcher import NEVER_RAN, Chance, Dispatcher
+from ploverspoke.decisions.host import Host, Listing, StandingOrders
+
+SECOND = 1_000_000_000
+TrueLoad = Callable[[str], float]
+
+
+class Open:
+    """One submission taken and not yet answered."""
+
+    def __init__(self, submission: int, grade: int, slots: float, abandon_at: int) -> None:
+        self.id = submission
+        self.grade = grade
+        self.slots = slots
+        self.abandon_at = abandon_at
+        self.hand_offs = 0
+        self.at = ""
+        self.may_have_run: str = ""  # where it first may have
+        self.bound_until = 0
+        self.failed_at: list[str] = []
+
+
+class Baseline:
+    """The frame; `choose` says which of the workers that may be sent to."""
+
+    def __init__(
+        self, host: Host, seed: int, orders: StandingOrders, true_load: TrueLoad | None = None
+    ) -> None:
+        self.host = host
+        self.orders = orders
+        self.chance = Chance(seed)
+        self.true_load = true_load
+        self.workers: dict[str, Listing] = {}
+        self.in_flight: dict[str, float] = {}
+        self.open: dict[int, Open] = {}
+        self.turn = 0
+        self.failures = 0
+        if orders["roster_must_be_asked"]:
+            host.watch_roster()
+
+    def choose(self, among: list[str]) -> str:
+        raise NotImplementedError
+
+    # ---- What can happen ----
+
+    def submission_arrived(
+        self,
+        submission_id: int,
+        grade: int,
+        slots: float,
+        abandon_at: int,
+        customer: int,
+        work_hint: int,
+        subject: str,
+        is_retry: bool,
+    ) -> None:
+        job = self.open[submission_id] = Open(submission_id, grade, slots, abandon_at)
+        self.send(job)
+
+    def hand_off_started(self, submission_id: int, hand_off: int) -> None: ...
+
+    def hand_off_progressed(self, submission_id: int, hand_off: int, share_done: float) -> None: ...
+
+    def answer_begun(self, submission_id: int, hand_off: int) -> None: ...
+
+    def hand_off_ended(
+        self,
+        submission_id: int,
+        hand_off: int,
+        worker_name: str,
+        outcome: str,
+        took: int,
+        finished: bool,
+        load: Mapping[str, float] | None,
+    ) -> None:
+        job = self.open.get(submission_id)
+        if job is None or hand_off != job.hand_offs - 1:
+            return
+        self.in_flight[worker_name] -= job.slots
+        if finished:
+            del self.open[submission_id]
+            return
+        job.failed_at.append(worker_name)
+        if outcome not in NEVER_RAN and not job.may_have_run:
+            job.may_have_run = worker_name
+            job.bound_until = self.host.now() - took + self.orders["repeat_window"][job.grade]
+        self.send(job)
+
+    def client_left(self, submission_id: int) -> None:
+        job = self.open.get(submission_id)
+        if job is not None and not job.at:
+            del self.open[submission_id]
+
+    def roster_complete(self, listings: Iterable[Listing]) -> None:
+        self.failures = 0
+        self.workers.clear()
+        self.roster_changed(listings)
+
+    def roster_changed(self, listings: Iterable[Listing]) -> None:
+        self.failures = 0
+        for listing in listings:
+            self.workers[listing.worker] = listing
+            self.in_flight.setdefault(listing.worker, 0.0)
+
+    def roster_lost(self) -> None:
+        self.failures += 1
+        self.host.wake_at(0, self.host.now() + SECOND // 4 * min(8, self.failures))
+
+    def probe_answered(
+        self, worker_name: str, outcome: str, took: int, load: Mapping[str, float] | None
+    ) -> None: ...
+
+    def woken(self, token: int) -> None:
+        self.host.watch_roster()
+
+    # ---- Inside ----
+
+    def send(self, job: Open) -> None:
+        now = self.host.now()
+        among = self._allowed(job, now)
+        if not among or job.hand_offs >= self.orders["most_hand_offs"]:
+            self._finish(job)
+            return
+        fresh = [w for w in among if w not in job.failed_at]
+        worker = self.choose(fresh or among)
+        job.hand_offs += 1
+        job.at = worker
+        self.in_flight[worker] += job.slots
+        self.host.hand_off(job.id, worker, job.abandon_at - self.orders["round"] - now)
+
+    def _allowed(self, job: Open, now: int) -> list[str]:
+        if now >= job.abandon_at - self.orders["round"]:
+            return []
+        kind = self.orders["machine_kind_needed"][job.grade]
+        among = [
+            w
+            for w, shown in self.workers.items()
+            if shown.condition == "ready" and kind in (-1, shown.machine_kind)
+        ]
+        repeat = self.orders["repeat"][job.grade]
+        if not job.may_have_run or repeat == "redoable":
+            return among
+        if repeat == "irreversible" or now >= job.bound_until:
+            return []
+        return [w for w in among if self._same_group(job, w)]
+
+    def _same_group(self, job: Open, worker: str) -> bool:
+        group = self.orders["repeat_group"][job.grade]
+        first, other = self.workers.get(job.may_have_run), self.workers[worker]
+        if group == "all":
+            return True
+        return first is not None and (
+            first.zone == other.zone if group == "zone" else first.rack == other.rack
+        )
+
+    def _finish(self, job: Open) -> None:
+        del self.open[job.id]
+        redoable = self.orders["repeat"][job.grade] == "redoable"
+        if redoable or not job.may_have_run:
+            self.host.nack(job.id, 0)
+        else:
+            self.host.abandon(job.id)
+
+
+class RandomPick(Baseline):
+    def choose(self, among: list[str]) -> str:
+        return among[self.chance.below(len(among))]
+
+
+class RoundRobin(Baseline):
+    def choose(self, among: list[str]) -> str:
+        self.turn += 1
+        return among[self.turn % len(among)]
+
+
+class TwoChoices(Baseline):
+    """Of two drawn, the one with fewer of our slots in flight."""
+
+    def choose(self, among: list[str]) -> str:
+        one, other = among[self.chance.below(len(among))], among[self.chance.below(len(among))]
+        return one if self.in_flight[one] <= self.in_flight[other] else other
+
+
+class AllSeeing(Baseline):
+    """Sees the true load of all workers at each choice, the dead and the hung among them: no dispatcher
+    can.
+    """
+
+    def choose(self, among: list[str]) -> str:
+        assert self.true_load is not None
+        start = self.chance.below(len(among))
+        return min(among[start:] + among[:start], key=self.true_load)
+
+
+class Policy(Dispatcher):
+    """The decisions themselves, which see no true load."""
+
+    def __init__(
+        self, host: Host, seed: int, orders: StandingOrders, true_load: TrueLoad | None = None
+    ) -> None:
+        super().__init__(host, seed, orders)
+
+
+POLICIES: dict[str, Callable[..., Any]] = {
+    "ours": Policy,
+    "random": RandomPick,
+    "round robin": RoundRobin,
+    "two choices": TwoChoices,
+    "all-seeing": AllSeeing,
+}
--- /dev/null
+++ b/ploverspoke/testbed/clients.py
@@ -0,0 +1,187 @@
+"""Clients, without I/O: they hand in what the schedule says when it says so, however long answers take.
+
+A submission that is nacked is tried again as the experiment tells, elsewhere, for as long as the first try's
+abandon time lasts; an irreversible one also, since a nack promises that it did not run. One whose
+connection broke or that was abandoned is tried again only where that is harmless.
+"""
+
+from collections.abc import Callable, Sequence
+
+from . import records
+from .chances import Draws, Streams
+from .clock import AnyTimer, Clock
+from .experiment import Experiment
+from .records import Records
+from .schedule import Job
+from .spans import MILLISECOND
+
+LATE = 5 * MILLISECOND  # a first try that goes out later than this is the generator's fault, and is told
+LEAST_PATIENCE = 5 * MILLISECOND
+
+
+class Request:
+    """One submission: one try of one job."""
+
+    __slots__ = (
+        "abandon_at",
+        "connection",
+        "dispatcher",
+        "id",
+        "job",
+        "label",
+        "over",
+        "sent_at",
+        "timers",
+        "tries",
+    )
+
+    def __init__(
+        self, job: Job, tries: int, dispatcher: int, sent_at: int, abandon_at: int, labelled: bool
+    ) -> None:
+        self.job = job
+        self.tries = tries  # before this one
+        self.id = f"{job.number:x}-{tries}"
+        self.label = f"{job.number:x}" if labelled else ""
+        self.dispatcher = dispatcher
+        self.sent_at = sent_at
+        self.abandon_at = abandon_at
+        self.over = False
+        self.timers: list[AnyTimer] = []
+        self.connection: object = None  # the driver's
+
+
+class Clients:
+    def __init__(
+        self,
+        e: Experiment,
+        seed: int,
+        jobs: Sequence[Job],
+        clock: Clock,
+        records_: Records,
+        send: Callable[[Request], None],
+        close: Callable[[Request], None],
+        part: int = 0,
+    ) -> None:
+        """`send` carries one submission; `close` ends the connection of one that is not waited for any
+        more.
+        """
+        self.e = e
+        self.jobs = jobs
+        self.clock = clock
+        self.records = records_
+        self.send = send
+        self.close = close
+        streams = Streams(seed)
+        self.draws: Draws = streams.draws(f"clients {part}")
+        self.waits = streams.generator(f"retry waits {part}")
+        self.next = 0
+        self.out = 0
+        self.latest = 0  # by which the worst first try was behind
+
+    def start(self) -> None:
+        self._plan_next()
+
+    def _plan_next(self) -> None:
+        if self.next < len(self.jobs):
+            self.clock.at(self.jobs[self.next].at, self._first_tries)
+
+    def _first_tries(self) -> None:
+        """All that are due; a loop that was held up catches up, and says by how much it was late."""
+        now = self.clock.now()
+        while self.next < len(self.jobs) and self.jobs[self.next].at <= now:
+            job = self.jobs[self.next]
+            self.next += 1
+            behind = now - job.at
+            if behind > max(LATE, self.latest):
+                self.latest = behind
+                self.records.add(now, records.BEHIND, job=job.number, detail=behind)
+            # Waits count from when it was due, not from when we got round to it.
+            self._try(job, 0, job.dispatcher, job.at)
+        self._plan_next()
+
+    def _try(self, job: Job, tries: int, dispatcher: int, first_sent: int) -> None:
+        now = self.clock.now()
+        grade = self.e.grades[job.grade]
+        abandon_at = first_sent + grade.abandon_time
+        labelled = grade.repeat == "labelled"
+        request = Request(job, tries, dispatcher, now, abandon_at, labelled)
+        self.records.add(
+            now,
+            records.SENT,
+            request.id,
+            job.number,
+            dispatcher,
+            detail=[job.grade, tries, abandon_at, first_sent],
+        )
+        self.out += 1
+        request.timers.append(self.clock.at(abandon_at + 50 * MILLISECOND, self._unanswered, request))
+        if job.leaves_after and not tries:
+            request.timers.append(self.clock.at(first_sent + job.leaves_after, self._leave, request))
+        self.send(request)
+
+    # ---- What the driver says ----
+
+    def taken(self, request: Request) -> None:
+        if not request.over:
+            self._note(records.TAKEN, request)
+
+    def answered(self, request: Request, how: str, come_back_after: int = 0) -> None:
+        """Satisfied, nacked, abandoned, rejected, or broken: the connection ended without an answer."""
+        if request.over:
+            # What comes after an answer is for the auditor.
+            self._note(records.ANSWERED, request, how)
+            return
+        self._end(request)
+        self._note(records.ANSWERED, request, how)
+        repeat = self.e.grades[request.job.grade].repeat
+        if how == "nacked" or (how == "broken" and repeat == "redoable"):
+            self._again(request, come_back_after)
+
+    def never_taken(self, request: Request) -> None:
+        """No connection came up: the next dispatcher is tried at once."""
+        if request.over:
+            return
+        self._end(request)
+        self._note(records.NEVER_TAKEN, request)
+        self._again(request, 0, at_once=True)
+
+    # ---- Inside ----
+
+    def _again(self, request: Request, come_back_after: int, at_once: bool = False) -> None:
+        told = self.e.clients
+        if request.tries + 1 >= told.tries:
+            return
+        wait = 0.0
+        if not at_once and told.retry == "after a wait":
+            wait = float(told.retry_wait.sample(self.waits, 1)[0])
+            if told.heeds_advice:
+                wait = max(wait, come_back_after * self.draws.fraction())
+        count = self.e.dispatchers.count
+        other = (request.dispatcher + 1 + self.draws.below(count - 1)) % count if count > 1 else 0
+        now = self.clock.now()
+        if now + wait + LEAST_PATIENCE < request.abandon_at:
+            first_sent = request.abandon_at - self.e.grades[request.job.grade].abandon_time
+            self.clock.at(now + int(wait), self._try, request.job, request.tries + 1, other, first_sent)
+
+    def _leave(self, request: Request) -> None:
+        if not request.over:
+            self._end(request)
+            self._note(records.LEFT, request)
+            self.close(request)
+
+    def _unanswered(self, request: Request) -> None:
+        if not request.over:
+            self._end(request)
+            self._note(records.UNANSWERED, request)
+            self.close(request)
+
+    def _end(self, request: Request) -> None:
+        request.over = True
+        self.out -= 1
+        for timer in request.timers:
+            timer.call_off()
+
+    def _note(self, what: str, request: Request, detail: str = "") -> None:
+        self.records.add(
+            self.clock.now(), what, request.id, request.job.number, request.dispatcher, detail=detail
+        )
--- /dev/null
+++ b/ploverspoke/testbed/commands.py
@@ -0,0 +1,130 @@
+"""`ploverspoke testbed`: run, compare, bench."""
+
+import sys
+from pathlib import Path
+
+import click
+import msgspec
+from rich.progress import Progress
+
+from .compare import compare
+from .experiment import BadExperiment, Experiment, read_experiment
+from .runner import Driver, Result, read_result, run_experiment
+from .scores import RunScore
+from .tables import console, differences_table, result_table, verdict
+
+WRONG_CALL = 2
+
+
+@click.group()
+def testbed() -> None:
+    """A world to prove the dispatcher in: experiments on virtual time or on sockets."""
+
+
+def _read(path: Path, seeds: tuple[int, ...], policies: tuple[str, ...]) -> Experiment:
+    try:
+        e = read_experiment(path)
+    except BadExperiment as error:
+        raise click.UsageError(str(error)) from None
+    changes: dict[str, object] = {}
+    if seeds:
+        changes["seeds"] = list(seeds)
+    if policies:
+        changes["policies"] = list(policies)
+    return msgspec.structs.replace(e, **changes)
+
+
+@testbed.command()
+@click.argument("experiment", type=click.Path(exists=True, dir_okay=False, path_type=Path))
+@click.option("--sockets", is_flag=True, help="Play the real program on loopback sockets, in real time.")
+@click.option(
+    "--seed", "seeds", type=int, multiple=True, help="In place of the file's seeds; may be repeated."
+)
+@click.option("--policy", "policies", multiple=True, help="In place of the file's policies; may be repeated.")
+@click.option(
+    "--out", type=click.Path(file_okay=False, path_type=Path), help="Where result, histograms and plots go."
+)
+@click.option("--events/--no-events", default=False, help="Keep every event seen, too, one JSON line each.")
+def run(
+    experiment: Path,
+    sockets: bool,
+    seeds: tuple[int, ...],
+    policies: tuple[str, ...],
+    out: Path | None,
+    events: bool,
+) -> None:
+    """Run an EXPERIMENT file and judge it.
+
+    Exit 0: all that must hold held. 1: something did not, and is named. 2: the file or the call is wrong.
+    """
+    e = _read(experiment, seeds, ("ours",) if sockets and not policies else policies)
+    driver: Driver = "sockets" if sockets else "virtual"
+    show = console()
+    total = len(e.seeds) * (1 if sockets else len(e.policies))
+    try:
+        if show.is_terminal:
+            with Progress(console=show) as progress:
+                task = progress.add_task(f"{e.name} ({driver})", total=total)
+                result = run_experiment(e, driver, out if events else None, lambda _: progress.advance(task))
+        else:
+            result = run_experiment(e, driver, out if events else None, _say)
+    except BadExperiment as error:
+        raise click.UsageError(str(error)) from None
+    show.print(result_table(result))
+    for line in verdict(result):
+        show.print(line, markup=False, highlight=False, soft_wrap=True)
+    if out is not None:
+        leave(result, out)
+        show.print(f"result, histograms and plots: {out}", markup=False, highlight=False, soft_wrap=True)
+    sys.exit(1 if result.failed else 0)
+
+
+def _say(done: RunScore) -> None:
+    broken = f", {done.broken_rules} broken rules" if done.broken_rules else ""
+    print(
+        f"{done.policy} seed {done.seed}: service {done.service:.4f}{broken}{', void' if done.void else ''}",
+        flush=True,
+    )
+
+
+def leave(result: Result, out: Path) -> None:
+    """All files of a result."""
+    from .plots import write_histograms, write_plots
+    from .scores import as_json
+
+    out.mkdir(parents=True, exist_ok=True)
+    (out / "result.json").write_bytes(as_json(result))
+    write_plots(result, out)
+    write_histograms(result, out)
+
+
+@testbed.command(name="compare")
+@click.argument("one", type=click.Path(exists=True, path_type=Path))
+@click.argument("other", type=click.Path(exists=True, path_type=Path))
+@click.option(
+    "--policies", nargs=2, default=("ours", "ours"), help="The policy of each side.", show_default=True
+)
+def compare_(one: Path, other: Path, policies: tuple[str, str]) -> None:
+    """Set two results side by side, pair by pair over the seeds."""
+    try:
+        rows = compare(read_result(one), read_result(other), *policies)
+    except BadExperiment as error:
+        raise click.UsageError(str(error)) from None
+    if not rows:
+        raise click.UsageError("no seed is in both results")
+    console().print(differences_table(rows, (f"{one} {policies[0]}", f"{other} {policies[1]}")))
+
+
+@testbed.command()
+@click.option("--quick", is_flag=True, help="Shorter, and fewer steps.")
+@click.option("--out", type=click.Path(dir_okay=False, path_type=Path), help="A JSON file for the figures.")
+def bench(quick: bool, out: Path | None) -> None:
+    """Measure one dispatcher on one core against a bare relay, and the decisions' cost by fleet size."""
+    from .bench import measure, tables
+
+    figures = measure(quick, lambda text: print(text, flush=True))
+    show = console()
+    for table in tables(figures):
+        show.print(table)
+    if out is not None:
+        out.write_bytes(msgspec.json.format(msgspec.json.encode(figures)))
--- /dev/null
+++ b/ploverspoke/testbed/experiment.py
@@ -0,0 +1,445 @@
+"""Experiment files: TOML read into checked types.
+
+`read_experiment` raises BadExperiment with one line that names the key: what is unknown, of a wrong unit or
+kind, names what does not exist, or lies beyond the end.
+"""
+
+import math
+import tomllib
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Any, ClassVar, Literal
+
+import msgspec
+import numpy as np
+
+from .spans import MILLISECOND, SECOND, Span, read_span
+
+
+class BadExperiment(ValueError):
+    """The file is no experiment; the text says where and why."""
+
+
+class Part(msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
+    """What all tables of a file have in common: an unknown key is an error."""
+
+
+# ---- Laws of size and time ----
+
+
+class Fixed(Part, tag="fixed", tag_field="law", frozen=True, kw_only=True):
+    mean: Span
+
+    def sample(self, generator: np.random.Generator, count: int) -> np.ndarray:
+        return np.full(count, float(self.mean))
+
+
+class Exponential(Part, tag="exponential", tag_field="law", frozen=True, kw_only=True):
+    mean: Span
+
+    def sample(self, generator: np.random.Generator, count: int) -> np.ndarray:
+        return generator.exponential(self.mean, count)
+
+
+class Lognormal(Part, tag="lognormal", tag_field="law", frozen=True, kw_only=True):
+    mean: Span
+    sigma: float = 0.5  # of the logarithm
+
+    def sample(self, generator: np.random.Generator, count: int) -> np.ndarray:
+        return generator.lognormal(math.log(self.mean) - self.sigma**2 / 2, self.sigma, count)
+
+
+class Pareto(Part, tag="pareto", tag_field="law", frozen=True, kw_only=True):
+    """A heavy tail: chance of more than x falls with x to the power of -shape, from the least on."""
+
+    mean: Span
+    shape: float = 2.5
+    at_most: Span = Span(60 * SECOND)
+
+    def __post_init__(self) -> None:
+        if self.shape <= 1:
+            raise ValueError("shape must be over 1: below there is no mean")
+
+    def sample(self, generator: np.random.Generator, count: int) -> np.ndarray:
+        least = self.mean * (self.shape - 1) / self.shape
+        return np.minimum(least * (1 + generator.pareto(self.shape, count)), self.at_most)
+
+
+Law = Fixed | Exponential | Lognormal | Pareto
+
+
+# ---- The world ----
+
+
+class Grade(Part, frozen=True, kw_only=True):
+    """A service grade, with the work that its jobs are."""
+
+    name: str
+    repeat: Literal["redoable", "labelled", "irreversible"] = "redoable"
+    group: Literal["all", "zone", "rack"] = "all"  # within which repeats of labelled ones are dropped
+    window: Span = Span(10 * SECOND)  # for which they are
+    expected_time: Span = Span(300 * MILLISECOND)
+    abandon_time: Span = Span(3 * SECOND)
+    benefit: float = 1.0
+    overdue_benefit: float = 0.0
+    kind: str = ""  # of machine that it needs
+    work: Law = Lognormal(mean=Span(30 * MILLISECOND))  # at speed 1
+    share: float = 1.0  # of the submissions, beside the other grades
+    slots: dict[str, float] = {}  # slot counts and their shares; one slot where none are given
+    subjects: int = 0  # that its jobs are about, drawn with shares that fall as 1/rank; 0: none
+
+
+class Customer(Part, frozen=True, kw_only=True):
+    name: str
+    share: float = 1.0
+
+
+class Workers(Part, frozen=True, kw_only=True):
+    """Some workers alike."""
+
+    count: int
+    kind: str = "plain"
+    slots: int = 4
+    speed: float = 1.0
+    zone: str = "a"
+    rack: int | None = None  # one each where none is given
+    waiting: int = 50  # jobs that may wait there; more are returned unstarted
+
+
+class WorkerRules(Part, frozen=True, kw_only=True):
+    """How all workers behave."""
+
+    start: Literal["in order", "any that fits"] = "in order"
+    cancel_stops_work: bool = True
+    tells_start: bool = True
+    progress_every: Span = Span(SECOND)
+    report_age: Span = Span(0)  # a load report may be so old
+    report_noise: float = 0.0  # standard deviation, in parts of the value
+    subjects_kept: int = 200
+    cold_share: float = 0.3
+    warm_within: Span = Span(8 * SECOND)
+    tip_multiple: float = 3.0
+    fall_within: Span = Span(2 * SECOND)
+    down_after_fall: Span = Span(10 * SECOND)
+
+
+class Store(Part, frozen=True, kw_only=True):
+    """Shared by all workers: what a job is about is fetched from it once for each worker."""
+
+    at_once: int = 50
+    takes: Law = Exponential(mean=Span(5 * MILLISECOND))
+
+
+class Dispatchers(Part, frozen=True, kw_only=True):
+    count: int = 2
+    memory_mb: int = 192
+    sockets: int = 1024
+
+
+class Discovery(Part, frozen=True, kw_only=True):
+    tells_within: Span = Span(200 * MILLISECOND)  # a change is told a uniform part of it later
+    call_takes: Span = Span(MILLISECOND)  # calls are worked through in turn
+    notices_death: Span = Span(3 * SECOND)
+
+
+class Network(Part, frozen=True, kw_only=True):
+    near: Span = Span(200_000)  # one way, within a zone
+    far: Span = Span(2 * MILLISECOND)  # between zones
+    client: Span = Span(100_000)  # between clients and dispatchers
+    connect_time_out: Span = Span(150 * MILLISECOND)
+
+
+class Rules(Part, frozen=True, kw_only=True):
+    """What dispatchers may do and must keep."""
+
+    most_hand_offs: int = 6
+    recall: bool = True
+    probing: bool = True
+    come_back_advice: bool = True
+    longest_come_back: Span = Span(2 * SECOND)
+    stop_sending_within: Span = Span(500 * MILLISECOND)
+    asks_first: bool = True  # the roster must be asked for
+
+
+class Clients(Part, frozen=True, kw_only=True):
+    tries: int = 3
+    retry: Literal["at once", "after a wait"] = "after a wait"
+    retry_wait: Law = Exponential(mean=Span(200 * MILLISECOND))
+    heeds_advice: bool = True
+    leave_early: float = 0.0  # share that leaves at a random part of its abandon time
+
+
+class Traffic(Part, frozen=True, kw_only=True):
+    """Open-loop arrivals in one stretch of time; stretches add up."""
+
+    rate: float  # a second
+    to_rate: float | None = None  # reached in a ramp at the stretch's end
+    start: Span = Span(0)
+    end: Span | None = None  # that of the run where none is given
+    wave: float = 0.0  # part of the rate by which it swings
+    period: Span = Span(10 * SECOND)
+    burst: int = 1  # submissions that come at one instant
+
+
+class Trouble(Part, tag_field="what", frozen=True, kw_only=True):
+    """Begins at a time and ends after another; several may lie over one another."""
+
+    of_workers: ClassVar[bool] = True
+
+    at: Span
+    lasts: Span
+    workers: list[str] = []
+    share: float = 0.0  # of the workers of that zone and kind, drawn from the seed
+    zone: str = ""
+    kind: str = ""
+
+    @property
+    def name(self) -> str:
+        return str(self.__struct_config__.tag)
+
+
+class Crash(Trouble, tag="crash", frozen=True, kw_only=True):
+    """The process dies; it returns cold."""
+
+
+class Drain(Trouble, tag="drain", frozen=True, kw_only=True):
+    """Told to end: finishes what it has, is gone, returns cold."""
+
+
+class Hang(Trouble, tag="hang", frozen=True, kw_only=True):
+    """Says and does nothing; then goes on."""
+
+
+class Pauses(Trouble, tag="pauses", frozen=True, kw_only=True):
+    """Short hangs, again and again."""
+
+    every: Span = Span(SECOND)
+    each: Span = Span(100 * MILLISECOND)
+
+
+class Slow(Trouble, tag="slow", frozen=True, kw_only=True):
+    factor: float = 4.0
+
+
+class QuickErrors(Trouble, tag="quick errors", frozen=True, kw_only=True):
+    errors: float = 1.0  # share of its jobs that fail at once
+
+
+class LateReports(Trouble, tag="late reports", frozen=True, kw_only=True):
+    by: Span = Span(2 * SECOND)
+
+
+class Resets(Trouble, tag="resets", frozen=True, kw_only=True):
+    """Connections of hand-offs break under way."""
+
+    errors: float = 0.1
+
+
+class Silences(Trouble, tag="silences", frozen=True, kw_only=True):
+    """Connections of hand-offs stay open and say nothing more."""
+
+    errors: float = 0.1
+
+
+class DropsAtRest(Trouble, tag="drops at rest", frozen=True, kw_only=True):
+    """Connections at rest are dropped unseen; the next request on one breaks."""
+
+    errors: float = 0.1
+
+
+class ZoneCut(Trouble, tag="zone cut", frozen=True, kw_only=True):
+    """Nothing passes between that zone and the others."""
+
+    of_workers = False
+
+
+class StoreJam(Trouble, tag="store jam", frozen=True, kw_only=True):
+    of_workers = False
+    factor: float = 10.0
+
+
+class DiscoveryDown(Trouble, tag="discovery down", frozen=True, kw_only=True):
+    of_workers = False
+
+
+class DispatcherKilled(Trouble, tag="dispatcher killed", frozen=True, kw_only=True):
+    """SIGKILL; it starts again from nothing when this ends."""
+
+    of_workers = False
+    dispatchers: list[int] = []
+
+
+class DispatcherRestarted(Trouble, tag="dispatcher restarted", frozen=True, kw_only=True):
+    """SIGTERM, then a new start when this ends."""
+
+    of_workers = False
+    dispatchers: list[int] = []
+
+
+AnyTrouble = (
+    Crash
+    | Drain
+    | Hang
+    | Pauses
+    | Slow
+    | QuickErrors
+    | LateReports
+    | Resets
+    | Silences
+    | DropsAtRest
+    | ZoneCut
+    | StoreJam
+    | DiscoveryDown
+    | DispatcherKilled
+    | DispatcherRestarted
+)
+
+
+class MustHold(Part, frozen=True, kw_only=True):
+    """What makes the run a success; a figure is the mean over the seeds."""
+
+    rules: bool = True
+    service: float = 0.0  # at the least
+    service_of_grade: dict[str, float] = {}
+    over: dict[str, float] = {}  # baseline -> by so much more service, at the least
+
+
+class Experiment(Part, frozen=True, kw_only=True):
+    name: str
+    about: str = ""
+    lasts: Span
+    counted_from: Span = Span(0)  # submissions before that time do not count for service
+    seeds: list[int] = msgspec.field(default_factory=lambda: [1, 2, 3])
+    policies: list[str] = msgspec.field(default_factory=lambda: ["ours"])
+    grades: list[Grade]
+    customers: list[Customer] = msgspec.field(default_factory=lambda: [Customer(name="all")])
+    workers: list[Workers]
+    worker_rules: WorkerRules = WorkerRules()
+    store: Store | None = None
+    dispatchers: Dispatchers = Dispatchers()
+    discovery: Discovery = Discovery()
+    network: Network = Network()
+    rules: Rules = Rules()
+    clients: Clients = Clients()
+    traffic: list[Traffic]
+    troubles: list[AnyTrouble] = []
+    must_hold: MustHold = MustHold()
+
+    def zones(self) -> list[str]:
+        return list(dict.fromkeys(w.zone for w in self.workers))
+
+    def kinds(self) -> list[str]:
+        return list(dict.fromkeys(w.kind for w in self.workers))
+
+    def worker_names(self) -> list[str]:
+        return [f"w{n}" for n in range(sum(w.count for w in self.workers))]
+
+
+def read_experiment(path: Path) -> Experiment:
+    try:
+        told = tomllib.loads(path.read_text(encoding="utf-8"))
+    except OSError as error:
+        raise BadExperiment(f"{path}: {error.strerror}") from None
+    except (UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
+        raise BadExperiment(f"{path}: no TOML: {error}") from None
+    try:
+        return experiment_of(told)
+    except BadExperiment as error:
+        raise BadExperiment(f"{path}: {error}") from None
+
+
+def experiment_of(told: dict[str, Any]) -> Experiment:
+    try:
+        experiment = msgspec.convert(told, Experiment, dec_hook=_span_hook)
+    except msgspec.ValidationError as error:
+        raise BadExperiment(str(error).replace("`$.", "`")) from None
+    _check(experiment)
+    return experiment
+
+
+def experiment_from_builtins(told: dict[str, Any]) -> Experiment:
+    """The other way of msgspec.to_builtins(experiment, enc_hook=int), where times are numbers of ns."""
+    return msgspec.convert(told, Experiment, dec_hook=lambda kind, value: kind(value))
+
+
+def _span_hook(kind: type, value: Any) -> Any:
+    if kind is Span:
+        return read_span(value)
+    raise NotImplementedError(kind)
+
+
+def _check(e: Experiment) -> None:
+    """What no type can tell."""
+
+    def must(holds: bool, key: str, why: str) -> None:
+        if not holds:
+            raise BadExperiment(f"{key}: {why}")
+
+    must(e.lasts > 0, "lasts", "must be more than nothing")
+    must(e.counted_from < e.lasts, "counted_from", "lies beyond the end")
+    for key, listed in (("seeds", e.seeds), ("policies", e.policies), ("grades", e.grades)):
+        must(len(listed) > 0, key, "none is given")
+    must(bool(e.workers), "workers", "none are given")
+    must(bool(e.traffic), "traffic", "none is given")
+    must(len({g.name for g in e.grades}) == len(e.grades), "grades", "two have one name")
+    must(e.dispatchers.count > 0, "dispatchers.count", "must be 1 or more")
+    for at, w in enumerate(e.workers):
+        must(
+            w.count > 0 and w.slots > 0 and w.speed > 0,
+            f"workers[{at}]",
+            "count, slots and speed must be over 0",
+        )
+    most = max(w.slots for w in e.workers)
+    for at, g in enumerate(e.grades):
+        must(not g.kind or g.kind in e.kinds(), f"grades[{at}].kind", f"no worker is a {g.kind!r}")
+        must(g.share >= 0 and g.benefit >= 0, f"grades[{at}]", "share and benefit must not be below 0")
+        must(g.expected_time <= g.abandon_time, f"grades[{at}].expected_time", "is beyond abandon_time")
+        for slots in g.slots:
+            must(
+                _is_number(slots) and 0 < float(slots) <= most,
+                f"grades[{at}].slots",
+                f"{slots!r} fits no worker",
+            )
+    for at, t in enumerate(e.traffic):
+        end = e.lasts if t.end is None else t.end
+        must(t.start < end <= e.lasts, f"traffic[{at}]", "its stretch is empty or lies beyond the end")
+        must(
+            t.rate >= 0 and 0 <= t.wave <= 1 and t.burst > 0,
+            f"traffic[{at}]",
+            "rate, wave or burst out of range",
+        )
+    _check_troubles(e, must)
+    for grade in e.must_hold.service_of_grade:
+        must(any(g.name == grade for g in e.grades), f"must_hold.service_of_grade.{grade}", "no such grade")
+    for policy in e.must_hold.over:
+        must(policy in e.policies, f"must_hold.over.{policy}", "is not among the policies")
+
+
+def _check_troubles(e: Experiment, must: Any) -> None:
+    names = set(e.worker_names())
+    for at, t in enumerate(e.troubles):
+        key = f"troubles[{at}]"
+        must(t.at + t.lasts <= e.lasts, key, f"{t.name!r} ends beyond the end of the run")
+        must(set(t.workers) <= names, f"{key}.workers", f"unknown: {sorted(set(t.workers) - names)}")
+        must(not t.zone or t.zone in e.zones(), f"{key}.zone", f"no worker is in {t.zone!r}")
+        must(not t.kind or t.kind in e.kinds(), f"{key}.kind", f"no worker is a {t.kind!r}")
+        must(0 <= t.share <= 1, f"{key}.share", "must lie between 0 and 1")
+        if isinstance(t, ZoneCut):
+            must(bool(t.zone), f"{key}.zone", "a cut needs the zone that is cut off")
+        if isinstance(t, DispatcherKilled | DispatcherRestarted):
+            known = all(0 <= d < e.dispatchers.count for d in t.dispatchers)
+            must(known and bool(t.dispatchers), f"{key}.dispatchers", "must name dispatchers, counted from 0")
+
+
+def _is_number(text: str) -> bool:
+    try:
+        return math.isfinite(float(text))
+    except ValueError:
+        return False
+
+
+def shares(weights: Sequence[float] | np.ndarray) -> np.ndarray:
+    """Shares that add up to 1."""
+    given = np.asarray(weights, dtype=float)
+    part: np.ndarray = given / given.sum()
+    return part
--- /dev/null
+++ b/ploverspoke/testbed/relay.py
@@ -0,0 +1,27 @@
+"""The bare relay of `testbed bench`: the program as it is, with a random worker in place of its decisions.
+
+Started like the program; what it costs less is what the decisions cost.
+"""
+
+import asyncio
+import os
+
+import uvloop
+
+from ploverspoke.program.briefing import read_briefing
+from ploverspoke.program.service import Service
+
+from .baselines import RandomPick
+
+
+def main() -> None:
+    briefing = read_briefing(os.environ)
+    loop = uvloop.new_event_loop()
+    asyncio.set_event_loop(loop)
+    service = Service(loop, briefing)
+    service.router.dispatcher = RandomPick(service.router, briefing.seed, briefing.orders)  # type: ignore[assignment]
+    loop.run_until_complete(service.run())
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/ploverspoke/testbed/settings.py
@@ -0,0 +1,64 @@
+"""The settings that a dispatcher is given in an experiment, in the form that its configuration has."""
+
+from typing import Any
+
+from .experiment import Experiment
+from .spans import MICROSECOND
+
+REPEATS = {"redoable": "free", "labelled": "guarded", "irreversible": "single_shot"}
+GROUPS = {"all": "all", "zone": "zone", "rack": "cell"}
+
+
+def settings_of(e: Experiment, dispatcher: int) -> dict[str, Any]:
+    def us(span: int) -> int:
+        return span // MICROSECOND
+
+    kinds, rules, workers = e.kinds(), e.rules, e.worker_rules
+    return {
+        "Discovery": "ask" if rules.asks_first else "push",
+        "Localities": e.zones(),
+        "HostTypes": kinds,
+        "Zone": dispatcher % len(e.zones()),
+        "PeersTotal": e.dispatchers.count,
+        "SlotNo": dispatcher,
+        "RoundUs": 2000,
+        "ServiceGrades": [
+            {
+                "Name": g.name,
+                "Repeat": REPEATS[g.repeat],
+                "Group": GROUPS[g.group],
+                "RepeatWindowUs": us(g.window),
+                "ExpectedTimeUs": us(g.expected_time),
+                "AbandonTimeUs": us(g.abandon_time),
+                "Benefit": g.benefit,
+                "OverdueBenefit": g.overdue_benefit,
+            }
+            for g in e.grades
+        ],
+        "Tenants": [{"Name": c.name, "Portion": c.share} for c in e.customers],
+        "Domain": {
+            "TellsStart": workers.tells_start,
+            "ProgressUs": us(workers.progress_every),
+            "ReportX0": "free slots",
+            "ClassKind": [kinds.index(g.kind) if g.kind else -1 for g in e.grades],
+        },
+        "Report": {"Via": "on_probe", "Fields": ["backlog", "x0"]},
+        "Limits": {
+            "MaxHandOffs": rules.most_hand_offs,
+            "Cancel": rules.recall,
+            "Probing": rules.probing,
+            "RetryAfter": rules.come_back_advice,
+            "MaxRetryAfterUs": us(rules.longest_come_back),
+            "ConnectTimeoutUs": us(e.network.connect_time_out),
+            "IdleCloseUs": 30_000_000,
+        },
+        "Invariants": {
+            "StopSendingWithinUs": us(rules.stop_sending_within),
+            "MustAskInUs": 10_000_000,
+            "ColdShare": workers.cold_share,
+            "WarmWithinUs": us(workers.warm_within),
+            "TipMultiple": workers.tip_multiple,
+            "FallUs": us(workers.fall_within),
+        },
+        "Tariffs": {"Origin": 0.03 if e.store else 0.0, "CrossZone": 0.01 if len(e.zones()) > 1 else 0.0},
+    }
--- /dev/null
+++ b/ploverspoke/testbed/standins/clients.py
@@ -0,0 +1,179 @@
+"""Stand-in clients: one process's part of the schedule, over connections that are kept and used again."""
+
+import asyncio
+from collections import Counter
+from typing import Any, cast
+
+from .. import experiment as ex
+from ..clients import Clients, Request
+from ..schedule import schedule
+from ..spans import MILLISECOND
+from .process import Spec, StandIn, say
+from .wire import BadWire, Reader
+
+HOWS = {200: "satisfied", 503: "nacked", 429: "nacked", 504: "abandoned"}
+CROSSED = 20 * MILLISECOND  # an end without an answer so soon on a kept connection: it crossed our request
+FRONT_NOTICES = 300 * MILLISECOND  # that a dispatcher is leaving, and sends it no new connections
+
+
+class ClientConnection(asyncio.Protocol):
+    def __init__(self, clients: "ClientStandIn", dispatcher: int) -> None:
+        self.clients = clients
+        self.dispatcher = dispatcher
+        self.reader = Reader()
+        self.transport: asyncio.Transport | None = None
+        self.request: Request | None = None
+        self.used = 0
+        self.wrote_at = 0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+
+    def carry(self, request: Request) -> None:
+        assert self.transport is not None
+        self.request = request
+        request.connection = self
+        self.used += 1
+        self.wrote_at = self.clients.clock.now()
+        self.transport.write(self.clients.message(request))
+        self.clients.model.taken(request)
+
+    def data_received(self, data: bytes) -> None:
+        try:
+            for message in self.reader.feed(data):
+                request, self.request = self.request, None
+                if request is None:
+                    say({"fault": f"an answer that nobody waits for: {message.first[:40]!r}"})
+                    continue
+                status = int(message.first.split(" ")[1])
+                come_back = float(message.headers.get("retry-after", 0))
+                how = HOWS.get(status, "rejected")
+                if how == "satisfied" and message.body != f"{request.id} done".encode():
+                    say({"fault": f"{request.id} was answered with another's result"})
+                    how = "rejected"
+                if message.headers.get("connection", "") != "close":
+                    self.clients.rest(self)
+                self.clients.count[how] += 1
+                self.clients.model.answered(request, how, int(come_back * 1e9))
+        except (BadWire, ValueError) as error:
+            say({"fault": f"a dispatcher's answer: {error}"})
+            self.close()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.transport = None
+        self.clients.forget(self)
+        request, self.request = self.request, None
+        if request is None or request.over:
+            return
+        soon = self.clients.clock.now() - self.wrote_at < CROSSED
+        if self.used > 1 and soon and not self.reader.is_inside():
+            self.clients.connect(request, again=True)
+        else:
+            self.clients.broke(request)
+
+    def close(self) -> None:
+        if self.transport is not None:
+            self.transport.abort()
+
+
+class ClientStandIn(StandIn):
+    def __init__(self, spec: Spec, part: int) -> None:
+        super().__init__(spec, part)
+        jobs = schedule(self.e, self.seed)[part :: spec.clients]
+        self.model = Clients(self.e, self.seed, jobs, self.clock, self.seen, self._send, self._close, part)
+        self.jobs = len(jobs)
+        self.idle: dict[int, list[ClientConnection]] = {d: [] for d in range(self.e.dispatchers.count)}
+        self.ports: list[int] = []
+        self.count: Counter[str] = Counter()
+        self.heads = [
+            f"POST /{g.name} HTTP/1.1\r\nHost: testbed\r\nContent-Length: 4\r\n" for g in self.e.grades
+        ]
+        self.leaving = [
+            (t.at + FRONT_NOTICES, t.at + t.lasts, d)
+            for t in self.e.troubles
+            if isinstance(t, ex.DispatcherRestarted)
+            for d in t.dispatchers
+        ]
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    async def prepare(self) -> dict[str, Any]:
+        return {"jobs": self.jobs}
+
+    def begin(self, told: dict[str, Any]) -> None:
+        self.ports = told["dispatcher_ports"]
+        self.model.start()
+
+    def counts(self) -> dict[str, Any]:
+        return {
+            "answers": dict(self.count),
+            "sent": self.model.next,
+            "out": self.model.out,
+            "behind": self.model.latest,
+        }
+
+    def message(self, request: Request) -> bytes:
+        job = request.job
+        left = max(1, (request.abandon_at - self.clock.now()) // MILLISECOND)
+        lines = [f"Request-Id: {request.id}\r\nRequest-Timeout-Ms: {left}\r\n"]
+        if job.subject:
+            lines.append(f"Affinity-Key: {job.subject}\r\n")
+        if job.slots != 1.0:
+            lines.append(f"Request-Info: slots={job.slots:g}\r\n")
+        if request.label:
+            lines.append(f"Job-Label: {request.label}\r\n")
+        lines.append(f"Tenant: {self.e.customers[job.customer].name}\r\n\r\nwork")
+        return (self.heads[job.grade] + "".join(lines)).encode("latin-1")
+
+    # ---- Connections ----
+
+    def _send(self, request: Request) -> None:
+        idle = self.idle[request.dispatcher]
+        if idle:
+            idle.pop().carry(request)
+            return
+        now = self.clock.now()
+        if any(begin <= now < end and d == request.dispatcher for begin, end, d in self.leaving):
+            self.model.never_taken(request)
+        else:
+            self.connect(request)
+
+    def connect(self, request: Request, again: bool = False) -> None:
+        task = self.loop.create_task(self._connect(request, again))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def _connect(self, request: Request, again: bool) -> None:
+        connection = ClientConnection(self, request.dispatcher)
+        try:
+            port = self.ports[request.dispatcher]
+            await self.loop.create_connection(lambda: connection, "127.0.0.1", port)
+        except OSError:
+            if again:
+                self.broke(request)
+            else:
+                self.model.never_taken(request)
+            return
+        if request.over or connection.transport is None:
+            connection.close()
+            if not request.over:
+                self.broke(request)
+        else:
+            connection.carry(request)
+
+    def broke(self, request: Request) -> None:
+        self.count["broken"] += 1
+        self.model.answered(request, "broken")
+
+    def rest(self, connection: ClientConnection) -> None:
+        if connection.transport is not None and not connection.transport.is_closing():
+            self.idle[connection.dispatcher].append(connection)
+
+    def forget(self, connection: ClientConnection) -> None:
+        idle = self.idle[connection.dispatcher]
+        if connection in idle:
+            idle.remove(connection)
+
+    def _close(self, request: Request) -> None:
+        connection = request.connection
+        if isinstance(connection, ClientConnection) and connection.request is request:
+            connection.close()
--- /dev/null
+++ b/ploverspoke/testbed/standins/process.py
@@ -0,0 +1,128 @@
+"""What all stand-in processes have in common: the run's clock, lines from and to whoever started them,
+records.
+
+Started with the path of a run's `spec.json`. On standard output: JSON lines, the first with `ports`. On
+standard
+input: `{"start": epoch, ...}` once, then whatever else its kind hears; the end of the input stops it.
+"""
+
+import asyncio
+import gc
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import uvloop
+
+from ..clock import AnyTimer
+from ..experiment import Experiment, experiment_from_builtins
+from ..records import Records, write_records
+
+TELLS_EVERY = 0.25  # seconds
+
+
+class LoopTimer:
+    """One call on the event loop; asyncio's own handle would not do: near times fire early by its
+    resolution.
+    """
+
+    __slots__ = ("handle",)
+
+    def __init__(self, handle: asyncio.Handle) -> None:
+        self.handle = handle
+
+    def call_off(self) -> None:
+        self.handle.cancel()
+
+
+class LoopClock:
+    """The models' clock on an event loop: nanoseconds from the run's start on, the same in all processes."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self.loop = loop
+        self.epoch = time.monotonic_ns()
+
+    def now(self) -> int:
+        return time.monotonic_ns() - self.epoch
+
+    def at(self, when: int, call: Callable[..., None], *what: Any) -> AnyTimer:
+        left = when - self.now()
+        if left <= 0:
+            return LoopTimer(self.loop.call_soon(call, *what))
+        return LoopTimer(self.loop.call_later(left / 1e9, call, *what))
+
+
+class Spec(msgspec.Struct):
+    """A run as the stand-ins read it."""
+
+    experiment: dict[str, Any]
+    seed: int
+    records: str  # folder
+    clients: int  # processes
+
+
+class StandIn:
+    """One process. `begin` and `heard` are a kind's own."""
+
+    def __init__(self, spec: Spec, part: int) -> None:
+        self.loop = asyncio.get_running_loop()
+        self.clock = LoopClock(self.loop)
+        self.seen = Records()
+        self.spec = spec
+        self.part = part
+        self.e: Experiment = experiment_from_builtins(spec.experiment)
+        self.seed = spec.seed
+
+    async def prepare(self) -> dict[str, Any]:
+        """Open what there is to open; gives what is told first."""
+        raise NotImplementedError
+
+    def begin(self, told: dict[str, Any]) -> None:
+        raise NotImplementedError
+
+    def heard(self, told: dict[str, Any]) -> None:
+        pass
+
+    def counts(self) -> dict[str, Any]:
+        """What is told now and then while it runs."""
+        return {}
+
+
+def say(told: dict[str, Any]) -> None:
+    sys.stdout.buffer.write(msgspec.json.encode(told) + b"\n")
+    sys.stdout.buffer.flush()
+
+
+async def live(kind: Callable[[Spec, int], StandIn], spec: Spec, name: str, part: int) -> None:
+    stand_in = kind(spec, part)
+    loop = asyncio.get_running_loop()
+    lines: asyncio.StreamReader = asyncio.StreamReader()
+    await loop.connect_read_pipe(lambda: asyncio.StreamReaderProtocol(lines), sys.stdin)
+    say(await stand_in.prepare())
+    started = msgspec.json.decode(await lines.readline())
+    stand_in.clock.epoch = started["start"]
+    gc.collect()
+    gc.freeze()
+    stand_in.begin(started)
+    teller = loop.create_task(_tell(stand_in))
+    while line := await lines.readline():
+        stand_in.heard(msgspec.json.decode(line))
+    teller.cancel()
+    write_records(stand_in.seen.events, Path(spec.records) / f"{name}-{part}.jsonl")
+    say({"over": True})
+
+
+async def _tell(stand_in: StandIn) -> None:
+    while True:
+        await asyncio.sleep(TELLS_EVERY)
+        counts = stand_in.counts()
+        if counts:
+            say(counts)
+
+
+def run(kind: Callable[[Spec, int], StandIn], name: str, spec_path: Path, part: int) -> None:
+    spec: Spec = msgspec.json.decode(spec_path.read_bytes(), type=Spec)
+    uvloop.run(live(kind, spec, name, part))
--- /dev/null
+++ b/ploverspoke/testbed/standins/worker.py
@@ -0,0 +1,274 @@
+"""Stand-in workers: the models of a fleet behind listening sockets, one for each dispatcher and worker.
+
+So it is known who sent what, and zones, cuts and latencies can be played on loopback.
+"""
+
+import asyncio
+import socket
+from collections.abc import Callable
+from typing import Any, cast
+
+import msgspec
+
+from .. import records
+from ..chances import Streams
+from ..schedule import Job, schedule
+from ..troubles import Connections, Cuts, FleetTroubles, StoreTroubles
+from ..virtual import RESET_WITHIN, Fleet, Nobody
+from ..worker import Run, Worker
+from .process import Spec, StandIn, say
+from .wire import LAST_CHUNK, BadWire, Message, Reader, answer, chunk
+
+BACKLOG = 256
+
+
+class WorkerConnection(asyncio.Protocol):
+    """One connection of a dispatcher; plays the listener of the run that it carries."""
+
+    def __init__(self, there: "Listening") -> None:
+        self.there = there
+        self.fleet = there.fleet
+        self.reader = Reader()
+        self.transport: asyncio.Transport | None = None
+        self.run: Run | None = None
+        self.requests = 0
+        self.silent = False  # whatever is written is swallowed
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        self.there.connections.add(self)
+
+    def data_received(self, data: bytes) -> None:
+        try:
+            for message in self.reader.feed(data):
+                delay = self.there.one_way()
+                if self.there.is_cut():
+                    self.silent = True
+                elif delay:
+                    clock = self.fleet.clock
+                    clock.at(clock.now() + delay, self._message, message)
+                else:
+                    self._message(message)
+        except BadWire as error:
+            say({"fault": f"{self.there.worker.name} was sent: {error}"})
+            self.abort()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.there.connections.discard(self)
+        self.transport = None
+        run = self.run
+        if run is not None and not run.over:
+            self._note_closed(run)
+            if self.there.worker.up and not self.there.is_cut():
+                self.there.worker.cancel(run)
+
+    def abort(self) -> None:
+        if self.transport is not None:
+            self.transport.abort()
+
+    # ---- Requests ----
+
+    def _message(self, message: Message) -> None:
+        self.requests += 1
+        worker = self.there.worker
+        if self.transport is None or not worker.up:
+            return
+        method, _, rest = message.first.partition(" ")
+        if method == "GET":
+            self._probe(rest.split(" ")[0])
+            return
+        submission = message.headers.get("request-id", "")
+        job = self.fleet.job(submission)
+        if job is None:
+            self._write(answer(404 if not submission else 400, "No", b""))
+            say({"fault": f"{worker.name} was sent an id that no client sent: {submission!r}"})
+            return
+        draws, connections = self.fleet.draws, self.fleet.connections
+        if self.requests > 1 and draws.happens(Connections.share(connections.drops, worker.name)):
+            self.abort()
+            return
+        label = message.headers.get("job-label", "")
+        run = Run(submission, job, self.there.dispatcher, self, label)
+        self.run = run
+        if draws.happens(Connections.share(connections.silences, worker.name)):
+            self.silent = True
+            if draws.happens(0.5):
+                return
+        elif draws.happens(Connections.share(connections.resets, worker.name)):
+            after = int(draws.fraction() * RESET_WITHIN)
+            self.fleet.clock.at(self.fleet.clock.now() + after, self._reset, run)
+        worker.take(run)
+
+    def _reset(self, run: Run) -> None:
+        if self.run is run and not run.over:
+            self.abort()
+
+    def _probe(self, path: str) -> None:
+        worker = self.there.worker
+        if worker.frozen:
+            worker.while_frozen.append((self._probe, path))
+        elif path == "/-/load":
+            self._write(answer(200, "OK", msgspec.json.encode(worker.report())))
+        elif path == "/-/healthy":
+            self._write(answer(200, "OK", b""))
+        else:
+            self._write(answer(404, "Not Found", b""))
+
+    # ---- What the model tells ----
+
+    def run_started(self, run: Run) -> None:
+        self._line(run, {"state": "started"}, first=True)
+
+    def run_progressed(self, run: Run, share: float) -> None:
+        self._line(run, {"state": "running", "share": share})
+
+    def run_ended(self, run: Run, how: str) -> None:
+        if how == "lost":
+            self.abort()
+        elif how == "returned" and not run.begun:
+            self._write(answer(503, "Service Unavailable", b"", "Not-Started: 1\r\n"))
+        elif how == "done":
+            first = not (run.begun and self.there.worker.rules.tells_start)
+            self._line(run, {"state": "done", "result": f"{run.submission} done"}, first, last=True)
+        else:
+            first = not (run.begun and self.there.worker.rules.tells_start)
+            self._line(run, {"state": how}, first, last=True)
+
+    def _line(self, run: Run, said: dict[str, Any], first: bool = False, last: bool = False) -> None:
+        if self.run is not run:
+            return
+        text = msgspec.json.encode({"id": run.submission, "from": self.there.worker.name, **said}) + b"\n"
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" if first else b""
+        self._write(head + chunk(text) + (LAST_CHUNK if last else b""))
+
+    def _write(self, data: bytes) -> None:
+        if self.silent or self.transport is None:
+            return
+        if self.there.is_cut():
+            self.silent = True
+            return
+        delay = self.there.one_way()
+        if delay:
+            self.fleet.clock.at(self.fleet.clock.now() + delay, self._write_now, data)
+        else:
+            self.transport.write(data)
+
+    def _write_now(self, data: bytes) -> None:
+        if self.transport is not None and not self.silent:
+            self.transport.write(data)
+
+    def _note_closed(self, run: Run) -> None:
+        there, now = self.there, self.fleet.clock.now()
+        if run.serial:
+            name = there.worker.name
+            self.fleet.seen.add(
+                now, records.CLOSED, run.submission, run.job.number, there.dispatcher, name, run.serial
+            )
+
+
+class Listening:
+    """One worker as one dispatcher sees it: an address of its own."""
+
+    def __init__(self, fleet: "WorkerStandIn", worker: Worker, dispatcher: int) -> None:
+        self.fleet = fleet
+        self.worker = worker
+        self.dispatcher = dispatcher
+        self.zone = dispatcher % len(fleet.e.zones())
+        self.far = max(0, fleet.e.network.far - fleet.e.network.near)
+        self.connections: set[WorkerConnection] = set()
+        self.server: asyncio.Server | None = None
+        self.port = 0
+
+    async def open(self) -> None:
+        listening = socket.socket()
+        listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listening.bind(("127.0.0.1", self.port))
+        self.port = listening.getsockname()[1]
+        self.server = await asyncio.get_running_loop().create_server(
+            lambda: WorkerConnection(self), sock=listening, backlog=BACKLOG
+        )
+
+    def close(self) -> None:
+        """The process has died: nothing listens, connections are reset."""
+        if self.server is not None:
+            self.server.close()
+            self.server = None
+        for connection in list(self.connections):
+            connection.abort()
+
+    def one_way(self) -> int:
+        return self.far if self.zone != self.worker.zone else 0
+
+    def is_cut(self) -> bool:
+        return self.fleet.cuts.between(self.zone, self.worker.zone)
+
+
+class WorkerStandIn(StandIn):
+    """All workers of a run in one process: racks and the store are shared among them."""
+
+    def __init__(self, spec: Spec, part: int) -> None:
+        super().__init__(spec, part)
+        self.jobs: list[Job] = schedule(self.e, self.seed)
+        self.fleet = Fleet(self.e, self.seed, self.clock, self.seen)
+        self.draws = Streams(self.seed).draws("sockets")
+        self.connections = Connections()
+        self.nobody = Nobody()
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.listening = {
+            name: [Listening(self, worker, d) for d in range(self.e.dispatchers.count)]
+            for name, worker in self.fleet.workers.items()
+        }
+
+    async def prepare(self) -> dict[str, Any]:
+        for rows in self.listening.values():
+            for there in rows:
+                await there.open()
+        return {"ports": {name: [there.port for there in rows] for name, rows in self.listening.items()}}
+
+    def begin(self, told: dict[str, Any]) -> None:
+        self.cuts = Cuts(self.e, self.clock)
+        workers = list(self.fleet.workers.values())
+        troubles = FleetTroubles(
+            self.e, self.seed, self.clock, workers, self.connections, self._died, self._returned
+        )
+        troubles.on_fall = lambda worker: say({"fell": worker})
+        troubles.on_back = lambda worker: say({"back": worker})
+        StoreTroubles(self.e, self.clock, self.fleet.store)
+
+    def counts(self) -> dict[str, Any]:
+        return {
+            "workers": {
+                name: [_state(worker), worker.load(), worker.serial]
+                for name, worker in self.fleet.workers.items()
+            }
+        }
+
+    def job(self, submission: str) -> Job | None:
+        number, dash, _ = submission.partition("-")
+        try:
+            return self.jobs[int(number, 16)] if dash else None
+        except (ValueError, IndexError):
+            return None
+
+    def _died(self, worker: Worker) -> None:
+        for there in self.listening[worker.name]:
+            there.close()
+
+    def _returned(self, worker: Worker) -> None:
+        for there in self.listening[worker.name]:
+            task = self.loop.create_task(there.open())
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+
+
+def _state(worker: Worker) -> str:
+    if not worker.up:
+        return "down"
+    if worker.frozen:
+        return "hung"
+    if worker.warm_at > worker.clock.now():
+        return "cold"
+    return "slow" if worker.slowed else "up"
+
+
+KIND: Callable[[Spec, int], StandIn] = WorkerStandIn
--- /dev/null
+++ b/ploverspoke/testbed/troubles.py
@@ -0,0 +1,240 @@
+"""Troubles on a timeline: which workers each one strikes, and what it does to the models at its begin and
+end.
+
+A trouble is known by its number, and what it does is undone by that number, so that troubles may overlap on
+one worker and end in any order: a worker is well again when none is left.
+"""
+
+from collections.abc import Callable, Sequence
+
+from . import experiment as ex
+from .chances import Streams
+from .clock import Clock
+from .roster import Roster
+from .store import SharedStore
+from .worker import Worker
+
+FALLEN = -1  # in place of a trouble's number
+LIKE_CRASH = (ex.Crash, ex.Drain)
+
+
+def struck(e: ex.Experiment, seed: int) -> list[list[str]]:
+    """The workers of each trouble, by name; those given by a share are drawn from the seed."""
+    kinds = [(w.zone, w.kind) for w in e.workers for _ in range(w.count)]
+    names = e.worker_names()
+    found = []
+    for number, t in enumerate(e.troubles):
+        if t.workers or not t.of_workers:
+            found.append(list(t.workers))
+            continue
+        pool = [
+            n
+            for n, (zone, kind) in zip(names, kinds, strict=True)
+            if t.zone in ("", zone) and t.kind in ("", kind)
+        ]
+        if t.share:
+            count = max(1, round(t.share * len(pool)))
+            chosen = Streams(seed).generator(f"trouble {number}").choice(len(pool), count, replace=False)
+            pool = [pool[i] for i in sorted(chosen)]
+        found.append(pool)
+    return found
+
+
+def _unheard(worker: str) -> None:
+    pass
+
+
+class Connections:
+    """What troubles do to hand-offs' connections, by worker: the highest share of those in force."""
+
+    def __init__(self) -> None:
+        self.resets: dict[str, dict[int, float]] = {}
+        self.silences: dict[str, dict[int, float]] = {}
+        self.drops: dict[str, dict[int, float]] = {}
+
+    @staticmethod
+    def share(of: dict[str, dict[int, float]], worker: str) -> float:
+        there = of.get(worker)
+        return max(there.values()) if there else 0.0
+
+
+class FleetTroubles:
+    """Plays the troubles of workers, store and discovery on one process's models.
+
+    `died` and `returned` tell the driver, which owns the connections; `listed` tells discovery.
+    """
+
+    def __init__(
+        self,
+        e: ex.Experiment,
+        seed: int,
+        clock: Clock,
+        workers: Sequence[Worker],
+        connections: Connections,
+        died: Callable[[Worker], None],
+        returned: Callable[[Worker], None],
+    ) -> None:
+        self.e = e
+        self.clock = clock
+        self.workers = {w.name: w for w in workers}
+        self.connections = connections
+        self.died = died
+        self.returned = returned
+        self.down: dict[str, set[int]] = {w.name: set() for w in workers}
+        self.next_fall = len(e.troubles)
+        self.on_fall: Callable[[str], None] = _unheard  # told of those pushed over, and when they are back
+        self.on_back: Callable[[str], None] = _unheard
+        for worker in workers:
+            worker.on_fall = self.fell
+        for number, (trouble, names) in enumerate(zip(e.troubles, struck(e, seed), strict=True)):
+            ours = [self.workers[n] for n in names if n in self.workers]
+            for worker in ours:
+                clock.at(trouble.at, self._begin, number, trouble, worker)
+                clock.at(trouble.at + trouble.lasts, self._end, number, trouble, worker)
+
+    def fell(self, worker: Worker) -> None:
+        """Pushed over while cold: it stays down for its time."""
+        number = self.next_fall
+        self.next_fall += 1
+        self._go_down(number, worker)
+        self.on_fall(worker.name)
+        self.clock.at(self.clock.now() + self.e.worker_rules.down_after_fall, self._rise, number, worker)
+
+    def _rise(self, number: int, worker: Worker) -> None:
+        self._come_back(number, worker)
+        self.on_back(worker.name)
+
+    def _begin(self, number: int, t: ex.Trouble, worker: Worker) -> None:
+        if isinstance(t, ex.Crash):
+            self._go_down(number, worker)
+        elif isinstance(t, ex.Drain):
+            self.down[worker.name].add(number)
+            worker.on_empty = lambda w: self._go_down(number, w)
+            if worker.is_empty():
+                self.clock.at(
+                    self.clock.now() + self.e.rules.stop_sending_within, self._drained, number, worker
+                )
+        elif isinstance(t, ex.Hang):
+            worker.freeze(number)
+        elif isinstance(t, ex.Pauses):
+            self._pause(number, t, worker)
+        elif isinstance(t, ex.Slow):
+            worker.slow(number, t.factor)
+        elif isinstance(t, ex.QuickErrors):
+            worker.failing[number] = t.errors
+        elif isinstance(t, ex.LateReports):
+            worker.reports_late[number] = t.by
+        elif isinstance(t, ex.Resets):
+            self.connections.resets.setdefault(worker.name, {})[number] = t.errors
+        elif isinstance(t, ex.Silences):
+            self.connections.silences.setdefault(worker.name, {})[number] = t.errors
+        elif isinstance(t, ex.DropsAtRest):
+            self.connections.drops.setdefault(worker.name, {})[number] = t.errors
+
+    def _end(self, number: int, t: ex.Trouble, worker: Worker) -> None:
+        if isinstance(t, LIKE_CRASH):
+            if worker.up:
+                self._go_down(number, worker)  # a drain's time is over with work still there
+            self._come_back(number, worker)
+        elif isinstance(t, ex.Hang | ex.Pauses):
+            worker.thaw(number)
+        elif isinstance(t, ex.Slow | ex.QuickErrors | ex.LateReports):
+            worker.recover(number)
+        else:
+            for effects in (self.connections.resets, self.connections.silences, self.connections.drops):
+                effects.get(worker.name, {}).pop(number, None)
+
+    def _pause(self, number: int, t: ex.Pauses, worker: Worker) -> None:
+        now = self.clock.now()
+        if now + t.each >= t.at + t.lasts:
+            return
+        worker.freeze(number)
+        self.clock.at(now + t.each, worker.thaw, number)
+        self.clock.at(now + t.every, self._pause, number, t, worker)
+
+    def _drained(self, number: int, worker: Worker) -> None:
+        if number in self.down[worker.name] and worker.up and worker.is_empty():
+            self._go_down(number, worker)
+
+    def _go_down(self, number: int, worker: Worker) -> None:
+        worker.on_empty = None
+        self.down[worker.name].add(number)
+        if worker.up:
+            worker.die()
+            self.died(worker)
+
+    def _come_back(self, number: int, worker: Worker) -> None:
+        self.down[worker.name].discard(number)
+        if not self.down[worker.name] and not worker.up:
+            worker.start()
+            self.returned(worker)
+
+
+class RosterTroubles:
+    """What discovery does and shows, on its own process's models: planned changes, deaths that it notices."""
+
+    def __init__(self, e: ex.Experiment, seed: int, clock: Clock, roster: Roster) -> None:
+        self.e = e
+        self.clock = clock
+        self.roster = roster
+        self.down: dict[str, set[int]] = {}
+        for number, (t, names) in enumerate(zip(e.troubles, struck(e, seed), strict=True)):
+            end = t.at + t.lasts
+            if isinstance(t, ex.DiscoveryDown):
+                clock.at(t.at, roster.go_down, number)
+                clock.at(end, roster.come_up, number)
+            for worker in names:
+                if isinstance(t, ex.Drain):
+                    clock.at(t.at, self._drains, number, worker)
+                elif isinstance(t, ex.Crash):
+                    clock.at(t.at, self._dies, number, worker)
+                if isinstance(t, LIKE_CRASH):
+                    clock.at(end, self._returns, number, worker)
+
+    def _drains(self, number: int, worker: str) -> None:
+        self.down.setdefault(worker, set()).add(number)
+        self.roster.change(worker, "draining")
+
+    def fell(self, worker: str) -> None:
+        """Pushed over: noticed as any death is."""
+        self._dies(FALLEN, worker)
+
+    def back(self, worker: str) -> None:
+        self._returns(FALLEN, worker)
+
+    def _dies(self, number: int, worker: str) -> None:
+        self.down.setdefault(worker, set()).add(number)
+        self.clock.at(self.clock.now() + self.e.discovery.notices_death, self._notices, number, worker)
+
+    def _notices(self, number: int, worker: str) -> None:
+        if number in self.down.get(worker, ()):
+            self.roster.change(worker, "gone")
+
+    def _returns(self, number: int, worker: str) -> None:
+        self.down[worker].discard(number)
+        if not self.down[worker]:
+            self.roster.change(worker, "ready", max(1, self.clock.now()))
+
+
+class StoreTroubles:
+    def __init__(self, e: ex.Experiment, clock: Clock, store: SharedStore | None) -> None:
+        for number, t in enumerate(e.troubles):
+            if store is not None and isinstance(t, ex.StoreJam):
+                clock.at(t.at, store.jams.__setitem__, number, t.factor)
+                clock.at(t.at + t.lasts, store.jams.__delitem__, number)
+
+
+class Cuts:
+    """Which zones nothing passes between at the moment."""
+
+    def __init__(self, e: ex.Experiment, clock: Clock) -> None:
+        self.cut: dict[int, int] = {}  # zone, by the trouble's number
+        self.was_cut: list[tuple[int, int, int]] = []  # zone, begin, end
+        zones = e.zones()
+        for number, t in enumerate(e.troubles):
+            if isinstance(t, ex.ZoneCut):
+                clock.at(t.at, self.cut.__setitem__, number, zones.index(t.zone))
+                clock.at(t.at + t.lasts, self.cut.__delitem__, number)
+
+    def between(self, one: int, other: int) -> bool:
+        return bool(self.cut) and one != other and any(z in (one, other) for z in self.cut.values())
--- /dev/null
+++ b/ploverspoke/testbed/virtual.py
@@ -0,0 +1,540 @@
+"""Virtual time: any number of dispatchers' decisions before the models, to the byte the same for a seed."""
+
+from collections.abc import Callable
+from functools import partial
+from typing import Any
+
+from ploverspoke.decisions.host import Listing
+from ploverspoke.program.standing_orders import standing_orders
+
+from . import experiment as ex
+from . import records
+from .baselines import POLICIES
+from .chances import Draws, Streams
+from .clients import Clients, Request
+from .clock import AnyTimer, Clock, VirtualClock
+from .records import Event, Records
+from .roster import Call, Entry, Roster
+from .schedule import schedule
+from .settings import settings_of
+from .spans import MILLISECOND, SECOND
+from .store import SharedStore
+from .troubles import Connections, Cuts, FleetTroubles, RosterTroubles, StoreTroubles
+from .worker import Rack, Run, Worker
+
+PROBE_TIME_OUT = 250 * MILLISECOND
+HOLD = 10 * SECOND  # of one watch
+ANSWER_EARLY = 20 * MILLISECOND  # than the client gives up
+RESET_WITHIN = 50 * MILLISECOND  # a connection that is to break does so at a random time in here
+ENDS = {"done": "satisfied", "failed": "worker_error", "returned": "full", "lost": "broken_off"}
+FINAL_CALM = 2 * SECOND  # after the last abandon time
+
+
+def racks_of(e: ex.Experiment, clock: Clock) -> Callable[[int, int], dict[int, Rack]]:
+    """Gives a worker of that zone and rack what it shares with others to drop repeats, by labelled grade."""
+    known: dict[tuple[int, str, int], Rack] = {}
+
+    def racks(zone: int, rack: int) -> dict[int, Rack]:
+        found = {}
+        for number, grade in enumerate(e.grades):
+            if grade.repeat == "labelled":
+                key = (number, grade.group, {"all": 0, "zone": zone, "rack": rack}[grade.group])
+                found[number] = known.setdefault(key, Rack(clock))
+        return found
+
+    return racks
+
+
+class Fleet:
+    """Workers and their store."""
+
+    def __init__(self, e: ex.Experiment, seed: int, clock: Clock, seen: Records) -> None:
+        streams = Streams(seed)
+        self.workers: dict[str, Worker] = {}
+        self.rack_of: dict[str, int] = {}
+        self.store = SharedStore(e.store, clock, streams) if e.store is not None else None
+        racks = racks_of(e, clock)
+        for told in e.workers:
+            for _ in range(told.count):
+                number = len(self.workers)
+                name = f"w{number}"
+                rack = self.rack_of[name] = number + 1000 if told.rack is None else told.rack
+                shared = racks(e.zones().index(told.zone), rack)
+                worker = Worker(name, told, e, clock, seen, shared, streams.draws(f"worker {name}"))
+                worker.store = self.store
+                self.workers[name] = worker
+
+
+class HandOff:
+    """One hand-off of one dispatcher, from the choice to its end."""
+
+    __slots__ = ("dispatcher", "index", "open", "reached", "run", "sent_at", "submission", "timers", "worker")
+
+    def __init__(
+        self, dispatcher: "VirtualDispatcher", submission: "Taken", index: int, worker: Worker
+    ) -> None:
+        self.dispatcher = dispatcher
+        self.submission = submission
+        self.index = index
+        self.worker = worker
+        self.sent_at = dispatcher.clock.time
+        self.open = True
+        self.reached = False  # its last byte is on its way on a connection that is up
+        self.run: Run | None = None
+        self.timers: list[AnyTimer] = []
+
+    # What the worker tells travels back to the dispatcher.
+
+    def run_started(self, run: Run) -> None:
+        self._back(self.dispatcher.started, self)
+
+    def run_progressed(self, run: Run, share: float) -> None:
+        self._back(self.dispatcher.progressed, self, share)
+
+    def run_ended(self, run: Run, how: str) -> None:
+        self._back(self.dispatcher.ended, self, ENDS[how])
+
+    def _back(self, call: Callable[..., None], *what: Any) -> None:
+        if self.open and not self.dispatcher.world.is_cut(self.dispatcher.zone, self.worker.zone):
+            clock = self.dispatcher.clock
+            clock.at(
+                clock.time + self.dispatcher.world.one_way(self.dispatcher.zone, self.worker.zone),
+                call,
+                *what,
+            )
+
+
+class Taken:
+    """A submission that a dispatcher has taken."""
+
+    __slots__ = ("answered", "hand_offs", "number", "request")
+
+    def __init__(self, number: int, request: Request) -> None:
+        self.number = number
+        self.request = request
+        self.hand_offs: list[HandOff | None] = []
+        self.answered = False
+
+
+class VirtualDispatcher:
+    """The host of one dispatcher's decisions."""
+
+    def __init__(self, world: "World", number: int, policy: str, start: int) -> None:
+        self.world = world
+        self.clock = world.clock
+        self.number = number
+        self.zone = number % len(world.e.zones())
+        self.alive = True
+        self.leaving = False
+        self.next = 1
+        self.taken: dict[int, Taken] = {}
+        self.resting: dict[str, int] = {}  # connections, by worker
+        self.version: int | None = None
+        self.draws: Draws = world.streams.draws(f"network {number} {start}")
+        seed = world.streams.seed * 1_000_003 + number * 7919 + start
+        true_load = partial(world.true_load, self.zone) if policy == "all-seeing" else None
+        self.decisions = POLICIES[policy](self, seed, world.orders[self.zone], true_load)
+        self._tell_roster(world.first_list)
+
+    # ---- From clients ----
+
+    def arrived(self, request: Request) -> None:
+        job = request.job
+        taken = Taken(self.next, request)
+        self.next += 1
+        self.taken[taken.number] = taken
+        patience = request.abandon_at - self.clock.time
+        abandon_at = request.abandon_at - min(ANSWER_EARLY, max(0, patience) // 10)
+        self.decisions.submission_arrived(
+            taken.number, job.grade, job.slots, abandon_at, job.customer, 0, job.subject, request.tries > 0
+        )
+
+    def left(self, request: Request) -> None:
+        for taken in self.taken.values():
+            if taken.request is request and not taken.answered:
+                taken.answered = True
+                self.decisions.client_left(taken.number)
+                self._forget(taken)
+                return
+
+    # ---- The host ----
+
+    def now(self) -> int:
+        return self.clock.time
+
+    def hand_off(self, submission_id: int, worker: str, time_out: int) -> None:
+        taken = self.taken.get(submission_id)
+        if taken is None or taken.answered:
+            return
+        there = self.world.fleet.workers[worker]
+        hand_off = HandOff(self, taken, len(taken.hand_offs), there)
+        taken.hand_offs.append(hand_off)
+        clock, world = self.clock, self.world
+        now = clock.time
+        hand_off.timers.append(clock.at(now + time_out, self.ended, hand_off, "timed_out"))
+        one_way = world.one_way(self.zone, there.zone)
+        cut = world.is_cut(self.zone, there.zone)
+        if self.resting.get(worker, 0) > 0:
+            self.resting[worker] -= 1
+            if world.shares(world.connections.drops, worker, self.draws):
+                hand_off.timers.append(clock.at(now + 2 * one_way, self.ended, hand_off, "broken_off"))
+            elif not cut:
+                hand_off.timers.append(clock.at(now + one_way, self._reaches, hand_off))
+        elif cut or there.frozen:
+            hand_off.timers.append(
+                clock.at(now + world.e.network.connect_time_out, self.ended, hand_off, "unreachable")
+            )
+        elif not there.up:
+            hand_off.timers.append(clock.at(now + 2 * one_way, self.ended, hand_off, "unreachable"))
+        else:
+            hand_off.timers.append(clock.at(now + 3 * one_way, self._reaches, hand_off))
+
+    def _reaches(self, hand_off: HandOff) -> None:
+        world, worker = self.world, hand_off.worker
+        if not hand_off.open or world.is_cut(self.zone, worker.zone):
+            return
+        if not worker.up:
+            self.ended(hand_off, "unreachable")
+            return
+        request = hand_off.submission.request
+        hand_off.reached = True
+        run = hand_off.run = Run(request.id, request.job, self.number, hand_off, request.label)
+        if world.shares(world.connections.silences, worker.name, self.draws):
+            run.listener = world.nobody
+            if self.draws.happens(0.5):
+                return
+        elif world.shares(world.connections.resets, worker.name, self.draws):
+            after = int(self.draws.fraction() * RESET_WITHIN)
+            hand_off.timers.append(self.clock.at(self.clock.time + after, self._reset, hand_off))
+        worker.take(run)
+
+    def _reset(self, hand_off: HandOff) -> None:
+        if hand_off.open:
+            self._cancel_there(hand_off)
+            self.ended(hand_off, "broken_off")
+
+    def recall(self, submission_id: int, hand_off: int) -> None:
+        taken = self.taken.get(submission_id)
+        out = taken.hand_offs[hand_off] if taken is not None else None
+        if out is not None:
+            self._close(out)
+            self.clock.at(self.clock.time, self._tell_end, out, "recalled" if out.reached else "not_sent")
+
+    def nack(self, submission_id: int, come_back_after: int) -> None:
+        self._answer(submission_id, "nacked", come_back_after)
+
+    def abandon(self, submission_id: int) -> None:
+        self._answer(submission_id, "abandoned")
+
+    def wake_at(self, token: int, when: int) -> None:
+        self.clock.at(when, self._woken, token)
+
+    def _woken(self, token: int) -> None:
+        if self.alive:
+            self.decisions.woken(token)
+
+    def probe(self, worker: str) -> None:
+        there = self.world.fleet.workers[worker]
+        now, one_way = self.clock.time, self.world.one_way(self.zone, there.zone)
+        silent = there.frozen or self.world.is_cut(self.zone, there.zone)
+        if silent:
+            self.clock.at(now + PROBE_TIME_OUT, self._probed, worker, "timed_out", now, False)
+        elif not there.up:
+            self.clock.at(now + 2 * one_way, self._probed, worker, "unreachable", now, False)
+        else:
+            self.clock.at(now + one_way, self._probe_there, there, now)
+
+    def _probe_there(self, there: Worker, sent_at: int) -> None:
+        back = self.clock.time + self.world.one_way(self.zone, there.zone)
+        self.clock.at(back, self._probed, there.name, "satisfied", sent_at, True)
+
+    def _probed(self, worker: str, outcome: str, sent_at: int, reports: bool) -> None:
+        if self.alive:
+            told = self.world.fleet.workers[worker].report() if reports else None
+            load = None if told is None else {"waiting": told["backlog"], "free_slots": told["x0"]}
+            self.decisions.probe_answered(worker, outcome, self.clock.time - sent_at, load)
+
+    def watch_roster(self) -> None:
+        self.clock.at(self.clock.time + self.world.e.network.near, self._call_roster)
+
+    def _call_roster(self) -> None:
+        if self.alive:
+            # A look at the whole list starts each watch, as on sockets.
+            self.world.roster.call(Call(self.number, self.version, self._roster_said), HOLD)
+
+    def _roster_said(self, told: tuple[int, bool, list[Entry]] | None) -> None:
+        self.clock.at(self.clock.time + self.world.e.network.near, self._tell_roster, told)
+
+    def _tell_roster(self, told: tuple[int, bool, list[Entry]] | None) -> None:
+        if not self.alive:
+            return
+        if told is None:
+            self.version = None
+            self.decisions.roster_lost()
+            return
+        first = self.version is None and told is self.world.first_list
+        self.version, whole, entries = told
+        listings = [
+            Listing(e.worker, e.zone, e.kind, e.rack, e.condition, 1.0, e.started_at) for e in entries
+        ]
+        if whole:
+            self.decisions.roster_complete(listings)
+        else:
+            self.decisions.roster_changed(listings)
+        if not first:
+            self._call_roster()
+
+    def log(self, line: str) -> None:
+        pass
+
+    # ---- What becomes of hand-offs ----
+
+    def started(self, hand_off: HandOff) -> None:
+        if hand_off.open and self.alive:
+            self.decisions.hand_off_started(hand_off.submission.number, hand_off.index)
+
+    def progressed(self, hand_off: HandOff, share: float) -> None:
+        if hand_off.open and self.alive:
+            self.decisions.hand_off_progressed(hand_off.submission.number, hand_off.index, share)
+
+    def ended(self, hand_off: HandOff, outcome: str) -> None:
+        if not hand_off.open or not self.alive:
+            return
+        if outcome in ("satisfied", "worker_error", "full"):
+            self.resting[hand_off.worker.name] = self.resting.get(hand_off.worker.name, 0) + 1
+            hand_off.open = False
+            for timer in hand_off.timers:
+                timer.call_off()
+        else:
+            self._close(hand_off)
+        self._tell_end(hand_off, outcome)
+
+    def _tell_end(self, hand_off: HandOff, outcome: str) -> None:
+        taken = hand_off.submission
+        if not self.alive or taken.hand_offs[hand_off.index] is None:
+            return
+        taken.hand_offs[hand_off.index] = None
+        if outcome == "satisfied":
+            self._answer(taken.number, "satisfied")
+        took = self.clock.time - hand_off.sent_at
+        self.decisions.hand_off_ended(
+            taken.number, hand_off.index, hand_off.worker.name, outcome, took, taken.answered, None
+        )
+        self._forget(taken)
+
+    def _close(self, hand_off: HandOff) -> None:
+        """Close its connection: the worker hears of it a little later."""
+        if hand_off.open:
+            hand_off.open = False
+            for timer in hand_off.timers:
+                timer.call_off()
+            self._cancel_there(hand_off)
+
+    def _cancel_there(self, hand_off: HandOff) -> None:
+        run, worker = hand_off.run, hand_off.worker
+        if run is None:
+            return
+        # The network's own word: a worker behind a cut sees no end of the connection.
+        self.world.seen.add(
+            self.clock.time,
+            records.CLOSED,
+            run.submission,
+            run.job.number,
+            self.number,
+            worker.name,
+            run.serial,
+        )
+        if not self.world.is_cut(self.zone, worker.zone):
+            self.clock.at(
+                self.clock.time + self.world.one_way(self.zone, worker.zone), self._cancelled, run, worker
+            )
+
+    @staticmethod
+    def _cancelled(run: Run, worker: Worker) -> None:
+        if worker.up:
+            worker.cancel(run)
+
+    def _answer(self, number: int, how: str, come_back_after: int = 0) -> None:
+        taken = self.taken.get(number)
+        if taken is None or taken.answered:
+            return
+        taken.answered = True
+        self.world.answer(taken.request, how, come_back_after)
+        for hand_off in taken.hand_offs:
+            if hand_off is not None and not hand_off.reached:
+                self.recall(number, hand_off.index)
+        self._forget(taken)
+
+    def _forget(self, taken: Taken) -> None:
+        if taken.answered and not any(taken.hand_offs):
+            self.taken.pop(taken.number, None)
+
+    # ---- Its own end ----
+
+    def die(self) -> None:
+        """SIGKILL: its connections are reset, to workers and to clients."""
+        self.alive = False
+        for taken in self.taken.values():
+            for hand_off in taken.hand_offs:
+                if hand_off is not None:
+                    self._close(hand_off)
+            if not taken.answered:
+                self.world.answer(taken.request, "broken", 0)
+        self.taken.clear()
+
+
+class Nobody:
+    """Hears what a worker tells on a connection that has fallen silent."""
+
+    def run_started(self, run: Run) -> None: ...
+
+    def run_progressed(self, run: Run, share: float) -> None: ...
+
+    def run_ended(self, run: Run, how: str) -> None: ...
+
+
+class World:
+    """One run of one experiment under one policy and one seed."""
+
+    def __init__(self, e: ex.Experiment, seed: int, policy: str) -> None:
+        self.e = e
+        self.policy = policy
+        self.clock = VirtualClock()
+        self.seen = Records()
+        self.streams = Streams(seed)
+        zones = e.zones()
+        self.fleet = Fleet(e, seed, self.clock, self.seen)
+        self.nobody = Nobody()
+        self.roster = Roster(e.discovery, self.clock, self.seen, self.streams.draws("discovery"))
+        for name, worker in self.fleet.workers.items():
+            self.roster.enter(Entry(name, worker.zone, worker.kind, self.fleet.rack_of[name], "ready", 0))
+        self.first_list = (1, True, list(self.roster.entries.values()))
+        self.connections = Connections()
+        self.cuts = Cuts(e, self.clock)
+        self.latency = [
+            [e.network.near if a == b else e.network.far for b in range(len(zones))]
+            for a in range(len(zones))
+        ]
+        self.orders = [
+            standing_orders(settings_of(e, n)) for n in range(min(len(zones), e.dispatchers.count))
+        ]
+        workers = list(self.fleet.workers.values())
+        self.fleet_troubles = FleetTroubles(
+            e, seed, self.clock, workers, self.connections, self._worker_died, _nothing
+        )
+        roster_troubles = RosterTroubles(e, seed, self.clock, self.roster)
+        self.fleet_troubles.on_fall = roster_troubles.fell
+        self.fleet_troubles.on_back = roster_troubles.back
+        StoreTroubles(e, self.clock, self.fleet.store)
+        self.dispatchers = [VirtualDispatcher(self, n, policy, 0) for n in range(e.dispatchers.count)]
+        self.starts = [0] * e.dispatchers.count
+        for t in e.troubles:
+            if isinstance(t, ex.DispatcherKilled | ex.DispatcherRestarted):
+                for number in t.dispatchers:
+                    planned = isinstance(t, ex.DispatcherRestarted)
+                    self.clock.at(t.at, self._leave if planned else self._kill, number)
+                    self.clock.at(t.at + t.lasts, self._restart, number)
+        self.clients = Clients(
+            e, seed, schedule(e, seed), self.clock, self.seen, self._send, self._client_closed
+        )
+        self.clients.start()
+
+    def run(self, told: Callable[[int], None] | None = None) -> list[Event]:
+        """To the end and until all that was taken must be answered; `told` hears the time once a second."""
+        end = self.e.lasts + max(g.abandon_time for g in self.e.grades) + FINAL_CALM
+        for second in range(SECOND, end + SECOND, SECOND):
+            self.clock.run(min(second, end))
+            if told is not None:
+                told(self.clock.time)
+        return self.seen.events
+
+    # ---- The network ----
+
+    def one_way(self, one: int, other: int) -> int:
+        return self.latency[one][other]
+
+    def is_cut(self, one: int, other: int) -> bool:
+        return bool(self.cuts.cut) and self.cuts.between(one, other)
+
+    def shares(self, of: dict[str, dict[int, float]], worker: str, draws: Draws) -> bool:
+        return bool(of) and draws.happens(Connections.share(of, worker))
+
+    def true_load(self, zone: int, worker: str) -> float:
+        """For the all-seeing baseline; what cannot be reached from that zone comes last."""
+        there = self.fleet.workers[worker]
+        reachable = there.up and not there.frozen and not self.is_cut(zone, there.zone)
+        return there.load() / there.speed if reachable else 1e9
+
+    # ---- Clients ----
+
+    def _send(self, request: Request) -> None:
+        dispatcher = self.dispatchers[request.dispatcher]
+        if not dispatcher.alive or dispatcher.leaving:
+            self.clock.at(self.clock.time + 2 * self.e.network.client, self.clients.never_taken, request)
+        else:
+            self.clock.at(self.clock.time + self.e.network.client, self._arrives, request, dispatcher)
+
+    def _arrives(self, request: Request, dispatcher: VirtualDispatcher) -> None:
+        if request.over:
+            return
+        if not dispatcher.alive:
+            self.clients.never_taken(request)
+            return
+        self.clients.taken(request)
+        dispatcher.arrived(request)
+
+    def _client_closed(self, request: Request) -> None:
+        dispatcher = self.dispatchers[request.dispatcher]
+        if dispatcher.alive:
+            self.clock.at(self.clock.time + self.e.network.client, self._client_gone, request, dispatcher)
+
+    def _client_gone(self, request: Request, dispatcher: VirtualDispatcher) -> None:
+        if dispatcher.alive:
+            dispatcher.left(request)
+
+    def answer(self, request: Request, how: str, come_back_after: int) -> None:
+        self.clock.at(self.clock.time + self.e.network.client, self._answered, request, how, come_back_after)
+
+    def _answered(self, request: Request, how: str, come_back_after: int) -> None:
+        self.clients.answered(request, how, come_back_after)
+
+    # ---- Troubles ----
+
+    def _worker_died(self, worker: Worker) -> None:
+        for dispatcher in self.dispatchers:
+            dispatcher.resting.pop(worker.name, None)
+
+    def _kill(self, number: int) -> None:
+        if self.dispatchers[number].alive:
+            self.seen.add(self.clock.time, records.DISPATCHER_DOWN, dispatcher=number)
+            self.dispatchers[number].die()
+
+    def _leave(self, number: int) -> None:
+        """SIGTERM: no new connections; what was taken is finished, for as long as the longest abandon
+        time.
+        """
+        dispatcher = self.dispatchers[number]
+        if dispatcher.alive and not dispatcher.leaving:
+            self.seen.add(self.clock.time, records.DISPATCHER_LEAVES, dispatcher=number)
+            dispatcher.leaving = True
+
+    def _restart(self, number: int) -> None:
+        old = self.dispatchers[number]
+        if old.alive and old.leaving:
+            if any(not t.answered for t in old.taken.values()):
+                self.clock.at(self.clock.time + 100 * MILLISECOND, self._restart, number)
+                return
+            old.alive = False
+        elif old.alive:
+            return
+        self.starts[number] += 1
+        self.seen.add(self.clock.time, records.DISPATCHER_UP, dispatcher=number)
+        self.dispatchers[number] = VirtualDispatcher(self, number, self.policy, self.starts[number])
+
+
+def _nothing(worker: Worker) -> None:
+    pass
+
+
+def play(e: ex.Experiment, seed: int, policy: str, told: Callable[[int], None] | None = None) -> list[Event]:
+    return World(e, seed, policy).run(told)
--- /dev/null
+++ b/tests/test_testbed_files.py
@@ -0,0 +1,120 @@
+"""Experiment files, results and the command line."""
+
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import pytest
+from click.testing import CliRunner
+
+from ploverspoke.cli import main
+from ploverspoke.testbed.compare import compare, difference
+from ploverspoke.testbed.experiment import BadExperiment, experiment_of, read_experiment
+from ploverspoke.testbed.runner import read_result, run_experiment
+from ploverspoke.testbed.scores import merged_histogram
+
+from .test_testbed_model import WORLD, world
+
+SHIPPED = sorted((Path(__file__).parents[1] / "experiments").glob("*.toml"))
+
+
+@pytest.mark.parametrize("path", SHIPPED, ids=lambda p: p.stem)
+def test_a_shipped_experiment_is_sound_and_named_as_its_file(path: Path) -> None:
+    assert read_experiment(path).name == path.stem
+
+
+BAD: list[tuple[dict[str, Any], str]] = [
+    ({"lasts": "6 parsecs"}, "`lasts`"),
+    ({"lasts": 6}, "with its unit"),
+    ({"lastz": "6s"}, "`lastz`"),
+    ({"workers": [{"count": 4, "slot": 2}]}, "`workers[0]`"),
+    ({"workers": [{"count": 0}]}, "workers[0]"),
+    ({"traffic": [{"rate": 10.0, "end": "7s"}]}, "traffic[0]: its stretch is empty or lies beyond the end"),
+    (
+        {"troubles": [{"what": "crash", "at": "5s", "lasts": "2s"}]},
+        "troubles[0]: 'crash' ends beyond the end",
+    ),
+    ({"troubles": [{"what": "crush", "at": "5s", "lasts": "2s"}]}, "troubles[0]"),
+    ({"troubles": [{"what": "hang", "at": "1s", "lasts": "1s", "workers": ["w9"]}]}, "troubles[0].workers"),
+    ({"troubles": [{"what": "zone cut", "at": "1s", "lasts": "1s"}]}, "troubles[0].zone"),
+    (
+        {"troubles": [{"what": "dispatcher killed", "at": "1s", "lasts": "1s", "dispatchers": [2]}]},
+        "dispatchers",
+    ),
+    ({"grades": [{"name": "a", "kind": "fast"}]}, "grades[0].kind"),
+    ({"grades": [{"name": "a", "expected_time": "9s"}]}, "grades[0].expected_time"),
+    ({"grades": [{"name": "a", "slots": {"9": 1.0}}]}, "grades[0].slots"),
+    ({"must_hold": {"over": {"random": 0.1}}}, "must_hold.over.random"),
+    ({"grades": [{"name": "a", "work": {"law": "pareto", "mean": "5ms", "shape": 1.0}}]}, "shape"),
+]
+
+
+@pytest.mark.parametrize(("change", "says"), BAD, ids=lambda x: x if isinstance(x, str) else "")
+def test_a_wrong_file_gets_one_line_that_names_the_key(change: dict[str, Any], says: str) -> None:
+    with pytest.raises(BadExperiment) as told:
+        experiment_of({**WORLD, **change})
+    assert says in str(told.value) and "\n" not in str(told.value)
+
+
+def test_a_result_is_left_and_read_again(tmp_path: Path) -> None:
+    e = world(seeds=[1, 2], policies=["ours", "random"], must_hold={"service": 0.5, "over": {"random": 2.0}})
+    result = run_experiment(e, "virtual", tmp_path)
+    assert len(result.held) == 2 and "over random" in result.failed[0]
+    again = read_result(tmp_path)
+    assert again.runs == result.runs
+    grade = again.runs[0].grades["look"]
+    assert merged_histogram([grade.histogram]).get_total_count() == grade.timely + grade.overdue
+    rows = compare(again, again, "random", "ours")
+    assert rows[0].what == "service" and rows[0].pairs == 2
+
+
+def test_an_interval_needs_more_than_one_pair() -> None:
+    assert not difference("x", [(1.0, 2.0)]).is_clear()
+    assert difference("x", [(1.0, 2.0), (1.1, 2.1), (0.9, 1.9)]).is_clear()
+
+
+def write(path: Path, text: str) -> str:
+    path.write_text(text)
+    return str(path)
+
+
+def test_the_command_line_tells_held_failed_and_wrong_apart(tmp_path: Path) -> None:
+    small = """
+        name = "small"
+        lasts = "2s"
+        seeds = [1]
+        grades = [{name = "look"}]
+        workers = [{count = 2}]
+        traffic = [{rate = 20}]
+    """
+    run = CliRunner()
+    good = run.invoke(
+        main, ["testbed", "run", write(tmp_path / "a.toml", small), "--out", str(tmp_path / "out")]
+    )
+    assert good.exit_code == 0 and "held:" in good.output
+    left = {p.suffix for p in (tmp_path / "out").iterdir()}
+    assert left == {".json", ".svg", ".hgrm"}
+    failing = small + "\n[must_hold]\nservice = 1.1\n"
+    failed = run.invoke(main, ["testbed", "run", write(tmp_path / "b.toml", failing)])
+    assert failed.exit_code == 1 and "FAILED: service" in failed.output
+    wrong = run.invoke(main, ["testbed", "run", write(tmp_path / "c.toml", small + "\nlater = 1")])
+    assert wrong.exit_code == 2 and "later" in wrong.output
+    policy = run.invoke(main, ["testbed", "run", str(tmp_path / "a.toml"), "--policy", "psychic"])
+    assert policy.exit_code == 2 and "psychic" in policy.output
+
+
+def test_check_names_the_key_of_a_wrong_configuration(tmp_path: Path) -> None:
+    run = CliRunner()
+    example = Path(__file__).parents[1] / "deploy" / "example.json"
+    assert run.invoke(main, ["check", str(example)]).exit_code == 0
+    wrong = write(tmp_path / "wrong.json", example.read_text().replace('"free"', '"often"'))
+    told = run.invoke(main, ["check", wrong])
+    assert told.exit_code == 2 and "Repeat is 'often'" in told.output
+
+
+def test_the_platforms_start_imports_none_of_it() -> None:
+    program = "import sys, ploverspoke.program.service; print(*sys.modules)"
+    modules = subprocess.run([sys.executable, "-c", program], capture_output=True, text=True, check=True)
+    for heavy in ("click", "msgspec", "numpy", "rich", "matplotlib", "ploverspoke.testbed"):
+        assert heavy not in modules.stdout.split()
--- /dev/null
+++ b/tests/test_testbed_sockets.py
@@ -0,0 +1,64 @@
+"""The real program among stand-ins, in real time: short, with a crash and a dispatcher that is killed."""
+
+import asyncio
+
+import pytest
+
+from ploverspoke.testbed.audit import SOCKETS_SLACK, audit
+from ploverspoke.testbed.records import CAME, SENT
+from ploverspoke.testbed.scores import score
+from ploverspoke.testbed.sockets import play_on_sockets
+from ploverspoke.testbed.standins.wire import BadWire, Reader, answer, chunk
+
+from .test_testbed_model import world
+
+
+def test_a_short_experiment_on_sockets_keeps_the_rules() -> None:
+    e = world(
+        lasts="4s",
+        troubles=[
+            {"what": "crash", "at": "1s", "lasts": "1s", "workers": ["w0"]},
+            {"what": "resets", "at": "1s", "lasts": "2s", "errors": 0.05},
+            {"what": "dispatcher killed", "at": "2s", "lasts": "1s", "dispatchers": [1]},
+        ],
+    )
+    told: list[dict[str, object]] = []
+    played = play_on_sockets(e, 1, told.append)
+    findings = audit(e, played.events, SOCKETS_SLACK)
+    found = score(e, "ours", 1, played.events, findings, played.void)
+    assert findings == [] and found.submissions > 150 and found.hand_offs > 150
+    assert {event.dispatcher for event in played.events if event.what == CAME} == {0, 1}
+    assert any("workers" in t for t in told) and any("answers" in t for t in told)
+    # Every job was sent, whatever the machine was busy with; how late is told, and is no matter here.
+    assert len({event.job for event in played.events if event.what == SENT}) == len(
+        {event.job for event in played.events if event.job >= 0}
+    )
+
+
+def test_the_stand_ins_own_reader_cuts_and_refuses() -> None:
+    reader = Reader()
+    whole = answer(200, "OK", b"body") + answer(503, "No", b"")
+    found = [m for at in range(len(whole)) for m in reader.feed(whole[at : at + 1])]
+    assert [m.body for m in found] == [b"body", b""] and not reader.is_inside()
+    for bad in (b"HTTP/1.1 200 OK\r\nnothing\r\n\r\n", b"HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n"):
+        with pytest.raises(BadWire):
+            Reader().feed(bad)
+    assert chunk(b"abc") == b"3\r\nabc\r\n"
+
+
+def test_nothing_is_left_running_when_a_process_does_not_come_up(monkeypatch: pytest.MonkeyPatch) -> None:
+    from ploverspoke.testbed import sockets
+
+    started: list[asyncio.subprocess.Process] = []
+    start = sockets.Child.start
+
+    async def noted(kind: str, spec: object, part: int) -> sockets.Child:
+        child = await start(kind, spec, part)  # type: ignore[arg-type]
+        started.append(child.process)
+        return child
+
+    monkeypatch.setattr(sockets.Child, "start", noted)
+    monkeypatch.setattr(sockets.Stage, "_config", lambda *_: {"listen": "127.0.0.1:1", "settings": {}})
+    with pytest.raises(sockets.NotStarted):
+        play_on_sockets(world(lasts="2s"), 1)
+    assert started and all(process.returncode is not None for process in started)
