--- a/ploverspoke/cli.py
+++ b/ploverspoke/cli.py
@@ -14,6 +14,7 @@
         "testbed",
         "Experiments with the dispatcher on virtual time or sockets.",
     ),
+    "store": ("ploverspoke.store.commands", "store", "Look at a store and change it."),
     "demo": ("ploverspoke.testbed.demo", "demo", "See it work: workers, dispatchers and load on free ports."),
 }
 
@@ -62,23 +63,34 @@
     """
 
 
-CONFIG = click.argument(
-    "configuration", type=click.Path(exists=True, dir_okay=False, path_type=Path), envvar="RELAY_CONFIG"
-)
+FILE = click.Path(exists=True, dir_okay=False, path_type=Path)
+CONFIG = click.argument("configuration", type=FILE, envvar="RELAY_CONFIG")
 
 
 @main.command()
 @CONFIG
-def serve(configuration: Path) -> None:
-    """Run a dispatcher with this CONFIGURATION (or that of RELAY_CONFIG) until SIGTERM.
-
-    SIGHUP reads the configuration again. Exit 0: told to end. 2: the configuration is wrong, and its key is
-    named.
+@click.option(
+    "--store", type=click.Path(exists=True, dir_okay=False, path_type=Path), help="A replica's file."
+)
+@click.option("--new", is_flag=True, help="The first start of a new store.")
+@click.option("--join", default="", help="The mark of the running store that it joins.")
+def serve(configuration: Path, store: Path | None, new: bool, join: str) -> None:
+    """Run a dispatcher with this CONFIGURATION (or that of RELAY_CONFIG).
+
+    It runs until SIGTERM. SIGHUP reads the configuration again. With --store it is one replica of a daemon
+    that remembers what it took (docs/store.md). Exit 0: told to end. 2: the configuration or the store is of
+    no use, and why is said.
     """
-    from ploverspoke.program.service import main as service
-
     os.environ["RELAY_CONFIG"] = str(configuration)
-    sys.exit(service())
+    if store is None:
+        from ploverspoke.program.service import main as service
+
+        sys.exit(service())
+    try:
+        from ploverspoke.store.daemon import main as daemon
+    except ModuleNotFoundError as error:
+        raise click.ClickException(f"a store needs {error.name}: install ploverspoke[daemon]") from None
+    sys.exit(daemon(store, new, join))
 
 
 @main.command()
--- a/ploverspoke/decisions/dispatcher.py
+++ b/ploverspoke/decisions/dispatcher.py
@@ -152,6 +152,9 @@
         self.workers: dict[str, Worker] = {}
         self.types: dict[tuple[float, int], JobType] = {}
         self.open: dict[int, Submission] = {}
+        self.resumed: dict[
+            int, tuple[int, str, int]
+        ] = {}  # hand-offs spent, where it may have run, since when
         self.warm_load = 0.0  # slots of ours running on a warm worker, on average
         self.warm_load_at = -SECOND
         self.mean_running_time = 0  # 0: to be worked out anew
@@ -203,6 +206,8 @@
         job.last_chance = abandon_at - self.orders["round"]
         job.last_start = self._last_timely_start(job, now, work_hint)
         self.open[submission_id] = job
+        if submission_id in self.resumed:
+            self._resume(job, *self.resumed.pop(submission_id))
         if now >= job.last_chance:
             self._finish_unsatisfied(job)
             return
@@ -225,6 +230,11 @@
         self._wake(job, min(job.last_start, job.last_chance) if now < job.last_start else job.last_chance)
         self._run_clock(now)
 
+    def submission_resumes(self, submission_id: int, hand_offs: int, ran_at: str, sent_at: int) -> None:
+        """The one that arrives next under this id was another's before, which handed it off so many times;
+        `ran_at` is the first worker that may have run it, "" where none may."""
+        self.resumed[submission_id] = (hand_offs, ran_at, sent_at)
+
     def hand_off_started(self, submission_id: int, hand_off: int) -> None:
         job = self.open.get(submission_id)
         if job is None or job.at is None or job.started_at or hand_off != job.hand_offs - 1:
@@ -808,6 +818,17 @@
         self._wake(job, job.last_chance)
         self._run_clock(now)
 
+    def _resume(self, job: Submission, hand_offs: int, ran_at: str, sent_at: int) -> None:
+        job.hand_offs = hand_offs
+        if hand_offs >= self.orders["most_hand_offs"]:
+            job.last_chance = 0  # none is left
+        if ran_at and self.orders["repeat"][job.grade] != "redoable":
+            worker = self.workers.get(ran_at)
+            # Of a worker that nobody shows any more the group is not known: it goes nowhere.
+            job.group = ("none", 0) if worker is None else self._bound_to(job, worker)
+            window = self.orders["repeat_window"][job.grade] if job.group != ("none", 0) else 0
+            job.last_chance = min(job.last_chance, sent_at + window)
+
     def _last_timely_start(self, job: Submission, now: int, work_hint: int) -> int:
         """When it must start to be answered within its expected time, counted from the client's first try."""
         asked = self.asked_times[job.grade]
--- a/ploverspoke/program/briefing.py
+++ b/ploverspoke/program/briefing.py
@@ -43,8 +43,8 @@
     top = Checked(told)
     if "settings" not in top.value:
         raise top.bad("settings", "an object")
-    listen = _address(top, "listen", environment.get("RELAY_LISTEN"))
-    _address(top, "discovery", environment.get("RELAY_DISCOVERY"))
+    listen = address(top, "listen", environment.get("RELAY_LISTEN"))
+    address(top, "discovery", environment.get("RELAY_DISCOVERY"))
     seed = top.text("seed", "0")
     try:
         seed_number = int(seed, 16)
@@ -70,7 +70,7 @@
     )
 
 
-def _address(top: Checked, name: str, default: str | None) -> tuple[str, int]:
+def address(top: Checked, name: str, default: str | None) -> tuple[str, int]:
     host, _, port = top.text(name, default).rpartition(":")
     try:
         ipaddress.ip_address(host.strip("[]"))
--- a/ploverspoke/program/service.py
+++ b/ploverspoke/program/service.py
@@ -11,6 +11,7 @@
 
 from ploverspoke.routing.door import Door
 from ploverspoke.routing.router import Router
+from ploverspoke.routing.scribe import Scribe
 from ploverspoke.transport.deadlines import Deadlines
 from ploverspoke.transport.log_lines import say
 from ploverspoke.transport.pools import Pool
@@ -28,7 +29,9 @@
 
 
 class Service:
-    def __init__(self, loop: asyncio.AbstractEventLoop, briefing: Briefing) -> None:
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, briefing: Briefing, scribe: Scribe | None = None
+    ) -> None:
         self.loop = loop
         self.briefing = briefing
         self.deadlines = Deadlines(loop)
@@ -41,7 +44,7 @@
             loop, self.deadlines, shares.workers, orders["idle_limit"], orders["connect_time_out"]
         )
         self.router = Router(
-            loop, self.deadlines, self.pool, briefing.discovery, briefing.seed, orders, briefing.names
+            loop, self.deadlines, self.pool, briefing.discovery, briefing.seed, orders, briefing.names, scribe
         )
         self.door = Door(loop, self.deadlines, self.router, shares.clients, shares.buffered)
         self.leaving_since = 0
--- a/ploverspoke/protocol/clients.py
+++ b/ploverspoke/protocol/clients.py
@@ -10,6 +10,7 @@
 
 REASONS = {
     200: "OK",
+    307: "Temporary Redirect",
     400: "Bad Request",
     404: "Not Found",
     405: "Method Not Allowed",
@@ -148,8 +149,10 @@
     return 1.0
 
 
-def answer(status: int, body: bytes, keep: bool, come_back_after: int = 0) -> bytes:
+def answer(status: int, body: bytes, keep: bool, come_back_after: int = 0, location: str = "") -> bytes:
     headers = {"Content-Length": str(len(body))}
+    if location:
+        headers["Location"] = location
     if come_back_after > 0:
         headers["Retry-After"] = f"{come_back_after / SECOND:.3f}"
     if not keep:
--- a/ploverspoke/routing/door.py
+++ b/ploverspoke/routing/door.py
@@ -20,6 +20,7 @@
 SPEAKS_WITHIN = 20 * MILLISECOND  # a usual client, on a new connection
 SLOW_READER = 10 * SECOND  # for an answer to be read
 LINGER = SECOND  # for a client to read why it was turned away
+NO_LEADER = 200 * MILLISECOND  # when to come back where no replica leads
 MOST_AHEAD = 64 * 1024  # bytes that a client may send ahead of its answer
 
 
@@ -71,7 +72,7 @@
         self.waiting.clear()
         submission, self.submission = self.submission, None
         if submission is not None:
-            self.door.router.client_left(submission)
+            self.door.router.client_left(submission, self)
 
     def all_written(self) -> None:
         if not self.answering and not self.closing:
@@ -132,6 +133,10 @@
         if target.startswith("/-/"):
             self._answer_about_us(method, target)
             return
+        elsewhere = self.door.router.elsewhere()
+        if elsewhere is not None:
+            self._send_on(elsewhere, target)
+            return
         try:
             take = self.door.router.take
             submission = None if self.unwelcome else take(self, method, target, headers, body)
@@ -141,7 +146,7 @@
                 # Who only asks whether we are ready is not served: hundreds did, and pushed others out.
                 self.served = True
                 self.door.unserved.pop(self.connection.number, None)
-                if submission.client is not None:
+                if self.answering:
                     self.submission = submission
         except Garbled as error:
             self._answer(error.status, str(error).encode())
@@ -149,6 +154,13 @@
             say(f"a request could not be taken: {traceback.format_exc()}")
             self._answer(500, b"a fault of ours")
 
+    def _send_on(self, address: str, target: str) -> None:
+        """Another replica leads; where none is known to, it soon will be."""
+        if address:
+            self._answer(307, b"another replica leads", location=f"http://{address}{target}")
+        else:
+            self._answer(503, b"no replica leads", NO_LEADER)
+
     def _answer_about_us(self, method: str, target: str) -> None:
         if target.partition("?")[0] not in ("/-/ready", "/-/healthy"):
             self._answer(404, b"not found")
@@ -173,13 +185,18 @@
     def rejected(self) -> None:
         self._answer(400, b"no worker can use it")
 
-    def _answer(self, status: int, body: bytes, come_back_after: int = 0) -> None:
+    def dropped(self) -> None:
+        self.answering = False
+        self.submission = None
+        self.hang_up()
+
+    def _answer(self, status: int, body: bytes, come_back_after: int = 0, location: str = "") -> None:
         self.answering = False
         self.submission = None
         # Who sends what cannot be used is done with: else the same comes again, as fast as it can be sent.
         refused = 400 <= status < 500
         keep = self.keep and not refused and not self.door.is_shut
-        self.connection.write(clients.answer(status, body, keep, come_back_after))
+        self.connection.write(clients.answer(status, body, keep, come_back_after, location))
         self.idle_since = self.door.deadlines.now()
         if not keep:
             self._close()
--- a/ploverspoke/routing/router.py
+++ b/ploverspoke/routing/router.py
@@ -6,6 +6,7 @@
 from collections import deque
 from collections.abc import Callable, Mapping
 from functools import partial
+from hashlib import blake2b
 from typing import Any
 
 from ploverspoke.decisions.dispatcher import Dispatcher
@@ -24,6 +25,7 @@
 from .errands import Errand
 from .outcomes import OUTCOMES
 from .roster import RosterWatch
+from .scribe import Intended, Past, Scribe, Waiters
 from .submissions import Client, Submission
 
 PROBE_TIME_OUT = 250 * MILLISECOND
@@ -34,6 +36,23 @@
 Event = Callable[..., None]
 
 
+def give(client: Client, how: str, result: str, come_back_after: int = 0) -> None:
+    """One final answer, by its name."""
+    if how == "satisfied":
+        client.satisfied(result)
+    elif how == "nacked":
+        client.nacked(come_back_after)
+    elif how == "rejected":
+        client.rejected()
+    else:
+        client.abandoned()
+
+
+def digest_of(method: str, target: str, body: bytes) -> bytes:
+    """Tells two requests under one id apart."""
+    return blake2b(f"{method} {target}\n".encode("utf-8", "surrogatepass") + body, digest_size=16).digest()
+
+
 class HandOff:
     """Tells the router what becomes of one hand-off."""
 
@@ -91,10 +110,13 @@
         seed: int,
         orders: StandingOrders,
         names: Mapping[str, list[str]],
+        scribe: Scribe | None = None,
     ) -> None:
         self.deadlines = deadlines
         self.pool = pool
         self.orders = orders
+        self.scribe = scribe
+        self.by_id: dict[str, Submission] = {}  # those in flight, where there is a store
         self.grades = {name: number for number, name in enumerate(names["grades"])}
         self.customers = {name: number for number, name in enumerate(names["customers"])}
         self.zones = {name: number for number, name in enumerate(names["zones"])}
@@ -141,6 +163,10 @@
         stated = clients.patience(headers)
         patience = longest if stated is None else min(stated, longest)
         slots, hint = clients.slots(headers), clients.work_hint(headers)
+        if self.scribe is not None:
+            known = self._known(self.scribe, client, method, target, headers, body)
+            if known is not None:
+                return known
         if len(self.submissions) >= self.orders["most_open"]:
             return None
         # What waited for us to be read, and the way back, are time that the client has not.
@@ -151,7 +177,8 @@
         self._remember(submission.request_id)
         # The decisions answer in time; this guards the client against a fault in them.
         submission.last_answer = self.deadlines.at(abandon_at, partial(self._overdue, submission))
-        self.tell(
+        arrived = partial(
+            self.tell,
             self.dispatcher.submission_arrived,
             submission.number,
             grade,
@@ -162,10 +189,124 @@
             headers.get("affinity-key", ""),
             headers.get("client-retry") == "1",
         )
+        if self.scribe is None:
+            arrived()
+        else:
+            self._write_down(self.scribe, submission, arrived)
         return submission
 
+    # ---- Where there is a store ----
+
+    def elsewhere(self) -> str | None:
+        """Where clients are to go; None: here, "" nowhere yet."""
+        if self.scribe is None or self.scribe.leads():
+            return None
+        return self.scribe.leader_address()
+
+    def _known(
+        self,
+        scribe: Scribe,
+        client: Client,
+        method: str,
+        target: str,
+        headers: dict[str, str],
+        body: bytes,
+    ) -> Submission | None:
+        """An id that was here before: its client waits with the others, or gets the same answer again."""
+        request_id, digest = headers["request-id"], digest_of(method, target, body)
+        flying, past = self.by_id.get(request_id), scribe.past(request_id)
+        told = flying.digest if flying is not None else past.digest if past is not None else digest
+        if told != digest:
+            raise clients.IdInUse("request-id is in use")
+        if flying is not None and flying.waiters is not None:
+            # Also while its answer is on its way to be committed: taken for a new one it was handed off
+            # again.
+            flying.waiters.clients.append(client)
+            return flying
+        if past is not None and past.answer is not None:
+            how, result = past.answer
+            answered = Submission(client, 0, method, target, headers, b"", 0)
+            give(client, how, result)
+            return answered
+        return None
+
+    def _write_down(self, scribe: Scribe, submission: Submission, arrived: Callable[[], None]) -> None:
+        """The decisions hear of it when it is committed that we have it; redoable ones need not wait for
+        that.
+        """
+        submission.digest = digest_of(submission.method, submission.target, submission.body)
+        submission.client = submission.waiters = Waiters(submission.client)
+        self.by_id[submission.request_id] = submission
+        if self.orders["repeat"][submission.grade] == "redoable":
+            arrived()
+            return
+        past = scribe.past(submission.request_id)
+        if past is not None:
+            self._resume(submission, past)
+            arrived()
+            return
+
+        def committed(yes: bool) -> None:
+            if submission.client is None:
+                return
+            if yes:
+                arrived()
+            else:
+                # It may be written down all the same: whoever leads now says what becomes of it.
+                self._drop(submission)
+
+        abandon_at = submission.abandon_at + self.clock_ahead
+        scribe.take(submission.request_id, submission.grade, submission.digest, abandon_at, committed)
+
+    def _resume(self, submission: Submission, past: Past) -> None:
+        """Another replica had it: its hand-offs count, and it is bound by the first that may have run."""
+        submission.hand_offs = [None] * past.hand_offs
+        sent_at = past.bound_at - self.clock_ahead
+        number = submission.number
+        self.tell(self.dispatcher.submission_resumes, number, past.hand_offs, past.bound_to, sent_at)
+
+    def _intend(self, scribe: Scribe, hand_off: HandOff, time_out: int) -> None:
+        """Nothing that must not run twice leaves before it is committed that it may."""
+        submission, index, until = hand_off.submission, hand_off.index, self.now() + time_out
+        pending = submission.hand_offs[index] = Intended()
+
+        def committed(yes: bool) -> None:
+            if submission.hand_offs[index] is not pending:
+                return
+            left = until - self.now()
+            # A leader that was paused may be none any more: the lease is looked at last, just before the
+            # send.
+            if (
+                yes
+                and left > 0
+                and not pending.called_off
+                and submission.client is not None
+                and scribe.leads()
+            ):
+                self._send(hand_off, left)
+            else:
+                self.hand_off_ended(hand_off, End.WITHHELD, "", None)
+
+        scribe.intend(submission.request_id, hand_off.worker, index, committed)
+
+    def lead_no_more(self) -> None:
+        """Another replica answers from now on; what is out goes on, and its ends are no business of ours."""
+        for submission in self.submissions:
+            if submission.client is not None:
+                self._drop(submission)
+                self.tell(self.dispatcher.client_left, submission.number)
+
+    def _drop(self, submission: Submission) -> None:
+        """Its answer is another replica's to give."""
+        client = submission.client
+        self._close(submission)
+        self.by_id.pop(submission.request_id, None)
+        if client is not None:
+            client.dropped()
+        self._forget(submission)
+
     def _must_be_new(self, request_id: str) -> None:
-        if request_id in self.ids:
+        if request_id in self.ids and self.scribe is None:
             raise clients.IdInUse("request-id is in use")
 
     def _remember(self, request_id: str) -> None:
@@ -175,8 +316,12 @@
         if len(self.latest_ids) > IDS_KEPT and len(self.latest_ids) > 2 * len(self.submissions):
             self.ids.discard(self.latest_ids.popleft())
 
-    def client_left(self, submission: Submission) -> None:
-        if submission.client is not None:
+    def client_left(self, submission: Submission, client: Client) -> None:
+        if submission.waiters is not None:
+            # It may come back for its answer, here or at another replica.
+            if client in submission.waiters.clients:
+                submission.waiters.clients.remove(client)
+        elif submission.client is not None:
             self._close(submission)
             self.tell(self.dispatcher.client_left, submission.number)
             self._forget(submission)
@@ -208,11 +353,13 @@
     def hand_off_ended(self, hand_off: HandOff, end: End, result: str, load: Load | None) -> None:
         submission = hand_off.submission
         submission.hand_offs[hand_off.index] = None
+        if self.scribe is not None and self._is_kept(submission):
+            self.scribe.outcome(submission.request_id, hand_off.index, OUTCOMES[end])
         if end is End.SERVED:
-            self._answer(submission, lambda client: client.satisfied(result))
+            self._answer(submission, "satisfied", result)
         elif end is End.REJECTED:
             # Sent to one worker after the other it set them aside, one by one.
-            self._answer(submission, lambda client: client.rejected())
+            self._answer(submission, "rejected")
         self.tell(
             self.dispatcher.hand_off_ended,
             submission.number,
@@ -295,7 +442,18 @@
             return
         hand_off = HandOff(self, submission, len(submission.hand_offs), worker)
         submission.hand_offs.append(None)
-        submission.hand_offs[-1] = Errand(
+        if self.scribe is not None and self._is_kept(submission):
+            self._intend(self.scribe, hand_off, time_out)
+        else:
+            self._send(hand_off, time_out)
+
+    def _is_kept(self, submission: Submission) -> bool:
+        """Whether the store keeps its hand-offs: what may be run twice needs no keeping."""
+        return bool(self.orders["repeat"][submission.grade] != "redoable")
+
+    def _send(self, hand_off: HandOff, time_out: int) -> None:
+        submission, address = hand_off.submission, self.addresses[hand_off.worker]
+        submission.hand_offs[hand_off.index] = Errand(
             self.pool,
             address,
             lambda left: workers.job(
@@ -319,10 +477,10 @@
             errand.give_up()
 
     def nack(self, submission_id: int, come_back_after: int) -> None:
-        self._answer(self.submissions.get(submission_id), lambda client: client.nacked(come_back_after))
+        self._answer(self.submissions.get(submission_id), "nacked", "", come_back_after)
 
     def abandon(self, submission_id: int) -> None:
-        self._answer(self.submissions.get(submission_id), lambda client: client.abandoned())
+        self._answer(self.submissions.get(submission_id), "abandoned")
 
     def wake_at(self, token: int, when: int) -> None:
         self.deadlines.at(when, lambda: self.tell(self.dispatcher.woken, token))
@@ -351,13 +509,27 @@
 
     # ---- The life of a submission ----
 
-    def _answer(self, submission: Submission | None, give: Callable[[Client], None]) -> None:
+    def _answer(
+        self, submission: Submission | None, how: str, result: str = "", come_back_after: int = 0
+    ) -> None:
         """Its one final answer, unless it has had that or its client has left."""
-        if submission is not None and submission.client is not None:
-            client = submission.client
-            self._close(submission)
-            give(client)
-            self._forget(submission)
+        if submission is None or submission.client is None:
+            return
+        client = submission.client
+        self._close(submission)
+        if self.scribe is None:
+            give(client, how, result, come_back_after)
+        else:
+            # Whoever asks for it again, here or at another replica, must hear the same.
+            def committed(yes: bool) -> None:
+                self.by_id.pop(submission.request_id, None)
+                if yes:
+                    give(client, how, result, come_back_after)
+                else:
+                    client.dropped()
+
+            self.scribe.answer(submission.request_id, how, result, submission.digest, committed)
+        self._forget(submission)
 
     def _close(self, submission: Submission) -> None:
         """It gets its answer now, or wants none any more: nothing is sent for it from here on."""
--- a/ploverspoke/routing/submissions.py
+++ b/ploverspoke/routing/submissions.py
@@ -5,6 +5,7 @@
 from ploverspoke.transport.deadlines import Deadline
 
 from .errands import Errand
+from .scribe import Intended, Waiters
 
 
 class Client(Protocol):
@@ -19,6 +20,9 @@
     def rejected(self) -> None:
         """The request is at fault."""
 
+    def dropped(self) -> None:
+        """No answer can be given here: another replica has it, or will have."""
+
 
 class Submission:
     def __init__(
@@ -40,7 +44,11 @@
         self.request_id = headers["request-id"]
         self.body = body
         self.abandon_at = abandon_at
-        self.hand_offs: list[Errand | None] = []  # None: ended
+        self.digest = b""  # of the request, where a store keeps it
+        self.waiters: Waiters | None = (
+            None  # the same client and those that came back, where there is a store
+        )
+        self.hand_offs: list[Errand | Intended | None] = []  # None: ended
         self.last_answer: Deadline | None = None
 
     def out(self) -> bool:
--- /dev/null
+++ b/ploverspoke/store/commands.py
@@ -0,0 +1,189 @@
+"""`ploverspoke store`: look at a store and change it. What changes something is asked of the leader."""
+
+import json
+import sqlite3
+import sys
+from pathlib import Path
+from typing import Any
+
+import click
+
+from ploverspoke.program.checked import BadKey
+
+from .ask import ask
+from .disk import Damaged, Disk, DiskTrouble, WrongStore
+from .frames import BadFrame
+from .ledger import Ledger
+from .orders import StoreOrders, read_store_orders
+
+FILE = click.argument("file", type=click.Path(exists=True, dir_okay=False, path_type=Path))
+JSON = click.option("--json", "as_json", is_flag=True, help="For tools.")
+
+
+@click.group()
+def store() -> None:
+    """Look at a store and change it. FILE is the store file of any of its replicas."""
+
+
+def _orders(file: Path) -> StoreOrders:
+    try:
+        return read_store_orders(file)
+    except BadKey as error:
+        raise click.UsageError(str(error)) from None
+
+
+def _ask(orders: StoreOrders, name: str, question: dict[str, Any]) -> Any:
+    try:
+        return ask(orders.replicas[name][0], orders.secret, question)
+    except (OSError, BadFrame) as error:
+        return {"name": name, "role": "no answer", "why": str(error)}
+
+
+def _leader(orders: StoreOrders) -> str:
+    """The name of the one that leads. Raises ClickException where none does."""
+    for name in orders.replicas:
+        told = _ask(orders, name, {"ask": "status"})
+        if told.get("leads"):
+            return name
+    raise click.ClickException("no replica leads just now")
+
+
+def _say(told: Any, as_json: bool) -> None:
+    if as_json:
+        click.echo(json.dumps(told, indent=2, default=str))
+        return
+    for row in told if isinstance(told, list) else [told]:
+        click.echo("  ".join(f"{key}={value}" for key, value in row.items() if key != "members"))
+
+
+def _done(told: dict[str, Any], as_json: bool) -> None:
+    if as_json:
+        click.echo(json.dumps(told))
+    else:
+        click.echo("done" if told.get("done") else f"not done: {told.get('why') or 'it may not be just now'}")
+    sys.exit(0 if told.get("done") else 1)
+
+
+@store.command()
+@FILE
+@JSON
+def status(file: Path, as_json: bool) -> None:
+    """What each replica says of itself. Exit 1 where none leads."""
+    orders = _orders(file)
+    told = [_ask(orders, name, {"ask": "status"}) for name in orders.replicas]
+    _say(told, as_json)
+    sys.exit(0 if any(one.get("leads") for one in told) else 1)
+
+
+@store.group()
+def members() -> None:
+    """Who belongs to the store. One voter more or less at a time."""
+
+
+@members.command()
+@FILE
+@click.argument("name")
+@click.option("--peers", required=True, help="Address for the other replicas.")
+@click.option("--clients", required=True, help="Address for clients.")
+@click.option("--votes/--learns", default=False, help="A voter, or one that only learns (first).")
+@JSON
+def add(file: Path, name: str, peers: str, clients: str, votes: bool, as_json: bool) -> None:
+    """Add a replica that learns, or make one that has learned a voter."""
+    orders = _orders(file)
+    question = {"ask": "members", "name": name, "peers": peers, "clients": clients, "votes": votes}
+    _done(_ask(orders, _leader(orders), question), as_json)
+
+
+@members.command()
+@FILE
+@click.argument("name")
+@JSON
+def remove(file: Path, name: str, as_json: bool) -> None:
+    """Remove a replica."""
+    orders = _orders(file)
+    _done(_ask(orders, _leader(orders), {"ask": "members", "name": name, "remove": True}), as_json)
+
+
+@store.command()
+@FILE
+@click.argument("to")
+@JSON
+def transfer(file: Path, to: str, as_json: bool) -> None:
+    """Hand leadership to the replica of that name."""
+    orders = _orders(file)
+    _done(_ask(orders, _leader(orders), {"ask": "transfer", "to": to}), as_json)
+
+
+@store.command()
+@FILE
+@click.argument("path", type=click.Path(path_type=Path))
+@JSON
+def backup(file: Path, path: Path, as_json: bool) -> None:
+    """Copy the store of this file's replica, while it runs, to PATH on its machine."""
+    orders = _orders(file)
+    _done(_ask(orders, orders.name, {"ask": "backup", "path": str(path.absolute())}), as_json)
+
+
+@store.command()
+@FILE
+@click.argument("path", type=click.Path(exists=True, dir_okay=False, path_type=Path))
+def restore(file: Path, path: Path) -> None:
+    """Put a backup in the place of this replica's store, which must not run and must be empty.
+
+    What was committed after the backup is gone: only for all replicas together, from one backup.
+    """
+    orders = _orders(file)
+    target = orders.folder / "store.db"
+    if target.exists():
+        raise click.UsageError(f"{target} exists: a store is never written over")
+    orders.folder.mkdir(parents=True, exist_ok=True)
+    source, copy = sqlite3.connect(path), sqlite3.connect(target)
+    try:
+        source.backup(copy)
+    finally:
+        source.close()
+        copy.close()
+    try:
+        disk = Disk(orders.folder)
+        disk.open()
+        disk.close()
+    except (Damaged, DiskTrouble, WrongStore) as error:
+        target.unlink()
+        raise click.ClickException(f"the backup cannot be used: {error}") from None
+    click.echo(f"restored {target}")
+
+
+@store.command()
+@FILE
+@JSON
+def inspect(file: Path, as_json: bool) -> None:
+    """What the store on this machine holds; its replica must not run. Checksums are looked at."""
+    orders = _orders(file)
+    disk = Disk(orders.folder)
+    try:
+        disk.open()
+    except (Damaged, DiskTrouble, WrongStore) as error:
+        raise click.ClickException(str(error)) from None
+    ledger = Ledger()
+    ledger.load(disk.state)
+    for entry in disk.log.entries:
+        if entry.kind == "data":
+            ledger.apply(entry.at, entry.data)
+    told = {
+        "replica": disk.me,
+        "store": disk.fingerprint,
+        "term": disk.term,
+        "vote": disk.vote,
+        "snapshot": disk.log.snapshot_index,
+        "last": disk.log.last_index(),
+        "bytes": disk.size(),
+        "open": len(ledger.open),
+        "answered": len(ledger.answered),
+        "configurations": [c.version for c in ledger.configurations],
+        "open_submissions": {
+            name: [f"{i.worker}: {i.outcome or 'not known'}" for i in job.intents]
+            for name, job in list(ledger.open.items())[:100]
+        },
+    }
+    disk.close()
+    _say(told, as_json)
--- /dev/null
+++ b/ploverspoke/store/scribe.py
@@ -0,0 +1,104 @@
+"""Writes down for the router what must be committed before it may happen, and ends what others left open."""
+
+import asyncio
+import time
+from collections.abc import Callable
+
+from ploverspoke.routing.scribe import Past, Then
+from ploverspoke.transport.log_lines import say
+
+from . import ledger
+from .node import Node
+from .recovery import Fate, answer_when_over, fate
+
+AFTER_ABANDON = 0.05  # seconds past the abandon time, in which its own answer may still be on its way
+
+
+class StoreScribe:
+    """The `Scribe` of one replica."""
+
+    def __init__(self, node: Node, repeats: list[str], groups: list[str]) -> None:
+        """Repeat and group of each grade, as the standing orders have them."""
+        self.node = node
+        self.repeats = repeats
+        self.groups = groups
+        self.on_lost: Callable[[], None] = lambda: None
+        self.led = False
+        self.recovered = 0
+        node.on_role.append(self._role_changed)
+
+    def leads(self) -> bool:
+        return self.led and self.node.leads()
+
+    def leader_address(self) -> str:
+        own = self.node.orders.replicas[self.node.orders.name][1]
+        found = self.node.leader_clients()
+        return "" if found == own else found
+
+    def past(self, request_id: str) -> Past | None:
+        answered = self.node.ledger.answered.get(request_id)
+        if answered is not None:
+            return Past((answered.how, answered.result), answered.digest, 0, "", 0)
+        job = self.node.ledger.open.get(request_id)
+        if job is None:
+            return None
+        found = fate(job, self.repeats[job.grade])
+        first = found.may_have_run
+        return Past(
+            None, job.digest, found.hand_offs, first.worker if first else "", first.at if first else 0
+        )
+
+    def take(self, request_id: str, grade: int, digest: bytes, abandon_at: int, then: Then) -> None:
+        self.node.propose([ledger.TAKE, request_id, grade, digest, abandon_at, time.time_ns()], then)
+
+    def intend(self, request_id: str, worker: str, index: int, then: Then) -> None:
+        self.node.propose([ledger.INTEND, request_id, worker, index, time.time_ns()], then)
+
+    def outcome(self, request_id: str, index: int, outcome: str) -> None:
+        self.node.propose([ledger.OUTCOME, request_id, index, outcome], _nobody)
+
+    def answer(self, request_id: str, how: str, result: str, digest: bytes, then: Then) -> None:
+        def told(yes: bool) -> None:
+            # Another answer may have been committed first: then that one stands, and ours is not given.
+            kept = self.node.ledger.answered.get(request_id)
+            then(yes and kept is not None and (kept.how, kept.result) == (how, result))
+
+        self.node.propose([ledger.ANSWER, request_id, how, result, digest, time.time_ns()], told)
+
+    # ---- Taking over ----
+
+    def _role_changed(self, role: str, leader: str) -> None:
+        if role == "leader":
+            self.node.read(self._took_over)
+        elif self.led:
+            self.led = False
+            say(f"store: {self.node.orders.name} leads no more")
+            self.on_lost()
+
+    def _took_over(self, yes: bool) -> None:
+        """All that was committed before is applied here: what others left open can be judged."""
+        if not yes:
+            return
+        self.led = True
+        left = list(self.node.ledger.open.items())
+        say(f"store: {self.node.orders.name} leads; {len(left)} submissions were open")
+        for name, job in left:
+            self.recovered += 1
+            if fate(job, self.repeats[job.grade]).fate is Fate.LOST:
+                self._end(name, "abandoned")
+            else:
+                wait = (job.abandon_at - time.time_ns()) / 1e9 + AFTER_ABANDON
+                asyncio.get_running_loop().call_later(max(0.0, wait), self._over, name)
+
+    def _over(self, name: str) -> None:
+        job = self.node.ledger.open.get(name)
+        if job is not None and self.led:
+            grade = job.grade
+            self._end(name, answer_when_over(job, self.repeats[grade], self.groups[grade] == "all"))
+
+    def _end(self, name: str, how: str) -> None:
+        self.node.propose([ledger.ANSWER, name, how, "", b"", time.time_ns()], _nobody)
+
+
+def _nobody(yes: bool) -> None:
+    pass
--- a/ploverspoke/testbed/clients.py
+++ b/ploverspoke/testbed/clients.py
@@ -16,6 +16,9 @@
 from .spans import MILLISECOND
 
 LATE = 5 * MILLISECOND  # a first try that goes out later than this is the generator's fault, and is told
+ASK_AGAIN = 40 * MILLISECOND  # the same id, at another replica
+LATE_ASKS = 5000 * MILLISECOND  # past the abandon time an answer is still asked for
+TWICE = 0.1  # share of answered ones that are asked for once more, elsewhere
 LEAST_PATIENCE = 5 * MILLISECOND
 
 
@@ -24,6 +27,7 @@
 
     __slots__ = (
         "abandon_at",
+        "asked_at",
         "connection",
         "dispatcher",
         "id",
@@ -33,6 +37,7 @@
         "sent_at",
         "timers",
         "tries",
+        "twice",
     )
 
     def __init__(
@@ -45,10 +50,15 @@
         self.dispatcher = dispatcher
         self.sent_at = sent_at
         self.abandon_at = abandon_at
+        self.asked_at = dispatcher  # where its id was last brought
         self.over = False
+        self.twice = False  # it is answered, and asked for once more
         self.timers: list[AnyTimer] = []
         self.connection: object = None  # the driver's
 
+    def is_asked(self) -> bool:
+        return self.twice or not self.over
+
 
 class Clients:
     def __init__(
@@ -114,10 +124,11 @@
             detail=[job.grade, tries, abandon_at, first_sent],
         )
         self.out += 1
-        request.timers.append(self.clock.at(abandon_at + 50 * MILLISECOND, self._unanswered, request))
+        late = LATE_ASKS if self.e.dispatchers.store else 50 * MILLISECOND
+        request.timers.append(self.clock.at(abandon_at + late, self._unanswered, request))
         if job.leaves_after and not tries:
             request.timers.append(self.clock.at(first_sent + job.leaves_after, self._leave, request))
-        self.send(request)
+        self._send(request)
 
     # ---- What the driver says ----
 
@@ -127,12 +138,17 @@
 
     def answered(self, request: Request, how: str, come_back_after: int = 0) -> None:
         """Satisfied, nacked, abandoned, rejected, or broken: the connection ended without an answer."""
+        if self.e.dispatchers.store and how == "broken" and not request.over:
+            self._bring_again(request, (request.asked_at + 1) % self.e.dispatchers.count)
+            return
         if request.over:
             # What comes after an answer is for the auditor.
             self._note(records.ANSWERED, request, how)
             return
         self._end(request)
         self._note(records.ANSWERED, request, how)
+        if self.e.dispatchers.store and self.draws.happens(TWICE):
+            self.clock.at(self.clock.now() + ASK_AGAIN, self._ask_twice, request)
         repeat = self.e.grades[request.job.grade].repeat
         if how == "nacked" or (how == "broken" and repeat == "redoable"):
             self._again(request, come_back_after)
@@ -141,12 +157,48 @@
         """No connection came up: the next dispatcher is tried at once."""
         if request.over:
             return
+        if self.e.dispatchers.store:
+            self._bring_again(request, (request.asked_at + 1) % self.e.dispatchers.count)
+            return
         self._end(request)
         self._note(records.NEVER_TAKEN, request)
         self._again(request, 0, at_once=True)
 
+    def sent_on(self, request: Request, to: int) -> None:
+        """Another replica leads: the same id goes there."""
+        if request.is_asked():
+            self._bring_again(request, to, at_once=True)
+
     # ---- Inside ----
 
+    def _bring_again(self, request: Request, to: int, at_once: bool = False) -> None:
+        request.asked_at = to
+        wait = 0 if at_once else ASK_AGAIN
+        self.clock.at(self.clock.now() + wait, self._bring, request)
+
+    def _bring(self, request: Request) -> None:
+        if request.is_asked():
+            self._send(request)
+
+    def _ask_twice(self, request: Request) -> None:
+        """Whoever asks again, anywhere, must hear the same; the driver tells by `answered`."""
+        request.twice = True
+        request.asked_at = (request.asked_at + 1) % self.e.dispatchers.count
+        self.send(request)
+
+    def _send(self, request: Request) -> None:
+        self.send(request)
+        after = self.e.clients.elsewhere_after
+        if self.e.dispatchers.store and after:
+            request.timers.append(self.clock.at(self.clock.now() + after, self._elsewhere, request))
+
+    def _elsewhere(self, request: Request) -> None:
+        """A replica that is paused neither answers nor hangs up."""
+        if not request.over:
+            self.close(request)
+            request.asked_at = (request.asked_at + 1) % self.e.dispatchers.count
+            self._send(request)
+
     def _again(self, request: Request, come_back_after: int, at_once: bool = False) -> None:
         told = self.e.clients
         if request.tries + 1 >= told.tries:
--- a/ploverspoke/testbed/commands.py
+++ b/ploverspoke/testbed/commands.py
@@ -118,13 +118,26 @@
 @testbed.command()
 @click.option("--quick", is_flag=True, help="Shorter, and fewer steps.")
 @click.option("--out", type=click.Path(dir_okay=False, path_type=Path), help="A JSON file for the figures.")
-def bench(quick: bool, out: Path | None) -> None:
+@click.option(
+    "--store", is_flag=True, help="What a store costs and how long a lost leader is missed, instead."
+)
+def bench(quick: bool, out: Path | None, store: bool) -> None:
     """Measure one dispatcher on one core against a bare relay, and the decisions' cost by fleet size."""
     from .bench import measure, tables
+    from .store_bench import measure_store, store_tables
+
+    def say(text: str) -> None:
+        print(text, flush=True)
 
-    figures = measure(quick, lambda text: print(text, flush=True))
     show = console()
-    for table in tables(figures):
+    figures: object
+    if store:
+        figures = found = measure_store(quick, say)
+        shown = store_tables(found)
+    else:
+        figures = measured = measure(quick, say)
+        shown = tables(measured)
+    for table in shown:
         show.print(table)
     if out is not None:
         out.write_bytes(msgspec.json.format(msgspec.json.encode(figures)))
--- a/ploverspoke/testbed/experiment.py
+++ b/ploverspoke/testbed/experiment.py
@@ -13,6 +13,7 @@
 import msgspec
 import numpy as np
 
+from .chances import Streams
 from .spans import MILLISECOND, SECOND, Span, read_span
 
 
@@ -132,6 +133,7 @@
 
 class Dispatchers(Part, frozen=True, kw_only=True):
     count: int = 2
+    store: bool = False  # they are the replicas of one store (on sockets only)
     memory_mb: int = 192
     sockets: int = 1024
 
@@ -166,6 +168,7 @@
     retry: Literal["at once", "after a wait"] = "after a wait"
     retry_wait: Law = Exponential(mean=Span(200 * MILLISECOND))
     heeds_advice: bool = True
+    elsewhere_after: Span = Span(0)  # where there is a store: one that is not answered asks another replica
     leave_early: float = 0.0  # share that leaves at a random part of its abandon time
 
 
@@ -269,6 +272,22 @@
     dispatchers: list[int] = []
 
 
+class DispatcherPaused(Trouble, tag="dispatcher paused", frozen=True, kw_only=True):
+    """SIGSTOP, and SIGCONT when this ends."""
+
+    of_workers = False
+    dispatchers: list[int] = []
+
+
+class KilledAtRandom(Trouble, tag="killed at random", frozen=True, kw_only=True):
+    """One dispatcher after the other is killed or paused, drawn from the seed, each back before the next."""
+
+    of_workers = False
+    every: Span = Span(6 * SECOND)
+    down: Span = Span(2 * SECOND)
+    pauses: float = 0.3  # share that is paused in place of being killed
+
+
 class DispatcherRestarted(Trouble, tag="dispatcher restarted", frozen=True, kw_only=True):
     """SIGTERM, then a new start when this ends."""
 
@@ -291,7 +310,9 @@
     | StoreJam
     | DiscoveryDown
     | DispatcherKilled
+    | DispatcherPaused
     | DispatcherRestarted
+    | KilledAtRandom
 )
 
 
@@ -426,7 +447,7 @@
         must(0 <= t.share <= 1, f"{key}.share", "must lie between 0 and 1")
         if isinstance(t, ZoneCut):
             must(bool(t.zone), f"{key}.zone", "a cut needs the zone that is cut off")
-        if isinstance(t, DispatcherKilled | DispatcherRestarted):
+        if isinstance(t, DispatcherKilled | DispatcherPaused | DispatcherRestarted):
             known = all(0 <= d < e.dispatchers.count for d in t.dispatchers)
             must(known and bool(t.dispatchers), f"{key}.dispatchers", "must name dispatchers, counted from 0")
 
@@ -438,6 +459,26 @@
         return False
 
 
+def outages(e: Experiment, seed: int) -> list[tuple[int, int, int, str]]:
+    """What happens to dispatchers: when, until when, which, and "killed", "paused" or "restarted"."""
+    kinds = {DispatcherKilled: "killed", DispatcherPaused: "paused", DispatcherRestarted: "restarted"}
+    found: list[tuple[int, int, int, str]] = []
+    for number, t in enumerate(e.troubles):
+        if isinstance(t, DispatcherKilled | DispatcherPaused | DispatcherRestarted):
+            found += [(t.at, t.at + t.lasts, d, kinds[type(t)]) for d in t.dispatchers]
+        elif isinstance(t, KilledAtRandom):
+            draw = Streams(seed).draws(f"outages {number}")
+            at: int = t.at
+            while at + t.down <= t.at + t.lasts:
+                which = draw.below(e.dispatchers.count)
+                begins = at + int(draw.fraction() * (t.every - t.down))
+                found.append(
+                    (begins, begins + t.down, which, "paused" if draw.happens(t.pauses) else "killed")
+                )
+                at += t.every
+    return sorted(found)
+
+
 def shares(weights: Sequence[float] | np.ndarray) -> np.ndarray:
     """Shares that add up to 1."""
     given = np.asarray(weights, dtype=float)
--- a/ploverspoke/testbed/runner.py
+++ b/ploverspoke/testbed/runner.py
@@ -2,9 +2,11 @@
 other on sockets.
 """
 
+import gc
 import time
 from collections.abc import Callable, Iterator
 from concurrent.futures import ProcessPoolExecutor, as_completed
+from contextlib import contextmanager
 from multiprocessing import get_context
 from os import sched_getaffinity
 from pathlib import Path
@@ -44,7 +46,8 @@
     from .virtual import play
 
     began = time.perf_counter()
-    events = play(e, seed, policy)
+    with _without_collector():
+        events = play(e, seed, policy)
     took = time.perf_counter() - began
     if keep is not None:
         write_records(events, keep)
@@ -53,6 +56,18 @@
     return found
 
 
+@contextmanager
+def _without_collector() -> Iterator[None]:
+    """A run's records stay: to look through them again and again takes a fifth of its time."""
+    was = gc.isenabled()
+    gc.disable()
+    try:
+        yield
+    finally:
+        if was:
+            gc.enable()
+
+
 def run_sockets(
     e: Experiment, seed: int, keep: Path | None, told: Callable[[Any], None] | None = None
 ) -> RunScore:
--- a/ploverspoke/testbed/sockets.py
+++ b/ploverspoke/testbed/sockets.py
@@ -19,6 +19,7 @@
 
 from . import experiment as ex
 from . import records
+from .clients import LATE_ASKS
 from .records import Event, Records, merged, read_records
 from .settings import settings_of
 from .spans import MILLISECOND, SECOND, write_span
@@ -28,6 +29,7 @@
 MOST_BEHIND = 100 * MILLISECOND  # of the load generator; past that the figures are void
 STOP_WITHIN = 10.0
 FINAL_CALM = SECOND
+OUTAGE = "outage"  # the name of tasks that play one
 
 Told = Callable[[dict[str, Any]], None]
 
@@ -84,17 +86,27 @@
     it.
     """
 
-    def __init__(self, folder: Path, number: int, config: dict[str, Any]) -> None:
+    def __init__(
+        self, folder: Path, number: int, config: dict[str, Any], store: dict[str, Any] | None = None
+    ) -> None:
         self.path = folder / f"d{number}.json"
         self.path.write_bytes(msgspec.json.encode(config))
         self.log = (folder / f"d{number}.log").open("ab")
         self.port = int(config["listen"].rpartition(":")[2])
         self.process: asyncio.subprocess.Process | None = None
+        self.words = ["-m", "ploverspoke"]
+        self.started = False
+        if store is not None:
+            file = folder / f"store{number}.json"
+            file.write_bytes(msgspec.json.encode(store))
+            self.words += ["serve", str(self.path), "--store", str(file)]
 
     async def start(self) -> None:
         environment = {**os.environ, "RELAY_CONFIG": str(self.path)}
+        new = ["--new"] if len(self.words) > 2 and not self.started else []
+        self.started = True
         self.process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "ploverspoke", env=environment, stdout=self.log, stderr=self.log
+            sys.executable, *self.words, *new, env=environment, stdout=self.log, stderr=self.log
         )
         await self._ready()
 
@@ -125,6 +137,10 @@
             self.process.kill()
             await self.process.wait()
 
+    def signal(self, number: signal.Signals) -> None:
+        if self.process is not None and self.process.returncode is None:
+            self.process.send_signal(number)
+
     def crashed(self) -> bool:
         return self.process is not None and self.process.returncode not in (None, 0, -signal.SIGKILL)
 
@@ -183,12 +199,13 @@
             await self._first(child)
         # Discovery answers dispatchers from their start on, so it begins before them, on a clock that is
         # set later.
-        ports = free_ports(e.dispatchers.count)
+        ports, peer_ports = free_ports(e.dispatchers.count), free_ports(e.dispatchers.count)
         self.epoch = time.monotonic_ns() + LEAD + int(e.dispatchers.count * 0.4 * SECOND)
         discovery.tell({"start": self.epoch, "worker_ports": worker_ports})
         for number, port in enumerate(ports):
             config = self._config(number, port, discovery_ports[number], worker_ports)
-            self.programs.append(Program(self.folder, number, config))
+            store = self._store(number, ports, peer_ports) if e.dispatchers.store else None
+            self.programs.append(Program(self.folder, number, config, store))
         await asyncio.gather(*(program.start() for program in self.programs))
         late = self.now()
         if late > -LEAD // 2:
@@ -197,10 +214,10 @@
             child.tell({"start": self.epoch, "dispatcher_ports": ports})
         listening = [asyncio.create_task(self._listen(child, discovery)) for child in (workers, *others)]
         self.tasks += listening
-        for t in e.troubles:
-            if isinstance(t, ex.DispatcherKilled | ex.DispatcherRestarted):
-                self.tasks += [asyncio.create_task(self._trouble(t, d)) for d in t.dispatchers]
+        for outage in ex.outages(e, self.seed):
+            self.tasks.append(asyncio.create_task(self._outage(*outage), name=OUTAGE))
         end = e.lasts + max(g.abandon_time for g in e.grades) + FINAL_CALM
+        end += LATE_ASKS if e.dispatchers.store else 0
         await asyncio.sleep(max(0.0, (end - self.now()) / SECOND))
 
     async def _child(self, kind: str, spec: Path, part: int) -> Child:
@@ -227,6 +244,16 @@
             "settings": settings_of(e, number),
         }
 
+    def _store(self, number: int, ports: list[int], peer_ports: list[int]) -> dict[str, Any]:
+        (self.folder / "secret").write_text("a secret of the testbed's own")
+        replicas = {
+            f"r{n}": {"peers": f"127.0.0.1:{peers}", "clients": f"127.0.0.1:{clients}"}
+            for n, (peers, clients) in enumerate(zip(peer_ports, ports, strict=True))
+        }
+        name = f"r{number}"
+        told = {"cluster": "testbed", "name": name, "folder": f"store-{name}", "secret_file": "secret"}
+        return {**told, "replicas": replicas}
+
     async def _listen(self, child: Child, discovery: Child) -> None:
         while (told := await child.hear()) is not None:
             if "fault" in told:
@@ -237,22 +264,26 @@
             if self.told is not None:
                 self.told({"at": self.now(), "child": id(child), **told})
 
-    async def _trouble(self, t: ex.Trouble, number: int) -> None:
+    async def _outage(self, begin: int, end: int, number: int, how: str) -> None:
         program = self.programs[number]
-        await asyncio.sleep((t.at - self.now()) / SECOND)
-        planned = isinstance(t, ex.DispatcherRestarted)
-        what = records.DISPATCHER_LEAVES if planned else records.DISPATCHER_DOWN
+        await asyncio.sleep((begin - self.now()) / SECOND)
+        if how == "paused":
+            program.signal(signal.SIGSTOP)
+            await asyncio.sleep((end - self.now()) / SECOND)
+            program.signal(signal.SIGCONT)
+            return
+        what = records.DISPATCHER_LEAVES if how == "restarted" else records.DISPATCHER_DOWN
         self.seen.add(self.now(), what, dispatcher=number)
         longest = max(g.abandon_time for g in self.e.grades) / SECOND
-        await program.end(signal.SIGTERM if planned else signal.SIGKILL, longest + 0.7)
-        await asyncio.sleep(max(0.0, (t.at + t.lasts - self.now()) / SECOND))
+        await program.end(signal.SIGTERM if how == "restarted" else signal.SIGKILL, longest + 0.7)
+        await asyncio.sleep(max(0.0, (end - self.now()) / SECOND))
         await program.start()
         self.seen.add(self.now(), records.DISPATCHER_UP, dispatcher=number)
 
     async def close(self) -> None:
         """End all that was started, whatever happened."""
         for task in self.tasks:
-            if not task.done() and task.get_coro().__name__ == "_trouble":  # type: ignore[union-attr]
+            if task.get_name() == OUTAGE:
                 task.cancel()
         for program in self.programs:
             if program.crashed():
--- a/ploverspoke/testbed/virtual.py
+++ b/ploverspoke/testbed/virtual.py
@@ -428,12 +428,13 @@
         StoreTroubles(e, self.clock, self.fleet.store)
         self.dispatchers = [VirtualDispatcher(self, n, policy, 0) for n in range(e.dispatchers.count)]
         self.starts = [0] * e.dispatchers.count
-        for t in e.troubles:
-            if isinstance(t, ex.DispatcherKilled | ex.DispatcherRestarted):
-                for number in t.dispatchers:
-                    planned = isinstance(t, ex.DispatcherRestarted)
-                    self.clock.at(t.at, self._leave if planned else self._kill, number)
-                    self.clock.at(t.at + t.lasts, self._restart, number)
+        if e.dispatchers.store:
+            raise ex.BadExperiment("dispatchers.store: a store is played on sockets only")
+        for begin, end, number, how in ex.outages(e, seed):
+            if how == "paused":
+                raise ex.BadExperiment("troubles: a pause of a dispatcher is played on sockets only")
+            self.clock.at(begin, self._leave if how == "restarted" else self._kill, number)
+            self.clock.at(end, self._restart, number)
         self.clients = Clients(
             e, seed, schedule(e, seed), self.clock, self.seen, self._send, self._client_closed
         )
--- a/ploverspoke/testbed/worker.py
+++ b/ploverspoke/testbed/worker.py
@@ -346,11 +346,10 @@
 
     def _follow(self, run: Run, earlier: Run) -> None:
         """A repeat is not run: it gets the end of the first one."""
-        self._note(records.ENDED, run, [run.serial, "repeat dropped"])
+        run.waits_on = earlier
         if earlier.over:
             self._tell_end(run, "done")
             return
-        run.waits_on = earlier
         earlier.followers.append(run)
 
     def _fetched(self, run: Run) -> None:
@@ -426,6 +425,8 @@
         if run.over:
             return
         run.over = True
+        if run.waits_on is not None:
+            self._note(records.ENDED, run, [run.serial, "repeat dropped" if how == "done" else how])
         if how != "recalled":
             run.listener.run_ended(run, how)
 
--- /dev/null
+++ b/tests/test_store_node.py
@@ -0,0 +1,209 @@
+"""Replicas on sockets and disks, in one loop: elections, a lost leader, a full disk, strangers, members."""
+
+import asyncio
+import json
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+import uvloop
+
+from ploverspoke.program.checked import BadKey
+from ploverspoke.store.disk import WrongStore
+from ploverspoke.store.ledger import CONFIGURE
+from ploverspoke.store.node import Node
+from ploverspoke.store.orders import read_store_orders
+from ploverspoke.testbed.sockets import free_ports
+
+
+class Cluster:
+    def __init__(self, folder: Path, size: int, spare: int = 0) -> None:
+        self.folder = folder
+        self.size = size
+        ports = free_ports(2 * (size + spare))
+        self.addresses = {
+            f"r{n}": {"peers": f"127.0.0.1:{ports[2 * n]}", "clients": f"127.0.0.1:{ports[2 * n + 1]}"}
+            for n in range(size + spare)
+        }
+        self.nodes: dict[str, Node] = {}
+        (folder / "secret").write_text("a secret that is long enough")
+
+    def file(self, replica: str, **changes: Any) -> Path:
+        first = {n: a for n, a in self.addresses.items() if int(n[1:]) < self.size or n == replica}
+        told = {
+            "cluster": "trips",
+            "name": replica,
+            "folder": replica,
+            "secret_file": "secret",
+            "replicas": first,
+        }
+        path = self.folder / f"{replica}.json"
+        path.write_text(json.dumps({**told, "snapshot_every": 100, **changes}))
+        return path
+
+    async def start(self, name: str, new: bool = False, join: str = "", **changes: Any) -> Node:
+        node = self.nodes[name] = Node(read_store_orders(self.file(name, **changes)))
+        await node.open(new, join)
+        return node
+
+    async def stop(self, name: str) -> None:
+        await self.nodes.pop(name).close()
+
+    async def leader(self) -> Node:
+        return await until(lambda: next((n for n in self.nodes.values() if n.leads()), None))
+
+    async def close(self) -> None:
+        for name in list(self.nodes):
+            await self.stop(name)
+
+
+async def until(found: Callable[[], Any], seconds: float = 10.0) -> Any:
+    for _ in range(int(seconds * 100)):
+        value = found()
+        if value:
+            return value
+        await asyncio.sleep(0.01)
+    raise AssertionError("it did not come to that")
+
+
+def write(node: Node, body: str) -> Awaitable[bool]:
+    future = asyncio.get_running_loop().create_future()
+    node.propose([CONFIGURE, body, "test", 1], lambda yes: future.cancelled() or future.set_result(yes))
+    return future
+
+
+def bodies(node: Node) -> list[str]:
+    return [c.body for c in node.ledger.configurations]
+
+
+def play(folder: Path, size: int, scene: Callable[[Cluster], Awaitable[None]], spare: int = 0) -> None:
+    async def whole() -> None:
+        cluster = Cluster(folder, size, spare)
+        try:
+            for n in range(size):
+                await cluster.start(f"r{n}", new=True)
+            await scene(cluster)
+        finally:
+            await cluster.close()
+
+    uvloop.run(asyncio.wait_for(whole(), 40))
+
+
+@pytest.mark.parametrize("size", [1, 3])
+def test_what_was_committed_is_there_after_all_were_stopped(size: int, tmp_path: Path) -> None:
+    async def scene(cluster: Cluster) -> None:
+        leader = await cluster.leader()
+        assert await write(leader, "one") and await write(leader, "two")
+        for name in list(cluster.nodes):
+            await cluster.stop(name)
+        for n in range(size):
+            await cluster.start(f"r{n}")
+        leader = await cluster.leader()
+        await until(lambda: bodies(leader) == ["one", "two"])
+
+    play(tmp_path, size, scene)
+
+
+def test_a_lost_leader_is_replaced_and_comes_back_behind_a_snapshot(tmp_path: Path) -> None:
+    async def scene(cluster: Cluster) -> None:
+        old = await cluster.leader()
+        name = old.orders.name
+        assert await write(old, "first")
+        await cluster.stop(name)
+        leader = await cluster.leader()
+        for n in range(150):
+            assert await write(leader, f"c{n}")
+        await until(lambda: leader.replica.raft.log.snapshot_index >= 100)
+        back = await cluster.start(name)
+        await until(lambda: bodies(back)[-1:] == ["c149"])
+        assert back.replica.raft.log.snapshot_index >= 100
+
+    play(tmp_path, 3, scene)
+
+
+def test_a_leader_whose_disk_is_full_stands_aside_and_serves_again(tmp_path: Path) -> None:
+    async def scene(cluster: Cluster) -> None:
+        old = await cluster.leader()
+        assert await write(old, "kept")
+        old.disk.most_pages = 60
+        old.disk.db.execute("pragma max_page_count = 60")
+        for n in range(200):
+            if not await write(old, f"{n} " + "x" * 3000):
+                break
+        assert old.troubles and not old.leads()
+        leader = await cluster.leader()
+        assert leader is not old and len(bodies(leader)) > 1
+        assert await write(leader, "after")
+        old.disk.most_pages = 0
+        await until(lambda: old.replica is not None and bodies(old)[-1:] == ["after"])
+
+    play(tmp_path, 3, scene)
+
+
+def test_no_majority_acknowledges_nothing(tmp_path: Path) -> None:
+    async def scene(cluster: Cluster) -> None:
+        leader = await cluster.leader()
+        for name in [n for n in cluster.nodes if n != leader.orders.name]:
+            await cluster.stop(name)
+        assert not await write(leader, "lost")
+        await until(lambda: not leader.leads())
+
+    play(tmp_path, 3, scene)
+
+
+def test_a_wiped_replica_does_not_start_and_joins_under_another_name(tmp_path: Path) -> None:
+    async def scene(cluster: Cluster) -> None:
+        leader = await cluster.leader()
+        assert await write(leader, "one")
+        lost = next(n for n in cluster.nodes if n != leader.orders.name)
+        await cluster.stop(lost)
+        for path in (tmp_path / lost).iterdir():
+            path.unlink()
+        with pytest.raises(WrongStore, match="--join"):
+            await cluster.start(lost)
+        cluster.nodes.pop(lost)
+        mark = leader.status()["store"]
+        members = {who: told for who, told in leader.members().items() if told[0] != lost}
+        await until(lambda: leader.change_members(members))
+        fresh = await cluster.start("r3", join=mark)
+        told = ["r3", *cluster.addresses["r3"].values(), False]
+        await until(lambda: leader.change_members({**leader.members(), "r3.1": told}))
+        await until(lambda: bodies(fresh) == ["one"])
+        await until(lambda: leader.change_members({**leader.members(), "r3.1": [*told[:3], True]}))
+        await until(lambda: fresh.status()["members"] and all(m["votes"] for m in fresh.status()["members"]))
+        assert leader.transfer("r3")
+        await until(fresh.leads)
+        assert await write(fresh, "two")
+
+    play(tmp_path, 3, scene, spare=1)
+
+
+def test_strangers_are_kept_out(tmp_path: Path) -> None:
+    async def scene(cluster: Cluster) -> None:
+        leader = await cluster.leader()
+        other = Cluster(tmp_path / "other", 1)
+        other.addresses = {"r0": other.addresses["r0"], "r1": cluster.addresses[leader.orders.name]}
+        other.size = 2
+        node = await other.start("r0", new=True)
+        await until(lambda: leader.links.refused + node.links.refused > 0)
+        (tmp_path / "other" / "secret").write_text("another secret, long enough too")
+        await other.close()
+        assert leader.leads()
+
+    (tmp_path / "other").mkdir()
+    play(tmp_path, 3, scene)
+
+
+def test_a_wrong_store_file_names_its_key(tmp_path: Path) -> None:
+    cluster = Cluster(tmp_path, 1)
+    bad: list[tuple[dict[str, Any], str]] = [
+        ({"name": "r9"}, "name"),
+        ({"secret_file": "nowhere"}, "secret_file"),
+        ({"replicas": {"R 0": {}}}, "replicas.R 0"),
+        ({"replicas": {"r0": {"peers": "here", "clients": "127.0.0.1:1"}}}, "replicas.r0.peers"),
+        ({"election_ms": 1}, "election_ms"),
+    ]
+    for change, key in bad:
+        with pytest.raises(BadKey, match=key):
+            read_store_orders(cluster.file("r0", **change))
--- /dev/null
+++ b/tests/test_store_router.py
@@ -0,0 +1,199 @@
+"""The order of writes: what the router waits for, with a scribe whose commits the test makes."""
+
+import asyncio
+from typing import Any
+
+import pytest
+
+from ploverspoke.routing.scribe import Past, Then
+from ploverspoke.testbed.audit import SOCKETS_SLACK, audit
+from ploverspoke.testbed.experiment import experiment_of
+from ploverspoke.testbed.records import DISPATCHER_DOWN
+from ploverspoke.testbed.sockets import play_on_sockets
+
+from .stage import SECOND, Stage, listing
+from .test_service import World, message, play
+from .test_testbed_model import WORLD
+
+
+class Scribe:
+    def __init__(self) -> None:
+        self.leading = True
+        self.held: list[tuple[str, Then]] = []  # verbs that wait for their commit
+        self.holds: set[str] = set()
+        self.outcomes: list[tuple[str, int, str]] = []
+        self.kept: dict[str, Past] = {}
+
+    def leads(self) -> bool:
+        return self.leading
+
+    def leader_address(self) -> str:
+        return "127.0.0.1:9"
+
+    def past(self, request_id: str) -> Past | None:
+        return self.kept.get(request_id)
+
+    def take(self, request_id: str, grade: int, digest: bytes, abandon_at: int, then: Then) -> None:
+        self._commit("take", then)
+
+    def intend(self, request_id: str, worker: str, index: int, then: Then) -> None:
+        self._commit("intend", then)
+
+    def outcome(self, request_id: str, index: int, outcome: str) -> None:
+        self.outcomes.append((request_id, index, outcome))
+
+    def answer(self, request_id: str, how: str, result: str, digest: bytes, then: Then) -> None:
+        def told(yes: bool) -> None:
+            if yes:
+                self.kept[request_id] = Past((how, result), digest, 0, "", 0)
+            then(yes)
+
+        self._commit("answer", told)
+
+    def _commit(self, verb: str, then: Then) -> None:
+        if verb in self.holds:
+            self.held.append((verb, then))
+        else:
+            asyncio.get_running_loop().call_soon(then, True)
+
+    async def wait_for(self, verb: str) -> Then:
+        while not self.held:
+            await asyncio.sleep(0.001)
+        assert self.held[0][0] == verb
+        return self.held.pop(0)[1]
+
+
+def with_scribe(script: Any, *holds: str) -> Scribe:
+    scribe = Scribe()
+    scribe.holds = set(holds)
+
+    async def run(world: World) -> None:
+        await script(world, scribe)
+
+    play(run, scribe=scribe)
+    return scribe
+
+
+@pytest.mark.parametrize("verb", ["take", "intend"])
+def test_nothing_irreversible_leaves_before_it_is_committed(verb: str) -> None:
+    async def script(world: World, scribe: Scribe) -> None:
+        asked = asyncio.create_task(world.ask(world.request("r1", "book")))
+        commit = await scribe.wait_for(verb)
+        await asyncio.sleep(0.05)
+        assert world.sent == []
+        commit(True)
+        assert (await asked)[0] == 200 and scribe.outcomes == [("r1", 0, "satisfied")]
+
+    with_scribe(script, verb)
+
+
+@pytest.mark.parametrize("lost", ["leadership", "commit"])
+def test_an_intent_that_came_too_late_sends_nothing(lost: str) -> None:
+    async def script(world: World, scribe: Scribe) -> None:
+        asked = asyncio.create_task(world.ask(world.request("r1", "book")))
+        commit = await scribe.wait_for("intend")
+        if lost == "leadership":
+            scribe.leading = False
+        scribe.holds = set()
+        commit(lost != "commit")
+        await asyncio.sleep(0.01)
+        assert lost == "commit" or world.sent == []
+        world.service.router.lead_no_more()
+        with pytest.raises(asyncio.IncompleteReadError):
+            await asked
+
+    with_scribe(script, "intend", *(["answer"] if lost == "commit" else []))
+
+
+def test_an_answer_is_given_when_it_is_committed_and_to_all_who_asked_for_it() -> None:
+    async def script(world: World, scribe: Scribe) -> None:
+        first = asyncio.create_task(world.ask(world.request("r1", "book")))
+        commit = await scribe.wait_for("answer")
+        # Its answer is on its way to be committed: taken for a new one it would be handed off again.
+        second = asyncio.create_task(world.ask(world.request("r1", "book")))
+        await asyncio.sleep(0.05)
+        assert not first.done() and not second.done()
+        commit(True)
+        assert (await first) == (await second) and world.ran["r1"] == 1
+        again = await world.ask(world.request("r1", "book"))
+        assert again[0] == 200 and world.ran["r1"] == 1
+        assert (await world.ask(world.request("r1", "book", b"another")))[0] == 409
+
+    with_scribe(script, "answer")
+
+
+def test_a_client_that_comes_back_waits_for_what_is_in_flight() -> None:
+    async def script(world: World, scribe: Scribe) -> None:
+        reader, writer = await world.connect()
+        writer.write(world.request("r1", "book"))
+        commit = await scribe.wait_for("intend")
+        writer.close()
+        await asyncio.sleep(0.02)
+        second = asyncio.create_task(world.ask(world.request("r1", "book")))
+        await asyncio.sleep(0.02)
+        commit(True)
+        assert (await second)[0] == 200 and world.ran["r1"] == 1
+
+    with_scribe(script, "intend")
+
+
+def test_clients_are_sent_on_to_the_leader() -> None:
+    async def script(world: World, scribe: Scribe) -> None:
+        scribe.leading = False
+        status, headers, _ = await world.ask(world.request("r1", "book"))
+        assert status == 307 and headers["location"] == "http://127.0.0.1:9/book/1?a=b"
+        reader, writer = await world.connect()
+        writer.write(b"GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n")
+        assert (await message(reader))[0].startswith("HTTP/1.1 200")
+        writer.close()
+
+    with_scribe(script)
+
+
+def test_a_lost_one_is_not_sent_again_and_a_free_one_is() -> None:
+    async def script(world: World, scribe: Scribe) -> None:
+        from ploverspoke.routing.router import digest_of
+
+        digest = digest_of("POST", "/book/1?a=b", b"x")
+        scribe.kept["lost"] = Past(None, digest, 1, "w0", 1)
+        scribe.kept["free"] = Past(None, digest, 1, "", 0)
+        scribe.kept["spent"] = Past(None, digest, 6, "", 0)
+        assert (await world.ask(world.request("lost", "book")))[0] == 504
+        assert (await world.ask(world.request("spent", "book")))[0] == 503
+        assert (await world.ask(world.request("free", "book")))[0] == 200
+        assert [name for _, name in world.sent] == ["free"]
+
+    with_scribe(script)
+
+
+def test_a_labelled_one_resumes_only_in_its_rack_and_window() -> None:
+    for spent, rack, place in ((0, 1, "a"), (0, 2, None), (2 * SECOND, 1, None)):
+        stage = Stage([listing("a", rack=1), listing("gone", rack=1), listing("b", rack=2)])
+        stage.dispatcher.workers["gone"].ready = False
+        stage.dispatcher.workers["gone"].listing = listing("gone", rack=rack if rack == 1 else 3)
+        stage.dispatcher.submission_resumes(1, 0, "gone", stage.clock - spent)
+        stage.submit(1, grade=1)
+        assert stage.where(1) == place
+
+
+def test_replicas_killed_and_paused_run_nothing_twice_and_answer_all() -> None:
+    outages = [
+        {"what": "dispatcher killed", "at": "3s", "lasts": "2s", "dispatchers": [0]},
+        {"what": "dispatcher killed", "at": "7s", "lasts": "2s", "dispatchers": [1]},
+        {"what": "dispatcher killed", "at": "11s", "lasts": "2s", "dispatchers": [2]},
+        {"what": "dispatcher paused", "at": "14s", "lasts": "1s", "dispatchers": [0]},
+        {"what": "dispatcher paused", "at": "16s", "lasts": "1s", "dispatchers": [1]},
+        {"what": "dispatcher paused", "at": "18s", "lasts": "1s", "dispatchers": [2]},
+    ]
+    e = experiment_of(
+        {
+            **WORLD,
+            "lasts": "20s",
+            "dispatchers": {"count": 3, "store": True},
+            "clients": {"elsewhere_after": "500ms"},
+            "troubles": outages,
+        }
+    )
+    played = play_on_sockets(e, 1)
+    assert audit(e, played.events, SOCKETS_SLACK) == []
+    assert sum(event.what == DISPATCHER_DOWN for event in played.events) == 3
