The store keeps the shared configuration and each replica the roster as last known

Need: a daemon that comes back should know its configuration and its workers without asking anybody.

Change: store configure commits settings and discovery as a new version; each replica takes it as it takes SIGHUP and begins with it at the next start. What discovery told is kept on the replica's disk and is the known list of the next start.

Measured: a test starts the real program three times, commits a version, kills all three, and finds them with it again.

--- a/ploverspoke/program/briefing.py
+++ b/ploverspoke/program/briefing.py
@@ -29,6 +29,11 @@
 
 
 def read_briefing(environment: Mapping[str, str]) -> Briefing:
+    """Raises BadKey."""
+    return briefing_of(read_told(environment), environment)
+
+
+def read_told(environment: Mapping[str, str]) -> Any:
     """From the file that RELAY_CONFIG names; what it leaves out, from the other variables. Raises BadKey."""
     path = environment.get("RELAY_CONFIG")
     if not path:
@@ -40,6 +45,11 @@
         raise BadKey(f"RELAY_CONFIG: {path} cannot be read: {error.strerror}") from None
     except (ValueError, RecursionError) as error:
         raise BadKey(f"RELAY_CONFIG: {path} is no JSON: {error}") from None
+    return told
+
+
+def briefing_of(told: Any, environment: Mapping[str, str]) -> Briefing:
+    """What a configuration says, checked. Raises BadKey."""
     top = Checked(told)
     if "settings" not in top.value:
         raise top.bad("settings", "an object")
--- a/ploverspoke/program/service.py
+++ b/ploverspoke/program/service.py
@@ -6,6 +6,8 @@
 import resource
 import signal
 import sys
+from collections.abc import Callable
+from functools import partial
 
 import uvloop
 
@@ -34,6 +36,9 @@
     ) -> None:
         self.loop = loop
         self.briefing = briefing
+        self.read: Callable[[], Briefing] = partial(
+            read_briefing, os.environ
+        )  # where a new configuration comes from
         self.deadlines = Deadlines(loop)
         allowed = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
         told = briefing.sockets
@@ -63,10 +68,11 @@
     def _read_again(self) -> None:
         """A new configuration, read whole before anything changes: a bad one leaves all as it is."""
         try:
-            new = read_briefing(os.environ)
+            self.take_configuration(self.read())
         except BadKey as error:
             say(f"new configuration not taken, the old one goes on: {error}")
-            return
+
+    def take_configuration(self, new: Briefing) -> None:
         old = self.briefing
         for key, changed in (
             ("name", new.name != old.name),
--- a/ploverspoke/routing/router.py
+++ b/ploverspoke/routing/router.py
@@ -116,6 +116,7 @@
         self.pool = pool
         self.orders = orders
         self.scribe = scribe
+        self.on_roster: Callable[[bytes], None] | None = None  # told what discovery told
         self.by_id: dict[str, Submission] = {}  # those in flight, where there is a store
         self.grades = {name: number for number, name in enumerate(names["grades"])}
         self.customers = {name: number for number, name in enumerate(names["customers"])}
@@ -376,6 +377,8 @@
         listings: list[Listing] = []
         version, whole = discovery.read_list(body, partial(self._enter, listings))
         self._roster_changed(listings, whole)
+        if self.on_roster is not None:
+            self.on_roster(body)
         return version
 
     def known(self, told: Any) -> None:
--- a/ploverspoke/store/commands.py
+++ b/ploverspoke/store/commands.py
@@ -1,5 +1,6 @@
 """`ploverspoke store`: look at a store and change it. What changes something is asked of the leader."""
 
+import getpass
 import json
 import sqlite3
 import sys
@@ -11,6 +12,7 @@
 from ploverspoke.program.checked import BadKey
 
 from .ask import ask
+from .daemon import put_together
 from .disk import Damaged, Disk, DiskTrouble, WrongStore
 from .frames import BadFrame
 from .ledger import Ledger
@@ -114,6 +116,38 @@
     _done(_ask(orders, _leader(orders), {"ask": "transfer", "to": to}), as_json)
 
 
+@store.command()
+@FILE
+@click.argument("configuration", type=click.Path(exists=True, dir_okay=False, path_type=Path))
+@JSON
+def configure(file: Path, configuration: Path, as_json: bool) -> None:
+    """Commit a CONFIGURATION: `settings` and `discovery` are then the same on all replicas.
+
+    A new discovery is watched at once; what else differs waits for each replica's next start.
+    """
+    orders = _orders(file)
+    try:
+        body = configuration.read_text(encoding="utf-8")
+        put_together(json.loads(body), "", orders, None)
+    except (BadKey, ValueError, OSError) as error:
+        raise click.UsageError(f"{configuration}: {error}") from None
+    question = {"ask": "configure", "body": body, "by": getpass.getuser()}
+    _done(_ask(orders, _leader(orders), question), as_json)
+
+
+@store.command()
+@FILE
+@JSON
+def configurations(file: Path, as_json: bool) -> None:
+    """The versions that were committed, the latest last."""
+    orders = _orders(file)
+    found = _ask(orders, orders.name, {"ask": "configurations"})
+    if isinstance(found, dict):
+        raise click.ClickException(str(found.get("why")))
+    rows = [{"version": v, "by": by, "at": at, "bytes": len(body)} for v, by, at, body in found]
+    _say(rows, as_json)
+
+
 @store.command()
 @FILE
 @click.argument("path", type=click.Path(path_type=Path))
--- a/ploverspoke/store/disk.py
+++ b/ploverspoke/store/disk.py
@@ -163,6 +163,20 @@
             self._undo()
             raise DiskTrouble(str(error)) from None
 
+    def keep(self, key: str, value: Any) -> None:
+        """Something of this replica's own. Raises DiskTrouble."""
+        if self.db is None:
+            raise DiskTrouble("not open")
+        try:
+            self._set(key, value)
+        except (sqlite3.Error, OSError) as error:
+            self._undo()
+            raise DiskTrouble(str(error)) from None
+
+    def kept(self, key: str) -> Any:
+        """None where nothing was kept."""
+        return self._get(key)
+
     def reopen(self) -> None:
         """After trouble: what is on the disk is what counts."""
         self.close()
--- a/ploverspoke/store/ledger.py
+++ b/ploverspoke/store/ledger.py
@@ -6,6 +6,7 @@
 """
 
 from collections import OrderedDict
+from collections.abc import Callable
 from typing import Any
 
 import msgspec
@@ -72,6 +73,7 @@
         self.answered: OrderedDict[str, Answered] = OrderedDict()
         self.result_bytes = 0
         self.configurations: list[Configuration] = []
+        self.on_configuration: Callable[[Configuration], None] | None = None
 
     # ---- The state of the log ----
 
@@ -99,6 +101,7 @@
         self.answered = OrderedDict(dump.answered)
         self.result_bytes = sum(len(a.result) for a in self.answered.values())
         self.configurations = dump.configurations
+        self._tell_configuration()
 
     # ---- Verbs ----
 
@@ -136,6 +139,11 @@
         version = self.configurations[-1].version + 1 if self.configurations else 1
         self.configurations.append(Configuration(version, body, by, now))
         del self.configurations[:-CONFIGURATIONS]
+        self._tell_configuration()
+
+    def _tell_configuration(self) -> None:
+        if self.on_configuration is not None and self.configurations:
+            self.on_configuration(self.configurations[-1])
 
     # ---- What is asked ----
 
--- a/ploverspoke/store/node.py
+++ b/ploverspoke/store/node.py
@@ -14,7 +14,7 @@
 from ploverspoke.transport.log_lines import say
 
 from .disk import Damaged, Disk, DiskTrouble, WrongStore
-from .ledger import Ledger
+from .ledger import CONFIGURE, Configuration, Ledger
 from .links import Links
 from .members import CLIENTS, NAME, PEERS, Members, fingerprint, voters
 from .orders import StoreOrders, first_id
@@ -24,6 +24,7 @@
     "a new store begins with --new on all of its replicas; a replica whose disk was lost is removed from the "
     "store and added under another name, and starts with --join"
 )
+CONFIGURATION, ROSTER = "configuration", "roster"  # what is kept of this replica's own
 TRY_AGAIN = 0.5  # seconds, after the disk could not be written
 Then = Callable[[bool], None]
 
@@ -40,6 +41,8 @@
         self.snapshotting = False
         self.proposals: list[tuple[list[Any], Then]] = []
         self.on_role: list[Callable[[str, str], None]] = []
+        self.on_configuration: Callable[[Configuration], None] | None = None
+        self.configuration_known = 0  # the version that is kept on the disk
         self.timer: asyncio.TimerHandle | None = None
         self.timer_for = 0
         self.trouble = ""
@@ -76,6 +79,9 @@
         self.links = Links(self.orders.secret, {"id": me, "store": mark}, self._heard, self._asked)
         host, _, port = self.orders.replicas[self.orders.name][0].rpartition(":")
         await self.links.open(host.strip("[]"), int(port))
+        kept = self.disk.kept(CONFIGURATION)
+        self.configuration_known = kept[0] if kept is not None else 0
+        self.ledger.on_configuration = self._configured
         self._begin()
 
     def _begin(self) -> None:
@@ -199,6 +205,9 @@
             future.add_done_callback(
                 lambda f: reply({"done": f.exception() is None, "why": str(f.exception() or "")})
             )
+        elif verb == "configure":
+            command = [CONFIGURE, str(question["body"]), str(question["by"]), time.time_ns()]
+            self.propose(command, lambda yes: reply({"done": yes}))
         elif verb == "configurations":
             reply([[c.version, c.by, c.at, c.body] for c in self.ledger.configurations])
         else:
@@ -237,6 +246,21 @@
     def _send(self, to: str, message: Any) -> None:
         self.links.send(to, message)
 
+    # ---- What is kept beside the log ----
+
+    def keep(self, key: str, value: Any) -> None:
+        """Written when the thread comes to it; what is lost with a full disk is only older for it."""
+        future = self.loop.run_in_executor(self.thread, self.disk.keep, key, value)
+        future.add_done_callback(lambda f: f.exception())
+
+    def _configured(self, configuration: Configuration) -> None:
+        if configuration.version <= self.configuration_known:
+            return
+        self.configuration_known = configuration.version
+        self.keep(CONFIGURATION, [configuration.version, configuration.body])
+        if self.on_configuration is not None:
+            self.loop.call_soon(self.on_configuration, configuration)
+
     # ---- Writing ----
 
     def _after(self) -> None:
--- a/tests/test_store_node.py
+++ b/tests/test_store_node.py
@@ -2,16 +2,22 @@
 
 import asyncio
 import json
+import subprocess
+import sys
+import time
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
 
 import pytest
 import uvloop
+from click.testing import CliRunner
 
+from ploverspoke.cli import main
 from ploverspoke.program.checked import BadKey
 from ploverspoke.store.disk import WrongStore
 from ploverspoke.store.ledger import CONFIGURE
+from ploverspoke.store.memory import RosterMemory
 from ploverspoke.store.node import Node
 from ploverspoke.store.orders import read_store_orders
 from ploverspoke.testbed.sockets import free_ports
@@ -207,3 +213,77 @@
     for change, key in bad:
         with pytest.raises(BadKey, match=key):
             read_store_orders(cluster.file("r0", **change))
+
+
+def test_the_roster_is_put_together_from_what_discovery_told() -> None:
+    kept: list[Any] = []
+    clock = [0.0]
+    memory = RosterMemory(kept.append, lambda: clock[0])
+
+    def tell(version: int, full: bool, *servers: tuple[str, str]) -> None:
+        entries = [{"id": who, "state": state} for who, state in servers]
+        memory.told(json.dumps({"version": version, "full": full, "servers": entries}).encode())
+
+    tell(1, True, ("a", "Ready"), ("b", "Ready"))
+    tell(2, False, ("b", "Gone"))
+    assert len(kept) == 1, "not written at each change"
+    clock[0] = 5.0
+    tell(3, False, ("c", "Terminating"))
+    assert kept[-1]["version"] == 3 and [s["id"] for s in kept[-1]["servers"]] == ["a", "c"]
+
+
+def test_a_configuration_is_the_same_on_all_replicas_and_after_a_restart(tmp_path: Path) -> None:
+    """The real program, three times: one version is committed, a bad one refused, and a restart knows it."""
+    cluster = Cluster(tmp_path, 3)
+    example = json.loads((Path(__file__).parents[1] / "deploy" / "example.json").read_text())
+    told = {k: v for k, v in example.items() if k != "known"}
+    (tmp_path / "c.json").write_text(json.dumps(told))
+    run = CliRunner()
+    files = {f"r{n}": cluster.file(f"r{n}", snapshot_every=20_000) for n in range(3)}
+
+    def start(name: str, *more: str) -> subprocess.Popen[bytes]:
+        words = ["-m", "ploverspoke", "serve", str(tmp_path / "c.json"), "--store", str(files[name]), *more]
+        return subprocess.Popen([sys.executable, *words], stderr=(tmp_path / f"{name}.log").open("ab"))
+
+    def status() -> list[dict[str, Any]]:
+        return list(json.loads(run.invoke(main, ["store", "status", str(files["r0"]), "--json"]).output))
+
+    def wait_for(found: Callable[[], bool]) -> None:
+        until = time.monotonic() + 15
+        while not found():
+            assert time.monotonic() < until
+            time.sleep(0.05)
+
+    running = {name: start(name, "--new") for name in files}
+    try:
+        wait_for(lambda: any(one.get("leads") for one in status()))
+        changed = {**told, "discovery": "127.0.0.1:8599"}
+        (tmp_path / "new.json").write_text(json.dumps(changed))
+        done = run.invoke(main, ["store", "configure", str(files["r0"]), str(tmp_path / "new.json")])
+        assert done.exit_code == 0, done.output
+        wait_for(lambda: all(one.get("configuration") == 1 for one in status()))
+        (tmp_path / "bad.json").write_text(json.dumps({**told, "settings": {}}))
+        bad = run.invoke(main, ["store", "configure", str(files["r0"]), str(tmp_path / "bad.json")])
+        assert bad.exit_code == 2 and "settings.ServiceGrades" in bad.output
+        wait_for(lambda: all("8599" in (tmp_path / f"{name}.log").read_text() for name in files))
+        for process in running.values():
+            process.kill()
+            process.wait()
+        running = {name: start(name) for name in files}
+        wait_for(lambda: all(one.get("configuration") == 1 for one in status()))
+        copy = tmp_path / "copy.db"
+        assert run.invoke(main, ["store", "backup", str(files["r1"]), str(copy)]).exit_code == 0
+        leader = next(one["name"] for one in status() if one.get("leads"))
+        to = next(name for name in files if name != leader)
+        assert run.invoke(main, ["store", "transfer", str(files["r0"]), to]).exit_code == 0
+        wait_for(lambda: any(one.get("leads") and one["name"] == to for one in status()))
+    finally:
+        for process in running.values():
+            process.kill()
+            process.wait()
+    told_of = run.invoke(main, ["store", "inspect", str(files["r1"]), "--json"])
+    assert json.loads(told_of.output)["configurations"] == [1]
+    fresh = cluster.file("r1", folder="restored")
+    assert run.invoke(main, ["store", "restore", str(fresh), str(copy)]).exit_code == 0
+    assert run.invoke(main, ["store", "restore", str(fresh), str(copy)]).exit_code == 2
+    assert run.invoke(main, ["store", "status", str(fresh)]).exit_code == 1
