A router without a store loads no hashing; full disks of followers tested; stand-ins share no code

Need: what the platform starts is to stay lean; memory at its start had grown by the OpenSSL that hashlib loads.

Change: the digest of a request is the scribe's to make. The fleet of a run moved out of the virtual driver, so that stand-ins import none of the program; a test holds them to it. A disk that is full on one or two followers of three costs no acknowledged write.

--- a/ploverspoke/routing/router.py
+++ b/ploverspoke/routing/router.py
@@ -6,7 +6,6 @@
 from collections import deque
 from collections.abc import Callable, Mapping
 from functools import partial
-from hashlib import blake2b
 from typing import Any
 
 from ploverspoke.decisions.dispatcher import Dispatcher
@@ -48,11 +47,6 @@
         client.abandoned()
 
 
-def digest_of(method: str, target: str, body: bytes) -> bytes:
-    """Tells two requests under one id apart."""
-    return blake2b(f"{method} {target}\n".encode("utf-8", "surrogatepass") + body, digest_size=16).digest()
-
-
 class HandOff:
     """Tells the router what becomes of one hand-off."""
 
@@ -214,7 +208,7 @@
         body: bytes,
     ) -> Submission | None:
         """An id that was here before: its client waits with the others, or gets the same answer again."""
-        request_id, digest = headers["request-id"], digest_of(method, target, body)
+        request_id, digest = headers["request-id"], scribe.digest(method, target, body)
         flying, past = self.by_id.get(request_id), scribe.past(request_id)
         told = flying.digest if flying is not None else past.digest if past is not None else digest
         if told != digest:
@@ -235,7 +229,7 @@
         """The decisions hear of it when it is committed that we have it; redoable ones need not wait for
         that.
         """
-        submission.digest = digest_of(submission.method, submission.target, submission.body)
+        submission.digest = scribe.digest(submission.method, submission.target, submission.body)
         submission.client = submission.waiters = Waiters(submission.client)
         self.by_id[submission.request_id] = submission
         if self.orders["repeat"][submission.grade] == "redoable":
--- a/ploverspoke/routing/scribe.py
+++ b/ploverspoke/routing/scribe.py
@@ -26,6 +26,9 @@
     def leader_address(self) -> str:
         """Where clients are to go instead; "" where nobody is known to lead."""
 
+    def digest(self, method: str, target: str, body: bytes) -> bytes:
+        """Tells two requests under one id apart."""
+
     def past(self, request_id: str) -> Past | None: ...
 
     def take(self, request_id: str, grade: int, digest: bytes, abandon_at: int, then: Then) -> None:
--- a/ploverspoke/store/scribe.py
+++ b/ploverspoke/store/scribe.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 from collections.abc import Callable
+from hashlib import blake2b
 
 from ploverspoke.routing.scribe import Past, Then
 from ploverspoke.transport.log_lines import say
@@ -35,6 +36,10 @@
         found = self.node.leader_clients()
         return "" if found == own else found
 
+    def digest(self, method: str, target: str, body: bytes) -> bytes:
+        head = f"{method} {target}\n".encode("utf-8", "surrogatepass")
+        return blake2b(head + body, digest_size=16).digest()
+
     def past(self, request_id: str) -> Past | None:
         answered = self.node.ledger.answered.get(request_id)
         if answered is not None:
--- /dev/null
+++ b/ploverspoke/testbed/fleet.py
@@ -0,0 +1,58 @@
+"""The workers of a run with what they share, for either driver."""
+
+from collections.abc import Callable
+
+from . import experiment as ex
+from .chances import Streams
+from .clock import Clock
+from .records import Records
+from .spans import MILLISECOND
+from .store import SharedStore
+from .worker import Rack, Run, Worker
+
+RESET_WITHIN = 50 * MILLISECOND  # a connection that is to break does so at a random time in here
+
+
+class Nobody:
+    """Hears what a worker tells on a connection that has fallen silent."""
+
+    def run_started(self, run: Run) -> None: ...
+
+    def run_progressed(self, run: Run, share: float) -> None: ...
+
+    def run_ended(self, run: Run, how: str) -> None: ...
+
+
+def racks_of(e: ex.Experiment, clock: Clock) -> Callable[[int, int], dict[int, Rack]]:
+    """Gives a worker of that zone and rack what it shares with others to drop repeats, by labelled grade."""
+    known: dict[tuple[int, str, int], Rack] = {}
+
+    def racks(zone: int, rack: int) -> dict[int, Rack]:
+        found = {}
+        for number, grade in enumerate(e.grades):
+            if grade.repeat == "labelled":
+                key = (number, grade.group, {"all": 0, "zone": zone, "rack": rack}[grade.group])
+                found[number] = known.setdefault(key, Rack(clock))
+        return found
+
+    return racks
+
+
+class Fleet:
+    """Workers and their store."""
+
+    def __init__(self, e: ex.Experiment, seed: int, clock: Clock, seen: Records) -> None:
+        streams = Streams(seed)
+        self.workers: dict[str, Worker] = {}
+        self.rack_of: dict[str, int] = {}
+        self.store = SharedStore(e.store, clock, streams) if e.store is not None else None
+        racks = racks_of(e, clock)
+        for told in e.workers:
+            for _ in range(told.count):
+                number = len(self.workers)
+                name = f"w{number}"
+                rack = self.rack_of[name] = number + 1000 if told.rack is None else told.rack
+                shared = racks(e.zones().index(told.zone), rack)
+                worker = Worker(name, told, e, clock, seen, shared, streams.draws(f"worker {name}"))
+                worker.store = self.store
+                self.workers[name] = worker
--- a/ploverspoke/testbed/standins/discovery.py
+++ b/ploverspoke/testbed/standins/discovery.py
@@ -8,10 +8,10 @@
 import msgspec
 
 from ..chances import Streams
+from ..fleet import Fleet
 from ..roster import Call, Entry, Roster
 from ..spans import MILLISECOND
 from ..troubles import RosterTroubles
-from ..virtual import Fleet
 from .process import Spec, StandIn
 from .wire import BadWire, Message, Reader, answer
 
--- a/ploverspoke/testbed/standins/worker.py
+++ b/ploverspoke/testbed/standins/worker.py
@@ -12,9 +12,9 @@
 
 from .. import records
 from ..chances import Streams
+from ..fleet import RESET_WITHIN, Fleet, Nobody
 from ..schedule import Job, schedule
 from ..troubles import Connections, Cuts, FleetTroubles, StoreTroubles
-from ..virtual import RESET_WITHIN, Fleet, Nobody
 from ..worker import Run, Worker
 from .process import Spec, StandIn, say
 from .wire import LAST_CHUNK, BadWire, Message, Reader, answer, chunk
--- a/ploverspoke/testbed/virtual.py
+++ b/ploverspoke/testbed/virtual.py
@@ -12,59 +12,23 @@
 from .baselines import POLICIES
 from .chances import Draws, Streams
 from .clients import Clients, Request
-from .clock import AnyTimer, Clock, VirtualClock
+from .clock import AnyTimer, VirtualClock
+from .fleet import RESET_WITHIN, Fleet, Nobody
 from .records import Event, Records
 from .roster import Call, Entry, Roster
 from .schedule import schedule
 from .settings import settings_of
 from .spans import MILLISECOND, SECOND
-from .store import SharedStore
 from .troubles import Connections, Cuts, FleetTroubles, RosterTroubles, StoreTroubles
-from .worker import Rack, Run, Worker
+from .worker import Run, Worker
 
 PROBE_TIME_OUT = 250 * MILLISECOND
 HOLD = 10 * SECOND  # of one watch
 ANSWER_EARLY = 20 * MILLISECOND  # than the client gives up
-RESET_WITHIN = 50 * MILLISECOND  # a connection that is to break does so at a random time in here
 ENDS = {"done": "satisfied", "failed": "worker_error", "returned": "full", "lost": "broken_off"}
 FINAL_CALM = 2 * SECOND  # after the last abandon time
 
 
-def racks_of(e: ex.Experiment, clock: Clock) -> Callable[[int, int], dict[int, Rack]]:
-    """Gives a worker of that zone and rack what it shares with others to drop repeats, by labelled grade."""
-    known: dict[tuple[int, str, int], Rack] = {}
-
-    def racks(zone: int, rack: int) -> dict[int, Rack]:
-        found = {}
-        for number, grade in enumerate(e.grades):
-            if grade.repeat == "labelled":
-                key = (number, grade.group, {"all": 0, "zone": zone, "rack": rack}[grade.group])
-                found[number] = known.setdefault(key, Rack(clock))
-        return found
-
-    return racks
-
-
-class Fleet:
-    """Workers and their store."""
-
-    def __init__(self, e: ex.Experiment, seed: int, clock: Clock, seen: Records) -> None:
-        streams = Streams(seed)
-        self.workers: dict[str, Worker] = {}
-        self.rack_of: dict[str, int] = {}
-        self.store = SharedStore(e.store, clock, streams) if e.store is not None else None
-        racks = racks_of(e, clock)
-        for told in e.workers:
-            for _ in range(told.count):
-                number = len(self.workers)
-                name = f"w{number}"
-                rack = self.rack_of[name] = number + 1000 if told.rack is None else told.rack
-                shared = racks(e.zones().index(told.zone), rack)
-                worker = Worker(name, told, e, clock, seen, shared, streams.draws(f"worker {name}"))
-                worker.store = self.store
-                self.workers[name] = worker
-
-
 class HandOff:
     """One hand-off of one dispatcher, from the choice to its end."""
 
@@ -383,16 +347,6 @@
         self.taken.clear()
 
 
-class Nobody:
-    """Hears what a worker tells on a connection that has fallen silent."""
-
-    def run_started(self, run: Run) -> None: ...
-
-    def run_progressed(self, run: Run, share: float) -> None: ...
-
-    def run_ended(self, run: Run, how: str) -> None: ...
-
-
 class World:
     """One run of one experiment under one policy and one seed."""
 
--- a/tests/test_store_node.py
+++ b/tests/test_store_node.py
@@ -147,6 +147,35 @@
     play(tmp_path, 3, scene)
 
 
+@pytest.mark.parametrize("full", [1, 2])
+def test_full_disks_of_followers_cost_no_acknowledged_write(full: int, tmp_path: Path) -> None:
+    """One of three is done without; two of three stop all writes until there is room."""
+
+    async def scene(cluster: Cluster) -> None:
+        leader = await cluster.leader()
+        followers = [n for n in cluster.nodes.values() if n is not leader][:full]
+        for node in followers:
+            node.disk.most_pages = 60
+            node.disk.db.execute("pragma max_page_count = 60")
+        acknowledged = []
+        for n in range(120):
+            body = f"{n} " + "x" * 3000
+            if not await asyncio.wait_for(write(leader, body), 5):
+                break
+            acknowledged.append(body)
+        assert all(node.troubles for node in followers)
+        assert (len(acknowledged) == 120) == (full == 1)
+        for node in followers:
+            node.disk.most_pages = 0
+        await until(lambda: all(node.replica is not None for node in followers))
+        leader = await cluster.leader()
+        assert await write(leader, "after")
+        await until(lambda: all(bodies(n)[-1:] == ["after"] for n in cluster.nodes.values()))
+        assert acknowledged[-1] in bodies(leader)
+
+    play(tmp_path, 3, scene)
+
+
 def test_no_majority_acknowledges_nothing(tmp_path: Path) -> None:
     async def scene(cluster: Cluster) -> None:
         leader = await cluster.leader()
--- a/tests/test_store_router.py
+++ b/tests/test_store_router.py
@@ -30,6 +30,9 @@
     def leader_address(self) -> str:
         return "127.0.0.1:9"
 
+    def digest(self, method: str, target: str, body: bytes) -> bytes:
+        return target.encode() + body
+
     def past(self, request_id: str) -> Past | None:
         return self.kept.get(request_id)
 
@@ -152,9 +155,7 @@
 
 def test_a_lost_one_is_not_sent_again_and_a_free_one_is() -> None:
     async def script(world: World, scribe: Scribe) -> None:
-        from ploverspoke.routing.router import digest_of
-
-        digest = digest_of("POST", "/book/1?a=b", b"x")
+        digest = scribe.digest("POST", "/book/1?a=b", b"x")
         scribe.kept["lost"] = Past(None, digest, 1, "w0", 1)
         scribe.kept["free"] = Past(None, digest, 1, "", 0)
         scribe.kept["spent"] = Past(None, digest, 6, "", 0)
--- a/tests/test_testbed_files.py
+++ b/tests/test_testbed_files.py
@@ -118,3 +118,15 @@
     modules = subprocess.run([sys.executable, "-c", program], capture_output=True, text=True, check=True)
     for heavy in ("click", "msgspec", "numpy", "rich", "matplotlib", "ploverspoke.testbed"):
         assert heavy not in modules.stdout.split()
+
+
+def test_the_stand_ins_share_no_code_with_the_program() -> None:
+    # With the same parsers they would have the same faults.
+    program = "import sys, ploverspoke.testbed.standins.{}; print(*sys.modules)"
+    for module in ("worker", "discovery", "clients", "rig"):
+        words = [sys.executable, "-c", program.format(module)]
+        modules = subprocess.run(words, capture_output=True, text=True, check=True).stdout.split()
+        ours = {
+            m for m in modules if m.startswith("ploverspoke.") and not m.startswith("ploverspoke.testbed")
+        }
+        assert ours == set()
