Several processes behind one address: a supervisor that decides about processes only

Need: one dispatcher uses one core; installations with more cores had to run several behind a front of their own.

A leaving child stops accepting at once, since the others take what comes; an end no longer overtakes a connection that is just being seated.

--- a/ploverspoke/cli.py
+++ b/ploverspoke/cli.py
@@ -69,12 +69,11 @@
 
 @main.command()
 @CONFIG
-@click.option(
-    "--store", type=click.Path(exists=True, dir_okay=False, path_type=Path), help="A replica's file."
-)
+@click.option("--processes", type=click.IntRange(1, 64), default=1, help="Dispatchers behind one address.")
+@click.option("--store", type=FILE, help="A replica's file.")
 @click.option("--new", is_flag=True, help="The first start of a new store.")
 @click.option("--join", default="", help="The mark of the running store that it joins.")
-def serve(configuration: Path, store: Path | None, new: bool, join: str) -> None:
+def serve(configuration: Path, processes: int, store: Path | None, new: bool, join: str) -> None:
     """Run a dispatcher with this CONFIGURATION (or that of RELAY_CONFIG).
 
     It runs until SIGTERM. SIGHUP reads the configuration again. With --store it is one replica of a daemon
@@ -82,6 +81,12 @@
     no use, and why is said.
     """
     os.environ["RELAY_CONFIG"] = str(configuration)
+    if processes > 1:
+        if store is not None:
+            raise click.UsageError("--processes and --store do not go together: a replica is one process")
+        from ploverspoke.supervisor.driver import main as supervise
+
+        sys.exit(supervise(processes))
     if store is None:
         from ploverspoke.program.service import main as service
 
--- a/ploverspoke/program/service.py
+++ b/ploverspoke/program/service.py
@@ -5,6 +5,7 @@
 import os
 import resource
 import signal
+import socket
 import sys
 from collections.abc import Callable
 from functools import partial
@@ -53,6 +54,8 @@
         )
         self.door = Door(loop, self.deadlines, self.router, shares.clients, shares.buffered)
         self.leaving_since = 0
+        self.listening: socket.socket | None = None  # inherited, in place of one of its own
+        self.on_ready: Callable[[], None] = lambda: None
         self.over = asyncio.Event()
 
     async def run(self) -> None:
@@ -61,8 +64,12 @@
         self.loop.add_signal_handler(signal.SIGHUP, self._read_again)
         if self.briefing.known is not None:
             self.router.known(self.briefing.known)
-        self.door.listener.open(*self.briefing.listen)
+        if self.listening is not None:
+            self.door.listener.adopt(self.listening)
+        else:
+            self.door.listener.open(*self.briefing.listen)
         say(f"{self.briefing.name} serves at {':'.join(map(str, self.briefing.listen))}")
+        self.on_ready()
         await self.over.wait()
 
     def _read_again(self) -> None:
@@ -93,12 +100,15 @@
             say("told to end: finishing what was taken")
             self.leaving_since = self.deadlines.now()
             self.door.leave()
+            if self.listening is not None:
+                self.door.listener.close()  # the others take what still comes
             self._look_whether_over()
 
     def _look_whether_over(self) -> None:
         now = self.deadlines.now()
         since = now - self.leaving_since
-        if since >= (STILL_COMING if self.door.is_empty() else STILL_SERVED):
+        still_coming = STILL_COMING if self.listening is None else 0
+        if since >= (still_coming if self.door.is_empty() else STILL_SERVED):
             self.door.shut()
         if since >= LAST_ANSWERS:
             self.router.answer_all()
--- a/ploverspoke/routing/door.py
+++ b/ploverspoke/routing/door.py
@@ -325,4 +325,4 @@
             session.leave()
 
     def is_empty(self) -> bool:
-        return not self.sessions
+        return not self.sessions and not self.listener.seating
--- a/ploverspoke/transport/listener.py
+++ b/ploverspoke/transport/listener.py
@@ -35,6 +35,10 @@
         listening.setblocking(False)
         listening.bind((host, port))
         listening.listen(BACKLOG)
+        self.adopt(listening)
+
+    def adopt(self, listening: socket.socket) -> None:
+        """Take connections from a socket that listens already; others may take from it too."""
         self.socket = listening
         self.loop.add_reader(listening, self._take_some)
 
