A replica no longer searches its log for members at each message; clients back off

Each message asked for the members, and that copied the log: at 12,000 entries a replica was busy with nothing else, its lease lapsed, and clients that asked again every 40 ms kept it so.

Change: the log keeps its changes of members apart. Clients of the testbed double their wait between asks, and follow two replicas that name each other at most twice at once.

--- a/ploverspoke/store/log.py
+++ b/ploverspoke/store/log.py
@@ -17,6 +17,9 @@
         self.snapshot_index = snapshot_index
         self.snapshot_term = snapshot_term
         self.entries: list[Entry] = []
+        self.changes: list[
+            Entry
+        ] = []  # those of the members: asked for at each message, searched for in no log
 
     def last_index(self) -> int:
         return self.snapshot_index + len(self.entries)
@@ -49,21 +52,25 @@
 
     def append(self, entries: list[Entry]) -> None:
         self.entries += entries
+        self.changes += [entry for entry in entries if entry.kind == "members"]
 
     def cut_from(self, index: int) -> None:
         """Drop that entry and all behind it."""
         del self.entries[index - self.snapshot_index - 1 :]
+        self.changes = [entry for entry in self.changes if entry.at < index]
 
     def compact(self, index: int) -> None:
         """A snapshot holds all up to that index."""
         term = self.term_at(index)
         assert term is not None
         del self.entries[: index - self.snapshot_index]
+        self.changes = [entry for entry in self.changes if entry.at > index]
         self.snapshot_index, self.snapshot_term = index, term
 
     def restart_at(self, index: int, term: int) -> None:
         """Another's snapshot takes the place of everything."""
         self.entries.clear()
+        self.changes.clear()
         self.snapshot_index, self.snapshot_term = index, term
 
     def first_of_term(self, index: int) -> int:
--- a/ploverspoke/store/raft.py
+++ b/ploverspoke/store/raft.py
@@ -200,9 +200,7 @@
 
     def change_members(self, members: Members) -> int:
         """One voter more or less, or learners; gives the entry's index, or 0 where that may not be now."""
-        unfinished = any(
-            e.kind == "members" for e in self.log.entries[self.commit - self.log.snapshot_index :]
-        )
+        unfinished = any(entry.at > self.commit for entry in self.log.changes)
         # Before its first commit a leader may not know of a change that another had begun.
         fresh = self.log.term_at(self.commit) != self.term
         if self.role != "leader" or unfinished or fresh or not differ_by_one(self.members(), members):
@@ -236,8 +234,8 @@
         return self.members_at(self.log.last_index())
 
     def members_at(self, index: int) -> Members:
-        for entry in reversed(self.log.entries[: index - self.log.snapshot_index]):
-            if entry.kind == "members":
+        for entry in reversed(self.log.changes):
+            if entry.at <= index:
                 found: Members = entry.data
                 return found
         return self.base_members
--- a/ploverspoke/testbed/clients.py
+++ b/ploverspoke/testbed/clients.py
@@ -16,7 +16,9 @@
 from .spans import MILLISECOND
 
 LATE = 5 * MILLISECOND  # a first try that goes out later than this is the generator's fault, and is told
-ASK_AGAIN = 40 * MILLISECOND  # the same id, at another replica
+ASK_AGAIN = 40 * MILLISECOND  # the same id, at another replica; doubled each time...
+MOST_DOUBLED = 5  # ...so often, else those that wait for a leader keep it from leading
+SENT_ON_AT_ONCE = 2  # so often; two replicas may name each other
 LATE_ASKS = 5000 * MILLISECOND  # past the abandon time an answer is still asked for
 TWICE = 0.1  # share of answered ones that are asked for once more, elsewhere
 LEAST_PATIENCE = 5 * MILLISECOND
@@ -28,6 +30,7 @@
     __slots__ = (
         "abandon_at",
         "asked_at",
+        "asks",
         "connection",
         "dispatcher",
         "id",
@@ -52,6 +55,7 @@
         self.abandon_at = abandon_at
         self.asked_at = dispatcher  # where its id was last brought
         self.over = False
+        self.asks = 0  # of its id, after the first
         self.twice = False  # it is answered, and asked for once more
         self.timers: list[AnyTimer] = []
         self.connection: object = None  # the driver's
@@ -173,8 +177,11 @@
 
     def _bring_again(self, request: Request, to: int, at_once: bool = False) -> None:
         request.asked_at = to
-        wait = 0 if at_once else ASK_AGAIN
-        self.clock.at(self.clock.now() + wait, self._bring, request)
+        request.asks += 1
+        wait = 0.0
+        if not at_once or request.asks > SENT_ON_AT_ONCE:
+            wait = (ASK_AGAIN << min(request.asks, MOST_DOUBLED)) * (0.5 + self.draws.fraction())
+        self.clock.at(self.clock.now() + int(wait), self._bring, request)
 
     def _bring(self, request: Request) -> None:
         if request.is_asked():
@@ -196,8 +203,7 @@
         """A replica that is paused neither answers nor hangs up."""
         if not request.over:
             self.close(request)
-            request.asked_at = (request.asked_at + 1) % self.e.dispatchers.count
-            self._send(request)
+            self._bring_again(request, (request.asked_at + 1) % self.e.dispatchers.count, at_once=True)
 
     def _again(self, request: Request, come_back_after: int, at_once: bool = False) -> None:
         told = self.e.clients
