--- a/ploverspoke/program/service.py
+++ b/ploverspoke/program/service.py
@@ -6,7 +6,6 @@
 import resource
 import signal
 import socket
-import sys
 from collections.abc import Callable
 from functools import partial
 
@@ -23,6 +22,7 @@
 
 from .briefing import Briefing, read_briefing
 from .checked import BadKey
+from .exits import exit_code
 
 STILL_COMING = 700 * MILLISECOND  # after the signal to end, connections may go on coming for so long
 STILL_SERVED = 2200 * MILLISECOND  # and clients go on over theirs: nobody else may be there for them yet
@@ -118,19 +118,15 @@
             self.deadlines.at(now + LOOK_EVERY, self._look_whether_over)
 
 
+def _run() -> None:
+    briefing = read_briefing(os.environ)
+    loop = uvloop.new_event_loop()
+    asyncio.set_event_loop(loop)
+    service = Service(loop, briefing)
+    gc.collect()
+    gc.freeze()
+    loop.run_until_complete(service.run())
+
+
 def main() -> int:
-    try:
-        briefing = read_briefing(os.environ)
-        loop = uvloop.new_event_loop()
-        asyncio.set_event_loop(loop)
-        service = Service(loop, briefing)
-        gc.collect()
-        gc.freeze()
-        loop.run_until_complete(service.run())
-    except BadKey as error:
-        print(f"ploverspoke: {error}", file=sys.stderr)
-        return 2
-    except OSError as error:
-        print(f"ploverspoke: listen: {error}", file=sys.stderr)
-        return 2
-    return 0
+    return exit_code(_run)
--- a/ploverspoke/store/daemon.py
+++ b/ploverspoke/store/daemon.py
@@ -8,7 +8,6 @@
 import gc
 import json
 import os
-import sys
 from functools import partial
 from pathlib import Path
 from typing import Any
@@ -17,6 +16,7 @@
 
 from ploverspoke.program.briefing import Briefing, address, briefing_of, read_told
 from ploverspoke.program.checked import BadKey, Checked
+from ploverspoke.program.exits import exit_code
 from ploverspoke.program.service import Service
 from ploverspoke.transport.log_lines import say
 
@@ -83,12 +83,8 @@
 
 def main(store: Path, new: bool = False, join: str = "") -> int:
     """Exit 0: told to end. 2: the configuration or the store cannot be used; says why."""
-    try:
+
+    def run() -> None:
         uvloop.run(Daemon(read_store_orders(store)).run(new, join))
-    except (BadKey, WrongStore, Damaged, DiskTrouble) as error:
-        print(f"ploverspoke: {error}", file=sys.stderr)
-        return 2
-    except OSError as error:
-        print(f"ploverspoke: listen: {error}", file=sys.stderr)
-        return 2
-    return 0
+
+    return exit_code(run, WrongStore, Damaged, DiskTrouble)
--- a/ploverspoke/supervisor/driver.py
+++ b/ploverspoke/supervisor/driver.py
@@ -16,6 +16,7 @@
 
 from ploverspoke.program.briefing import Briefing, read_briefing
 from ploverspoke.program.checked import BadKey
+from ploverspoke.program.exits import exit_code
 from ploverspoke.transport.listener import BACKLOG
 from ploverspoke.transport.log_lines import say
 
@@ -144,14 +145,5 @@
 
 
 def main(count: int) -> int:
-    """Exit 0: told to end, and all children did. 1: one had to be killed. 2: the configuration cannot be
-    used.
-    """
-    try:
-        return uvloop.run(_run(count))
-    except BadKey as error:
-        print(f"ploverspoke: {error}", file=sys.stderr)
-        return 2
-    except OSError as error:
-        print(f"ploverspoke: listen: {error}", file=sys.stderr)
-        return 2
+    """Exit 0: told to end, and all children did. 1: one had to be killed. 2: bad configuration."""
+    return exit_code(lambda: uvloop.run(_run(count)))
--- a/ploverspoke/testbed/commands.py
+++ b/ploverspoke/testbed/commands.py
@@ -57,7 +57,10 @@
 
     Exit 0: all that must hold held. 1: something did not, and is named. 2: the file or the call is wrong.
     """
-    e = _read(experiment, seeds, ("ours",) if sockets and not policies else policies)
+    e = _read(experiment, seeds, policies)
+    sockets = sockets or e.dispatchers.store  # replicas are not played on virtual time
+    if sockets and not policies:
+        e = msgspec.structs.replace(e, policies=["ours"])
     driver: Driver = "sockets" if sockets else "virtual"
     show = console()
     total = len(e.seeds) * (1 if sockets else len(e.policies))
