A send that a stopped process finds half done when it wakes is not finished

Change: just before the last byte an errand looks whether its time is over and, where there is a store, whether this replica still leads; else the hand-off is withheld and its connection closed.

Measured: a test stops the leadership between the two parts of a send; before, the byte went out.

--- a/ploverspoke/routing/errands.py
+++ b/ploverspoke/routing/errands.py
@@ -37,8 +37,13 @@
         sender: Sender,
         in_two: bool = False,
         fresh: bool = False,
+        may_go: Callable[[], bool] | None = None,
     ) -> None:
-        """In two: the last byte is written a moment later, so that a dropped connection has not run it."""
+        """In two: the last byte is written a moment later, so that a dropped connection has not run it.
+
+        `may_go` is asked just before the last byte, whenever that is: this process may have been stopped
+        for long.
+        """
         self.pool = pool
         self.deadlines = pool.deadlines
         self.address = address
@@ -50,6 +55,7 @@
         self.cause: End | None = None  # why we closed the connection
         self.reusable = False
         self.in_two = in_two
+        self.may_go = may_go
         self.last_byte: bytes | None = None  # not written yet
         self.until = self.deadlines.now() + time_out
         self.late = self.deadlines.at(self.until, self._too_late)
@@ -71,16 +77,27 @@
         self.connection = connection
         message = self.message(self.until - self.deadlines.now())
         if not self.in_two:
-            connection.write(message)
+            if self._is_too_late():
+                self._stop(End.WITHHELD, End.WITHHELD)
+            else:
+                connection.write(message)
             return
         self.last_byte = message[-1:]
         connection.write(message[:-1])
         self.deadlines.at(self.deadlines.now() + LAST_BYTE_AFTER, self._write_last)
 
     def _write_last(self) -> None:
+        if self.last_byte is None or self.connection is None:
+            return
+        if self._is_too_late():
+            self._stop(End.WITHHELD, End.WITHHELD)
+            return
         last, self.last_byte = self.last_byte, None
-        if last is not None and self.connection is not None:
-            self.connection.write(last)
+        self.connection.write(last)
+
+    def _is_too_late(self) -> bool:
+        """A process that was stopped wakes up with its deadlines past, and may be no leader any more."""
+        return self.deadlines.now() >= self.until or (self.may_go is not None and not self.may_go())
 
     def not_connected(self, end: End) -> None:
         self.opening = None
--- a/ploverspoke/routing/router.py
+++ b/ploverspoke/routing/router.py
@@ -465,6 +465,7 @@
             time_out,
             hand_off,
             in_two=self.orders["repeat"][submission.grade] == "irreversible",
+            may_go=None if self.scribe is None else self.scribe.leads,
         )
 
     def recall(self, submission_id: int, hand_off: int) -> None:
--- a/tests/test_store_router.py
+++ b/tests/test_store_router.py
@@ -108,6 +108,25 @@
     with_scribe(script, "intend", *(["answer"] if lost == "commit" else []))
 
 
+def test_a_leader_that_was_stopped_in_the_middle_of_a_send_does_not_finish_it() -> None:
+    # On sockets a paused replica wrote the last byte when it woke, a second after another had abandoned the
+    # job.
+    async def script(world: World, scribe: Scribe) -> None:
+        asked = asyncio.create_task(world.ask(world.request("r1", "book")))
+        commit = await scribe.wait_for("intend")
+        commit(True)
+        while not world.service.pool.held() - world.service.pool.opening:
+            await asyncio.sleep(0)
+        scribe.leading = False
+        await asyncio.sleep(0.05)
+        assert world.sent == [] and ("r1", 0, "not_sent") in scribe.outcomes
+        world.service.router.lead_no_more()
+        with pytest.raises(asyncio.IncompleteReadError):
+            await asked
+
+    with_scribe(script, "intend")
+
+
 def test_an_answer_is_given_when_it_is_committed_and_to_all_who_asked_for_it() -> None:
     async def script(world: World, scribe: Scribe) -> None:
         first = asyncio.create_task(world.ask(world.request("r1", "book")))
