A replica that restarts twice still knows its workers

The roster kept on its disk was put together from nothing but the changes told since the restart, and an empty one was written over the list.

Change: the memory of the roster begins with the list that the watch goes on from, and keeps nothing before it has a whole one.

--- a/ploverspoke/store/daemon.py
+++ b/ploverspoke/store/daemon.py
@@ -58,7 +58,7 @@
             scribe = StoreScribe(self.node, briefing.orders["repeat"], briefing.orders["repeat_group"])
             self.service = Service(asyncio.get_running_loop(), briefing, scribe)
             self.service.read = self.read
-            self.service.router.on_roster = RosterMemory(partial(self.node.keep, ROSTER)).told
+            self.service.router.on_roster = RosterMemory(partial(self.node.keep, ROSTER), briefing.known).told
             scribe.on_lost = self.service.router.lead_no_more
             self.node.on_configuration = self._configured
             gc.collect()
--- a/ploverspoke/testbed/experiment.py
+++ b/ploverspoke/testbed/experiment.py
@@ -134,6 +134,7 @@
 class Dispatchers(Part, frozen=True, kw_only=True):
     count: int = 2
     store: bool = False  # they are the replicas of one store (on sockets only)
+    snapshot_every: int = 20_000  # entries, where there is a store
     memory_mb: int = 192
     sockets: int = 1024
 
--- a/ploverspoke/testbed/sockets.py
+++ b/ploverspoke/testbed/sockets.py
@@ -252,7 +252,7 @@
         }
         name = f"r{number}"
         told = {"cluster": "testbed", "name": name, "folder": f"store-{name}", "secret_file": "secret"}
-        return {**told, "replicas": replicas}
+        return {**told, "replicas": replicas, "snapshot_every": self.e.dispatchers.snapshot_every}
 
     async def _listen(self, child: Child, discovery: Child) -> None:
         while (told := await child.hear()) is not None:
--- a/tests/test_store_node.py
+++ b/tests/test_store_node.py
@@ -247,7 +247,7 @@
 def test_the_roster_is_put_together_from_what_discovery_told() -> None:
     kept: list[Any] = []
     clock = [0.0]
-    memory = RosterMemory(kept.append, lambda: clock[0])
+    memory = RosterMemory(kept.append, None, lambda: clock[0])
 
     def tell(version: int, full: bool, *servers: tuple[str, str]) -> None:
         entries = [{"id": who, "state": state} for who, state in servers]
@@ -259,6 +259,12 @@
     clock[0] = 5.0
     tell(3, False, ("c", "Terminating"))
     assert kept[-1]["version"] == 3 and [s["id"] for s in kept[-1]["servers"]] == ["a", "c"]
+    # A restart goes on from what was kept; changes alone are not taken for the whole.
+    for known, wanted in ((kept[-1], ["a", "c"]), (None, None)):
+        later: list[Any] = []
+        again = RosterMemory(later.append, known, lambda: 9.0)
+        again.told(b'{"version": 4, "full": false, "servers": []}')
+        assert [[s["id"] for s in one["servers"]] for one in later] == ([wanted] if wanted else [])
 
 
 def test_a_configuration_is_the_same_on_all_replicas_and_after_a_restart(tmp_path: Path) -> None:
