Roster calls are spread over time, so that forty dispatchers do not jam discovery

New watches are worked through one in 0.14 s, also those whose caller has been turned away meanwhile; the next answer to a watch that goes on takes 7 ms, but waits behind them for up to 4.9 s. Turned away, all called again within two to three seconds, so the queue never emptied. Ruled out: the length of the hold (watches that go on cost next to nothing), the size of the list (all had one to start from, version 0, and asked for changes).

At fault: Dispatcher.__init__ called at once in every dispatcher, roster_lost called again after 0.25 to 3.75 s whatever had been answered. Now the first call comes at a random moment of the time in which the roster can take one call of each dispatcher (125 ms each, half of the time within which it must be asked at the most), where there is a list to go on with; one that was turned away comes back in a multiple of that time. Breaks are called again as before. The simulator's wire tells no such thing, so nothing changes there.

--- a/ploverspoke/decisions/dispatcher.py
+++ b/ploverspoke/decisions/dispatcher.py
@@ -47,6 +47,7 @@
 FRESH = 300 * MILLISECOND  # a report that arrived since then need not be asked for again
 REPORT_AGE = SECOND  # a report may be so old: what we sent since may not be in it
 TICKS_IN_EXPECTED = 4  # the clock's least rate: so many ticks in the shortest expected time
+ROSTER_CALL = 125 * MILLISECOND  # of the roster's time for each dispatcher that calls it
 NEVER_RAN = frozenset({"full", "unreachable", "not_sent"})
 
 
@@ -180,11 +181,20 @@
         self.top_weight: dict[int, float] = defaultdict(float)  # of an idle worker, by machine kind
         self.due: dict[int, Submission | Worker | JobType | str] = {}
         self.next_token = 1
-        if self.orders["roster_must_be_asked"]:
-            self.host.watch_roster()
 
     # ---- What can happen ----
 
+    def begun(self) -> None:
+        """All that is known at the start has been told; from now on the roster is followed.
+
+        Who knows of workers calls at a random moment: dispatchers that were started together would find
+        one another in the roster's queue, and a call that is turned away there has taken its time too.
+        """
+        if self.orders["roster_must_be_asked"] and self.workers:
+            self._wake("watch", self.host.now() + int(self.chance.fraction() * self._calls_of_all()))
+        elif self.orders["roster_must_be_asked"]:
+            self.host.watch_roster()
+
     def submission_arrived(
         self,
         submission_id: int,
@@ -355,13 +365,23 @@
         for listing in listings:
             self._list(listing)
 
-    def roster_lost(self) -> None:
-        """The watch failed or dropped: watch again, after a wait that grows."""
+    def roster_lost(self, turned_away: bool = False) -> None:
+        """The watch failed or dropped: watch again, after a wait that grows; turned away, one that leaves
+        the roster time for the calls of all."""
         self.roster_failures += 1
         self._say(f"roster lost, {self.roster_failures} in a row; asking again")
-        wait = min(250 * MILLISECOND << min(self.roster_failures, 5), self.orders["roster_ask_within"] // 4)
+        failures, longest = min(self.roster_failures, 5), self.orders["roster_ask_within"]
+        wait = min(250 * MILLISECOND << failures, longest // 4)
+        if turned_away:
+            wait = max(wait, min(self._calls_of_all() << (failures - 1), longest * 2 // 3))
         self._wake("watch", self.host.now() + int(wait * (0.5 + self.chance.fraction())))
 
+    def _calls_of_all(self) -> int:
+        """In which the roster can work through one call of each dispatcher."""
+        each: int = self.orders["dispatchers"] * ROSTER_CALL
+        longest: int = self.orders["roster_ask_within"]
+        return min(each, longest // 2)
+
     def probe_answered(
         self, worker_name: str, outcome: str, took: int, load: Mapping[str, float] | None
     ) -> None:
--- a/ploverspoke/program/service.py
+++ b/ploverspoke/program/service.py
@@ -62,8 +62,7 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             self.loop.add_signal_handler(number, self._leave)
         self.loop.add_signal_handler(signal.SIGHUP, self._read_again)
-        if self.briefing.known is not None:
-            self.router.known(self.briefing.known)
+        self.router.begin(self.briefing.known)
         if self.listening is not None:
             self.door.listener.adopt(self.listening)
         else:
--- a/ploverspoke/protocol/discovery.py
+++ b/ploverspoke/protocol/discovery.py
@@ -21,6 +21,10 @@
     return head(f"GET {target} HTTP/1.1", {"Host": address})
 
 
+class TurnedAway(Garbled):
+    """Discovery has more calls than it can work through in time."""
+
+
 class ListAnswer(Message[httptools.HttpResponseParser]):
     """Reads one answer and says when it is complete: its body, and whether the connection lasts."""
 
@@ -34,7 +38,9 @@
         status = self.parser.get_status_code()
         if status < 200:
             return
-        if status != 200:
+        if status in (429, 503):
+            self.fail(TurnedAway(f"answered {status}"))
+        elif status != 200:
             self.fail(Garbled(f"answered {status}"))
         self.complete(bytes(self.body), self.lasts())
 
--- a/ploverspoke/routing/roster.py
+++ b/ploverspoke/routing/roster.py
@@ -23,7 +23,7 @@
         address: str,
         hold: int,
         told: Callable[[bytes], int],  # gives the version; raises Garbled
-        lost: Callable[[], None],
+        lost: Callable[[bool], None],  # whether it has too many calls
     ) -> None:
         self.loop = loop
         self.deadlines = deadlines
@@ -80,7 +80,7 @@
             self.connection.feed(self.answer)
         except Garbled as error:
             say(f"discovery: {error}")
-            self.loop.call_soon(self._fail)
+            self.loop.call_soon(self._fail, isinstance(error, discovery.TurnedAway))
 
     def _complete(self, body: bytes, lasts: bool) -> None:
         """One answer is whole; the next call goes out at once, for the watch to go on."""
@@ -118,9 +118,9 @@
             connection.user = None
             connection.abort()
 
-    def _fail(self) -> None:
+    def _fail(self, turned_away: bool = False) -> None:
         if self.watching:
             self.watching = False
             self.deadlines.call_off(self.late)
             self._hang_up()
-            self.lost()
+            self.lost(turned_away)
--- a/ploverspoke/routing/router.py
+++ b/ploverspoke/routing/router.py
@@ -129,7 +129,15 @@
         self.loop = loop
         self.roster = self._watch_on(discovery_address)
         self.dispatcher = Dispatcher(self, seed, orders)
-        if not orders["roster_must_be_asked"]:
+
+    def begin(self, known: Any = None) -> None:
+        """Follow the roster, from the list as we last had it, if any; it was checked where it was read."""
+        if known is not None:
+            listings: list[Listing] = []
+            self.roster.version, _ = discovery.enter_list(known, partial(self._enter, listings))
+            self._roster_changed(listings, True)
+        self.tell(self.dispatcher.begun)
+        if not self.orders["roster_must_be_asked"]:
             # Where changes are to come unprompted, nothing but this watch makes them come on sockets.
             self.roster.start()
 
@@ -375,12 +383,6 @@
             self.on_roster(body)
         return version
 
-    def known(self, told: Any) -> None:
-        """The list as we last had it, from what we are told at start, where it was checked."""
-        listings: list[Listing] = []
-        self.roster.version, _ = discovery.enter_list(told, partial(self._enter, listings))
-        self._roster_changed(listings, True)
-
     def move_roster(self, address: str) -> None:
         """Discovery has another address: its versions are its own, so its whole list is asked for at once."""
         self.roster.stop()
@@ -395,8 +397,8 @@
         dispatcher = self.dispatcher
         self.tell(dispatcher.roster_complete if whole else dispatcher.roster_changed, listings)
 
-    def _roster_lost(self) -> None:
-        self.tell(self.dispatcher.roster_lost)
+    def _roster_lost(self, turned_away: bool) -> None:
+        self.tell(self.dispatcher.roster_lost, turned_away)
 
     def _enter(
         self,
--- a/ploverspoke/simwire/adapter.py
+++ b/ploverspoke/simwire/adapter.py
@@ -39,6 +39,7 @@
             raise Malformed(str(error)) from None
         self.load_fields: list[str] = orders["load_fields"]
         self.dispatcher = Dispatcher(self, start.whole("RandomSeed"), orders)
+        self.dispatcher.begun()
 
     def now(self) -> int:
         return self.adapter.now
--- a/ploverspoke/testbed/baselines.py
+++ b/ploverspoke/testbed/baselines.py
@@ -45,8 +45,10 @@
         self.open: dict[int, Open] = {}
         self.turn = 0
         self.failures = 0
-        if orders["roster_must_be_asked"]:
-            host.watch_roster()
+
+    def begun(self) -> None:
+        if self.orders["roster_must_be_asked"]:
+            self.host.watch_roster()
 
     def choose(self, among: list[str]) -> str:
         raise NotImplementedError
@@ -112,7 +114,7 @@
             self.workers[listing.worker] = listing
             self.in_flight.setdefault(listing.worker, 0.0)
 
-    def roster_lost(self) -> None:
+    def roster_lost(self, turned_away: bool = False) -> None:
         self.failures += 1
         self.host.wake_at(0, self.host.now() + SECOND // 4 * min(8, self.failures))
 
--- a/ploverspoke/testbed/virtual.py
+++ b/ploverspoke/testbed/virtual.py
@@ -99,6 +99,7 @@
         true_load = partial(world.true_load, self.zone) if policy == "all-seeing" else None
         self.decisions = POLICIES[policy](self, seed, world.orders[self.zone], true_load)
         self._tell_roster(world.first_list)
+        self.decisions.begun()
 
     # ---- From clients ----
 
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -92,6 +92,7 @@
         self.closed_at: dict[str, int] = {}
         self.dispatcher = Dispatcher(self, seed, self.orders)
         self.dispatcher.roster_complete(workers)
+        self.dispatcher.begun()
 
     # ---- The host interface ----
 
