--- a/ploverspoke/decisions/dispatcher.py
+++ b/ploverspoke/decisions/dispatcher.py
@@ -85,6 +85,7 @@
         self.subjects: deque[str] = deque(maxlen=6)  # of our last few jobs there
         self.placeholders: deque[tuple[JobType, int]] = deque()  # type and end
         self.aside = False
+        self.proven = False  # set aside not by a guess: it could not be reached
         self.trial_until = 0  # back from being set aside, with no start seen since
         self.heard_at = 0  # its last word on any hand-off of ours
         self.errors: deque[bool] = deque(maxlen=ERRORS_KEPT)  # whether our last hand-offs ended in an error
@@ -413,7 +414,7 @@
             # Some that were asked have not answered in time, or none had to be asked again.
             if what.asked and self.host.now() >= what.asked_until:
                 self._settle(what, self.host.now())
-        elif isinstance(what, Worker):
+        elif isinstance(what, Worker) and what.aside:
             # Set aside long enough: a probe, where permitted, spares the first job sent there again.
             if self.orders["probing_permitted"] and what.ready:
                 what.probed_for = "return"
@@ -612,7 +613,9 @@
             return False
         if self.orders["repeat"][job.grade] != "irreversible" and self.orders["recall_permitted"]:
             return False
-        return self.asks_each >= len(drawn) and any(now - w.heard_at >= KNOWN for w in drawn)
+        # One whose last word was an error answers quickly, and is no better known for that.
+        unknown = any(now - w.heard_at >= KNOWN or (w.errors and w.errors[-1]) for w in drawn)
+        return self.asks_each >= len(drawn) and unknown
 
     def _ask(self, job: Submission, drawn: list[Worker], now: int) -> bool:
         """Ask them, as far as the credit goes that comes with submissions and with time."""
@@ -646,6 +649,10 @@
             self._set_aside(worker, now, bounded=False)
         else:
             self._cut_room(worker, worker.running, 0, now)
+            if outcome == "worker_error":
+                # Its own word that it is not well, or that it drains, long before the roster tells us. Asked
+                # again and again, each of many dispatchers learned that by losing submissions there.
+                self._set_aside(worker, now)
         for job_type in self.types.values():
             if worker in job_type.asked and not any(w.probed_for for w in job_type.asked):
                 self._settle(job_type, now)
@@ -988,15 +995,15 @@
 
     def _set_aside(self, worker: Worker, now: int, bounded: bool = True) -> None:
         """Send nothing there for a while. Where many look bad at once, the reading is usually wrong."""
-        aside = sum(w.aside for w in self.workers.values() if w.ready)
-        crowded = (aside + 1) * ASIDE_SHARE > sum(w.ready for w in self.workers.values())
+        # Of a lost zone nothing is guessed: it must not use up the bound on guesses among the others.
+        left = [w.aside for w in self.workers.values() if w.ready and not (w.aside and w.proven)]
+        crowded = (sum(left) + 1) * ASIDE_SHARE > len(left)
         if worker.aside or (bounded and crowded):
             return
-        worker.aside = True
+        worker.aside, worker.proven = True, not bounded
         self.tiers.clear()
-        self._say(
-            f"{worker.name} set aside: {'suspected' if bounded else 'unreachable'}; {aside + 1} are now"
-        )
+        aside = sum(w.aside for w in self.workers.values() if w.ready)
+        self._say(f"{worker.name} set aside: {'suspected' if bounded else 'unreachable'}; {aside} are now")
         worker.placeholders.clear()
         self._wake(worker, now + self._aside_time())
 
@@ -1019,6 +1026,10 @@
         if listing.started_at > worker.listing.started_at or (listing.started_at and not worker.warm_at):
             worker.warm_at = listing.started_at + self.orders["warm_within"]
             worker.room = worker.room_before_cut = FIRST_ROOM
+            # What was held against the one before it is nothing to the one that has started.
+            worker.aside = False
+            worker.errors.clear()
+            self.tiers.clear()
             # From a random part of one job on, the first jobs of many dispatchers come spread over time; had
             # each to earn a whole one first, hundreds would let the worker idle through its warm-up.
             worker.cold_credit = self.chance.fraction() * self._mean_running_time()
