A door for operators: check and vars, with figures counted at one place each

A listener at admin_addr or RELAY_ADMIN_ADDR, 16 callers at the most out of the descriptors kept back, the silent ones making way first; submissions are counted where their one final answer is given, attempts when the kernel has their last byte, states are read when asked. A worker that a whole list leaves out now reads as gone, so that the list can be counted. With several processes each listens at a port of its own.

--- a/ploverspoke/decisions/dispatcher.py
+++ b/ploverspoke/decisions/dispatcher.py
@@ -357,7 +357,8 @@
             shown.add(listing.worker)
             self._list(listing)
         for worker in self.workers.values():
-            if worker.name not in shown and worker.ready:
+            if worker.name not in shown and worker.listing.condition != "gone":
+                worker.listing = worker.listing._replace(condition="gone")
                 worker.ready = False
                 self.tiers.clear()
 
@@ -433,6 +434,16 @@
             else:
                 self._wake(what, what.last_chance)
 
+    # ---- What can be asked ----
+
+    def listed(self) -> list[Worker]:
+        """Those that the roster shows, ready or draining."""
+        return [w for w in self.workers.values() if w.listing.condition != "gone"]
+
+    def avoids(self, worker: Worker) -> bool:
+        """Whether nothing would be handed to it now, had it room."""
+        return not worker.ready or worker.aside
+
     # ---- The mechanism ----
 
     def _tick(self, now: int) -> None:
--- a/ploverspoke/program/briefing.py
+++ b/ploverspoke/program/briefing.py
@@ -19,6 +19,7 @@
 class Briefing(NamedTuple):
     name: str
     listen: tuple[str, int]
+    admin: tuple[str, int] | None  # where operators call; None: nowhere
     discovery: str
     seed: int
     sockets: int  # descriptors that the whole program may hold
@@ -55,6 +56,8 @@
         raise top.bad("settings", "an object")
     listen = address(top, "listen", environment.get("RELAY_LISTEN"))
     address(top, "discovery", environment.get("RELAY_DISCOVERY"))
+    admin = environment.get("RELAY_ADMIN_ADDR")
+    has_admin = admin is not None or top.value.get("admin_addr") is not None
     seed = top.text("seed", "0")
     try:
         seed_number = int(seed, 16)
@@ -70,6 +73,7 @@
     return Briefing(
         top.text("name", environment.get("RELAY_NAME", "dispatcher")),
         listen,
+        address(top, "admin_addr", admin) if has_admin else None,
         top.text("discovery", environment.get("RELAY_DISCOVERY")),
         seed_number,
         limits.whole("sockets", 1024, least=FEWEST_SOCKETS),
--- a/ploverspoke/program/service.py
+++ b/ploverspoke/program/service.py
@@ -6,12 +6,14 @@
 import resource
 import signal
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from functools import partial
 
 import uvloop
 
+from ploverspoke.protocol import operators
 from ploverspoke.routing.door import Door
+from ploverspoke.routing.operators import OperatorsDoor
 from ploverspoke.routing.router import Router
 from ploverspoke.routing.scribe import Scribe
 from ploverspoke.transport.deadlines import Deadlines
@@ -53,6 +55,9 @@
             loop, self.deadlines, self.pool, briefing.discovery, briefing.seed, orders, briefing.names, scribe
         )
         self.door = Door(loop, self.deadlines, self.router, shares.clients, shares.buffered)
+        self.operators = OperatorsDoor(
+            loop, self.deadlines, {"check": self._check, "vars": lambda: operators.figures(self._figures())}
+        )
         self.leaving_since = 0
         self.listening: socket.socket | None = None  # inherited, in place of one of its own
         self.on_ready: Callable[[], None] = lambda: None
@@ -62,6 +67,8 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             self.loop.add_signal_handler(number, self._leave)
         self.loop.add_signal_handler(signal.SIGHUP, self._read_again)
+        if self.briefing.admin is not None:
+            self.operators.listener.open(*self.briefing.admin)
         self.router.begin(self.briefing.known)
         if self.listening is not None:
             self.door.listener.adopt(self.listening)
@@ -71,11 +78,36 @@
         self.on_ready()
         await self.over.wait()
 
+    # ---- What operators ask ----
+
+    def _check(self) -> bytes:
+        if self.leaving_since:
+            return operators.said_no("leaving")
+        if self.door.listener.socket is None:
+            return operators.said_no("not listening yet")
+        if not self.router.dispatcher.listed():
+            return operators.said_no("no list of workers")
+        return operators.said_yes("ready")
+
+    def _figures(self) -> Iterator[str]:
+        router, figures = self.router, self.router.figures
+        listed = router.dispatcher.listed()
+        yield from figures.operations()
+        yield operators.figure("open_requests", router.open_now())
+        yield operators.figure("registry_entries", len(listed))
+        yield operators.figure("out_of_rotation", sum(router.dispatcher.avoids(w) for w in listed))
+        yield operators.figure("cfg_accepted", figures.accepted)
+        yield operators.figure("cfg_invalid", figures.invalid)
+
+    # ---- A new configuration ----
+
     def _read_again(self) -> None:
         """A new configuration, read whole before anything changes: a bad one leaves all as it is."""
         try:
             self.take_configuration(self.read())
+            self.router.figures.accepted += 1
         except BadKey as error:
+            self.router.figures.invalid += 1
             say(f"new configuration not taken, the old one goes on: {error}")
 
     def take_configuration(self, new: Briefing) -> None:
@@ -83,6 +115,7 @@
         for key, changed in (
             ("name", new.name != old.name),
             ("listen", new.listen != old.listen),
+            ("admin_addr", new.admin != old.admin),
             ("limits", (new.sockets, new.memory) != (old.sockets, old.memory)),
             ("settings", new.orders != old.orders or new.names != old.names),
         ):
@@ -93,6 +126,8 @@
             self.router.move_roster(new.discovery)
         self.briefing = old._replace(discovery=new.discovery)
 
+    # ---- The end ----
+
     def _leave(self) -> None:
         """Take what still comes, finish what was taken, then end."""
         if not self.leaving_since:
--- a/ploverspoke/routing/door.py
+++ b/ploverspoke/routing/door.py
@@ -115,6 +115,10 @@
             self.failure = error
         self._weigh()
         if self.door.is_full():
+            for _, target, *_ in self.waiting:
+                self.door.router.turned_away(target)
+            if self.reader.inside and not self.reader.in_head:
+                self.door.router.turned_away(self.reader.target.decode("latin-1"))
             self.waiting.clear()
             self.keep = False
             self.nacked(0)
@@ -138,8 +142,11 @@
             self._send_on(elsewhere, target)
             return
         try:
-            take = self.door.router.take
-            submission = None if self.unwelcome else take(self, method, target, headers, body)
+            if self.unwelcome:
+                self.door.router.turned_away(target)
+                submission = None
+            else:
+                submission = self.door.router.take(self, method, target, headers, body)
             if submission is None:
                 self.nacked(0)
             else:
--- a/ploverspoke/routing/errands.py
+++ b/ploverspoke/routing/errands.py
@@ -18,6 +18,9 @@
 class Sender(Protocol):
     """Who sent the errand."""
 
+    def errand_written(self) -> None:
+        """The last byte has gone out."""
+
     def errand_started(self) -> None: ...
 
     def errand_progressed(self, share_done: float) -> None: ...
@@ -80,7 +83,7 @@
             if self._is_too_late():
                 self._stop(End.WITHHELD, End.WITHHELD)
             else:
-                connection.write(message)
+                self._write_to_the_end(connection, message)
             return
         self.last_byte = message[-1:]
         connection.write(message[:-1])
@@ -93,7 +96,12 @@
             self._stop(End.WITHHELD, End.WITHHELD)
             return
         last, self.last_byte = self.last_byte, None
-        self.connection.write(last)
+        self._write_to_the_end(self.connection, last)
+
+    def _write_to_the_end(self, connection: Connection, data: bytes) -> None:
+        connection.write(data)
+        if connection.open and not connection.unsent and self.sender is not None:
+            self.sender.errand_written()
 
     def _is_too_late(self) -> bool:
         """A process that was stopped wakes up with its deadlines past, and may be no leader any more."""
@@ -132,7 +140,8 @@
         self._end(self.cause or (End.UNSENT if unsent else End.BROKEN))
 
     def all_written(self) -> None:
-        pass
+        if self.last_byte is None and self.cause is None and self.sender is not None:
+            self.sender.errand_written()
 
     # ---- The answer ----
 
--- /dev/null
+++ b/ploverspoke/routing/operators.py
@@ -0,0 +1,106 @@
+"""The operators' door: its callers, and the answers, read from the state itself when asked."""
+
+import asyncio
+import traceback
+from collections.abc import Callable
+
+from ploverspoke.protocol import operators
+from ploverspoke.protocol.operators import BadCall
+from ploverspoke.transport.connections import Connection
+from ploverspoke.transport.deadlines import Deadlines
+from ploverspoke.transport.listener import Listener
+from ploverspoke.transport.log_lines import say
+from ploverspoke.transport.slots import SlotTable
+from ploverspoke.transport.units import MILLISECOND, SECOND
+
+MOST_CALLERS = 16  # of the descriptors that transport/shares.py keeps back
+CALL_WITHIN = 2 * SECOND  # for the line to come whole, and for the answer to be read
+SPEAKS_WITHIN = 20 * MILLISECOND  # a caller that means something, on a new connection
+
+Answer = Callable[[], bytes]
+
+
+class Caller:
+    """One connection of the door: one line, one answer, the end."""
+
+    def __init__(self, door: "OperatorsDoor", connection: Connection) -> None:
+        self.door = door
+        self.connection = connection
+        self.reader = operators.CallReader()
+        self.since = door.deadlines.now()
+        self.answered = False
+        self.late = door.deadlines.at(self.since + CALL_WITHIN, self._too_slow)
+        connection.user = self
+        door.callers[connection.number] = self
+
+    def bytes_came(self) -> None:
+        if self.answered:
+            self.connection.buffer.read(len(self.connection.buffer))
+            return
+        data = self.connection.buffer.unread()
+        try:
+            call = self.reader.feed(data)
+        except BadCall as error:
+            self._answer(operators.said_no(str(error)))
+            return
+        finally:
+            self.connection.buffer.read(len(data))
+            data.release()
+        if call is not None:
+            self._answer(self.door.answer(call))
+
+    def _answer(self, said: bytes) -> None:
+        self.answered = True
+        self.connection.write(said)
+        self.connection.close()
+
+    def _too_slow(self) -> None:
+        if self.answered:
+            self.connection.abort()
+        else:
+            self._answer(operators.said_no("no whole line came"))
+            self.late = self.door.deadlines.at(self.door.deadlines.now() + CALL_WITHIN, self._too_slow)
+
+    def connection_ended(self) -> None:
+        self.door.deadlines.call_off(self.late)
+        self.door.callers.pop(self.connection.number, None)
+
+    def all_written(self) -> None:
+        pass
+
+
+class OperatorsDoor:
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, deadlines: Deadlines, calls: dict[str, Answer]
+    ) -> None:
+        self.deadlines = deadlines
+        self.calls = calls
+        self.connections: SlotTable[Connection] = SlotTable()
+        self.callers: dict[int, Caller] = {}  # by their connection's number, oldest first
+        self.listener = Listener(
+            loop, deadlines, lambda: Connection(self.connections, self._came), self._has_room
+        )
+
+    def answer(self, call: str) -> bytes:
+        answer = self.calls.get(call)
+        if answer is None:
+            return operators.said_no("expected one of " + ", ".join(self.calls))
+        try:
+            return answer()
+        except Exception:
+            say(f"a call at the operators' door failed: {traceback.format_exc()}")
+            return operators.said_no("a fault of ours")
+
+    def _came(self, connection: Connection) -> None:
+        Caller(self, connection)
+
+    def _has_room(self, coming: int) -> bool:
+        """Who has said nothing for a while makes way first; nobody's answer waits for the silent ones."""
+        if len(self.callers) + coming < MOST_CALLERS:
+            return True
+        oldest = next((c for c in self.callers.values() if not c.answered), None)
+        if oldest is None or self.deadlines.now() - oldest.since < SPEAKS_WITHIN:
+            return False
+        del self.callers[oldest.connection.number]
+        oldest.connection.abort()
+        return True
--- a/ploverspoke/routing/router.py
+++ b/ploverspoke/routing/router.py
@@ -22,6 +22,7 @@
 from ploverspoke.transport.units import MILLISECOND, SECOND
 
 from .errands import Errand
+from .figures import DROPPED, LEFT, Figures
 from .outcomes import OUTCOMES
 from .roster import RosterWatch
 from .scribe import Intended, Past, Scribe, Waiters
@@ -57,6 +58,9 @@
         self.worker = worker
         self.sent_at = router.now()
 
+    def errand_written(self) -> None:
+        self.router.figures.wrote(self.router.grade_names[self.submission.grade])
+
     def errand_started(self) -> None:
         self.router.tell(self.router.dispatcher.hand_off_started, self.submission.number, self.index)
 
@@ -77,6 +81,9 @@
         self.sent_at = router.now()
         self.repeated = False
 
+    def errand_written(self) -> None:
+        pass
+
     def errand_started(self) -> None:
         pass
 
@@ -113,6 +120,9 @@
         self.on_roster: Callable[[bytes], None] | None = None  # told what discovery told
         self.by_id: dict[str, Submission] = {}  # those in flight, where there is a store
         self.grades = {name: number for number, name in enumerate(names["grades"])}
+        self.grade_names = list(names["grades"])
+        self.figures = Figures()
+        self.figures.name(iter(self.grades))
         self.customers = {name: number for number, name in enumerate(names["customers"])}
         self.zones = {name: number for number, name in enumerate(names["zones"])}
         self.machine_kinds = {name: number for number, name in enumerate(names["machine_kinds"])}
@@ -171,11 +181,13 @@
             if known is not None:
                 return known
         if len(self.submissions) >= self.orders["most_open"]:
+            self.figures.turned_away(self.grade_names[grade])
             return None
         # What waited for us to be read, and the way back, are time that the client has not.
         abandon_at = self.now() + patience - min(ANSWER_EARLY, patience // 10)
         submission = Submission(client, grade, method, target, headers, body, abandon_at)
         submission.number = self.submissions.add(submission)
+        self.figures.took()
         self.body_bytes += len(body)
         self._remember(submission.request_id)
         # The decisions answer in time; this guards the client against a fault in them.
@@ -302,7 +314,8 @@
     def _drop(self, submission: Submission) -> None:
         """Its answer is another replica's to give."""
         client = submission.client
-        self._close(submission)
+        if client is not None:
+            self._close(submission, DROPPED)
         self.by_id.pop(submission.request_id, None)
         if client is not None:
             client.dropped()
@@ -319,13 +332,22 @@
         if len(self.latest_ids) > IDS_KEPT and len(self.latest_ids) > 2 * len(self.submissions):
             self.ids.discard(self.latest_ids.popleft())
 
+    def turned_away(self, target: str) -> None:
+        """The door had no room for this request; where its grade is none of ours it is no job."""
+        grade = clients.grade_name(target)
+        if grade in self.grades:
+            self.figures.turned_away(grade)
+
+    def open_now(self) -> int:
+        return sum(submission.client is not None for submission in self.submissions)
+
     def client_left(self, submission: Submission, client: Client) -> None:
         if submission.waiters is not None:
             # It may come back for its answer, here or at another replica.
             if client in submission.waiters.clients:
                 submission.waiters.clients.remove(client)
         elif submission.client is not None:
-            self._close(submission)
+            self._close(submission, LEFT)
             self.tell(self.dispatcher.client_left, submission.number)
             self._forget(submission)
 
@@ -516,7 +538,7 @@
         if submission is None or submission.client is None:
             return
         client = submission.client
-        self._close(submission)
+        self._close(submission, how)
         if self.scribe is None:
             give(client, how, result, come_back_after)
         else:
@@ -531,9 +553,10 @@
             self.scribe.answer(submission.request_id, how, result, submission.digest, committed)
         self._forget(submission)
 
-    def _close(self, submission: Submission) -> None:
+    def _close(self, submission: Submission, how: str) -> None:
         """It gets its answer now, or wants none any more: nothing is sent for it from here on."""
         submission.client = None
+        self.figures.ended(self.grade_names[submission.grade], how)
         self.deadlines.call_off(submission.last_answer)
         for errand in submission.hand_offs:
             if errand is not None:
--- a/ploverspoke/supervisor/shares.py
+++ b/ploverspoke/supervisor/shares.py
@@ -25,7 +25,14 @@
         "dispatchers": whole.orders["dispatchers"] * count,
         "dispatcher_number": whole.orders["dispatcher_number"] * count + place,
     }
+    # Operators call each process at a port of its own: one address for all would answer for any of them.
+    admin = None if whole.admin is None else (whole.admin[0], whole.admin[1] + place)
     seed = whole.seed + place * SEEDS_APART
     return whole._replace(
-        name=f"{whole.name}.{place}", seed=seed, sockets=sockets, memory=memory, orders=orders
+        name=f"{whole.name}.{place}",
+        admin=admin,
+        seed=seed,
+        sockets=sockets,
+        memory=memory,
+        orders=orders,
     )
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -68,6 +68,7 @@
             Briefing(
                 "n0",
                 ("127.0.0.1", self.port),
+                ("127.0.0.1", self.admin_port),
                 discovery,
                 1,
                 sockets,
@@ -91,9 +92,10 @@
             self.entries.append(listed(name, server.sockets[0].getsockname()[1]))
         discovery = await asyncio.start_server(self._discovery, "127.0.0.1", 0)
         self.servers.append(discovery)
-        with socket.socket() as free:
+        with socket.socket() as free, socket.socket() as also_free:
             free.bind(("127.0.0.1", 0))
-            self.port = free.getsockname()[1]
+            also_free.bind(("127.0.0.1", 0))
+            self.port, self.admin_port = free.getsockname()[1], also_free.getsockname()[1]
         return f"127.0.0.1:{discovery.sockets[0].getsockname()[1]}"
 
     def _worker(self, name: str) -> Callable[..., Coroutine[Any, Any, None]]:
