--- a/ploverspoke/program/service.py
+++ b/ploverspoke/program/service.py
@@ -20,17 +20,22 @@
 from ploverspoke.transport.log_lines import say
 from ploverspoke.transport.pools import Pool
 from ploverspoke.transport.shares import share_out
-from ploverspoke.transport.units import MILLISECOND
+from ploverspoke.transport.units import MILLISECOND, SECOND
 
 from .briefing import Briefing, read_briefing
 from .checked import BadKey
 from .exits import exit_code
+from .neighbours import Neighbours
+from .passed import passed_socket
 
 STILL_COMING = 700 * MILLISECOND  # after the signal to end, connections may go on coming for so long
 STILL_SERVED = 2200 * MILLISECOND  # and clients go on over theirs: nobody else may be there for them yet
+HANDED_OVER = 600 * MILLISECOND  # the same where another process has the socket: each answer sent them there
 LAST_ANSWERS = 3400 * MILLISECOND  # after the signal whoever still waits is answered
 LAST_WORD = 3550 * MILLISECOND  # and nobody is waited for any more
 LOOK_EVERY = 20 * MILLISECOND
+LIST_WITHIN = 1500 * MILLISECOND  # for discovery's first answer, where another process serves meanwhile
+NEIGHBOURS_EVERY = 250 * MILLISECOND
 
 
 class Service:
@@ -45,8 +50,9 @@
         self.deadlines = Deadlines(loop)
         allowed = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
         told = briefing.sockets
-        sockets = told if allowed == resource.RLIM_INFINITY else min(told, allowed)
-        shares = share_out(sockets, briefing.memory)
+        self.sockets = told if allowed == resource.RLIM_INFINITY else min(told, allowed)
+        self.processes = 1  # of this dispatcher, with us
+        shares = share_out(self.sockets, briefing.memory)
         orders = briefing.orders
         self.pool = Pool(
             loop, self.deadlines, shares.workers, orders["idle_limit"], orders["connect_time_out"]
@@ -60,6 +66,7 @@
         )
         self.leaving_since = 0
         self.listening: socket.socket | None = None  # inherited, in place of one of its own
+        self.neighbours = Neighbours(None)
         self.on_ready: Callable[[], None] = lambda: None
         self.over = asyncio.Event()
 
@@ -69,14 +76,37 @@
         self.loop.add_signal_handler(signal.SIGHUP, self._read_again)
         if self.briefing.admin is not None:
             self.operators.listener.open(*self.briefing.admin)
-        self.router.begin(self.briefing.known)
+        self.router.begin(self.briefing.known, from_known=self.listening is None)
         if self.listening is not None:
+            self.neighbours.enter()
+            self._look_at_neighbours()
+            await self._list_came()
+            if self.leaving_since:
+                return
             self.door.listener.adopt(self.listening)
         else:
             self.door.listener.open(*self.briefing.listen)
         say(f"{self.briefing.name} serves at {':'.join(map(str, self.briefing.listen))}")
         self.on_ready()
         await self.over.wait()
+        self.neighbours.leave()
+
+    async def _list_came(self) -> None:
+        """Who replaces another need not guess: that one serves until we say that we do."""
+        until = self.deadlines.now() + LIST_WITHIN
+        while not self.router.lists_told and self.deadlines.now() < until and not self.leaving_since:
+            await asyncio.sleep(LOOK_EVERY / SECOND)
+
+    def _look_at_neighbours(self) -> None:
+        """To limits we are one dispatcher, however many processes are there for the moment."""
+        processes = 1 + self.neighbours.others()
+        if processes != self.processes:
+            say(f"processes={processes}: each has its part of the descriptors and of the memory")
+            self.processes = processes
+            shares = share_out(self.sockets, self.briefing.memory, processes)
+            self.pool.hold_at_most(shares.workers)
+            self.door.most_sessions, self.door.most_buffered = shares.clients, shares.buffered
+        self.deadlines.at(self.deadlines.now() + NEIGHBOURS_EVERY, self._look_at_neighbours)
 
     # ---- What operators ask ----
 
@@ -133,16 +163,15 @@
         if not self.leaving_since:
             say("told to end: finishing what was taken")
             self.leaving_since = self.deadlines.now()
-            self.door.leave()
-            if self.listening is not None:
-                self.door.listener.close()  # the others take what still comes
+            self.door.leave(handing_over=self.listening is not None)
             self._look_whether_over()
 
     def _look_whether_over(self) -> None:
         now = self.deadlines.now()
         since = now - self.leaving_since
-        still_coming = STILL_COMING if self.listening is None else 0
-        if since >= (still_coming if self.door.is_empty() else STILL_SERVED):
+        shared = self.listening is not None
+        still_coming, still_served = (0, HANDED_OVER) if shared else (STILL_COMING, STILL_SERVED)
+        if since >= (still_coming if self.door.is_empty() else still_served):
             self.door.shut()
         if since >= LAST_ANSWERS:
             self.router.answer_all()
@@ -157,6 +186,9 @@
     loop = uvloop.new_event_loop()
     asyncio.set_event_loop(loop)
     service = Service(loop, briefing)
+    service.listening = passed_socket(os.environ)
+    if service.listening is not None:
+        service.neighbours = Neighbours(os.environ.get("TMPDIR"))
     gc.collect()
     gc.freeze()
     loop.run_until_complete(service.run())
--- a/ploverspoke/routing/door.py
+++ b/ploverspoke/routing/door.py
@@ -202,7 +202,8 @@
         self.submission = None
         # Who sends what cannot be used is done with: else the same comes again, as fast as it can be sent.
         refused = 400 <= status < 500
-        keep = self.keep and not refused and not self.door.is_shut
+        leaving = self.door.is_shut or self.door.handing_over
+        keep = self.keep and not refused and not leaving
         self.connection.write(clients.answer(status, body, keep, come_back_after, location))
         self.idle_since = self.door.deadlines.now()
         if not keep:
@@ -229,8 +230,8 @@
         self.late = self.door.deadlines.at(self.door.deadlines.now() + LINGER, self.connection.abort)
 
     def leave(self) -> None:
-        """Close it between two requests."""
-        if self.is_idle():
+        """Close it between two requests; one that waits in the kernel is read first, and answered."""
+        if self.is_idle() and not (self.door.handing_over and self.connection.has_unread()):
             self.hang_up()
 
     def hang_up(self) -> None:
@@ -276,6 +277,7 @@
         self.sessions: dict[int, ClientSession] = {}  # by their connection's number
         self.unserved: dict[int, ClientSession] = {}  # those that nothing good came from yet, oldest first
         self.leaving = False
+        self.handing_over = False  # other processes take what comes next
         self.is_shut = False
         self.listener = Listener(
             loop, deadlines, lambda: Connection(self.connections, self._came), self._has_room
@@ -318,9 +320,15 @@
             say(f"{len(self.sessions)} client connections and none idle: turning the newest away")
             newest.unwelcome = True
 
-    def leave(self) -> None:
-        """Say that we are not ready for new clients; what comes is still taken."""
+    def leave(self, handing_over: bool = False) -> None:
+        """Say that we are not ready for new clients; what comes is still taken, if not by another process.
+
+        Then the socket is closed here and goes on there, and each answer sends its client over.
+        """
         self.leaving = True
+        if handing_over:
+            self.handing_over = True
+            self.listener.close()
 
     def shut(self) -> None:
         """Take no more connections, and close each as soon as it stands between requests."""
--- a/ploverspoke/routing/router.py
+++ b/ploverspoke/routing/router.py
@@ -136,15 +136,20 @@
         self.latest_ids: deque[str] = deque()
         self.events: deque[tuple[Event, tuple[Any, ...]]] = deque()
         self.telling = False
+        self.lists_told = 0  # by discovery, since the start
         self.loop = loop
         self.roster = self._watch_on(discovery_address)
         self.dispatcher = Dispatcher(self, seed, orders)
 
-    def begin(self, known: Any = None) -> None:
-        """Follow the roster, from the list as we last had it, if any; it was checked where it was read."""
+    def begin(self, known: Any = None, from_known: bool = True) -> None:
+        """Follow the roster, from the list as we last had it, if any; it was checked where it was read.
+
+        Not from the known list on, discovery says at once what it has; else only what is newer, when it comes.
+        """
         if known is not None:
             listings: list[Listing] = []
-            self.roster.version, _ = discovery.enter_list(known, partial(self._enter, listings))
+            version, _ = discovery.enter_list(known, partial(self._enter, listings))
+            self.roster.version = version if from_known else None
             self._roster_changed(listings, True)
         self.tell(self.dispatcher.begun)
         if not self.orders["roster_must_be_asked"]:
@@ -401,6 +406,7 @@
         listings: list[Listing] = []
         version, whole = discovery.read_list(body, partial(self._enter, listings))
         self._roster_changed(listings, whole)
+        self.lists_told += 1
         if self.on_roster is not None:
             self.on_roster(body)
         return version
--- a/ploverspoke/transport/connections.py
+++ b/ploverspoke/transport/connections.py
@@ -1,6 +1,7 @@
 """One connection, whoever is at its other end."""
 
 import asyncio
+import select
 from collections.abc import Callable
 from typing import Protocol, cast
 
@@ -92,6 +93,16 @@
             self.buffer.read(len(data))
             data.release()
 
+    def has_unread(self) -> bool:
+        """Whether something came that the loop has not read yet."""
+        if not self.open or self.transport is None:
+            return False
+        taken = self.transport.get_extra_info("socket")
+        try:
+            return taken is not None and bool(select.select([taken], [], [], 0)[0])
+        except (OSError, ValueError):
+            return False
+
     def hold_reading(self, hold: bool) -> None:
         """Read no more for now, so that who sends too much has to wait."""
         if self.open and self.transport is not None and self.reading == hold:
--- a/ploverspoke/transport/pools.py
+++ b/ploverspoke/transport/pools.py
@@ -121,6 +121,12 @@
     def make(self) -> Connection:
         return Connection(self.connections)
 
+    def hold_at_most(self, most_open: int) -> None:
+        """Another share from now on; those at rest make way at once, those in use with their end."""
+        self.most_open = most_open
+        while self.held() > most_open and self._close_longest_at_rest():
+            pass
+
     def call(self, address: str, caller: Caller, longest_rest: int | None = None) -> Opening | None:
         """Give the caller a connection there: one that rested, for no longer than it may, or a new one."""
         now = self.deadlines.now()
--- a/ploverspoke/transport/shares.py
+++ b/ploverspoke/transport/shares.py
@@ -10,6 +10,7 @@
 PROGRAM_NEEDS = 22 * MEBIBYTE  # with all connections open and nothing buffered
 BUFFERS_SHARE = 0.4  # of the other memory: what is read is held twice for a moment
 MOST_BUFFERED = 32 * MEBIBYTE
+LEAST_BUFFERED = MEBIBYTE // 2  # while two processes share the least memory, a few bodies each
 
 
 class Shares(NamedTuple):
@@ -18,8 +19,10 @@
     buffered: int  # bytes of requests, whole or in part
 
 
-def share_out(descriptors: int, memory: int) -> Shares:
-    left = descriptors - KEPT
+def share_out(descriptors: int, memory: int, processes: int = 1) -> Shares:
+    """What each of so many processes may take of what one dispatcher has."""
+    descriptors, memory = descriptors // processes, memory // processes
+    left = max(0, descriptors - KEPT)
     workers = int(left * WORKERS_SHARE)
-    buffered = min(MOST_BUFFERED, int((memory - PROGRAM_NEEDS) * BUFFERS_SHARE))
+    buffered = min(MOST_BUFFERED, max(LEAST_BUFFERED, int((memory - PROGRAM_NEEDS) * BUFFERS_SHARE)))
     return Shares(workers, int((left - workers) * CLIENTS_SHARE), buffered)
--- /dev/null
+++ b/tests/test_upgrade.py
@@ -0,0 +1,186 @@
+"""One process replaces another on a socket that both were passed: nothing is lost, doubled or turned away."""
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+import uvloop
+
+from ploverspoke.program.checked import BadKey
+from ploverspoke.program.neighbours import Neighbours
+from ploverspoke.program.passed import passed_socket
+from ploverspoke.transport.shares import share_out
+from ploverspoke.transport.units import MEBIBYTE
+
+from .stage import SETTINGS
+from .test_operators import call, figures, operations
+from .test_service import World, message
+
+
+@pytest.fixture
+def listening() -> Iterator[socket.socket]:
+    with socket.socket() as opened:
+        opened.bind(("127.0.0.1", 0))
+        opened.listen(64)
+        yield opened
+
+
+def test_only_a_listening_socket_is_taken(listening: socket.socket, tmp_path: Path) -> None:
+    assert passed_socket({}) is None
+    taken = passed_socket({"RELAY_PASSED_SOCKET": str(os.dup(listening.fileno()))})
+    assert taken is not None and taken.getsockname() == listening.getsockname()
+    taken.close()
+    with socket.socket() as deaf, (tmp_path / "file").open("w") as file:
+        for named in ("five", "-1", "9999", str(deaf.fileno()), str(file.fileno())):
+            with pytest.raises(BadKey, match="RELAY_PASSED_SOCKET"):
+                passed_socket({"RELAY_PASSED_SOCKET": named})
+        deaf.getsockname()  # and is left open
+
+
+def test_neighbours_see_the_living_only(tmp_path: Path) -> None:
+    first, second, blind = Neighbours(str(tmp_path)), Neighbours(str(tmp_path)), Neighbours("/nowhere")
+    for each in (first, second, blind):
+        each.enter()
+    (tmp_path / "ploverspoke-1-dead").touch()
+    assert first.others() == second.others() == 1 and blind.others() == 0
+    os.close(second.own)  # as when it is killed
+    assert first.others() == 0 and len(list(tmp_path.iterdir())) == 1
+    first.leave()
+
+
+def test_two_processes_hold_no_more_than_one_may() -> None:
+    for sockets, memory in ((256, 32), (384, 80), (1024, 192)):
+        one, half = (share_out(sockets, memory * MEBIBYTE, n) for n in (1, 2))
+        assert half.workers * 2 <= one.workers and half.clients * 2 <= one.clients
+        assert half.workers > 0 and half.clients > 0 and half.buffered >= 4 * 65536
+
+
+class Replaced:
+    """Processes of one dispatcher, one after the other, on a socket that the test holds."""
+
+    def __init__(self, world: World, discovery: str, listening: socket.socket, folder: Path) -> None:
+        self.world = world
+        self.listening = listening
+        self.folder = folder
+        world.port = listening.getsockname()[1]
+        known = {"version": 1, "full": True, "servers": world.entries}
+        told = {"listen": f"127.0.0.1:{world.port}", "discovery": discovery, "known": known}
+        (folder / "config.json").write_text(json.dumps({**told, "settings": SETTINGS}))
+
+    async def start(self) -> tuple[subprocess.Popen[bytes], int]:
+        """A process that has said yes, and the port where operators call it."""
+        with socket.socket() as free:
+            free.bind(("127.0.0.1", 0))
+            self.world.admin_port = free.getsockname()[1]
+        number = str(self.listening.fileno())
+        environment = {
+            **os.environ,
+            "RELAY_CONFIG": str(self.folder / "config.json"),
+            "RELAY_PASSED_SOCKET": number,
+            "RELAY_ADMIN_ADDR": f"127.0.0.1:{self.world.admin_port}",
+            "TMPDIR": str(self.folder),
+        }
+        program = [sys.executable, "-m", "ploverspoke"]
+        process = subprocess.Popen(program, env=environment, pass_fds=[int(number)])
+        for _ in range(500):
+            try:
+                if (await call(self.world, b"check\n")).startswith("+OK"):
+                    return process, self.world.admin_port
+            except ConnectionError:
+                pass
+            await asyncio.sleep(0.02)
+        raise AssertionError("never ready")
+
+
+def run(script: Any) -> None:
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(script)
+
+
+async def ended(process: subprocess.Popen[bytes]) -> int:
+    return await asyncio.wait_for(asyncio.to_thread(process.wait), 5)
+
+
+def test_an_upgrade_under_load_loses_doubles_and_refuses_nothing(
+    listening: socket.socket, tmp_path: Path
+) -> None:
+    async def client(world: World, name: str, stop: asyncio.Event, told: list[int]) -> None:
+        number, kept = 0, None
+        while not stop.is_set():
+            number += 1
+            reader, writer = kept or await world.connect()
+            writer.write(world.request(f"{name}-{number}", ("look", "book")[number % 2]))
+            first, headers, _ = await asyncio.wait_for(message(reader), 3)  # no close crosses a request
+            told.append(int(first.split()[1]))
+            kept = None if headers.get("connection") == "close" else (reader, writer)
+            await asyncio.sleep(0.005)
+
+    async def script() -> None:
+        world, told, stop = World(), list[int](), asyncio.Event()
+        replaced = Replaced(world, await world.surround(2), listening, tmp_path)
+        process, _ = await replaced.start()
+        clients = asyncio.gather(*(client(world, f"c{n}", stop, told) for n in range(6)))
+        fulfilled = 0
+        for _ in range(2):
+            await asyncio.sleep(0.2)
+            old, before = process, world.admin_port
+            reader, quiet = await world.connect()  # waited for, so that the figures can be read to the end
+            quiet.write(world.request(f"quiet-{world.admin_port}"))
+            told.append(int((await message(reader))[0].split()[1]))
+            process, after = await replaced.start()
+            old.send_signal(signal.SIGTERM)
+            await asyncio.sleep(0.1)
+            world.admin_port = before
+            assert (await call(world, b"check\n")).startswith("-ERR leaving")
+            await asyncio.sleep(0.2)  # every answer since has sent its client over
+            last = await figures(world)
+            fulfilled += sum(last[operations(grade, "fulfilled")] for grade in ("look", "book"))
+            world.admin_port = after
+            assert await ended(old) == 0
+            quiet.close()
+        stop.set()
+        await clients
+        shown = await figures(world)
+        fulfilled += sum(shown[operations(grade, "fulfilled")] for grade in ("look", "book"))
+        assert set(told) == {200} and len(told) == fulfilled == len(world.ran)
+        assert set(world.ran.values()) == {1}
+        process.send_signal(signal.SIGTERM)
+        assert await ended(process) == 0
+        for server in world.servers:
+            server.close()
+
+    run(script())
+
+
+def test_a_new_process_that_dies_and_an_old_one_that_is_killed(
+    listening: socket.socket, tmp_path: Path
+) -> None:
+    async def script() -> None:
+        world = World()
+        replaced = Replaced(world, await world.surround(2), listening, tmp_path)
+        first, port = await replaced.start()
+        second, _ = await replaced.start()
+        second.kill()
+        await ended(second)
+        world.admin_port = port
+        for number in range(4):  # the socket is not shut down by whoever leaves it
+            assert (await world.ask(world.request(f"a{number}")))[0] == 200
+        third, _ = await replaced.start()
+        first.kill()
+        await ended(first)
+        for number in range(4):
+            assert (await world.ask(world.request(f"b{number}")))[0] == 200
+        third.send_signal(signal.SIGTERM)
+        assert await ended(third) == 0
+        for server in world.servers:
+            server.close()
+
+    run(script())
