--- a/ploverspoke/decisions/dispatcher.py
+++ b/ploverspoke/decisions/dispatcher.py
@@ -149,14 +149,13 @@
 class Dispatcher:
     def __init__(self, host: Host, seed: int, standing_orders: StandingOrders) -> None:
         self.host = host
-        self.orders: Mapping[str, Any] = standing_orders
+        self.take_orders(standing_orders)
         self.chance = Chance(seed)
         self.workers: dict[str, Worker] = {}
         self.types: dict[tuple[float, int], JobType] = {}
         self.open: dict[int, Submission] = {}
-        self.resumed: dict[
-            int, tuple[int, str, int]
-        ] = {}  # hand-offs spent, where it may have run, since when
+        # Hand-offs spent, where it may have run, since when.
+        self.resumed: dict[int, tuple[int, str, int]] = {}
         self.warm_load = 0.0  # slots of ours running on a warm worker, on average
         self.warm_load_at = -SECOND
         self.mean_running_time = 0  # 0: to be worked out anew
@@ -175,7 +174,6 @@
         self.kind_paces: dict[int, deque[float]] = defaultdict(lambda: deque(maxlen=64))
         # Slots free at once, as reported, by machine kind.
         self.most_free: dict[int, float] = defaultdict(float)
-        self.asks_each = min(MOST_ASKED, ASKING_COST / max(1e-9, self.orders["probe_price"]))  # submission
         self.may_ask = 0.0  # probes that may be sent before hand-offs
         self.asked_at = 0
         self.tiers: dict[Any, list[list[Worker]]] = {}  # who can be drawn, kept until readiness changes
@@ -183,6 +181,16 @@
         self.due: dict[int, Submission | Worker | JobType | str] = {}
         self.next_token = 1
 
+    def take_orders(self, standing_orders: StandingOrders) -> None:
+        """With what follows from them; grades that are no longer in force have no part in that."""
+        self.orders: Mapping[str, Any] = standing_orders
+        in_force = standing_orders["grades"]
+        self.highest_benefit = max(self.orders["benefit"][g] for g in in_force) or 1.0
+        self.shortest_expected_time = max(MILLISECOND, min(self.orders["expected_time"][g] for g in in_force))
+        self.kinds_sought = {self.orders["machine_kind_needed"][g] for g in in_force}
+        self.some_repeat = any(self.orders["repeat"][g] != "irreversible" for g in in_force)
+        self.asks_each = min(MOST_ASKED, ASKING_COST / max(1e-9, self.orders["probe_price"]))  # submission
+
     # ---- What can happen ----
 
     def begun(self) -> None:
@@ -196,6 +204,16 @@
         elif self.orders["roster_must_be_asked"]:
             self.host.watch_roster()
 
+    def orders_changed(self, standing_orders: StandingOrders, takes_over: Mapping[int, int]) -> None:
+        """They bind what arrives from now on; a new grade number may take over the times known of another."""
+        for grade in set(standing_orders["grades"]) - set(self.orders["grades"]):
+            known = self.grade_running_times[takes_over[grade]] if grade in takes_over else ()
+            self.grade_running_times[grade] = deque(known, maxlen=32)
+            self.asked_times.pop(grade, None)
+            self.calm.pop(grade, None)
+        self.take_orders(standing_orders)
+        self.tiers.clear()
+
     def submission_arrived(
         self,
         submission_id: int,
@@ -495,7 +513,7 @@
             return
         self.clock_runs = True
         # With a submission every few seconds the arrivals alone would set a clock too slow for any of them.
-        least = TICKS_IN_EXPECTED * SECOND / max(MILLISECOND, min(self.orders["expected_time"]))
+        least = TICKS_IN_EXPECTED * SECOND / self.shortest_expected_time
         rate = max(TICKS_PER_ARRIVAL * self._arrival_rate(now), least)
         gap = -log(1.0 - self.chance.fraction()) / rate
         self._wake("tick", now + min(int(gap * SECOND), SECOND))
@@ -569,7 +587,7 @@
         near = bool(self.orders["zone_crossing_price"]) and (job is None or not job.far)
         found = self.tiers.get((machine_kind, near, subject))
         if found is None:
-            sought = self.orders["machine_kind_needed"]
+            sought = self.kinds_sought
             tiers: dict[tuple[bool, bool], list[Worker]] = defaultdict(list)
             for w in self.workers.values():
                 if w.ready and not w.aside and machine_kind in (-1, w.listing.machine_kind):
@@ -642,7 +660,8 @@
             worker.probed_for = "room"
             self.host.probe(worker.name)
         # By a wake even when none is stale: with many fresh reports a long queue would nest too deep.
-        job.type.asked_until = now + max((self._prompt_answer(w) for w in stale), default=0)
+        prompt = [self._prompt(self.answer_times[w.listing.zone], PROMPT_ANSWER) for w in stale]
+        job.type.asked_until = now + max(prompt, default=0)
         self._wake(job.type, job.type.asked_until)
         return True
 
@@ -722,9 +741,6 @@
         usual = sum(kind) / len(kind) if kind else 1.0
         return (sum(worker.paces) + PACES_OF_KIND * usual) / (len(worker.paces) + PACES_OF_KIND)
 
-    def _prompt_answer(self, worker: Worker) -> int:
-        return self._prompt(self.answer_times[worker.listing.zone], PROMPT_ANSWER)
-
     # ---- Room ----
 
     def _has_waiting(self, worker: Worker, now: int) -> bool:
@@ -812,8 +828,7 @@
 
     def _must_not_repeat(self, job: Submission | None) -> bool:
         """An irreversible one is lost with its worker, so others try a worker that has just returned."""
-        repeats = self.orders["repeat"]
-        return job is not None and repeats[job.grade] == "irreversible" and set(repeats) != {"irreversible"}
+        return job is not None and self.some_repeat and self.orders["repeat"][job.grade] == "irreversible"
 
     def _hand_off(self, job: Submission, worker: Worker, now: int) -> None:
         job.hand_offs += 1
@@ -848,7 +863,7 @@
                 # Its rack forgets it: past that time a repeat would run again.
                 window = self.orders["repeat_window"][job.grade] if job.group[0] != "none" else 0
                 job.last_chance = min(job.last_chance, job.sent_at + window)
-        if now >= job.last_chance or job.hand_offs >= self.orders["most_hand_offs"]:
+        if now >= job.last_chance or job.hand_offs >= self.orders["most_hand_offs"][job.grade]:
             self._finish_unsatisfied(job)
             return
         job.back_from = worker
@@ -858,7 +873,7 @@
 
     def _resume(self, job: Submission, hand_offs: int, ran_at: str, sent_at: int) -> None:
         job.hand_offs = hand_offs
-        if hand_offs >= self.orders["most_hand_offs"]:
+        if hand_offs >= self.orders["most_hand_offs"][job.grade]:
             job.last_chance = 0  # none is left
         if ran_at and self.orders["repeat"][job.grade] != "redoable":
             worker = self.workers.get(ran_at)
@@ -880,7 +895,7 @@
         stretch = self.orders["running_time_stretch"][job.grade]
         slack = self.orders["expected_time"][job.grade] + stretch * calm - running_time
         # When not all can be in time, those of little benefit make way first: they wait for less.
-        rank = self.orders["benefit"][job.grade] / max(self.orders["benefit"])
+        rank = self.orders["benefit"][job.grade] / self.highest_benefit
         job.timely_until = int(first_asked + max(0, slack))
         return int(first_asked + PATIENCE * rank * max(0, slack))
 
@@ -953,7 +968,7 @@
             and not job.recalled
             and job.id in self.open
             and self.orders["repeat"][job.grade] != "irreversible"
-            and job.hand_offs < self.orders["most_hand_offs"]
+            and job.hand_offs < self.orders["most_hand_offs"][job.grade]
         )
 
     def _allowance(self, job: Submission, worker: Worker) -> int:
--- a/ploverspoke/program/briefing.py
+++ b/ploverspoke/program/briefing.py
@@ -27,6 +27,7 @@
     known: Mapping[str, Any] | None  # the list of workers as it was last had, in discovery's form
     orders: dict[str, Any]
     names: dict[str, list[str]]
+    told: Mapping[str, Any] = {}  # all of it as it stood there, but for the list of workers
 
 
 def read_briefing(environment: Mapping[str, str]) -> Briefing:
@@ -81,6 +82,7 @@
         known,
         standing_orders(top.value["settings"], "settings"),
         names(top.value["settings"], "settings"),
+        {key: value for key, value in top.value.items() if key != "known"},
     )
 
 
--- a/ploverspoke/program/checked.py
+++ b/ploverspoke/program/checked.py
@@ -11,6 +11,24 @@
     """A value is missing or is not what it should be; says at which key."""
 
 
+def first_missing(before: Any, now: Any, path: str = "") -> str | None:
+    """The key that the one has and the other lacks; of objects in a list, what all of them had."""
+    if isinstance(before, Mapping) and isinstance(now, Mapping):
+        for key, value in before.items():
+            at = f"{path}.{key}" if path else key
+            found = at if key not in now else first_missing(value, now[key], at)
+            if found is not None:
+                return found
+    if isinstance(before, list) and isinstance(now, list) and before:
+        shapes = [value for value in before if isinstance(value, Mapping)]
+        common = dict.fromkeys(k for k in shapes[0] if all(k in s for s in shapes)) if shapes else {}
+        for at, value in enumerate(now):
+            found = first_missing(common, value, f"{path}[{at}]") if isinstance(value, Mapping) else None
+            if found is not None:
+                return found
+    return None
+
+
 class Checked:
     """One object of the configuration, and the way to it."""
 
@@ -59,9 +77,9 @@
             raise self.bad(name, f"a whole number of {least} or more")
         return int(found)
 
-    def time(self, name: str, default: int | None = None) -> int:
+    def time(self, name: str, default: int | None = None, least: int = 0) -> int:
         """In nanoseconds, of a value in microseconds."""
-        return self.whole(name, default) * MICROSECOND
+        return self.whole(name, default, least) * MICROSECOND
 
     def number(self, name: str, default: float | None = None) -> float:
         found = self._get(name, default)
--- a/ploverspoke/program/service.py
+++ b/ploverspoke/program/service.py
@@ -18,12 +18,12 @@
 from ploverspoke.routing.scribe import Scribe
 from ploverspoke.transport.deadlines import Deadlines
 from ploverspoke.transport.log_lines import say
-from ploverspoke.transport.pools import Pool
+from ploverspoke.transport.pools import Pool, kept_for
 from ploverspoke.transport.shares import share_out
 from ploverspoke.transport.units import MILLISECOND, SECOND
 
 from .briefing import Briefing, read_briefing
-from .checked import BadKey
+from .checked import BadKey, first_missing
 from .exits import exit_code
 from .neighbours import Neighbours
 from .passed import passed_socket
@@ -141,13 +141,18 @@
             say(f"new configuration not taken, the old one goes on: {error}")
 
     def take_configuration(self, new: Briefing) -> None:
+        """Raises BadKey, with nothing changed, where it lacks what the one in force has."""
         old = self.briefing
+        missing = first_missing(old.told, new.told)
+        if missing is not None:
+            raise BadKey(f"{missing} is missing: the configuration in force has it")
+        differ = new.orders != old.orders or new.names != old.names
         for key, changed in (
             ("name", new.name != old.name),
             ("listen", new.listen != old.listen),
             ("admin_addr", new.admin != old.admin),
             ("limits", (new.sockets, new.memory) != (old.sockets, old.memory)),
-            ("settings", new.orders != old.orders or new.names != old.names),
+            ("settings", differ and self.router.scribe is not None),
         ):
             if changed:
                 say(f"new configuration: {key} stays as it was until the next start")
@@ -155,6 +160,13 @@
             say(f"new configuration: discovery is at {new.discovery} now")
             self.router.move_roster(new.discovery)
         self.briefing = old._replace(discovery=new.discovery)
+        # What a store keeps of submissions goes by the grades' numbers: there they must not change.
+        if differ and self.router.scribe is None:
+            say(f"new configuration: settings taken, grades={','.join(new.names['grades'])}")
+            self.router.orders_changed(new.orders, new.names)
+            self.pool.keep_for = kept_for(new.orders["idle_limit"])
+            self.pool.connect_time_out = new.orders["connect_time_out"]
+            self.briefing = self.briefing._replace(orders=new.orders, names=new.names, told=new.told)
 
     # ---- The end ----
 
--- a/ploverspoke/program/standing_orders.py
+++ b/ploverspoke/program/standing_orders.py
@@ -19,6 +19,10 @@
     customers = profile.parts("Tenants")
     limits, rules, domain = profile.part("Limits"), profile.part("Invariants"), profile.part("Domain")
     report, goal, prices = profile.part("Report"), profile.part("Goal"), profile.part("Tariffs")
+    for name in domain.value:
+        if name.startswith("Class"):
+            domain.row_for_each(name, 0, len(grades))
+    most_hand_offs = limits.whole("MaxHandOffs", 1, least=1)
     free_slots = domain.text("ReportX0", "") == "free slots"
     return {
         "round": profile.time("RoundUs", 0),
@@ -28,9 +32,11 @@
         "roster_must_be_asked": profile.text("Discovery", "push") == "ask",
         "roster_ask_within": rules.time("MustAskInUs", 0) or ROSTER_ASK_WITHIN,
         "weight_meaning": profile.text("WeightKind", "off"),
+        "grades": list(range(len(grades))),  # the numbers of those in force
         # One value for each service grade.
-        "expected_time": [g.time("ExpectedTimeUs") for g in grades],
-        "abandon_time": [g.time("AbandonTimeUs") for g in grades],
+        "most_hand_offs": [most_hand_offs] * len(grades),
+        "expected_time": [g.time("ExpectedTimeUs", least=1) for g in grades],
+        "abandon_time": [g.time("AbandonTimeUs", least=1) for g in grades],
         "benefit": [g.number("Benefit", 1.0) for g in grades],
         "overdue_benefit": [g.number("OverdueBenefit", 0.0) for g in grades],
         "repeat": [g.word("Repeat", REPEATS) for g in grades],
@@ -47,7 +53,6 @@
             for f in report.row("Fields", [], str)
         ],
         # What is permitted.
-        "most_hand_offs": limits.whole("MaxHandOffs", 1, least=1),
         "second_copies": limits.flag("SecondCopies"),
         "recall_permitted": limits.flag("Cancel"),
         "probing_permitted": limits.flag("Probing"),
@@ -82,8 +87,14 @@
 def names(settings: Mapping[str, Any], path: str = "") -> dict[str, list[str]]:
     """What clients and discovery call things, in the order in which the standing orders number them."""
     profile = Checked(settings, path)
+    grades: list[str] = []
+    for grade in profile.parts("ServiceGrades", least=1):
+        name = grade.text("Name")
+        if not name or name in grades:
+            raise grade.bad("Name", "a name of its own")
+        grades.append(name)
     return {
-        "grades": [g.text("Name") for g in profile.parts("ServiceGrades", least=1)],
+        "grades": grades,
         "customers": [c.text("Name", "") for c in profile.parts("Tenants")],
         "zones": profile.row("Localities", [], str),
         "machine_kinds": profile.row("HostTypes", [], str),
--- a/ploverspoke/routing/figures.py
+++ b/ploverspoke/routing/figures.py
@@ -1,7 +1,7 @@
 """What a dispatcher has done since its start, counted in this one place."""
 
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 
 from ploverspoke.protocol import operators
 
@@ -21,7 +21,7 @@
         self.accepted = 0  # configurations
         self.invalid = 0
 
-    def name(self, grades: Iterator[str]) -> None:
+    def name(self, grades: Iterable[str]) -> None:
         """These are shown from now on, be it with 0."""
         for grade in grades:
             self.ends.setdefault(grade, Counter())
--- a/ploverspoke/routing/router.py
+++ b/ploverspoke/routing/router.py
@@ -25,6 +25,7 @@
 from .figures import DROPPED, LEFT, Figures
 from .outcomes import OUTCOMES
 from .roster import RosterWatch
+from .rows import Rows
 from .scribe import Intended, Past, Scribe, Waiters
 from .submissions import Client, Submission
 
@@ -36,6 +37,15 @@
 Event = Callable[..., None]
 
 
+def x0_in(orders: StandingOrders) -> str:
+    """What this deployment's reports mean by x0."""
+    return "free_slots" if "free_slots" in orders["load_fields"] else "x0"
+
+
+def hold_in(orders: StandingOrders) -> int:
+    return min(LONGEST_HOLD, int(orders["roster_ask_within"]))
+
+
 def give(client: Client, how: str, result: str, come_back_after: int = 0) -> None:
     """One final answer, by its name."""
     if how == "satisfied":
@@ -59,7 +69,7 @@
         self.sent_at = router.now()
 
     def errand_written(self) -> None:
-        self.router.figures.wrote(self.router.grade_names[self.submission.grade])
+        self.router.figures.wrote(self.router.rows.names[self.submission.grade])
 
     def errand_started(self) -> None:
         self.router.tell(self.router.dispatcher.hand_off_started, self.submission.number, self.index)
@@ -119,14 +129,13 @@
         self.scribe = scribe
         self.on_roster: Callable[[bytes], None] | None = None  # told what discovery told
         self.by_id: dict[str, Submission] = {}  # those in flight, where there is a store
-        self.grades = {name: number for number, name in enumerate(names["grades"])}
-        self.grade_names = list(names["grades"])
+        self.rows = Rows(names["grades"])
         self.figures = Figures()
-        self.figures.name(iter(self.grades))
+        self.figures.name(names["grades"])
         self.customers = {name: number for number, name in enumerate(names["customers"])}
         self.zones = {name: number for number, name in enumerate(names["zones"])}
         self.machine_kinds = {name: number for number, name in enumerate(names["machine_kinds"])}
-        self.x0 = "free_slots" if "free_slots" in orders["load_fields"] else "x0"
+        self.x0 = x0_in(orders)
         # Workers' starts are told in Unix time; one difference, taken once, puts them all on our clock.
         self.clock_ahead = time.time_ns() - time.monotonic_ns()
         self.addresses: dict[str, str] = {}
@@ -144,7 +153,7 @@
     def begin(self, known: Any = None, from_known: bool = True) -> None:
         """Follow the roster, from the list as we last had it, if any; it was checked where it was read.
 
-        Not from the known list on, discovery says at once what it has; else only what is newer, when it comes.
+        From the known list on discovery says only what is newer, when that comes; else at once all it has.
         """
         if known is not None:
             listings: list[Listing] = []
@@ -156,11 +165,34 @@
             # Where changes are to come unprompted, nothing but this watch makes them come on sockets.
             self.roster.start()
 
+    def orders_changed(self, orders: StandingOrders, names: Mapping[str, list[str]]) -> None:
+        """Other settings, checked: they bind what is taken from now on; what is open keeps its rules."""
+        translated = dict(orders)
+        own, sought = orders["zone"], orders["machine_kind_needed"]
+        if own < len(names["zones"]):
+            translated["zone"] = self.zones.setdefault(names["zones"][own], len(self.zones))
+        translated["machine_kind_needed"] = [
+            self._machine_kind(kind, names["machine_kinds"]) for kind in sought
+        ]
+        in_use = {submission.grade for submission in self.submissions}
+        self.orders, takes_over = self.rows.follow(self.orders, translated, names["grades"], in_use)
+        self.customers = {name: number for number, name in enumerate(names["customers"])}
+        self.figures.name(names["grades"])
+        self.x0 = x0_in(self.orders)
+        self.roster.hold = hold_in(self.orders)
+        self.tell(self.dispatcher.orders_changed, self.orders, takes_over)
+
+    def _machine_kind(self, kind: int, names: list[str]) -> int:
+        """The number by which workers of that kind are known here, whatever place its name has now."""
+        if not 0 <= kind < len(names):
+            return kind
+        return self.machine_kinds.setdefault(names[kind], len(self.machine_kinds))
+
     # ---- From clients ----
 
     def check(self, method: str, target: str, headers: dict[str, str]) -> None:
         """Whether a request with this head can be taken at all. Raises Garbled."""
-        if clients.grade_name(target) not in self.grades:
+        if clients.grade_name(target) not in self.rows.numbers:
             raise clients.UnknownGrade("no such service grade")
         if method != "POST":
             raise clients.WrongMethod("submissions come by POST")
@@ -176,7 +208,9 @@
         """Take a submission whose head was checked; None where there is no room for it. Raises Garbled."""
         # Once more, since another with its id may have been taken while its body came.
         self._must_be_new(headers["request-id"])
-        grade = self.grades[clients.grade_name(target)]
+        grade = self.rows.numbers.get(clients.grade_name(target))
+        if grade is None:
+            raise clients.UnknownGrade("no such service grade")  # dropped while the body came
         longest: int = self.orders["abandon_time"][grade]
         stated = clients.patience(headers)
         patience = longest if stated is None else min(stated, longest)
@@ -186,7 +220,7 @@
             if known is not None:
                 return known
         if len(self.submissions) >= self.orders["most_open"]:
-            self.figures.turned_away(self.grade_names[grade])
+            self.figures.turned_away(self.rows.names[grade])
             return None
         # What waited for us to be read, and the way back, are time that the client has not.
         abandon_at = self.now() + patience - min(ANSWER_EARLY, patience // 10)
@@ -340,7 +374,7 @@
     def turned_away(self, target: str) -> None:
         """The door had no room for this request; where its grade is none of ours it is no job."""
         grade = clients.grade_name(target)
-        if grade in self.grades:
+        if grade in self.rows.numbers:
             self.figures.turned_away(grade)
 
     def open_now(self) -> int:
@@ -418,8 +452,8 @@
         self.roster.start()
 
     def _watch_on(self, address: str) -> RosterWatch:
-        hold = min(LONGEST_HOLD, self.orders["roster_ask_within"])
-        return RosterWatch(self.loop, self.deadlines, address, hold, self._roster_told, self._roster_lost)
+        hold, told = hold_in(self.orders), self._roster_told
+        return RosterWatch(self.loop, self.deadlines, address, hold, told, self._roster_lost)
 
     def _roster_changed(self, listings: list[Listing], whole: bool) -> None:
         dispatcher = self.dispatcher
@@ -562,7 +596,7 @@
     def _close(self, submission: Submission, how: str) -> None:
         """It gets its answer now, or wants none any more: nothing is sent for it from here on."""
         submission.client = None
-        self.figures.ended(self.grade_names[submission.grade], how)
+        self.figures.ended(self.rows.names[submission.grade], how)
         self.deadlines.call_off(submission.last_answer)
         for errand in submission.hand_offs:
             if errand is not None:
--- a/ploverspoke/supervisor/child.py
+++ b/ploverspoke/supervisor/child.py
@@ -10,7 +10,7 @@
 
 import uvloop
 
-from ploverspoke.program.briefing import read_briefing
+from ploverspoke.program.briefing import Briefing, read_briefing
 from ploverspoke.program.checked import BadKey
 from ploverspoke.program.service import Service
 
@@ -21,14 +21,19 @@
     place, count, number = map(int, os.environ["PLOVERSPOKE_CHILD"].split(","))
     allowed = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
     descriptors = None if allowed == resource.RLIM_INFINITY else allowed
+
+    def read() -> Briefing:
+        return child_briefing(read_briefing(os.environ), place, count, descriptors)
+
     try:
-        briefing = child_briefing(read_briefing(os.environ), place, count, descriptors)
+        briefing = read()
     except BadKey as error:
         print(f"ploverspoke: {error}", file=sys.stderr)
         return 2
     loop = uvloop.new_event_loop()
     asyncio.set_event_loop(loop)
     service = Service(loop, briefing)
+    service.read = read
     service.listening = socket.socket(fileno=number)
     service.on_ready = lambda: print("ready", flush=True)
     loop.run_until_complete(service.run())
--- a/ploverspoke/testbed/baselines.py
+++ b/ploverspoke/testbed/baselines.py
@@ -130,7 +130,7 @@
     def send(self, job: Open) -> None:
         now = self.host.now()
         among = self._allowed(job, now)
-        if not among or job.hand_offs >= self.orders["most_hand_offs"]:
+        if not among or job.hand_offs >= self.orders["most_hand_offs"][job.grade]:
             self._finish(job)
             return
         fresh = [w for w in among if w not in job.failed_at]
--- a/ploverspoke/transport/pools.py
+++ b/ploverspoke/transport/pools.py
@@ -18,6 +18,11 @@
 DROPPED_LATE_BY = 250 * MILLISECOND  # looks for idle ones are no more frequent
 
 
+def kept_for(idle_limit: int) -> int:
+    """How long a connection may rest, in ns, where workers close it after so long."""
+    return int(idle_limit * KEPT_SHARE)
+
+
 class Caller(ConnectionUser, Protocol):
     """Who asks for a connection."""
 
@@ -110,7 +115,7 @@
         self.loop = loop
         self.deadlines = deadlines
         self.most_open = most_open
-        self.keep_for = int(idle_limit * KEPT_SHARE)
+        self.keep_for = kept_for(idle_limit)
         self.connect_time_out = connect_time_out
         self.connections: SlotTable[Connection] = SlotTable()
         self.opening = 0
--- a/tests/test_testbed_audit.py
+++ b/tests/test_testbed_audit.py
@@ -75,7 +75,7 @@
     """Sends on and on, whatever it is allowed."""
 
     def send(self, job: Open) -> None:
-        self.orders = {**self.orders, "most_hand_offs": 99}
+        self.orders = {**self.orders, "most_hand_offs": [99] * len(self.orders["grades"])}
         super().send(job)
 
 
