--- a/ploverspoke/protocol/heads.py
+++ b/ploverspoke/protocol/heads.py
@@ -67,7 +67,8 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         self.grow_head(len(name) + len(value))
-        key, text = name.decode("latin-1").lower(), value.decode("latin-1")
+        # The parser leaves the blanks that may stand behind a value; an id read with them is another id.
+        key, text = name.decode("latin-1").lower(), value.decode("latin-1").strip(" \t")
         self.headers[key] = f"{self.headers[key]}, {text}" if key in self.headers else text
         if len(self.headers) > MOST_HEADERS:
             self.fail(Garbled("head too long"))
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -132,3 +132,61 @@
 def test_a_list_that_is_none_is_garbled(told: bytes) -> None:
     with pytest.raises(Garbled):
         discovery.read_list(told, lambda *entry: None)
+
+
+class Whole(Heard):
+    """Keeps the headers, too."""
+
+    def request_came(self, method: str, target: str, headers: Any, body: bytes, keep_alive: bool) -> None:
+        self.said.append((method, target, dict(headers), body, keep_alive))
+
+
+REQUEST = (
+    b"POST /a/1?q HTTP/1.1\r\nHost:app\r\nRequest-Id: 7f3a \t \r\nWork-Hint:  12\r\n"
+    b"Content-Length: 3 \r\n\r\nxyz"
+)
+LINES = (b'{"id":"7","state":"started', b'"}\n\n{"id":"7","state":"done","resul', b't":"abc"}\n ')
+WORKER = (
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked \r\nServer-Load: {} \r\n\r\n"
+    + b"".join(b"%x\r\n%b\r\n" % (len(part), part) for part in LINES)
+    + b"0\r\n\r\n"
+)
+ROSTER = b'HTTP/1.1 200 OK\r\nContent-Length: 42\r\n\r\n{"version":3,"full":true,"servers":[]}    '
+
+
+def read_request(heard: Whole) -> Callable[[memoryview], None]:
+    return clients.RequestReader(heard).feed
+
+
+def read_answer(heard: Whole) -> Callable[[memoryview], None]:
+    return workers.JobAnswer(heard, "x0", "7").feed
+
+
+def read_roster(heard: Whole) -> Callable[[memoryview], None]:
+    return discovery.ListAnswer(lambda body, lasts: heard.said.append((body, lasts))).feed
+
+
+@pytest.mark.parametrize(
+    ("message", "read", "last"),
+    [
+        (REQUEST, read_request, None),
+        (WORKER, read_answer, (End.SERVED, "abc", {})),
+        (ROSTER, read_roster, (ROSTER[-42:], True)),
+    ],
+)
+def test_a_message_cut_at_any_byte_says_the_same(message: bytes, read: Any, last: Any) -> None:
+    # An id was passed on with the blanks behind it, and the worker's answer to it taken for garbage.
+    def said(parts: list[bytes]) -> list[Any]:
+        heard = Whole()
+        feed = read(heard)
+        for part in parts:
+            feed(memoryview(part))
+        return heard.said
+
+    whole = said([message])
+    assert whole and (last is None or last in whole)
+    if read is read_request:
+        assert whole[0][2]["request-id"] == "7f3a" and whole[0][2]["work-hint"] == "12"
+    for cut in range(1, len(message)):
+        assert said([message[:cut], message[cut:]]) == whole
+    assert said([message[at : at + 1] for at in range(len(message))]) == whole
--- a/tests/test_settings_change.py
+++ b/tests/test_settings_change.py
@@ -9,7 +9,6 @@
 
 import pytest
 
-from ploverspoke.decisions.dispatcher import SECOND
 from ploverspoke.program.briefing import read_briefing
 from ploverspoke.program.standing_orders import names, standing_orders
 from ploverspoke.routing.rows import EACH_GRADE, Rows
