--- a/ploverspoke/testbed/audit.py
+++ b/ploverspoke/testbed/audit.py
@@ -228,22 +228,23 @@
             if over >= 0 and h.came > over + self.slack:
                 self.find_for(name, "1 one answer", h.came, f"handed to {h.worker} after its answer")
                 break
-        if len(s.hand_offs) > self.e.rules.most_hand_offs:
-            most = self.e.rules.most_hand_offs
+        _, most = self.e.rules_at(s.taken_at)
+        if len(s.hand_offs) > most:
             self.find_for(
                 name, "1 one answer", s.hand_offs[most].came, f"{len(s.hand_offs)} hand-offs, {most} allowed"
             )
 
     def _repeats(self, name: str, s: Submission) -> None:
         grade = self.e.grades[s.grade]
-        if grade.repeat == "redoable":
+        repeat = self.e.rules_at(s.taken_at)[0][s.grade]
+        if repeat == "redoable":
             return
         groups = self.group_of[grade.group]
         first: HandOff | None = None
         for h in s.hand_offs:
             if first is None:
                 first = h if h.may_have_run() else None
-            elif grade.repeat == "irreversible":
+            elif repeat == "irreversible":
                 self.find_for(
                     name,
                     "2 repeats",
@@ -265,7 +266,7 @@
                 )
                 return
         nacked = next((at for at, how in s.answers if how == "nacked"), -1)
-        bound = grade.repeat == "irreversible" or grade.group != "all"
+        bound = repeat == "irreversible" or grade.group != "all"
         if nacked >= 0 and first is not None and first.came < nacked and bound:
             self.find_for(name, "2 repeats", nacked, f"nacked, though {first.worker} may have run it")
 
--- a/ploverspoke/testbed/baselines.py
+++ b/ploverspoke/testbed/baselines.py
@@ -46,6 +46,9 @@
         self.turn = 0
         self.failures = 0
 
+    def orders_changed(self, orders: StandingOrders, takes_over: Mapping[int, int]) -> None:
+        self.orders = orders
+
     def begun(self) -> None:
         if self.orders["roster_must_be_asked"]:
             self.host.watch_roster()
--- a/ploverspoke/testbed/experiment.py
+++ b/ploverspoke/testbed/experiment.py
@@ -296,6 +296,24 @@
     dispatchers: list[int] = []
 
 
+class DispatcherReplaced(Trouble, tag="dispatcher replaced", frozen=True, kw_only=True):
+    """A second process starts beside it at its address; once that serves, the first is told to end.
+
+    It has until this ends; both are one dispatcher to the rules.
+    """
+
+    of_workers = False
+    dispatchers: list[int] = []
+
+
+class SettingsChanged(Trouble, tag="settings changed", frozen=True, kw_only=True):
+    """Other rules for what is taken while this lasts; what is open keeps those that it was taken under."""
+
+    of_workers = False
+    repeat: dict[str, Literal["redoable", "irreversible"]] = {}  # by grade
+    most_hand_offs: int | None = None
+
+
 AnyTrouble = (
     Crash
     | Drain
@@ -313,6 +331,8 @@
     | DispatcherKilled
     | DispatcherPaused
     | DispatcherRestarted
+    | DispatcherReplaced
+    | SettingsChanged
     | KilledAtRandom
 )
 
@@ -347,6 +367,15 @@
     troubles: list[AnyTrouble] = []
     must_hold: MustHold = MustHold()
 
+    def rules_at(self, at: int) -> tuple[list[str], int]:
+        """What binds a submission taken then: whether it may be repeated, by grade, and how often sent."""
+        repeat, most = [g.repeat for g in self.grades], self.rules.most_hand_offs
+        for t in self.troubles:
+            if isinstance(t, SettingsChanged) and t.at <= at < t.at + t.lasts:
+                repeat = [t.repeat.get(g.name, r) for g, r in zip(self.grades, repeat, strict=True)]
+                most = most if t.most_hand_offs is None else t.most_hand_offs
+        return list(repeat), most
+
     def zones(self) -> list[str]:
         return list(dict.fromkeys(w.zone for w in self.workers))
 
@@ -448,7 +477,10 @@
         must(0 <= t.share <= 1, f"{key}.share", "must lie between 0 and 1")
         if isinstance(t, ZoneCut):
             must(bool(t.zone), f"{key}.zone", "a cut needs the zone that is cut off")
-        if isinstance(t, DispatcherKilled | DispatcherPaused | DispatcherRestarted):
+        if isinstance(t, SettingsChanged):
+            must(set(t.repeat) <= {g.name for g in e.grades}, f"{key}.repeat", "names a grade that is none")
+            must(t.most_hand_offs is None or t.most_hand_offs > 0, f"{key}.most_hand_offs", "must be over 0")
+        if isinstance(t, DispatcherKilled | DispatcherPaused | DispatcherRestarted | DispatcherReplaced):
             known = all(0 <= d < e.dispatchers.count for d in t.dispatchers)
             must(known and bool(t.dispatchers), f"{key}.dispatchers", "must name dispatchers, counted from 0")
 
@@ -461,11 +493,18 @@
 
 
 def outages(e: Experiment, seed: int) -> list[tuple[int, int, int, str]]:
-    """What happens to dispatchers: when, until when, which, and "killed", "paused" or "restarted"."""
-    kinds = {DispatcherKilled: "killed", DispatcherPaused: "paused", DispatcherRestarted: "restarted"}
+    """What happens to dispatchers: when, until when, which, and whether it is "killed", "paused", "restarted"
+    or "replaced".
+    """
+    kinds = {
+        DispatcherKilled: "killed",
+        DispatcherPaused: "paused",
+        DispatcherRestarted: "restarted",
+        DispatcherReplaced: "replaced",
+    }
     found: list[tuple[int, int, int, str]] = []
     for number, t in enumerate(e.troubles):
-        if isinstance(t, DispatcherKilled | DispatcherPaused | DispatcherRestarted):
+        if isinstance(t, DispatcherKilled | DispatcherPaused | DispatcherRestarted | DispatcherReplaced):
             found += [(t.at, t.at + t.lasts, d, kinds[type(t)]) for d in t.dispatchers]
         elif isinstance(t, KilledAtRandom):
             draw = Streams(seed).draws(f"outages {number}")
--- a/ploverspoke/testbed/settings.py
+++ b/ploverspoke/testbed/settings.py
@@ -9,11 +9,14 @@
 GROUPS = {"all": "all", "zone": "zone", "rack": "cell"}
 
 
-def settings_of(e: Experiment, dispatcher: int) -> dict[str, Any]:
+def settings_of(e: Experiment, dispatcher: int, at: int = 0) -> dict[str, Any]:
+    """As they are at that time of the run."""
+
     def us(span: int) -> int:
         return span // MICROSECOND
 
     kinds, rules, workers = e.kinds(), e.rules, e.worker_rules
+    repeat, most_hand_offs = e.rules_at(at)
     return {
         "Discovery": "ask" if rules.asks_first else "push",
         "Localities": e.zones(),
@@ -25,7 +28,7 @@
         "ServiceGrades": [
             {
                 "Name": g.name,
-                "Repeat": REPEATS[g.repeat],
+                "Repeat": REPEATS[r],
                 "Group": GROUPS[g.group],
                 "RepeatWindowUs": us(g.window),
                 "ExpectedTimeUs": us(g.expected_time),
@@ -33,7 +36,7 @@
                 "Benefit": g.benefit,
                 "OverdueBenefit": g.overdue_benefit,
             }
-            for g in e.grades
+            for g, r in zip(e.grades, repeat, strict=True)
         ],
         "Tenants": [{"Name": c.name, "Portion": c.share} for c in e.customers],
         "Domain": {
@@ -44,7 +47,7 @@
         },
         "Report": {"Via": "on_probe", "Fields": ["backlog", "x0"]},
         "Limits": {
-            "MaxHandOffs": rules.most_hand_offs,
+            "MaxHandOffs": most_hand_offs,
             "Cancel": rules.recall,
             "Probing": rules.probing,
             "RetryAfter": rules.come_back_advice,
--- a/ploverspoke/testbed/sockets.py
+++ b/ploverspoke/testbed/sockets.py
@@ -214,6 +214,8 @@
             child.tell({"start": self.epoch, "dispatcher_ports": ports})
         listening = [asyncio.create_task(self._listen(child, discovery)) for child in (workers, *others)]
         self.tasks += listening
+        if any(isinstance(t, ex.DispatcherReplaced | ex.SettingsChanged) for t in e.troubles):
+            raise ex.BadExperiment("troubles: replacing and changed settings are played on virtual time only")
         for outage in ex.outages(e, self.seed):
             self.tasks.append(asyncio.create_task(self._outage(*outage), name=OUTAGE))
         end = e.lasts + max(g.abandon_time for g in e.grades) + FINAL_CALM
--- a/ploverspoke/testbed/virtual.py
+++ b/ploverspoke/testbed/virtual.py
@@ -6,6 +6,7 @@
 
 from ploverspoke.decisions.host import Listing
 from ploverspoke.program.standing_orders import standing_orders
+from ploverspoke.routing.rows import Rows
 
 from . import experiment as ex
 from . import records
@@ -26,6 +27,7 @@
 HOLD = 10 * SECOND  # of one watch
 ANSWER_EARLY = 20 * MILLISECOND  # than the client gives up
 ENDS = {"done": "satisfied", "failed": "worker_error", "returned": "full", "lost": "broken_off"}
+SAYS_YES = 500 * MILLISECOND  # after its start, with a list that discovery has told
 FINAL_CALM = 2 * SECOND  # after the last abandon time
 
 
@@ -71,10 +73,11 @@
 class Taken:
     """A submission that a dispatcher has taken."""
 
-    __slots__ = ("answered", "hand_offs", "number", "request")
+    __slots__ = ("answered", "grade", "hand_offs", "number", "request")
 
-    def __init__(self, number: int, request: Request) -> None:
+    def __init__(self, number: int, grade: int, request: Request) -> None:
         self.number = number
+        self.grade = grade  # its number with this dispatcher
         self.request = request
         self.hand_offs: list[HandOff | None] = []
         self.answered = False
@@ -97,21 +100,29 @@
         self.draws: Draws = world.streams.draws(f"network {number} {start}")
         seed = world.streams.seed * 1_000_003 + number * 7919 + start
         true_load = partial(world.true_load, self.zone) if policy == "all-seeing" else None
-        self.decisions = POLICIES[policy](self, seed, world.orders[self.zone], true_load)
+        self.orders = world.orders[self.zone]
+        self.rows = Rows([g.name for g in world.e.grades])
+        self.decisions = POLICIES[policy](self, seed, self.orders, true_load)
         self._tell_roster(world.first_list)
         self.decisions.begun()
 
+    def orders_changed(self, orders: dict[str, Any]) -> None:
+        names, in_use = [g.name for g in self.world.e.grades], {t.grade for t in self.taken.values()}
+        self.orders, takes_over = self.rows.follow(self.orders, orders, names, in_use)
+        self.decisions.orders_changed(self.orders, takes_over)
+
     # ---- From clients ----
 
     def arrived(self, request: Request) -> None:
         job = request.job
-        taken = Taken(self.next, request)
+        grade = self.rows.numbers[self.world.e.grades[job.grade].name]
+        taken = Taken(self.next, grade, request)
         self.next += 1
         self.taken[taken.number] = taken
         patience = request.abandon_at - self.clock.time
         abandon_at = request.abandon_at - min(ANSWER_EARLY, max(0, patience) // 10)
         self.decisions.submission_arrived(
-            taken.number, job.grade, job.slots, abandon_at, job.customer, 0, job.subject, request.tries > 0
+            taken.number, grade, job.slots, abandon_at, job.customer, 0, job.subject, request.tries > 0
         )
 
     def left(self, request: Request) -> None:
@@ -370,9 +381,11 @@
             [e.network.near if a == b else e.network.far for b in range(len(zones))]
             for a in range(len(zones))
         ]
-        self.orders = [
-            standing_orders(settings_of(e, n)) for n in range(min(len(zones), e.dispatchers.count))
-        ]
+        self.orders = self._orders_now()
+        for t in e.troubles:
+            if isinstance(t, ex.SettingsChanged):
+                self.clock.at(t.at, self._change_settings)
+                self.clock.at(t.at + t.lasts, self._change_settings)
         workers = list(self.fleet.workers.values())
         self.fleet_troubles = FleetTroubles(
             e, seed, self.clock, workers, self.connections, self._worker_died, _nothing
@@ -382,12 +395,16 @@
         self.fleet_troubles.on_back = roster_troubles.back
         StoreTroubles(e, self.clock, self.fleet.store)
         self.dispatchers = [VirtualDispatcher(self, n, policy, 0) for n in range(e.dispatchers.count)]
+        self.outgoing: list[VirtualDispatcher] = []  # replaced, and not ended yet
         self.starts = [0] * e.dispatchers.count
         if e.dispatchers.store:
             raise ex.BadExperiment("dispatchers.store: a store is played on sockets only")
         for begin, end, number, how in ex.outages(e, seed):
             if how == "paused":
                 raise ex.BadExperiment("troubles: a pause of a dispatcher is played on sockets only")
+            if how == "replaced":
+                self.clock.at(begin, self._start_beside, number, end)
+                continue
             self.clock.at(begin, self._leave if how == "restarted" else self._kill, number)
             self.clock.at(end, self._restart, number)
         self.clients = Clients(
@@ -440,9 +457,9 @@
         dispatcher.arrived(request)
 
     def _client_closed(self, request: Request) -> None:
-        dispatcher = self.dispatchers[request.dispatcher]
-        if dispatcher.alive:
-            self.clock.at(self.clock.time + self.e.network.client, self._client_gone, request, dispatcher)
+        for process in self._processes():
+            if process.alive and process.number == request.dispatcher:
+                self.clock.at(self.clock.time + self.e.network.client, self._client_gone, request, process)
 
     def _client_gone(self, request: Request, dispatcher: VirtualDispatcher) -> None:
         if dispatcher.alive:
@@ -457,8 +474,8 @@
     # ---- Troubles ----
 
     def _worker_died(self, worker: Worker) -> None:
-        for dispatcher in self.dispatchers:
-            dispatcher.resting.pop(worker.name, None)
+        for process in self._processes():
+            process.resting.pop(worker.name, None)
 
     def _kill(self, number: int) -> None:
         if self.dispatchers[number].alive:
@@ -474,6 +491,39 @@
             self.seen.add(self.clock.time, records.DISPATCHER_LEAVES, dispatcher=number)
             dispatcher.leaving = True
 
+    def _processes(self) -> list[VirtualDispatcher]:
+        return self.dispatchers + self.outgoing
+
+    def _start_beside(self, number: int, until: int) -> None:
+        """The second process begins; clients' connections are its own from when it says that it serves."""
+        if self.dispatchers[number].alive:
+            self.starts[number] += 1
+            second = VirtualDispatcher(self, number, self.policy, self.starts[number])
+            self.clock.at(self.clock.time + SAYS_YES, self._replace, number, second, until)
+
+    def _replace(self, number: int, second: VirtualDispatcher, until: int) -> None:
+        first, self.dispatchers[number] = self.dispatchers[number], second
+        self.outgoing.append(first)
+        self._end_replaced(first, until)
+
+    def _end_replaced(self, first: VirtualDispatcher, until: int) -> None:
+        waited_for = any(not t.answered for t in first.taken.values())
+        if waited_for and self.clock.time < until:
+            self.clock.at(self.clock.time + 20 * MILLISECOND, self._end_replaced, first, until)
+            return
+        self.outgoing.remove(first)
+        first.die()
+
+    def _orders_now(self) -> list[dict[str, Any]]:
+        told = range(min(len(self.e.zones()), self.e.dispatchers.count))
+        return [standing_orders(settings_of(self.e, n, self.clock.time)) for n in told]
+
+    def _change_settings(self) -> None:
+        self.orders = self._orders_now()
+        for process in self._processes():
+            if process.alive:
+                process.orders_changed(self.orders[process.zone])
+
     def _restart(self, number: int) -> None:
         old = self.dispatchers[number]
         if old.alive and old.leaving:
--- a/tests/test_testbed_audit.py
+++ b/tests/test_testbed_audit.py
@@ -79,7 +79,25 @@
         super().send(job)
 
 
+class KeepsItsAttempts(TwoChoices):
+    """Takes new settings, but not how often it may send."""
+
+    def orders_changed(self, orders: Mapping[str, Any], takes_over: Mapping[int, int]) -> None:
+        super().orders_changed({**orders, "most_hand_offs": [6] * len(orders["repeat"])}, takes_over)
+
+
+class KeepsItsRepeats(TwoChoices):
+    def orders_changed(self, orders: Mapping[str, Any], takes_over: Mapping[int, int]) -> None:
+        super().orders_changed({**orders, "repeat": ["redoable"] * len(orders["repeat"])}, takes_over)
+
+
+EVERYWHERE = {**ERRORS, "workers": ["w0", "w1", "w2", "w3"], "errors": 0.7}
+FEWER = {"what": "settings changed", "at": "1s", "lasts": "2s", "most_hand_offs": 1}
+STRICTER = {"what": "settings changed", "at": "1s", "lasts": "2s", "repeat": {"look": "irreversible"}}
+REPLACED = {"what": "dispatcher replaced", "at": "1500ms", "lasts": "2s", "dispatchers": [0, 1]}
 FAULTS = [
+    (KeepsItsAttempts, [FEWER, EVERYWHERE], "1 one answer"),
+    (KeepsItsRepeats, [STRICTER, EVERYWHERE], "2 repeats"),
     (AnswersTwice, [], "1 one answer"),
     (LosesOne, [], "1 one answer"),
     (NeverStops, [{**ERRORS, "workers": ["w0", "w1", "w2", "w3"], "errors": 1.0}], "1 one answer"),
@@ -106,7 +124,8 @@
 def test_sound_dispatchers_are_not_blamed(policy: str) -> None:
     hang = {"what": "hang", "at": "2s", "lasts": "2s", "workers": ["w2"]}
     silent = {"what": "silences", "at": "1s", "lasts": "4s", "errors": 0.05}
-    e = world(troubles=[CRASH, {**DRAIN, "workers": ["w1"]}, hang, silent, {**ERRORS, "workers": ["w3"]}])
+    workers = [CRASH, {**DRAIN, "workers": ["w1"]}, hang, silent, {**ERRORS, "workers": ["w3"]}]
+    e = world(troubles=[*workers, FEWER, STRICTER, REPLACED])
     assert audit(e, play(e, 1, policy), VIRTUAL_SLACK) == []
 
 
