--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -75,8 +75,7 @@
         told = {"listen": f"127.0.0.1:{world.port}", "discovery": discovery, "known": known}
         (folder / "config.json").write_text(json.dumps({**told, "settings": SETTINGS}))
 
-    async def start(self) -> tuple[subprocess.Popen[bytes], int]:
-        """A process that has said yes, and the port where operators call it."""
+    def spawn(self) -> subprocess.Popen[bytes]:
         with socket.socket() as free:
             free.bind(("127.0.0.1", 0))
             self.world.admin_port = free.getsockname()[1]
@@ -89,7 +88,11 @@
             "TMPDIR": str(self.folder),
         }
         program = [sys.executable, "-m", "ploverspoke"]
-        process = subprocess.Popen(program, env=environment, pass_fds=[int(number)])
+        return subprocess.Popen(program, env=environment, pass_fds=[int(number)])
+
+    async def start(self) -> tuple[subprocess.Popen[bytes], int]:
+        """A process that has said yes, and the port where operators call it."""
+        process = self.spawn()
         for _ in range(500):
             try:
                 if (await call(self.world, b"check\n")).startswith("+OK"):
@@ -184,3 +187,46 @@
             server.close()
 
     run(script())
+
+
+def test_the_end_before_the_start_and_settings_in_the_overlap(
+    listening: socket.socket, tmp_path: Path
+) -> None:
+    async def script() -> None:
+        world = World()
+        replaced = Replaced(world, await world.surround(2), listening, tmp_path)
+        first, port = await replaced.start()
+        told = json.loads((tmp_path / "config.json").read_text())
+        silent = await asyncio.start_server(lambda reader, writer: reader.read(), "127.0.0.1", 0)
+        slow = {**told, "discovery": f"127.0.0.1:{silent.sockets[0].getsockname()[1]}"}
+        (tmp_path / "config.json").write_text(json.dumps(slow))
+        second = replaced.spawn()
+        for _ in range(500):  # its discovery says nothing, so it is up but not ready
+            try:
+                assert (await call(world, b"check\n")).startswith("-ERR not listening yet")
+                break
+            except ConnectionError:
+                await asyncio.sleep(0.02)
+        second.send_signal(signal.SIGTERM)
+        assert await ended(second) == 0
+        # Both take the settings that come while both live; the first has them when it is told to end.
+        (tmp_path / "config.json").write_text(json.dumps(told))
+        third, later_port = await replaced.start()
+        told["settings"]["ServiceGrades"][0]["Name"] = "next"
+        (tmp_path / "config.json").write_text(json.dumps(told))
+        for process in (first, third):
+            process.send_signal(signal.SIGHUP)
+        for at in (port, later_port):
+            world.admin_port = at
+            while (await figures(world))["dispatcher_cfg_accepted"] != 1:
+                await asyncio.sleep(0.01)
+        first.send_signal(signal.SIGTERM)
+        for number in range(6):
+            assert (await world.ask(world.request(f"n{number}", "next")))[0] == 200
+        assert await ended(first) == 0
+        third.send_signal(signal.SIGTERM)
+        assert await ended(third) == 0
+        for server in (*world.servers, silent):
+            server.close()
+
+    run(script())
