Full is no proof, and gone without a drain is asked, where the settings say so

At fault: _decide_again took every 'full' for proof that the work never began (NEVER_RAN), while workers there shed work that they had begun, so a labelled submission went to another data centre. Invariants.FullMayHaveRun now takes 'full' out of the proofs, in the decisions and where the store judges what another replica left; the same code then binds a labelled one to its group and window and abandons an irreversible one. It cannot repeat, since which outcomes prove is asked in one place (decisions/host.py). test_after_a_full_answer and the seeded runs with full_may_have_run fail on the old code. Invariants.SoftRemoval: a worker that is called gone or left out without having drained is asked by a probe and stays where it answers; once shown draining it is bound until it is ready again. Values that are not true or false are refused by their key.

--- a/ploverspoke/decisions/dispatcher.py
+++ b/ploverspoke/decisions/dispatcher.py
@@ -13,7 +13,7 @@
 from typing import Any
 from zlib import crc32
 
-from .host import Host, Listing, StandingOrders
+from .host import Host, Listing, StandingOrders, never_ran
 
 MILLISECOND = 1_000_000
 SECOND = 1_000_000_000
@@ -48,7 +48,6 @@
 REPORT_AGE = SECOND  # a report may be so old: what we sent since may not be in it
 TICKS_IN_EXPECTED = 4  # the clock's least rate: so many ticks in the shortest expected time
 ROSTER_CALL = 125 * MILLISECOND  # of the roster's time for each dispatcher that calls it
-NEVER_RAN = frozenset({"full", "unreachable", "not_sent"})
 
 
 class Chance:
@@ -73,6 +72,7 @@
         self.name = listing.worker
         self.listing = listing
         self.ready = False
+        self.drained = False  # shown draining since it was last ready
         self.in_flight = 0.0  # slots of ours
         self.room = FIRST_ROOM
         self.room_before_cut = FIRST_ROOM
@@ -188,6 +188,7 @@
         self.highest_benefit = max(self.orders["benefit"][g] for g in in_force) or 1.0
         self.shortest_expected_time = max(MILLISECOND, min(self.orders["expected_time"][g] for g in in_force))
         self.kinds_sought = {self.orders["machine_kind_needed"][g] for g in in_force}
+        self.never_ran = never_ran(self.orders["full_may_have_run"])
         self.some_repeat = any(self.orders["repeat"][g] != "irreversible" for g in in_force)
         self.asks_each = min(MOST_ASKED, ASKING_COST / max(1e-9, self.orders["probe_price"]))  # submission
 
@@ -369,16 +370,11 @@
             job.type.queue.remove(job)
 
     def roster_complete(self, listings: Iterable[Listing]) -> None:
-        self.roster_failures = 0
-        shown = set()
-        for listing in listings:
-            shown.add(listing.worker)
-            self._list(listing)
-        for worker in self.workers.values():
-            if worker.name not in shown and worker.listing.condition != "gone":
-                worker.listing = worker.listing._replace(condition="gone")
-                worker.ready = False
-                self.tiers.clear()
+        listings = list(listings)
+        self.roster_changed(listings)
+        shown = {listing.worker for listing in listings}
+        absent = [w.listing for w in self.listed() if w.name not in shown]
+        self.roster_changed([listing._replace(condition="gone") for listing in absent])
 
     def roster_changed(self, listings: Iterable[Listing]) -> None:
         self.roster_failures = 0
@@ -398,9 +394,7 @@
 
     def _calls_of_all(self) -> int:
         """In which the roster can work through one call of each dispatcher."""
-        each: int = self.orders["dispatchers"] * ROSTER_CALL
-        longest: int = self.orders["roster_ask_within"]
-        return min(each, longest // 2)
+        return int(min(self.orders["dispatchers"] * ROSTER_CALL, self.orders["roster_ask_within"] // 2))
 
     def probe_answered(
         self, worker_name: str, outcome: str, took: int, load: Mapping[str, float] | None
@@ -857,7 +851,7 @@
 
     def _decide_again(self, job: Submission, worker: Worker, outcome: str, now: int) -> None:
         """A hand-off ended without satisfying: try again where the grade and the time left allow it."""
-        if outcome not in NEVER_RAN and job.group is None:
+        if outcome not in self.never_ran and job.group is None:
             job.group = self._bound_to(job, worker)
             if job.group is not None:
                 # Its rack forgets it: past that time a repeat would run again.
@@ -1060,7 +1054,11 @@
             # each to earn a whole one first, hundreds would let the worker idle through its warm-up.
             worker.cold_credit = self.chance.fraction() * self._mean_running_time()
             worker.cold_credit_at = self.host.now()
-        ready = listing.condition == "ready"
+        gone = listing.condition == "gone"
+        worker.drained = listing.condition == "draining" or (worker.drained and gone)
+        # Where only a drain binds, the list does not tell who is up: one that is called gone is asked.
+        asked = gone and not worker.drained and self.orders["only_draining_binds"]
+        ready = listing.condition == "ready" or asked
         if ready != worker.ready or listing[1:3] != worker.listing[1:3]:
             self.tiers.clear()
         worker.listing = listing
@@ -1069,6 +1067,8 @@
             kind = listing.machine_kind
             self.top_weight[kind] = max(self.top_weight[kind], listing.weight)
             worker.crowd = self.top_weight[kind] / listing.weight - 1
+        if asked:
+            self._doubt(worker, self.host.now())
 
     def _cold_budget_allows(self, worker: Worker, job_type: JobType, now: int) -> bool:
         """A cold worker gets credit with time: a part of what our warm workers bear of us, by its warmth.
@@ -1105,8 +1105,7 @@
 
     def _arrival_rate(self, now: int) -> float:
         """Our arrivals a second, from the last few."""
-        span = now - self.arrivals[0]
-        return len(self.arrivals) * SECOND / max(span, 100 * MILLISECOND)
+        return len(self.arrivals) * SECOND / max(now - self.arrivals[0], 100 * MILLISECOND)
 
     def _mean_running_time(self) -> int:
         if not self.mean_running_time:
--- a/ploverspoke/decisions/host.py
+++ b/ploverspoke/decisions/host.py
@@ -8,6 +8,12 @@
 from typing import Any, NamedTuple, Protocol
 
 StandingOrders = Mapping[str, Any]
+NEVER_RAN = frozenset({"full", "unreachable", "not_sent"})  # outcomes of hand-offs that are known not to have
+
+
+def never_ran(full_may_have_run: bool) -> frozenset[str]:
+    """Where workers also shed what they had begun, "full" is no proof."""
+    return NEVER_RAN - {"full"} if full_may_have_run else NEVER_RAN
 
 
 class Listing(NamedTuple):
--- a/ploverspoke/program/standing_orders.py
+++ b/ploverspoke/program/standing_orders.py
@@ -64,6 +64,8 @@
         # The figures of the rules.
         "answer_slack": rules.time("AnswerSlackUs", 0),
         "stop_sending_within": rules.time("StopSendingWithinUs"),
+        "full_may_have_run": rules.flag("FullMayHaveRun"),
+        "only_draining_binds": rules.flag("SoftRemoval"),
         "cold_share": rules.number("ColdShare"),
         "warm_within": rules.time("WarmWithinUs"),
         "tip_multiple": rules.number("TipMultiple"),
--- a/ploverspoke/store/daemon.py
+++ b/ploverspoke/store/daemon.py
@@ -55,7 +55,10 @@
             kept = self.node.disk.kept(CONFIGURATION)
             self.shared = kept[1] if kept is not None else ""
             briefing = self.read()
-            scribe = StoreScribe(self.node, briefing.orders["repeat"], briefing.orders["repeat_group"])
+            orders = briefing.orders
+            scribe = StoreScribe(
+                self.node, orders["repeat"], orders["repeat_group"], orders["full_may_have_run"]
+            )
             self.service = Service(asyncio.get_running_loop(), briefing, scribe)
             self.service.read = self.read
             self.service.router.on_roster = RosterMemory(partial(self.node.keep, ROSTER), briefing.known).told
--- a/ploverspoke/store/recovery.py
+++ b/ploverspoke/store/recovery.py
@@ -7,10 +7,9 @@
 from enum import Enum, auto
 from typing import NamedTuple
 
-from .ledger import Intent, Open
+from ploverspoke.decisions.host import never_ran
 
-# Outcomes after which a hand-off is known not to have run.
-NEVER_RAN = frozenset({"full", "unreachable", "not_sent"})
+from .ledger import Intent, Open
 
 
 class Fate(Enum):
@@ -25,18 +24,19 @@
     hand_offs: int  # so many are spent
 
 
-def fate(job: Open, repeat: str) -> Recovered:
+def fate(job: Open, repeat: str, full_may_have_run: bool = False) -> Recovered:
     """`repeat` is that of its grade: redoable, labelled or irreversible."""
-    first = next((i for i in job.intents if i.outcome not in NEVER_RAN), None)
+    proof = never_ran(full_may_have_run)
+    first = next((i for i in job.intents if i.outcome not in proof), None)
     spent = len(job.intents)
     if first is None or repeat == "redoable":
         return Recovered(Fate.FREE, None, spent)
     return Recovered(Fate.LOST if repeat == "irreversible" else Fate.BOUND, first, spent)
 
 
-def answer_when_over(job: Open, repeat: str, group_is_all: bool) -> str:
+def answer_when_over(job: Open, repeat: str, group_is_all: bool, full_may_have_run: bool = False) -> str:
     """The final answer of one whose client did not come back in time."""
-    found = fate(job, repeat)
+    found = fate(job, repeat, full_may_have_run)
     if found.fate is Fate.FREE or (found.fate is Fate.BOUND and group_is_all):
         return "nacked"
     return "abandoned"
--- a/ploverspoke/store/scribe.py
+++ b/ploverspoke/store/scribe.py
@@ -18,8 +18,11 @@
 class StoreScribe:
     """The `Scribe` of one replica."""
 
-    def __init__(self, node: Node, repeats: list[str], groups: list[str]) -> None:
-        """Repeat and group of each grade, as the standing orders have them."""
+    def __init__(
+        self, node: Node, repeats: list[str], groups: list[str], full_may_have_run: bool = False
+    ) -> None:
+        """Repeat and group of each grade, and whether "full" is no proof, as the standing orders have it."""
+        self.full_may_have_run = full_may_have_run
         self.node = node
         self.repeats = repeats
         self.groups = groups
@@ -47,7 +50,7 @@
         job = self.node.ledger.open.get(request_id)
         if job is None:
             return None
-        found = fate(job, self.repeats[job.grade])
+        found = fate(job, self.repeats[job.grade], self.full_may_have_run)
         first = found.may_have_run
         return Past(
             None, job.digest, found.hand_offs, first.worker if first else "", first.at if first else 0
@@ -89,7 +92,7 @@
         say(f"store: {self.node.orders.name} leads; {len(left)} submissions were open")
         for name, job in left:
             self.recovered += 1
-            if fate(job, self.repeats[job.grade]).fate is Fate.LOST:
+            if fate(job, self.repeats[job.grade], self.full_may_have_run).fate is Fate.LOST:
                 self._end(name, "abandoned")
             else:
                 wait = (job.abandon_at - time.time_ns()) / 1e9 + AFTER_ABANDON
@@ -98,8 +101,8 @@
     def _over(self, name: str) -> None:
         job = self.node.ledger.open.get(name)
         if job is not None and self.led:
-            grade = job.grade
-            self._end(name, answer_when_over(job, self.repeats[grade], self.groups[grade] == "all"))
+            repeat, to_all = self.repeats[job.grade], self.groups[job.grade] == "all"
+            self._end(name, answer_when_over(job, repeat, to_all, self.full_may_have_run))
 
     def _end(self, name: str, how: str) -> None:
         self.node.propose([ledger.ANSWER, name, how, "", b"", time.time_ns()], _nobody)
--- a/ploverspoke/testbed/baselines.py
+++ b/ploverspoke/testbed/baselines.py
@@ -8,8 +8,8 @@
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any
 
-from ploverspoke.decisions.dispatcher import NEVER_RAN, Chance, Dispatcher
-from ploverspoke.decisions.host import Host, Listing, StandingOrders
+from ploverspoke.decisions.dispatcher import Chance, Dispatcher
+from ploverspoke.decisions.host import NEVER_RAN, Host, Listing, StandingOrders
 
 SECOND = 1_000_000_000
 TrueLoad = Callable[[str], float]
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -4,8 +4,8 @@
 from collections.abc import Mapping
 from typing import Any
 
-from ploverspoke.decisions.dispatcher import NEVER_RAN, SECOND, Dispatcher
-from ploverspoke.decisions.host import Listing
+from ploverspoke.decisions.dispatcher import SECOND, Dispatcher
+from ploverspoke.decisions.host import NEVER_RAN, Listing
 
 MS = 1_000_000
 ORDERS: dict[str, Any] = {
@@ -35,6 +35,8 @@
     "come_back_advice": True,
     "longest_come_back": SECOND,
     "stop_sending_within": 500 * MS,
+    "full_may_have_run": False,
+    "only_draining_binds": False,
     "cold_share": 0.3,
     "warm_within": 5 * SECOND,
     "tip_multiple": 3.0,
@@ -106,13 +108,17 @@
         assert self.clock + time_out <= self.abandon_at[submission_id] and time_out > 0
         assert worker in self.listed and worker not in self.closed_at, "drains are kept"
         assert all(t["outcome"] for t in tries), "never two at once"
-        for t in [t for t in tries if t["outcome"] not in NEVER_RAN]:
+        for t in [t for t in tries if self.may_have_run(t)]:
             assert self.orders["repeat"][grade] != "irreversible", "no effect twice"
             if self.orders["repeat"][grade] == "labelled":
                 assert self.listed[t["worker"]].rack == self.listed[worker].rack
                 assert self.clock < t["sent"] + self.orders["repeat_window"][grade]
         tries.append({"worker": worker, "sent": self.clock, "until": self.clock + time_out, "outcome": None})
 
+    def may_have_run(self, hand_off: dict[str, Any]) -> bool:
+        shed_unseen = not self.orders["full_may_have_run"]
+        return hand_off["outcome"] not in NEVER_RAN or (hand_off["outcome"] == "full" and not shed_unseen)
+
     def recall(self, submission_id: int, hand_off: int) -> None:
         assert self.tries[submission_id][hand_off]["outcome"] is None
         self.tries[submission_id][hand_off]["until"] = self.clock
@@ -120,7 +126,7 @@
 
     def nack(self, submission_id: int, come_back_after: int) -> None:
         if self.orders["repeat"][self.grade[submission_id]] != "redoable":
-            assert all(t["outcome"] in NEVER_RAN for t in self.tries[submission_id])
+            assert not any(self.may_have_run(t) for t in self.tries[submission_id])
         self._answer(submission_id, "nacked")
 
     def abandon(self, submission_id: int) -> None:
@@ -250,8 +256,9 @@
             state = chance.choice(["ready", "ready", "draining", "gone"])
             old = stage.listed[name]
             stage.listed[name] = old._replace(condition=state, started_at=stage.clock)
-            stage.closed_at.pop(name, None)
-            if state != "ready":
+            was_closed = stage.closed_at.pop(name, None) is not None
+            binds = not stage.orders["only_draining_binds"] or was_closed
+            if state == "draining" or (state == "gone" and binds):
                 stage.closed_at[name] = stage.clock
             stage.dispatcher.roster_changed([stage.listed[name]])
         stage.check_books()
--- a/tests/test_briefing.py
+++ b/tests/test_briefing.py
@@ -58,6 +58,8 @@
         (["settings", "ServiceGrades", 0, "AbandonTimeUs"], "soon", r"ServiceGrades\[0\].AbandonTimeUs"),
         (["settings", "Invariants", "ColdShare"], None, "settings.Invariants.ColdShare"),
         (["settings", "Limits", "Cancel"], 1, "settings.Limits.Cancel is 1"),
+        (["settings", "Invariants", "FullMayHaveRun"], "yes", "settings.Invariants.FullMayHaveRun is 'yes'"),
+        (["settings", "Invariants", "SoftRemoval"], 0, "settings.Invariants.SoftRemoval is 0"),
         (["settings", "Domain"], {"ClassKind": [1]}, "settings.Domain.ClassKind"),
     ],
 )
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -85,3 +85,45 @@
             stage.pass_time(10 * MS)
         waits.append(stage.clock - before)
     assert waits[2] > waits[0] and waits[2] < 10 * SECOND
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_rules_hold_where_full_is_no_proof(seed: int) -> None:
+    drains = {"only_draining_binds": seed % 3 == 0}
+    random_run(3000 + seed, 300, full_may_have_run=True, probe_price=seed % 2 * 0.002, **drains)
+
+
+@pytest.mark.parametrize("proof", [True, False])
+@pytest.mark.parametrize(("grade", "again", "answer"), [(0, "b", "nacked"), (2, None, "abandoned")])
+def test_after_a_full_answer(proof: bool, grade: int, again: str | None, answer: str) -> None:
+    stage = Stage([listing("a", kind=1), listing("b", kind=1)], full_may_have_run=not proof)
+    stage.submit(1, grade)
+    first = stage.where(1)
+    stage.end(1, "full")
+    stage.pass_time(100 * MS)
+    others = {"a": "b", "b": "a"}
+    assert stage.where(1) == (others[str(first)] if proof or again else None)
+    if not proof and grade == 2:
+        assert stage.answers == {1: answer}, "it may have run: no other hand-off and no nack"
+
+
+def test_gone_binds_only_where_no_drain_is_needed() -> None:
+    for only_draining in (False, True):
+        stage = Stage([listing("a")], only_draining_binds=only_draining)
+        stage.dispatcher.roster_complete([])
+        assert stage.probes == (["a"] if only_draining else []), "one that is called gone is asked"
+        if only_draining:
+            stage.dispatcher.probe_answered("a", "satisfied", MS, {"free_slots": 2.0})
+        stage.submit(1)
+        assert stage.where(1) == ("a" if only_draining else None)
+
+
+def test_a_drain_binds_beyond_its_end() -> None:
+    stage = Stage([listing("a")], only_draining_binds=True)
+    for condition in ("draining", "gone"):
+        stage.dispatcher.roster_changed([listing("a", condition)])
+        stage.submit(len(stage.tries))
+    assert not stage.probes and not any(stage.tries.values())
+    stage.dispatcher.roster_changed([listing("a")])
+    stage.dispatcher.roster_changed([listing("a", "gone")])
+    assert stage.probes == ["a"], "back since, it is gone without a drain"
--- a/tests/test_store_parts.py
+++ b/tests/test_store_parts.py
@@ -220,3 +220,6 @@
     assert answer_when_over(ledger.open["r"], repeat, True) == answer
     if wanted is Fate.BOUND:
         assert answer_when_over(ledger.open["r"], repeat, False) == "abandoned"
+    if hand_offs == [["w0", "full"]]:
+        assert fate(ledger.open["r"], repeat, full_may_have_run=True).fate is Fate.LOST
+        assert answer_when_over(ledger.open["r"], repeat, True, full_may_have_run=True) == "abandoned"
