--- a/ploverspoke/decisions/dispatcher.py
+++ b/ploverspoke/decisions/dispatcher.py
@@ -630,11 +630,13 @@
 
         Among many dispatchers each meets a worker so seldom that nought against nought slots in flight says
         nothing. One that can be taken back from a queue finds out by trying; an irreversible one can not, so
-        workers that were not heard of lately are probed first, as far as the price allows.
+        workers that were not heard of lately are probed first, as far as the price allows. Nor is trying free
+        for a labelled one where "full" is no proof: it is bound then, and what is taken back may run on.
         """
         if not drawn or not self.orders["probing_permitted"] or (job.subject and self.orders["fetch_price"]):
             return False
-        if self.orders["repeat"][job.grade] != "irreversible" and self.orders["recall_permitted"]:
+        bound = {"irreversible", "labelled"} if self.orders["full_may_have_run"] else {"irreversible"}
+        if self.orders["repeat"][job.grade] not in bound and self.orders["recall_permitted"]:
             return False
         # One whose last word was an error answers quickly, and is no better known for that.
         unknown = any(now - w.heard_at >= KNOWN or (w.errors and w.errors[-1]) for w in drawn)
--- a/tests/test_asking.py
+++ b/tests/test_asking.py
@@ -38,6 +38,18 @@
     assert stage.where(1) and not stage.probes
 
 
+def test_where_full_is_no_proof_a_labelled_one_asks_first() -> None:
+    # Trying bound it to its group and left work that ran on: at full size half of the attempts were shed.
+    stage = Stage([listing("a"), listing("b")], full_may_have_run=True, **ASKING)
+    stage.submit(1, grade=1)
+    assert sorted(stage.probes) == ["a", "b"] and stage.where(1) is None
+    answer(stage, "a", 0.0, 3.0)
+    answer(stage, "b", 4.0, 0.0)
+    assert stage.where(1) == "b"
+    stage.submit(2, grade=0)
+    assert stage.where(2), "a redoable one still finds out by trying"
+
+
 def test_one_that_does_not_answer_is_not_waited_for() -> None:
     stage = Stage([listing("a"), listing("b")], **ASKING)
     stage.submit(1, grade=2)
