--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -90,6 +90,17 @@
         program = [sys.executable, "-m", "ploverspoke"]
         return subprocess.Popen(program, env=environment, pass_fds=[int(number)])
 
+    @classmethod
+    async def of(cls, listening: socket.socket, folder: Path) -> "Replaced":
+        world = World()
+        return cls(world, await world.surround(2), listening, folder)
+
+    async def finish(self, last: subprocess.Popen[bytes]) -> None:
+        last.send_signal(signal.SIGTERM)
+        assert await ended(last) == 0
+        for server in self.world.servers:
+            server.close()
+
     async def start(self) -> tuple[subprocess.Popen[bytes], int]:
         """A process that has said yes, and the port where operators call it."""
         process = self.spawn()
@@ -127,8 +138,9 @@
             await asyncio.sleep(0.005)
 
     async def script() -> None:
-        world, told, stop = World(), list[int](), asyncio.Event()
-        replaced = Replaced(world, await world.surround(2), listening, tmp_path)
+        told, stop = list[int](), asyncio.Event()
+        replaced = await Replaced.of(listening, tmp_path)
+        world = replaced.world
         process, _ = await replaced.start()
         clients = asyncio.gather(*(client(world, f"c{n}", stop, told) for n in range(6)))
         fulfilled = 0
@@ -155,10 +167,7 @@
         fulfilled += sum(shown[operations(grade, "fulfilled")] for grade in ("look", "book"))
         assert set(told) == {200} and len(told) == fulfilled == len(world.ran)
         assert set(world.ran.values()) == {1}
-        process.send_signal(signal.SIGTERM)
-        assert await ended(process) == 0
-        for server in world.servers:
-            server.close()
+        await replaced.finish(process)
 
     run(script())
 
@@ -167,8 +176,8 @@
     listening: socket.socket, tmp_path: Path
 ) -> None:
     async def script() -> None:
-        world = World()
-        replaced = Replaced(world, await world.surround(2), listening, tmp_path)
+        replaced = await Replaced.of(listening, tmp_path)
+        world = replaced.world
         first, port = await replaced.start()
         second, _ = await replaced.start()
         second.kill()
@@ -181,10 +190,7 @@
         await ended(first)
         for number in range(4):
             assert (await world.ask(world.request(f"b{number}")))[0] == 200
-        third.send_signal(signal.SIGTERM)
-        assert await ended(third) == 0
-        for server in world.servers:
-            server.close()
+        await replaced.finish(third)
 
     run(script())
 
@@ -193,8 +199,8 @@
     listening: socket.socket, tmp_path: Path
 ) -> None:
     async def script() -> None:
-        world = World()
-        replaced = Replaced(world, await world.surround(2), listening, tmp_path)
+        replaced = await Replaced.of(listening, tmp_path)
+        world = replaced.world
         first, port = await replaced.start()
         told = json.loads((tmp_path / "config.json").read_text())
         silent = await asyncio.start_server(lambda reader, writer: reader.read(), "127.0.0.1", 0)
@@ -224,9 +230,7 @@
         for number in range(6):
             assert (await world.ask(world.request(f"n{number}", "next")))[0] == 200
         assert await ended(first) == 0
-        third.send_signal(signal.SIGTERM)
-        assert await ended(third) == 0
-        for server in (*world.servers, silent):
-            server.close()
+        await replaced.finish(third)
+        silent.close()
 
     run(script())
