--- a/ploverspoke/decisions/dispatcher.py
+++ b/ploverspoke/decisions/dispatcher.py
@@ -707,9 +707,9 @@
                 if more and self._ask(job, [best, *more], now):
                     return
             # A report is late, so all that read it must not decide alike: the longer the wait beside what
-            # the job can bear, the fewer go.
+            # the job can bear, the fewer go. One that is late by now goes only where it need not wait.
             wait = self._expected_wait(best, job_type, now)
-            if wait >= self.chance.fraction() * (job.timely_until - now) > 0:
+            if wait and wait >= self.chance.fraction() * max(0, job.timely_until - now):
                 for worker in fit:
                     self._cut_room(worker, worker.running, 0, now)
                 return
--- a/tests/test_asking.py
+++ b/tests/test_asking.py
@@ -75,6 +75,18 @@
     assert stage.where(1) is None and 1 in stage.dispatcher.open
 
 
+def test_one_that_is_late_by_now_is_sent_behind_no_queue() -> None:
+    # In a jam the slack was gone for all, and all were sent whatever the wait: the jam stayed for good.
+    soon = {"expected_time": [MS] * 3, "running_time_stretch": [0.0] * 3, **ASKING}
+    for waiting in (0.0, 3.0):
+        stage = Stage([listing("a")], **soon)
+        stage.submit(1, grade=2)
+        stage.pass_time(5 * MS)
+        answer(stage, "a", 0.0 if waiting else 4.0, waiting)
+        stage.pass_time(300 * MS)
+        assert bool(stage.tries[1]) == (not waiting)
+
+
 def test_nobody_is_given_up_while_answers_are_awaited() -> None:
     stage = Stage(
         [listing("a"), listing("b")], overdue_benefit=[0.0] * 3, expected_time=[40 * MS] * 3, **ASKING
