Tests of upgrades share one frame; an old process that is slow when it is told to end

The three upgrades began and ended with the same lines; one function does that now. The case of an old process that still works on a submission when it is told to end was named in the issue and had no test: it answers it, and says that the connection closes. No product code changes, no assertion is loosened.

--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -7,7 +7,7 @@
 import socket
 import subprocess
 import sys
-from collections.abc import Iterator
+from collections.abc import Awaitable, Callable, Iterator
 from pathlib import Path
 from typing import Any
 
@@ -114,9 +114,18 @@
         raise AssertionError("never ready")
 
 
-def run(script: Any) -> None:
+Script = Callable[[Replaced], Awaitable[subprocess.Popen[bytes]]]
+
+
+def play(listening: socket.socket, folder: Path, script: Script) -> None:
+    """`script` gives the process that is left, which ends when it is told to."""
+
+    async def whole() -> None:
+        replaced = await Replaced.of(listening, folder)
+        await replaced.finish(await script(replaced))
+
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        runner.run(script)
+        runner.run(whole())
 
 
 async def ended(process: subprocess.Popen[bytes]) -> int:
@@ -137,9 +146,8 @@
             kept = None if headers.get("connection") == "close" else (reader, writer)
             await asyncio.sleep(0.005)
 
-    async def script() -> None:
+    async def script(replaced: Replaced) -> subprocess.Popen[bytes]:
         told, stop = list[int](), asyncio.Event()
-        replaced = await Replaced.of(listening, tmp_path)
         world = replaced.world
         process, _ = await replaced.start()
         clients = asyncio.gather(*(client(world, f"c{n}", stop, told) for n in range(6)))
@@ -167,16 +175,15 @@
         fulfilled += sum(shown[operations(grade, "fulfilled")] for grade in ("look", "book"))
         assert set(told) == {200} and len(told) == fulfilled == len(world.ran)
         assert set(world.ran.values()) == {1}
-        await replaced.finish(process)
+        return process
 
-    run(script())
+    play(listening, tmp_path, script)
 
 
 def test_a_new_process_that_dies_and_an_old_one_that_is_killed(
     listening: socket.socket, tmp_path: Path
 ) -> None:
-    async def script() -> None:
-        replaced = await Replaced.of(listening, tmp_path)
+    async def script(replaced: Replaced) -> subprocess.Popen[bytes]:
         world = replaced.world
         first, port = await replaced.start()
         second, _ = await replaced.start()
@@ -190,18 +197,20 @@
         await ended(first)
         for number in range(4):
             assert (await world.ask(world.request(f"b{number}")))[0] == 200
-        await replaced.finish(third)
+        return third
 
-    run(script())
+    play(listening, tmp_path, script)
 
 
 def test_the_end_before_the_start_and_settings_in_the_overlap(
     listening: socket.socket, tmp_path: Path
 ) -> None:
-    async def script() -> None:
-        replaced = await Replaced.of(listening, tmp_path)
+    async def script(replaced: Replaced) -> subprocess.Popen[bytes]:
         world = replaced.world
         first, port = await replaced.start()
+        reader, writer = await world.connect()
+        writer.write(world.request("early"))
+        assert "200" in (await message(reader))[0]
         told = json.loads((tmp_path / "config.json").read_text())
         silent = await asyncio.start_server(lambda reader, writer: reader.read(), "127.0.0.1", 0)
         slow = {**told, "discovery": f"127.0.0.1:{silent.sockets[0].getsockname()[1]}"}
@@ -226,11 +235,22 @@
             world.admin_port = at
             while (await figures(world))["dispatcher_cfg_accepted"] != 1:
                 await asyncio.sleep(0.01)
+
+        async def slowly(*exchange: Any) -> None:
+            await asyncio.sleep(0.4)
+            await world.serve(*exchange)
+
+        world.behave = {"w0": slowly, "w1": slowly}
+        writer.write(world.request("late", "book"))  # to the first one, which still has it when it is told
+        await asyncio.sleep(0.05)
         first.send_signal(signal.SIGTERM)
+        line, headers, _ = await message(reader)
+        assert "200" in line and headers["connection"] == "close"
+        world.behave = {}
         for number in range(6):
             assert (await world.ask(world.request(f"n{number}", "next")))[0] == 200
         assert await ended(first) == 0
-        await replaced.finish(third)
         silent.close()
+        return third
 
-    run(script())
+    play(listening, tmp_path, script)
