--- a/ploverspoke/decisions/dispatcher.py
+++ b/ploverspoke/decisions/dispatcher.py
@@ -3,13 +3,13 @@
 A host builds one `Dispatcher` with itself, a seed and the standing orders (a plain map of names to values,
 times in nanoseconds), then calls one method for each thing that happens, under "What can happen" below. The
 dispatcher acts by calling the host, whose interface is `ploverspoke/decisions/host.py`; `docs/design.md` says
-where each part comes from. Nothing here knows a wire, and two dispatchers share nothing.
+where each part comes from. Nothing here knows a wire; two dispatchers share nothing but what they tell.
 """
 
 from collections import defaultdict, deque
 from collections.abc import Iterable, Mapping
 from itertools import islice
-from math import exp, inf, log
+from math import ceil, exp, inf, log
 from typing import Any
 from zlib import crc32
 
@@ -48,6 +48,10 @@
 REPORT_AGE = SECOND  # a report may be so old: what we sent since may not be in it
 TICKS_IN_EXPECTED = 4  # the clock's least rate: so many ticks in the shortest expected time
 ROSTER_CALL = 125 * MILLISECOND  # of the roster's time for each dispatcher that calls it
+TELL_AFTER = 5 * MILLISECOND  # a change, so that those of one moment are told together
+TELL_AGAIN = SECOND  # where nothing changes
+TOLD_FADES = 3 * SECOND
+TELLING_COST = 0.04  # points of service that tellings may cost
 
 
 class Chance:
@@ -74,6 +78,7 @@
         self.ready = False
         self.drained = False  # shown draining since it was last ready
         self.in_flight = 0.0  # slots of ours
+        self.others = 0.0  # slots that other dispatchers told of
         self.room = FIRST_ROOM
         self.room_before_cut = FIRST_ROOM
         self.room_at = 0  # when the room last drifted
@@ -178,6 +183,11 @@
         self.asked_at = 0
         self.tiers: dict[Any, list[list[Worker]]] = {}  # who can be drawn, kept until readiness changes
         self.top_weight: dict[int, float] = defaultdict(float)  # of an idle worker, by machine kind
+        # The last telling of each dispatcher, oldest first: its number, the time and who was named.
+        self.told_by: dict[int, tuple[int, int, list[Worker]]] = {}
+        self.near: dict[int, bool] = {}  # dispatchers heard of, and whether they are of our zone
+        self.told = 0  # our own tellings
+        self.telling_at = 0  # when the next is due; 0: none is
         self.due: dict[int, Submission | Worker | JobType | str] = {}
         self.next_token = 1
 
@@ -200,6 +210,7 @@
         Who knows of workers calls at a random moment: dispatchers that were started together would find
         one another in the roster's queue, and a call that is turned away there has taken its time too.
         """
+        self._tell_all()
         if self.orders["roster_must_be_asked"] and self.workers:
             self._wake("watch", self.host.now() + int(self.chance.fraction() * self._calls_of_all()))
         elif self.orders["roster_must_be_asked"]:
@@ -282,7 +293,7 @@
         else:
             job.waited_too_long = wait > job.last_start - job.arrived
             away = WAITS_TO_RETURN * wait if job.waited_too_long else 0
-            self._cut_room(worker, worker.running, away, now)
+            self._cut_room(worker, worker.running + worker.others, away, now)
         worker.running += job.type.slots
         worker.started_sent_at = max(worker.started_sent_at, job.sent_at)
         worker.unstarted.pop(submission_id, None)
@@ -323,6 +334,7 @@
             worker.heard_at = now
         self.fetches_out -= job.fetching
         worker.in_flight -= job.type.slots
+        self._news(now)
         if job.started_at:
             worker.running -= job.type.slots
         worker.unstarted.pop(submission_id, None)
@@ -345,7 +357,7 @@
                 self.mean_running_time = 0
                 self._accepted(worker, job.in_use)
         elif outcome == "full":
-            self._cut_room(worker, worker.in_flight, 2 * worker.drift_time, now)
+            self._cut_room(worker, worker.in_flight + worker.others, 2 * worker.drift_time, now)
         elif outcome == "recalled" and not job.started_at and self._bound_to(job, worker):
             # Taken back for its wait from a rack that it must stay in: its worker is as full as it was. Drawn
             # for it again and again it got a copy of the job each time, where recalled work goes on.
@@ -420,6 +432,10 @@
         what = self.due.pop(token, None)
         if what == "watch":
             self.host.watch_roster()
+        elif what == "tell":
+            self._tell(self.host.now())
+        elif what == "tell all":
+            self._tell_all()
         elif what == "tick":
             self.clock_runs = False
             self._tick(self.host.now())
@@ -446,6 +462,25 @@
             else:
                 self._wake(what, what.last_chance)
 
+    def told_of(self, teller: int, zone: int, number: int, held: list[str]) -> None:
+        """Another dispatcher tells where it has slots in flight, each named once: a hint and no more."""
+        now = self.host.now()
+        self._fade(now)
+        known = self.told_by.get(teller)
+        if not self.orders["telling_permitted"] or teller == self.orders["dispatcher_number"]:
+            return
+        # Late ones and those that come twice: 0 is the first after a start, 255 is followed by 1.
+        if known is not None and number and not 0 < (number - known[0]) % 255 < 128:
+            return
+        self._forget(teller)
+        named = [self.workers[name] for name in held if name in self.workers]
+        for worker in named:
+            worker.others += 1
+        self.told_by[teller] = number, now, named
+        self.near[teller] = zone == self.orders["zone"]
+        if not number and self.near[teller]:
+            self._news(now)
+
     # ---- What can be asked ----
 
     def listed(self) -> list[Worker]:
@@ -532,8 +567,8 @@
         if self._has_waiting(worker, now):
             return
         # In a backlog most places are filled here; one whose subject ran there lately saves a fetch.
-        nearest = list(islice(job_type.queue, NEAR_HEAD)) if self.orders["fetch_price"] else []
-        fitting = [job for job in nearest if job.subject in worker.subjects]
+        nearest = list(islice(job_type.queue, NEAR_HEAD))
+        fitting = [job for job in nearest if job.subject and job.subject in worker.subjects]
         for job in fitting + self._heads(job_type):
             if self._allowed(worker, job_type, now, job):
                 job_type.queue.remove(job)
@@ -546,7 +581,8 @@
         bound = job is not None and (job.group is not None or self.fetches_out >= self.fetch_room)
         if now < job_type.barren_until and not bound:
             return []
-        by_hash = job is not None and job.subject and self.orders["fetch_price"]
+        self._fade(now)
+        by_hash = job is not None and job.subject
         for tier in self._tiers(job_type.machine_kind, job):
             found: list[Worker] = []
             if by_hash and job is not None:
@@ -577,8 +613,8 @@
         Machines that some grade cannot do without are left to it while others have room; crossing zones has a
         price, so the own zone comes first, but not again once workers asked for the job there had no room.
         """
-        subject = job.subject if job is not None and self.orders["fetch_price"] else ""
-        near = bool(self.orders["zone_crossing_price"]) and (job is None or not job.far)
+        subject = job.subject if job is not None else ""
+        near = bool(self.orders["zone_crossing_price"]) and not subject and (job is None or not job.far)
         found = self.tiers.get((machine_kind, near, subject))
         if found is None:
             sought = self.kinds_sought
@@ -602,11 +638,11 @@
 
         Not the one that it comes back from, though: that one may break whatever it is sent.
         """
-        if job is not None and job.subject and self.orders["fetch_price"]:
+        if job is not None and job.subject:
             # Each change of place is a fetch, so the first keeps it until it is well ahead.
             return drawn[0] if drawn[0].in_flight <= drawn[-1].in_flight + FIRST_ROOM else drawn[-1]
         back_from = None if job is None else job.back_from
-        return min(drawn, key=lambda w: (w is back_from, w.in_flight, self._pace(w)))
+        return min(drawn, key=lambda w: (w is back_from, w.in_flight + w.others, self._pace(w)))
 
     def _is_roomy(self, worker: Worker, job_type: JobType, now: int, job: Submission | None) -> bool:
         if job is not None and job.group is not None and job.group != self._group_of(job, worker):
@@ -633,7 +669,7 @@
         workers that were not heard of lately are probed first, as far as the price allows. Nor is trying free
         for a labelled one where "full" is no proof: it is bound then, and what is taken back may run on.
         """
-        if not drawn or not self.orders["probing_permitted"] or (job.subject and self.orders["fetch_price"]):
+        if not drawn or not self.orders["probing_permitted"] or job.subject:
             return False
         bound = {"irreversible", "labelled"} if self.orders["full_may_have_run"] else {"irreversible"}
         if self.orders["repeat"][job.grade] not in bound and self.orders["recall_permitted"]:
@@ -737,6 +773,47 @@
         usual = sum(kind) / len(kind) if kind else 1.0
         return (sum(worker.paces) + PACES_OF_KIND * usual) / (len(worker.paces) + PACES_OF_KIND)
 
+    # ---- Telling ----
+
+    def _news(self, now: int) -> None:
+        """What we have in flight has changed: the dispatchers of our zone are told soon."""
+        if self.orders["telling_permitted"] and not now < self.telling_at <= now + TELL_AFTER:
+            self.telling_at = now + TELL_AFTER
+            self._wake("tell", self.telling_at)
+
+    def _tell(self, now: int) -> None:
+        if now < self.telling_at:
+            return
+        held = [w.name for w in self.workers.values() for _ in range(ceil(w.in_flight))]
+        near = [teller for teller, is_near in self.near.items() if is_near]
+        # Each receiver is paid for: where they are many, so many drawn by chance as the price allows.
+        cost = self.orders["telling_price"] * (4 + 2 * len(held)) / 256 * 2
+        while near and cost * len(near) > TELLING_COST:
+            near.pop(self.chance.below(len(near)))
+        self.told = self.told % 255 + 1
+        self.host.tell(near, self.orders["zone"], self.told, held)
+        self.telling_at = now + TELL_AGAIN if held else 0
+        if held:
+            self._wake("tell", self.telling_at)
+
+    def _tell_all(self) -> None:
+        """Be known to all; said twice, as the first may be lost."""
+        if self.orders["telling_permitted"]:
+            self.host.tell(None, self.orders["zone"], 0, [])
+            if not self.told:
+                self.told = 255
+                self._wake("tell all", self.host.now() + TELL_AGAIN)
+
+    def _forget(self, teller: int) -> None:
+        for worker in self.told_by.pop(teller, (0, 0, []))[2]:
+            worker.others -= 1
+
+    def _fade(self, now: int) -> None:
+        for teller, (_, at, _) in list(islice(self.told_by.items(), 8)):
+            if now - at <= TOLD_FADES:
+                break
+            self._forget(teller)
+
     # ---- Room ----
 
     def _has_waiting(self, worker: Worker, now: int) -> bool:
@@ -770,7 +847,7 @@
             drift = (now - worker.room_at) / worker.drift_time
             worker.room = min(worker.room_before_cut, worker.room + drift)
             worker.room_at = now
-        free = worker.room - worker.in_flight
+        free = worker.room - worker.in_flight - worker.others
         if worker.placeholders and worker.in_flight:
             self._expire_placeholders(worker, now)
             free -= sum(held[0].slots for held in worker.placeholders)
@@ -797,7 +874,7 @@
             worker.drift_time = min(max(self._mean_running_time(), drift_time), LONGEST_DRIFT)
 
     def _must_fetch(self, job: Submission, worker: Worker) -> bool:
-        return bool(job.subject and self.orders["fetch_price"]) and job.subject not in worker.subjects
+        return job.subject != "" and job.subject not in worker.subjects
 
     def _cut_fetch_room(self, now: int) -> None:
         """A shared store jams like a worker: its room is learned too, halved by slow fetches."""
@@ -837,7 +914,8 @@
         worker.in_flight += job.type.slots
         while self._free(worker, now) < 0 and worker.placeholders:
             worker.placeholders.popleft()  # taken over: the job does not fit beside it
-        job.in_use = worker.in_flight
+        job.in_use = worker.in_flight + worker.others
+        self._news(now)
         job.fetching = self._must_fetch(job, worker)
         self.fetches_out += job.fetching
         if job.subject:
--- a/ploverspoke/decisions/host.py
+++ b/ploverspoke/decisions/host.py
@@ -4,7 +4,7 @@
 calling the methods below before it returns. Times are whole nanoseconds of one monotonic clock.
 """
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from typing import Any, NamedTuple, Protocol
 
 StandingOrders = Mapping[str, Any]
@@ -52,6 +52,9 @@
     def probe(self, worker: str) -> None:
         """Ask a worker for its load."""
 
+    def tell(self, to: Iterable[int] | None, zone: int, number: int, held: Iterable[str]) -> None:
+        """Tell other dispatchers, None: all of them, where we have slots in flight; it may not arrive."""
+
     def watch_roster(self) -> None:
         """Subscribe to the roster; answered by one roster call, and then by one for each change."""
 
--- a/ploverspoke/program/standing_orders.py
+++ b/ploverspoke/program/standing_orders.py
@@ -56,6 +56,7 @@
         "second_copies": limits.flag("SecondCopies"),
         "recall_permitted": limits.flag("Cancel"),
         "probing_permitted": limits.flag("Probing"),
+        "telling_permitted": limits.flag("Peers"),
         "come_back_advice": limits.flag("RetryAfter"),
         "longest_come_back": limits.time("MaxRetryAfterUs", 0),
         "connect_time_out": limits.time("ConnectTimeoutUs", 1_000_000),
@@ -81,6 +82,7 @@
         "waste_price": prices.number("Waste", 0.0),
         "overdue_price": prices.number("LateFail", 0.0),
         "probe_price": prices.number("Probe", 0.0),
+        "telling_price": prices.number("Peer", 0.0),
         "tail_weight": goal.number("TailPart", 0.0),
         "tail_slack": goal.number("TailSlack", 0.0),
     }
--- a/ploverspoke/simwire/adapter.py
+++ b/ploverspoke/simwire/adapter.py
@@ -3,13 +3,16 @@
 import gc
 import sys
 import traceback
-from collections.abc import Callable
+from base64 import b64decode, b64encode
+from collections.abc import Callable, Iterable
 from typing import TextIO
 
 from ploverspoke.decisions.dispatcher import Dispatcher
 from ploverspoke.decisions.host import Listing
 from ploverspoke.program.checked import BadKey
 from ploverspoke.program.standing_orders import standing_orders
+from ploverspoke.protocol.heads import Garbled
+from ploverspoke.protocol.tellings import marks_of, read_telling, write_telling
 from ploverspoke.protocol.words import CONDITIONS
 from ploverspoke.transport.units import MICROSECOND
 
@@ -38,6 +41,8 @@
         except BadKey as error:
             raise Malformed(str(error)) from None
         self.load_fields: list[str] = orders["load_fields"]
+        self.marks: dict[int, str] = {}  # who is meant in tellings, of so many workers
+        self.marked = 0
         self.dispatcher = Dispatcher(self, start.whole("RandomSeed"), orders)
         self.dispatcher.begun()
 
@@ -65,6 +70,11 @@
     def probe(self, worker: str) -> None:
         self._act("SOUND_OUT", Worker=worker)
 
+    def tell(self, to: Iterable[int] | None, zone: int, number: int, held: Iterable[str]) -> None:
+        octets = b64encode(write_telling(zone, number, held)).decode()
+        for target in ["all"] if to is None else to:
+            self._act("BROADCAST_TO", Target=target, Octets=octets)
+
     def watch_roster(self) -> None:
         self._act("KEEP_INFORMED", Active=1)
 
@@ -118,7 +128,15 @@
         self.dispatcher.answer_begun(f.whole("RequestId"), f.whole("Go"))
 
     def heard(self, f: Fields) -> None:
-        """Dispatchers share nothing: what a sibling says is not read."""
+        """What another dispatcher tells; what cannot be read is no word of it."""
+        if self.marked != len(self.dispatcher.workers):
+            self.marked = len(self.dispatcher.workers)
+            self.marks = marks_of(self.dispatcher.workers)
+        try:
+            told = read_telling(b64decode(f.get("Octets", "")), self.marks)
+        except (Garbled, ValueError):
+            return
+        self.dispatcher.told_of(f.whole("Author"), *told)
 
     def peers(self, f: Fields) -> None:
         scope = f["Scope"]
