--- a/ploverspoke/decisions/dispatcher.py
+++ b/ploverspoke/decisions/dispatcher.py
@@ -22,7 +22,7 @@
 EPSILON = 0.5
 FIRST_ROOM = 2.0  # slots a worker is believed to hold before it has taught us more
 WAITS_TO_RETURN = 2  # a slot of a cut room returns in so many times the wait that cut it, at least
-LONGEST_DRIFT = 5 * SECOND
+LONGEST_DRIFT = 30 * SECOND
 PROMPT_START = 3  # a start is prompt within this many times the zone's quickest start note...
 PROMPT_START_SLACK = 10 * MILLISECOND  # ...and this
 PATIENCE = 0.5  # share of its slack that a submission may wait here
@@ -48,6 +48,11 @@
 REPORT_AGE = SECOND  # a report may be so old: what we sent since may not be in it
 TICKS_IN_EXPECTED = 4  # the clock's least rate: so many ticks in the shortest expected time
 ROSTER_CALL = 125 * MILLISECOND  # of the roster's time for each dispatcher that calls it
+MOST_REFUSED = 0.9
+SHARE_KNOWN = 150
+HOME_LOAD = 0.75
+MORE_HOMES = 3
+LATE_STARTS = 16
 TELL_AFTER = 5 * MILLISECOND  # a change, so that those of one moment are told together
 TELL_AGAIN = SECOND  # where nothing changes
 TOLD_FADES = 3 * SECOND
@@ -169,6 +174,9 @@
         self.calm: dict[int, int] = {}  # the shortest mean running time seen
         self.asked_times: dict[int, deque[int]] = defaultdict(lambda: deque(maxlen=32))
         self.start_lags: dict[int, deque[int]] = defaultdict(lambda: deque(maxlen=32))
+        self.late_starts: deque[float] = deque(maxlen=LATE_STARTS)  # waits over the wait that can be borne
+        self.has_subjects = False
+        self.asked_for: dict[str, int] = defaultdict(int)
         self.clock_runs = False
         self.fetches_out = 0  # hand-offs out whose subject was not held where they went
         self.fetch_room = inf  # as many as the shared store is believed to bear of us
@@ -244,6 +252,9 @@
         job_type = self._job_type(slots, self.orders["machine_kind_needed"][grade])
         job = Submission(submission_id, grade, job_type, now, abandon_at)
         job.subject = subject
+        self.has_subjects = subject != ""
+        if subject:
+            self.asked_for[subject] += 1
         job.last_chance = abandon_at - self.orders["round"]
         job.last_start = self._last_timely_start(job, now, work_hint)
         self.open[submission_id] = job
@@ -252,6 +263,9 @@
         if now >= job.last_chance:
             self._finish_unsatisfied(job)
             return
+        if self._refuses(job, now):
+            self._finish_unsatisfied(job)
+            return
         # A placeholder of ours of this type gives up its place.
         drawn = self._worker_with_placeholder(job_type, now)
         # A type without backlog takes a tick at once.
@@ -289,6 +303,7 @@
         # start is read as full: the room was what we had there without this job.
         late = wait > self._prompt_start(worker)
         if not late:
+            worker.drift_time /= 2
             self._accepted(worker, job.in_use)
         else:
             job.waited_too_long = wait > job.last_start - job.arrived
@@ -298,6 +313,7 @@
         worker.started_sent_at = max(worker.started_sent_at, job.sent_at)
         worker.unstarted.pop(submission_id, None)
         self.start_lags[worker.listing.zone].append(wait)
+        self.late_starts.append(min(1.0, wait / self._shortest_slack()))
 
     def hand_off_progressed(self, submission_id: int, hand_off: int, share_done: float) -> None:
         job = self.open.get(submission_id)
@@ -586,14 +602,19 @@
         for tier in self._tiers(job_type.machine_kind, job):
             found: list[Worker] = []
             if by_hash and job is not None:
-                # The two first by the subject's hash are the same for every repeat, at every dispatcher.
-                # Those that hold it come before them.
-                holders = [w for w in tier if job.subject in w.subjects]
-                found = [w for w in holders if self._is_roomy(w, job_type, now, job)][:2]
-                if not found and self.fetches_out >= self.fetch_room:
-                    continue  # it may go nowhere else
-                found = found or [w for w in tier[:2] if self._is_roomy(w, job_type, now, job)]
-                found = found or list(islice((w for w in tier if self._is_roomy(w, job_type, now, job)), 2))
+                # The first by the subject's hash are the same for every repeat, at every dispatcher.
+                homes = self._homes(job.subject, len(tier))
+                left = tier[:homes]
+                while left and len(found) < 2:
+                    worker = left.pop(self.chance.below(len(left)))
+                    if self._is_roomy(worker, job_type, now, job):
+                        found.append(worker)
+                found = (
+                    found
+                    or [w for w in tier[homes : homes + MORE_HOMES] if self._is_roomy(w, job_type, now, job)][
+                        :1
+                    ]
+                )
             else:
                 # Drawing until two are roomy gives the same pairs as a list of all the roomy, for less work.
                 left = list(tier)
@@ -607,6 +628,11 @@
             job_type.barren_until = now + LOOK_AT_ALL_EVERY
         return []
 
+    def _homes(self, subject: str, workers: int) -> int:
+        """How many workers are to hold it: as many as our own arrivals' share of it would fill."""
+        share = (self.asked_for[subject] - 1) / max(SHARE_KNOWN, sum(self.asked_for.values()))
+        return max(1, ceil(share * workers / HOME_LOAD - 0.3))
+
     def _tiers(self, machine_kind: int, job: Submission | None) -> list[list[Worker]]:
         """Those that may be drawn, best first.
 
@@ -640,7 +666,7 @@
         """
         if job is not None and job.subject:
             # Each change of place is a fetch, so the first keeps it until it is well ahead.
-            return drawn[0] if drawn[0].in_flight <= drawn[-1].in_flight + FIRST_ROOM else drawn[-1]
+            return min(drawn, key=lambda w: w.in_flight)
         back_from = None if job is None else job.back_from
         return min(drawn, key=lambda w: (w is back_from, w.in_flight + w.others, self._pace(w)))
 
@@ -659,6 +685,33 @@
             and self._allowed(worker, job_type, now, job)
         )
 
+    # ---- Refusing ----
+
+    def _refuses(self, job: Submission, now: int) -> bool:
+        """Whether it is refused on arrival, by chance, where no worker can be asked for its queue.
+
+        The chance is what a start has waited lately beside what the most hurried grade can bear, alike for
+        all: a grade that bears more would else fill the workers, and the hurried one alone would be late.
+        """
+        if self.orders["probing_permitted"] or job.group is not None:
+            return False
+        slack = self._shortest_slack()
+        waits = [min(1.0, (now - j.sent_at) / slack) for j in self.open.values() if j.at and not j.started_at]
+        waits += self.late_starts
+        chance = min(MOST_REFUSED, max(0.0, sum(waits) / max(LATE_STARTS, len(waits)) - 0.1))
+        return chance > 0 and self.chance.fraction() < chance
+
+    def _shortest_slack(self) -> int:
+        """The wait that a mean job of the most hurried grade can bear."""
+        return max(
+            MILLISECOND,
+            min(
+                self.orders["expected_time"][g]
+                + int((self.orders["running_time_stretch"][g] - 1) * self.calm.get(g, 0))
+                for g in self.orders["grades"]
+            ),
+        )
+
     # ---- Asking ----
 
     def _asks(self, job: Submission, drawn: list[Worker], now: int) -> bool:
@@ -826,7 +879,8 @@
         return any(given_up < sent_at < now_due for sent_at in worker.unstarted.values())
 
     def _prompt_start(self, worker: Worker) -> int:
-        return self._prompt(self.start_lags[worker.listing.zone], SECOND)
+        prompt = self._prompt(self.start_lags[worker.listing.zone], SECOND)
+        return prompt
 
     def _prompt(self, times: deque[int], unknown: int) -> int:
         return PROMPT_START * min(times) + PROMPT_START_SLACK if times else unknown
@@ -871,7 +925,8 @@
             worker.room_before_cut = max(room + 1, FIRST_ROOM)
             worker.room = room
             worker.room_at = now
-            worker.drift_time = min(max(self._mean_running_time(), drift_time), LONGEST_DRIFT)
+            between = int(len(self.workers) * SECOND / self._arrival_rate(now))
+            worker.drift_time = min(max(self._mean_running_time(), drift_time, between), LONGEST_DRIFT)
 
     def _must_fetch(self, job: Submission, worker: Worker) -> bool:
         return job.subject != "" and job.subject not in worker.subjects
@@ -879,7 +934,7 @@
     def _cut_fetch_room(self, now: int) -> None:
         """A shared store jams like a worker: its room is learned too, halved by slow fetches."""
         if now - self.fetch_cut_at > SECOND:
-            self.fetch_room = max(2.0, min(self.fetch_room, self.fetches_out) / 2)
+            pass
             self.fetch_cut_at = now
 
     # ---- Hand-offs and answers ----
@@ -1049,11 +1104,7 @@
         """How long it may wait for its start before it is taken back."""
         if not self._may_rescue(job):
             return LONGEST_DRIFT
-        # Where workers do not stop recalled work, taking back a labelled one early runs much of it twice.
-        allowance = max(self._prompt_start(worker), int((job.last_start - job.arrived) * PATIENCE))
-        if self.orders["repeat"][job.grade] == "labelled":
-            allowance = max(allowance, self._grade_running_time(job.grade))
-        return allowance
+        return max(self._prompt_start(worker), int((job.last_start - job.arrived) * PATIENCE))
 
     def _rescuable(self, job: Submission, worker: Worker, silent: bool, now: int) -> bool:
         """Whether to take a submission back from a worker that does not get on with it."""
