--- a/ploverspoke/decisions/dispatcher.py
+++ b/ploverspoke/decisions/dispatcher.py
@@ -49,13 +49,14 @@
 TICKS_IN_EXPECTED = 4  # the clock's least rate: so many ticks in the shortest expected time
 ROSTER_CALL = 125 * MILLISECOND  # of the roster's time for each dispatcher that calls it
 MOST_REFUSED = 0.9
+LATENESS_BORNE = 0.1
 SHARE_KNOWN = 150
 HOME_LOAD = 0.75
 MORE_HOMES = 3
 LATE_STARTS = 16
-TELL_AFTER = 5 * MILLISECOND  # a change, so that those of one moment are told together
-TELL_AGAIN = SECOND  # where nothing changes
-TOLD_FADES = 3 * SECOND
+TELL_AFTER = 40 * MILLISECOND  # a change, so that those of one moment are told together
+TELL_AGAIN = 2 * SECOND  # where nothing changes
+TOLD_FADES = 5 * SECOND
 TELLING_COST = 0.04  # points of service that tellings may cost
 
 
@@ -191,10 +192,12 @@
         self.asked_at = 0
         self.tiers: dict[Any, list[list[Worker]]] = {}  # who can be drawn, kept until readiness changes
         self.top_weight: dict[int, float] = defaultdict(float)  # of an idle worker, by machine kind
-        # The last telling of each dispatcher, oldest first: its number, the time and who was named.
-        self.told_by: dict[int, tuple[int, int, list[Worker]]] = {}
+        # The last telling of each dispatcher, oldest first: its number, the time, who was named, its lateness.
+        self.told_by: dict[int, tuple[int, int, list[Worker], float]] = {}
         self.near: dict[int, bool] = {}  # dispatchers heard of, and whether they are of our zone
         self.told = 0  # our own tellings
+        self.last_telling: list[str] = []
+        self.told_at = -TELL_AGAIN
         self.telling_at = 0  # when the next is due; 0: none is
         self.due: dict[int, Submission | Worker | JobType | str] = {}
         self.next_token = 1
@@ -478,7 +481,7 @@
             else:
                 self._wake(what, what.last_chance)
 
-    def told_of(self, teller: int, zone: int, number: int, held: list[str]) -> None:
+    def told_of(self, teller: int, zone: int, number: int, lateness: float, held: list[str]) -> None:
         """Another dispatcher tells where it has slots in flight, each named once: a hint and no more."""
         now = self.host.now()
         self._fade(now)
@@ -492,9 +495,10 @@
         named = [self.workers[name] for name in held if name in self.workers]
         for worker in named:
             worker.others += 1
-        self.told_by[teller] = number, now, named
+        self.told_by[teller] = number, now, named, lateness
         self.near[teller] = zone == self.orders["zone"]
         if not number and self.near[teller]:
+            self.told_at = -TELL_AGAIN
             self._news(now)
 
     # ---- What can be asked ----
@@ -695,11 +699,15 @@
         """
         if self.orders["probing_permitted"] or job.group is not None:
             return False
+        late = [self._lateness(now), *(told[3] for told in self.told_by.values())]
+        chance = min(MOST_REFUSED, sum(late) / len(late) - LATENESS_BORNE)
+        return chance > 0 and self.chance.fraction() < chance
+
+    def _lateness(self, now: int) -> float:
+        """What our latest starts waited, and those to come until now, in parts of what can be borne."""
         slack = self._shortest_slack()
         waits = [min(1.0, (now - j.sent_at) / slack) for j in self.open.values() if j.at and not j.started_at]
-        waits += self.late_starts
-        chance = min(MOST_REFUSED, max(0.0, sum(waits) / max(LATE_STARTS, len(waits)) - 0.1))
-        return chance > 0 and self.chance.fraction() < chance
+        return (sum(waits) + sum(self.late_starts)) / max(LATE_STARTS, len(waits) + len(self.late_starts))
 
     def _shortest_slack(self) -> int:
         """The wait that a mean job of the most hurried grade can bear."""
@@ -838,32 +846,37 @@
         if now < self.telling_at:
             return
         held = [w.name for w in self.workers.values() for _ in range(ceil(w.in_flight))]
+        if held != self.last_telling or now - self.told_at >= TELL_AGAIN:
+            self._tell_near(held)
+            self.last_telling, self.told_at = held, now
+        self.telling_at = self.told_at + TELL_AGAIN if held else 0
+        if held:
+            self._wake("tell", self.telling_at)
+
+    def _tell_near(self, held: list[str]) -> None:
         near = [teller for teller, is_near in self.near.items() if is_near]
         # Each receiver is paid for: where they are many, so many drawn by chance as the price allows.
         cost = self.orders["telling_price"] * (4 + 2 * len(held)) / 256 * 2
         while near and cost * len(near) > TELLING_COST:
             near.pop(self.chance.below(len(near)))
         self.told = self.told % 255 + 1
-        self.host.tell(near, self.orders["zone"], self.told, held)
-        self.telling_at = now + TELL_AGAIN if held else 0
-        if held:
-            self._wake("tell", self.telling_at)
+        self.host.tell(near, self.orders["zone"], self.told, self._lateness(self.host.now()), held)
 
     def _tell_all(self) -> None:
         """Be known to all; said twice, as the first may be lost."""
         if self.orders["telling_permitted"]:
-            self.host.tell(None, self.orders["zone"], 0, [])
+            self.host.tell(None, self.orders["zone"], 0, 0.0, [])
             if not self.told:
                 self.told = 255
                 self._wake("tell all", self.host.now() + TELL_AGAIN)
 
     def _forget(self, teller: int) -> None:
-        for worker in self.told_by.pop(teller, (0, 0, []))[2]:
+        for worker in self.told_by.pop(teller, (0, 0, [], 0.0))[2]:
             worker.others -= 1
 
     def _fade(self, now: int) -> None:
-        for teller, (_, at, _) in list(islice(self.told_by.items(), 8)):
-            if now - at <= TOLD_FADES:
+        for teller, told in list(islice(self.told_by.items(), 8)):
+            if now - told[1] <= TOLD_FADES:
                 break
             self._forget(teller)
 
--- a/ploverspoke/decisions/host.py
+++ b/ploverspoke/decisions/host.py
@@ -52,8 +52,11 @@
     def probe(self, worker: str) -> None:
         """Ask a worker for its load."""
 
-    def tell(self, to: Iterable[int] | None, zone: int, number: int, held: Iterable[str]) -> None:
-        """Tell other dispatchers, None: all of them, where we have slots in flight; it may not arrive."""
+    def tell(
+        self, to: Iterable[int] | None, zone: int, number: int, lateness: float, held: Iterable[str]
+    ) -> None:
+        """Tell other dispatchers, None: all of them, where we have slots in flight and how late our starts
+        were, 0 to 1; it may not arrive."""
 
     def watch_roster(self) -> None:
         """Subscribe to the roster; answered by one roster call, and then by one for each change."""
--- a/ploverspoke/protocol/tellings.py
+++ b/ploverspoke/protocol/tellings.py
@@ -7,8 +7,8 @@
 from .heads import Garbled
 
 VERSION = 1
-MOST_BYTES = 256
-HEAD = 4  # version, zone, number, check
+MOST_BYTES = 255  # 256 may be sent; five and twice as many as fit
+HEAD = 5  # version, check, zone, number, lateness
 
 
 def mark_of(worker: str) -> int:
@@ -23,23 +23,25 @@
     return {mark_of(name): name for name in names if often[mark_of(name)] == 1}
 
 
-def write_telling(zone: int, number: int, held: Iterable[str]) -> bytes:
+def write_telling(zone: int, number: int, lateness: float, held: Iterable[str]) -> bytes:
     """What does not fit is left out."""
-    body = b"".join(mark_of(worker).to_bytes(2) for worker in held)[: MOST_BYTES - HEAD]
-    return bytes((VERSION, zone & 0xFF, number, _check(zone & 0xFF, number, body))) + body
+    marks = b"".join(mark_of(worker).to_bytes(2) for worker in held)
+    rest = bytes((zone & 0xFF, number, round(255 * lateness))) + marks[: MOST_BYTES - HEAD]
+    return bytes((VERSION, _check(rest))) + rest
 
 
-def read_telling(octets: bytes, marks: dict[int, str]) -> tuple[int, int, list[str]]:
-    """The sender's zone, the telling's number and the workers named, but for unknown ones. Raises Garbled."""
-    if len(octets) < HEAD or len(octets) > MOST_BYTES or len(octets) % 2:
+def read_telling(octets: bytes, marks: dict[int, str]) -> tuple[int, int, float, list[str]]:
+    """The sender's zone, the telling's number, the lateness and the workers, but for unknown ones.
+
+    Raises Garbled.
+    """
+    if not HEAD <= len(octets) <= MOST_BYTES or (len(octets) - HEAD) % 2:
         raise Garbled(f"a telling of {len(octets)} bytes")
-    version, zone, number, check = octets[:HEAD]
-    body = octets[HEAD:]
-    if version != VERSION or check != _check(zone, number, body):
+    if octets[0] != VERSION or octets[1] != _check(octets[2:]):
         raise Garbled("a telling of another version, or spoilt")
-    found = (marks.get(int.from_bytes(body[at : at + 2])) for at in range(0, len(body), 2))
-    return zone, number, [worker for worker in found if worker is not None]
+    found = (marks.get(int.from_bytes(octets[at : at + 2])) for at in range(HEAD, len(octets), 2))
+    return octets[2], octets[3], octets[4] / 255, [worker for worker in found if worker is not None]
 
 
-def _check(zone: int, number: int, body: bytes) -> int:
-    return crc32(bytes((VERSION, zone, number)) + body) & 0xFF
+def _check(rest: bytes) -> int:
+    return crc32(bytes((VERSION,)) + rest) & 0xFF
--- a/ploverspoke/simwire/adapter.py
+++ b/ploverspoke/simwire/adapter.py
@@ -70,8 +70,10 @@
     def probe(self, worker: str) -> None:
         self._act("SOUND_OUT", Worker=worker)
 
-    def tell(self, to: Iterable[int] | None, zone: int, number: int, held: Iterable[str]) -> None:
-        octets = b64encode(write_telling(zone, number, held)).decode()
+    def tell(
+        self, to: Iterable[int] | None, zone: int, number: int, lateness: float, held: Iterable[str]
+    ) -> None:
+        octets = b64encode(write_telling(zone, number, lateness, held)).decode()
         for target in ["all"] if to is None else to:
             self._act("BROADCAST_TO", Target=target, Octets=octets)
 
