--- a/ploverspoke/decisions/dispatcher.py
+++ b/ploverspoke/decisions/dispatcher.py
@@ -9,7 +9,7 @@
 from collections import defaultdict, deque
 from collections.abc import Iterable, Mapping
 from itertools import islice
-from math import ceil, exp, inf, log
+from math import ceil, exp, log
 from typing import Any
 from zlib import crc32
 
@@ -31,7 +31,6 @@
 SET_ASIDE = 8 * SECOND  # plus a random part of up to half of it
 ERRORS_KEPT, ERRORS_BAD = 8, 2  # so many errors among a worker's last ends set it aside
 ASIDE_SHARE = 3  # at most one in so many workers is set aside at once
-SLOW_FETCH = 6  # a fetch was slow when the running time is over so many times the shortest mean seen
 COLD_PART = 0.5  # of what a cold worker can bear
 LOST_AFTER = 3  # mean running times after which a hand-off without a start no longer speaks of a full worker
 WAIT_OVER_LATEST = 2  # a wait so many times as long as any of the latest starts took is read as silence
@@ -93,7 +92,6 @@
         self.unstarted: dict[int, int] = {}  # those of which no start is known, and when they were sent
         self.started_sent_at = 0  # when the latest of ours that has started was sent
         self.running = 0.0  # slots of ours known to have started
-        self.subjects: deque[str] = deque(maxlen=6)  # of our last few jobs there
         self.placeholders: deque[tuple[JobType, int]] = deque()  # type and end
         self.aside = False
         self.proven = False  # set aside not by a guess: it could not be reached
@@ -147,7 +145,6 @@
         self.sent_at = 0
         self.started_at = 0
         self.recalled = False
-        self.fetching = False
         self.waited_too_long = False  # longer for its start than it could afford
         self.heard_at = 0  # its worker's last word on it
         self.look_at = 0  # when it is next looked after
@@ -176,12 +173,8 @@
         self.asked_times: dict[int, deque[int]] = defaultdict(lambda: deque(maxlen=32))
         self.start_lags: dict[int, deque[int]] = defaultdict(lambda: deque(maxlen=32))
         self.late_starts: deque[float] = deque(maxlen=LATE_STARTS)  # waits over the wait that can be borne
-        self.has_subjects = False
-        self.asked_for: dict[str, int] = defaultdict(int)
+        self.asked_for: dict[str, int] = defaultdict(int)  # by subject
         self.clock_runs = False
-        self.fetches_out = 0  # hand-offs out whose subject was not held where they went
-        self.fetch_room = inf  # as many as the shared store is believed to bear of us
-        self.fetch_cut_at = 0
         self.lines_left = 40  # for the person on call; a flood would hide what matters
         self.roster_failures = 0
         self.answer_times: dict[int, deque[int]] = defaultdict(lambda: deque(maxlen=32))
@@ -192,7 +185,7 @@
         self.asked_at = 0
         self.tiers: dict[Any, list[list[Worker]]] = {}  # who can be drawn, kept until readiness changes
         self.top_weight: dict[int, float] = defaultdict(float)  # of an idle worker, by machine kind
-        # The last telling of each dispatcher, oldest first: its number, the time, who was named, its lateness.
+        # The last telling of each dispatcher, oldest first: number, time, who was named, lateness.
         self.told_by: dict[int, tuple[int, int, list[Worker], float]] = {}
         self.near: dict[int, bool] = {}  # dispatchers heard of, and whether they are of our zone
         self.told = 0  # our own tellings
@@ -255,7 +248,6 @@
         job_type = self._job_type(slots, self.orders["machine_kind_needed"][grade])
         job = Submission(submission_id, grade, job_type, now, abandon_at)
         job.subject = subject
-        self.has_subjects = subject != ""
         if subject:
             self.asked_for[subject] += 1
         job.last_chance = abandon_at - self.orders["round"]
@@ -324,8 +316,6 @@
             job.heard_at = self.host.now()
             if job.at is not None:
                 job.at.heard_at = job.heard_at
-            if job.fetching and not share_done:
-                self._cut_fetch_room(job.heard_at)
 
     def answer_begun(self, submission_id: int, hand_off: int) -> None:
         """A streamed answer has started: the hand-off is the client's now, and is not taken back."""
@@ -351,7 +341,6 @@
             return
         if outcome in ("satisfied", "worker_error", "full"):
             worker.heard_at = now
-        self.fetches_out -= job.fetching
         worker.in_flight -= job.type.slots
         self._news(now)
         if job.started_at:
@@ -367,10 +356,6 @@
                 worker.paces.append(pace)
                 self.kind_paces[worker.listing.machine_kind].append(pace)
                 self.grade_running_times[job.grade].append(running_time)
-                if job.fetching and running_time > SLOW_FETCH * self.calm.get(job.grade, 0) > 0:
-                    self._cut_fetch_room(now)
-                elif job.fetching:
-                    self.fetch_room += 1
             else:
                 job.type.running_times.append(took)
                 self.mean_running_time = 0
@@ -548,11 +533,11 @@
         job_type.barren_until = now + LOOK_AT_ALL_EVERY
 
     def _heads(self, job_type: JobType) -> list[Submission]:
-        """The head of a queue: those bound to a rack or to a fetch, up to the first that may go anywhere."""
+        """The head of a queue: those bound to a rack, up to the first that may go anywhere."""
         heads = []
         for job in islice(job_type.queue, NEAR_HEAD):
             heads.append(job)
-            if job.group is None and self.fetches_out < self.fetch_room:
+            if job.group is None and not job.subject:
                 break
         return heads
 
@@ -586,9 +571,9 @@
             return
         if self._has_waiting(worker, now):
             return
-        # In a backlog most places are filled here; one whose subject ran there lately saves a fetch.
+        # In a backlog most places are filled here; one whose subject is held here saves a fetch.
         nearest = list(islice(job_type.queue, NEAR_HEAD))
-        fitting = [job for job in nearest if job.subject and job.subject in worker.subjects]
+        fitting = [j for j in nearest if j.subject and worker in self._tiers(job_type.machine_kind, j)[0]]
         for job in fitting + self._heads(job_type):
             if self._allowed(worker, job_type, now, job):
                 job_type.queue.remove(job)
@@ -598,44 +583,30 @@
     def _draw_two(self, job_type: JobType, now: int, job: Submission | None) -> list[Worker]:
         """Two drawn at random among the roomy of the first tier that has any; one, if it has no more."""
         # A look at a large fleet that found none is not repeated at once: in a backlog that was most work.
-        bound = job is not None and (job.group is not None or self.fetches_out >= self.fetch_room)
+        bound = job is not None and (job.group is not None or job.subject != "")
         if now < job_type.barren_until and not bound:
             return []
         self._fade(now)
-        by_hash = job is not None and job.subject
         for tier in self._tiers(job_type.machine_kind, job):
             found: list[Worker] = []
-            if by_hash and job is not None:
-                # The first by the subject's hash are the same for every repeat, at every dispatcher.
-                homes = self._homes(job.subject, len(tier))
-                left = tier[:homes]
-                while left and len(found) < 2:
-                    worker = left.pop(self.chance.below(len(left)))
-                    if self._is_roomy(worker, job_type, now, job):
-                        found.append(worker)
-                found = (
-                    found
-                    or [w for w in tier[homes : homes + MORE_HOMES] if self._is_roomy(w, job_type, now, job)][
-                        :1
-                    ]
-                )
-            else:
-                # Drawing until two are roomy gives the same pairs as a list of all the roomy, for less work.
-                left = list(tier)
-                while left and len(found) < 2:
-                    worker = left.pop(self.chance.below(len(left)))
-                    if self._is_roomy(worker, job_type, now, job):
-                        found.append(worker)
+            # Drawing until two are roomy gives the same pairs as a list of all the roomy, for less work.
+            left = list(tier)
+            while left and len(found) < 2:
+                worker = left.pop(self.chance.below(len(left)))
+                if self._is_roomy(worker, job_type, now, job):
+                    found.append(worker)
             if found:
                 return found
         if not bound:
             job_type.barren_until = now + LOOK_AT_ALL_EVERY
         return []
 
-    def _homes(self, subject: str, workers: int) -> int:
-        """How many workers are to hold it: as many as our own arrivals' share of it would fill."""
+    def _homes(self, subject: str) -> int:
+        """How many workers are to hold what it needs: as many as its share of our arrivals would fill."""
+        if not subject:
+            return 0
         share = (self.asked_for[subject] - 1) / max(SHARE_KNOWN, sum(self.asked_for.values()))
-        return max(1, ceil(share * workers / HOME_LOAD - 0.3))
+        return max(1, ceil(share * len(self.workers) / HOME_LOAD - 0.3))
 
     def _tiers(self, machine_kind: int, job: Submission | None) -> list[list[Worker]]:
         """Those that may be drawn, best first.
@@ -645,7 +616,8 @@
         """
         subject = job.subject if job is not None else ""
         near = bool(self.orders["zone_crossing_price"]) and not subject and (job is None or not job.far)
-        found = self.tiers.get((machine_kind, near, subject))
+        homes = self._homes(subject)
+        found = self.tiers.get((machine_kind, near, subject, homes))
         if found is None:
             sought = self.kinds_sought
             tiers: dict[tuple[bool, bool], list[Worker]] = defaultdict(list)
@@ -655,12 +627,14 @@
                     tiers[spare, near and w.listing.zone != self.orders["zone"]].append(w)
             found = [tiers[key] for key in sorted(tiers)]
             if subject:
-                # What a job needs is kept for a while where it last ran.
+                # What it needs is fetched where it is not kept: by the hash each dispatcher sends it to the
+                # same few, and to the next few where these have no room.
                 for tier in found:
                     tier.sort(key=lambda w: crc32((subject + w.name).encode()))
+                found = [part for t in found for part in (t[:homes], t[homes : homes + MORE_HOMES])]
             if len(self.tiers) > SUBJECTS_KEPT:
                 self.tiers.clear()
-            self.tiers[machine_kind, near, subject] = found
+            self.tiers[machine_kind, near, subject, homes] = found
         return found
 
     def _better(self, drawn: list[Worker], job: Submission | None) -> Worker:
@@ -668,9 +642,6 @@
 
         Not the one that it comes back from, though: that one may break whatever it is sent.
         """
-        if job is not None and job.subject:
-            # Each change of place is a fetch, so the first keeps it until it is well ahead.
-            return min(drawn, key=lambda w: w.in_flight)
         back_from = None if job is None else job.back_from
         return min(drawn, key=lambda w: (w is back_from, w.in_flight + w.others, self._pace(w)))
 
@@ -941,15 +912,6 @@
             between = int(len(self.workers) * SECOND / self._arrival_rate(now))
             worker.drift_time = min(max(self._mean_running_time(), drift_time, between), LONGEST_DRIFT)
 
-    def _must_fetch(self, job: Submission, worker: Worker) -> bool:
-        return job.subject != "" and job.subject not in worker.subjects
-
-    def _cut_fetch_room(self, now: int) -> None:
-        """A shared store jams like a worker: its room is learned too, halved by slow fetches."""
-        if now - self.fetch_cut_at > SECOND:
-            pass
-            self.fetch_cut_at = now
-
     # ---- Hand-offs and answers ----
 
     def _allowed(self, worker: Worker, job_type: JobType, now: int, job: Submission | None) -> bool:
@@ -957,8 +919,6 @@
         listing = worker.listing
         if not worker.ready or job_type.machine_kind not in (-1, listing.machine_kind):
             return False
-        if job is not None and self.fetches_out >= self.fetch_room and self._must_fetch(job, worker):
-            return False
         if worker.trial_until > now and self._must_not_repeat(job):
             return False
         if worker.warm_at > now and not self._cold_budget_allows(worker, job_type, now):
@@ -984,12 +944,6 @@
             worker.placeholders.popleft()  # taken over: the job does not fit beside it
         job.in_use = worker.in_flight + worker.others
         self._news(now)
-        job.fetching = self._must_fetch(job, worker)
-        self.fetches_out += job.fetching
-        if job.subject:
-            if job.subject in worker.subjects:
-                worker.subjects.remove(job.subject)
-            worker.subjects.append(job.subject)
         if worker.warm_at > now:
             worker.cold_credit -= self._cost(job.type)
         self.host.hand_off(job.id, worker.name, max(1, job.abandon_at - self.orders["round"] - now))
