--- a/ploverspoke/cli.py
+++ b/ploverspoke/cli.py
@@ -1,6 +1,7 @@
 """The command line. The platform starts `python -m ploverspoke` without words and sees none of this."""
 
 import importlib
+import json
 import os
 import sys
 from importlib.metadata import PackageNotFoundError, version
@@ -98,6 +99,35 @@
     sys.exit(daemon(store, new, join))
 
 
+@main.command()
+@click.argument("old", type=click.Path(path_type=Path))
+@click.argument("new", type=click.Path(path_type=Path))
+@click.option("--peer", "peers", multiple=True, help="Address of a dispatcher, in order; turns messages on.")
+@click.option("--dry-run", is_flag=True, help="Say the same and write nothing.")
+@click.option("--force", is_flag=True, help="Replace NEW where it exists.")
+@click.option("--json", "as_json", is_flag=True, help="For tools.")
+def migrate(old: Path, new: Path, peers: tuple[str, ...], dry_run: bool, force: bool, as_json: bool) -> None:
+    """Write NEW, the counterpart of the configuration OLD where workers can be asked nothing.
+
+    Lists what was changed, dropped or could not be carried over; docs/migration.md has the steps. Exit 0:
+    done, or nothing to do. 2: OLD is of no use or NEW exists, and nothing is written.
+    """
+    from ploverspoke.program.checked import BadKey
+    from ploverspoke.program.migration import migrate_file
+
+    try:
+        told = migrate_file(old, new, list(peers), dry_run, force)
+    except BadKey as error:
+        click.echo(f"ploverspoke: {error}", err=True)
+        sys.exit(2)
+    if as_json:
+        click.echo(json.dumps(told))
+        return
+    for note in told["notes"]:
+        click.echo(f"{note['what']}: {note['key']}: {note['why']}")
+    click.echo(told["result"])
+
+
 @main.command()
 @CONFIG
 def check(configuration: Path) -> None:
@@ -115,6 +145,12 @@
         click.echo(f"ploverspoke: {error}", err=True)
         sys.exit(2)
     orders = briefing.orders
+    if briefing.peers:
+        click.echo(f"tellings: to {len(briefing.peers) - 1} other dispatchers")
+    elif briefing.told["settings"].get("Limits", {}).get("Peers"):
+        from ploverspoke.program.service import NO_PEERS
+
+        click.echo(NO_PEERS)
     address = ":".join(map(str, briefing.listen))
     click.echo(f"{briefing.name} would listen on {address}, discovery {briefing.discovery}")
     click.echo(f"limits: {briefing.sockets} descriptors, {briefing.memory >> 20} MiB")
--- a/ploverspoke/decisions/dispatcher.py
+++ b/ploverspoke/decisions/dispatcher.py
@@ -6,6 +6,7 @@
 where each part comes from. Nothing here knows a wire; two dispatchers share nothing but what they tell.
 """
 
+from bisect import insort
 from collections import defaultdict, deque
 from collections.abc import Iterable, Mapping
 from itertools import islice
@@ -56,7 +57,8 @@
 TELL_AFTER = 40 * MILLISECOND  # a change, so that those of one moment are told together
 TELL_AGAIN = 2 * SECOND  # where nothing changes
 TOLD_FADES = 5 * SECOND
-TELLING_COST = 0.04  # points of service that tellings may cost
+TELLING_COST = 0.02  # points of service that tellings may cost
+TELLING_PART = 16 / 256  # of a full message, for a submission and receiver
 
 
 class Chance:
@@ -187,7 +189,8 @@
         self.top_weight: dict[int, float] = defaultdict(float)  # of an idle worker, by machine kind
         # The last telling of each dispatcher, oldest first: number, time, who was named, lateness.
         self.told_by: dict[int, tuple[int, int, list[Worker], float]] = {}
-        self.near: dict[int, bool] = {}  # dispatchers heard of, and whether they are of our zone
+        self.near: list[int] = []  # dispatchers of our zone, in order
+        self.busy: dict[str, Worker] = {}  # workers where we have slots in flight
         self.told = 0  # our own tellings
         self.last_telling: list[str] = []
         self.told_at = -TELL_AGAIN
@@ -204,6 +207,9 @@
         self.kinds_sought = {self.orders["machine_kind_needed"][g] for g in in_force}
         self.never_ran = never_ran(self.orders["full_may_have_run"])
         self.some_repeat = any(self.orders["repeat"][g] != "irreversible" for g in in_force)
+        # Each receiver is paid for: a telling goes to so many next ones in the ring of our zone's
+        # dispatchers, and the others' slots are taken for as many times those that are heard of.
+        self.tells = max(1, int(TELLING_COST / max(1e-6, TELLING_PART * self.orders["telling_price"])))
         self.asks_each = min(MOST_ASKED, ASKING_COST / max(1e-9, self.orders["probe_price"]))  # submission
 
     # ---- What can happen ----
@@ -244,6 +250,7 @@
         """The ordinary path, from top to bottom."""
         now = self.host.now()
         self.arrivals.append(now)
+        self._fade(now)
         self.may_ask = min(self.may_ask + self.asks_each, SAVED_ASKING * self.asks_each)
         job_type = self._job_type(slots, self.orders["machine_kind_needed"][grade])
         job = Submission(submission_id, grade, job_type, now, abandon_at)
@@ -303,7 +310,7 @@
         else:
             job.waited_too_long = wait > job.last_start - job.arrived
             away = WAITS_TO_RETURN * wait if job.waited_too_long else 0
-            self._cut_room(worker, worker.running + worker.others, away, now)
+            self._cut_room(worker, worker.running + self._others(worker), away, now)
         worker.running += job.type.slots
         worker.started_sent_at = max(worker.started_sent_at, job.sent_at)
         worker.unstarted.pop(submission_id, None)
@@ -342,6 +349,8 @@
         if outcome in ("satisfied", "worker_error", "full"):
             worker.heard_at = now
         worker.in_flight -= job.type.slots
+        if not worker.out:
+            self.busy.pop(worker.name, None)
         self._news(now)
         if job.started_at:
             worker.running -= job.type.slots
@@ -361,7 +370,7 @@
                 self.mean_running_time = 0
                 self._accepted(worker, job.in_use)
         elif outcome == "full":
-            self._cut_room(worker, worker.in_flight + worker.others, 2 * worker.drift_time, now)
+            self._cut_room(worker, worker.in_flight + self._others(worker), 2 * worker.drift_time, now)
         elif outcome == "recalled" and not job.started_at and self._bound_to(job, worker):
             # Taken back for its wait from a rack that it must stay in: its worker is as full as it was. Drawn
             # for it again and again it got a copy of the job each time, where recalled work goes on.
@@ -469,7 +478,6 @@
     def told_of(self, teller: int, zone: int, number: int, lateness: float, held: list[str]) -> None:
         """Another dispatcher tells where it has slots in flight, each named once: a hint and no more."""
         now = self.host.now()
-        self._fade(now)
         known = self.told_by.get(teller)
         if not self.orders["telling_permitted"] or teller == self.orders["dispatcher_number"]:
             return
@@ -481,8 +489,9 @@
         for worker in named:
             worker.others += 1
         self.told_by[teller] = number, now, named, lateness
-        self.near[teller] = zone == self.orders["zone"]
-        if not number and self.near[teller]:
+        if zone == self.orders["zone"] and teller not in self.near:
+            insort(self.near, teller)
+        if not number and teller in self.near:
             self.told_at = -TELL_AGAIN
             self._news(now)
 
@@ -586,7 +595,6 @@
         bound = job is not None and (job.group is not None or job.subject != "")
         if now < job_type.barren_until and not bound:
             return []
-        self._fade(now)
         for tier in self._tiers(job_type.machine_kind, job):
             found: list[Worker] = []
             # Drawing until two are roomy gives the same pairs as a list of all the roomy, for less work.
@@ -643,7 +651,7 @@
         Not the one that it comes back from, though: that one may break whatever it is sent.
         """
         back_from = None if job is None else job.back_from
-        return min(drawn, key=lambda w: (w is back_from, w.in_flight + w.others, self._pace(w)))
+        return min(drawn, key=lambda w: (w is back_from, w.in_flight + self._others(w), self._pace(w)))
 
     def _is_roomy(self, worker: Worker, job_type: JobType, now: int, job: Submission | None) -> bool:
         if job is not None and job.group is not None and job.group != self._group_of(job, worker):
@@ -816,37 +824,38 @@
     def _tell(self, now: int) -> None:
         if now < self.telling_at:
             return
-        held = [w.name for w in self.workers.values() for _ in range(ceil(w.in_flight))]
+        held = [w.name for w in self.busy.values() for _ in range(ceil(w.in_flight))]
         if held != self.last_telling or now - self.told_at >= TELL_AGAIN:
-            self._tell_near(held)
+            self.told = self.told % 255 + 1
+            own = self.orders["dispatcher_number"]
+            ring = [*(n for n in self.near if n > own), *(n for n in self.near if n < own)]
+            self.host.tell_others(
+                ring[: self.tells], self.orders["zone"], self.told, self._lateness(now), held
+            )
             self.last_telling, self.told_at = held, now
         self.telling_at = self.told_at + TELL_AGAIN if held else 0
         if held:
             self._wake("tell", self.telling_at)
 
-    def _tell_near(self, held: list[str]) -> None:
-        near = [teller for teller, is_near in self.near.items() if is_near]
-        # Each receiver is paid for: where they are many, so many drawn by chance as the price allows.
-        cost = self.orders["telling_price"] * (4 + 2 * len(held)) / 256 * 2
-        while near and cost * len(near) > TELLING_COST:
-            near.pop(self.chance.below(len(near)))
-        self.told = self.told % 255 + 1
-        self.host.tell(near, self.orders["zone"], self.told, self._lateness(self.host.now()), held)
-
     def _tell_all(self) -> None:
         """Be known to all; said twice, as the first may be lost."""
         if self.orders["telling_permitted"]:
-            self.host.tell(None, self.orders["zone"], 0, 0.0, [])
+            self.host.tell_others(None, self.orders["zone"], 0, 0.0, [])
             if not self.told:
                 self.told = 255
                 self._wake("tell all", self.host.now() + TELL_AGAIN)
 
+    def _others(self, worker: Worker) -> float:
+        """Slots that other dispatchers are taken to have there."""
+        return worker.others * max(1.0, len(self.near) / self.tells) if worker.others else 0.0
+
     def _forget(self, teller: int) -> None:
         for worker in self.told_by.pop(teller, (0, 0, [], 0.0))[2]:
             worker.others -= 1
 
     def _fade(self, now: int) -> None:
-        for teller, told in list(islice(self.told_by.items(), 8)):
+        while self.told_by:
+            teller, told = next(iter(self.told_by.items()))
             if now - told[1] <= TOLD_FADES:
                 break
             self._forget(teller)
@@ -885,7 +894,7 @@
             drift = (now - worker.room_at) / worker.drift_time
             worker.room = min(worker.room_before_cut, worker.room + drift)
             worker.room_at = now
-        free = worker.room - worker.in_flight - worker.others
+        free = worker.room - worker.in_flight - self._others(worker)
         if worker.placeholders and worker.in_flight:
             self._expire_placeholders(worker, now)
             free -= sum(held[0].slots for held in worker.placeholders)
@@ -940,9 +949,10 @@
         worker.out[job.id] = job
         worker.unstarted[job.id] = now
         worker.in_flight += job.type.slots
+        self.busy[worker.name] = worker
         while self._free(worker, now) < 0 and worker.placeholders:
             worker.placeholders.popleft()  # taken over: the job does not fit beside it
-        job.in_use = worker.in_flight + worker.others
+        job.in_use = worker.in_flight + self._others(worker)
         self._news(now)
         if worker.warm_at > now:
             worker.cold_credit -= self._cost(job.type)
--- a/ploverspoke/decisions/host.py
+++ b/ploverspoke/decisions/host.py
@@ -52,7 +52,7 @@
     def probe(self, worker: str) -> None:
         """Ask a worker for its load."""
 
-    def tell(
+    def tell_others(
         self, to: Iterable[int] | None, zone: int, number: int, lateness: float, held: Iterable[str]
     ) -> None:
         """Tell other dispatchers, None: all of them, where we have slots in flight and how late our starts
--- a/ploverspoke/program/briefing.py
+++ b/ploverspoke/program/briefing.py
@@ -27,6 +27,7 @@
     known: Mapping[str, Any] | None  # the list of workers as it was last had, in discovery's form
     orders: dict[str, Any]
     names: dict[str, list[str]]
+    peers: list[tuple[str, int]]  # where each dispatcher hears the others, by its number; none: nowhere
     told: Mapping[str, Any] = {}  # all of it as it stood there, but for the list of workers
 
 
@@ -71,6 +72,10 @@
         except Garbled as error:
             raise top.bad("known", f"a list in discovery's form ({error})") from None
     limits = top.part("limits")
+    orders = standing_orders(top.value["settings"], "settings")
+    peers = _peers(top, orders)
+    # Nothing is told where there is no way to.
+    orders["telling_permitted"] = orders["telling_permitted"] and bool(peers)
     return Briefing(
         top.text("name", environment.get("RELAY_NAME", "dispatcher")),
         listen,
@@ -80,12 +85,28 @@
         limits.whole("sockets", 1024, least=FEWEST_SOCKETS),
         limits.whole("memory_mb", 192, least=LEAST_MEMORY_MB) * MEBIBYTE,
         known,
-        standing_orders(top.value["settings"], "settings"),
+        orders,
         names(top.value["settings"], "settings"),
+        peers,
         {key: value for key, value in top.value.items() if key != "known"},
     )
 
 
+def _peers(top: Checked, orders: Mapping[str, Any]) -> list[tuple[str, int]]:
+    """One address for each dispatcher; told to others only where the settings permit messages, too."""
+    texts = top.row("peers", [], str)
+    if not texts:
+        return []
+    if not orders["telling_permitted"]:
+        raise BadKey("settings.Limits.Peers is not true: expected that beside peers")
+    if len(texts) != orders["dispatchers"] or orders["dispatcher_number"] >= len(texts):
+        raise top.bad("peers", "an address for each of settings.PeersTotal, settings.SlotNo among them")
+    found = [address(Checked({"peers": text}), "peers", None) for text in texts]
+    if len(set(found)) < len(found):
+        raise top.bad("peers", "addresses that differ")
+    return found
+
+
 def address(top: Checked, name: str, default: str | None) -> tuple[str, int]:
     host, _, port = top.text(name, default).rpartition(":")
     try:
--- a/ploverspoke/program/service.py
+++ b/ploverspoke/program/service.py
@@ -13,6 +13,7 @@
 
 from ploverspoke.routing.door import Door
 from ploverspoke.routing.operators import OperatorsDoor
+from ploverspoke.routing.peers import Peers
 from ploverspoke.routing.router import Router
 from ploverspoke.routing.scribe import Scribe
 from ploverspoke.transport.deadlines import Deadlines
@@ -35,6 +36,7 @@
 LOOK_EVERY = 20 * MILLISECOND
 LIST_WITHIN = 1500 * MILLISECOND  # for discovery's first answer, where another process serves meanwhile
 NEIGHBOURS_EVERY = 250 * MILLISECOND
+NO_PEERS = "messages are permitted and cannot be sent: the configuration has no addresses (peers)"
 
 
 class Service:
@@ -59,6 +61,9 @@
         self.router = Router(
             loop, self.deadlines, self.pool, briefing.discovery, briefing.seed, orders, briefing.names, scribe
         )
+        if briefing.peers:
+            own = orders["dispatcher_number"]
+            self.router.peers = Peers(briefing.peers, own, self.router.known_workers, self.router.heard)
         self.door = Door(loop, self.deadlines, self.router, shares.clients, shares.buffered)
         self.operators = OperatorsDoor(loop, self.deadlines, self.door, self.router)
         self.leaving_since = 0
@@ -75,6 +80,10 @@
             self.operators.listener.open(*self.briefing.admin)
         if self.neighbours.enter():
             self._look_at_neighbours()
+        if self.router.peers is not None:
+            await self.router.peers.open(self.loop)
+        elif self.briefing.told["settings"].get("Limits", {}).get("Peers"):
+            say(NO_PEERS)
         replaces = self.processes > 1
         self.router.begin(self.briefing.known, from_known=not replaces)
         if replaces:
@@ -88,6 +97,8 @@
             self.on_ready()
         await self.over.wait()
         self.neighbours.leave()
+        if self.router.peers is not None:
+            self.router.peers.close()
 
     async def _list_came(self) -> None:
         """Who replaces another need not guess: that one serves until we say that we do."""
@@ -128,6 +139,7 @@
             ("name", new.name != old.name),
             ("listen", new.listen != old.listen),
             ("admin_addr", new.admin != old.admin),
+            ("peers", new.peers != old.peers),
             ("limits", (new.sockets, new.memory) != (old.sockets, old.memory)),
             ("settings", differ and self.router.scribe is not None),
         ):
--- a/ploverspoke/protocol/tellings.py
+++ b/ploverspoke/protocol/tellings.py
@@ -1,7 +1,8 @@
 """What dispatchers tell one another, in bytes as `docs/messages.md` has them."""
 
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
+from struct import unpack_from
 from zlib import crc32
 
 from .heads import Garbled
@@ -39,9 +40,24 @@
         raise Garbled(f"a telling of {len(octets)} bytes")
     if octets[0] != VERSION or octets[1] != _check(octets[2:]):
         raise Garbled("a telling of another version, or spoilt")
-    found = (marks.get(int.from_bytes(octets[at : at + 2])) for at in range(HEAD, len(octets), 2))
-    return octets[2], octets[3], octets[4] / 255, [worker for worker in found if worker is not None]
+    named = unpack_from(f">{(len(octets) - HEAD) // 2}H", octets, HEAD)
+    return octets[2], octets[3], octets[4] / 255, [marks[mark] for mark in named if mark in marks]
 
 
 def _check(rest: bytes) -> int:
-    return crc32(bytes((VERSION,)) + rest) & 0xFF
+    return crc32(rest, VERSION) & 0xFF
+
+
+class Reader:
+    """Reads what comes to one dispatcher, by the workers that it knows."""
+
+    def __init__(self) -> None:
+        self.marks: dict[int, str] = {}
+        self.known = 0  # workers are added and never taken out
+
+    def read(self, octets: bytes, workers: Collection[str]) -> tuple[int, int, float, list[str]]:
+        """Raises Garbled."""
+        if self.known != len(workers):
+            self.known = len(workers)
+            self.marks = marks_of(workers)
+        return read_telling(octets, self.marks)
--- a/ploverspoke/routing/router.py
+++ b/ploverspoke/routing/router.py
@@ -4,7 +4,7 @@
 import time
 import traceback
 from collections import deque
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 from functools import partial
 from typing import Any
 
@@ -24,6 +24,7 @@
 from .errands import Errand
 from .figures import DROPPED, LEFT, Figures
 from .outcomes import OUTCOMES
+from .peers import Peers
 from .roster import RosterWatch
 from .rows import Rows
 from .scribe import Intended, Past, Scribe, Waiters
@@ -146,6 +147,7 @@
         self.events: deque[tuple[Event, tuple[Any, ...]]] = deque()
         self.telling = False
         self.lists_told = 0  # by discovery, since the start
+        self.peers: Peers | None = None  # the other dispatchers, where there are addresses for them
         self.loop = loop
         self.roster = self._watch_on(discovery_address)
         self.dispatcher = Dispatcher(self, seed, orders)
@@ -563,6 +565,18 @@
             fresh=probe.repeated,
         )
 
+    def tell_others(
+        self, to: Iterable[int] | None, zone: int, number: int, lateness: float, held: Iterable[str]
+    ) -> None:
+        if self.peers is not None:
+            self.peers.send(to, zone, number, lateness, held)
+
+    def heard(self, teller: int, zone: int, number: int, lateness: float, held: list[str]) -> None:
+        self.tell(self.dispatcher.told_of, teller, zone, number, lateness, held)
+
+    def known_workers(self) -> Collection[str]:
+        return self.dispatcher.workers
+
     def watch_roster(self) -> None:
         self.roster.start()
 
--- a/ploverspoke/simwire/adapter.py
+++ b/ploverspoke/simwire/adapter.py
@@ -3,7 +3,8 @@
 import gc
 import sys
 import traceback
-from base64 import b64decode, b64encode
+from base64 import b64encode
+from binascii import a2b_base64
 from collections.abc import Callable, Iterable
 from typing import TextIO
 
@@ -12,7 +13,7 @@
 from ploverspoke.program.checked import BadKey
 from ploverspoke.program.standing_orders import standing_orders
 from ploverspoke.protocol.heads import Garbled
-from ploverspoke.protocol.tellings import marks_of, read_telling, write_telling
+from ploverspoke.protocol.tellings import Reader, write_telling
 from ploverspoke.protocol.words import CONDITIONS
 from ploverspoke.transport.units import MICROSECOND
 
@@ -41,8 +42,7 @@
         except BadKey as error:
             raise Malformed(str(error)) from None
         self.load_fields: list[str] = orders["load_fields"]
-        self.marks: dict[int, str] = {}  # who is meant in tellings, of so many workers
-        self.marked = 0
+        self.reader = Reader()
         self.dispatcher = Dispatcher(self, start.whole("RandomSeed"), orders)
         self.dispatcher.begun()
 
@@ -70,7 +70,7 @@
     def probe(self, worker: str) -> None:
         self._act("SOUND_OUT", Worker=worker)
 
-    def tell(
+    def tell_others(
         self, to: Iterable[int] | None, zone: int, number: int, lateness: float, held: Iterable[str]
     ) -> None:
         octets = b64encode(write_telling(zone, number, lateness, held)).decode()
@@ -131,11 +131,8 @@
 
     def heard(self, f: Fields) -> None:
         """What another dispatcher tells; what cannot be read is no word of it."""
-        if self.marked != len(self.dispatcher.workers):
-            self.marked = len(self.dispatcher.workers)
-            self.marks = marks_of(self.dispatcher.workers)
         try:
-            told = read_telling(b64decode(f.get("Octets", "")), self.marks)
+            told = self.reader.read(a2b_base64(f["Octets"]), self.dispatcher.workers)
         except (Garbled, ValueError):
             return
         self.dispatcher.told_of(f.whole("Author"), *told)
