--- a/ploverspoke/decisions/dispatcher.py
+++ b/ploverspoke/decisions/dispatcher.py
@@ -104,7 +104,6 @@
         self.warm_at = 0
         self.cold_credit = 0.0  # slots times nanoseconds that it may get while it is cold
         self.cold_credit_at = 0
-        self.crowd = 0.0  # jobs held for each core, as the roster's live weight tells
         self.probed_for = ""  # "room", "return" or "life" while a probe of ours is out
         self.waiting = self.free = 0.0  # as last reported
         self.reported_at = 0
@@ -186,7 +185,6 @@
         self.may_ask = 0.0  # probes that may be sent before hand-offs
         self.asked_at = 0
         self.tiers: dict[Any, list[list[Worker]]] = {}  # who can be drawn, kept until readiness changes
-        self.top_weight: dict[int, float] = defaultdict(float)  # of an idle worker, by machine kind
         # The last telling of each dispatcher, oldest first: number, time, who was named, lateness.
         self.told_by: dict[int, tuple[int, int, list[Worker], float]] = {}
         self.near: list[int] = []  # dispatchers of our zone, in order
@@ -324,13 +322,6 @@
             if job.at is not None:
                 job.at.heard_at = job.heard_at
 
-    def answer_begun(self, submission_id: int, hand_off: int) -> None:
-        """A streamed answer has started: the hand-off is the client's now, and is not taken back."""
-        self.hand_off_started(submission_id, hand_off)
-        job = self.open.get(submission_id)
-        if job is not None and hand_off == job.hand_offs - 1:
-            job.recalled = True
-
     def hand_off_ended(
         self,
         submission_id: int,
@@ -656,11 +647,6 @@
     def _is_roomy(self, worker: Worker, job_type: JobType, now: int, job: Submission | None) -> bool:
         if job is not None and job.group is not None and job.group != self._group_of(job, worker):
             return False
-        # Where work goes on after its time-out, what waits too long is lost twice: the end of a crowd longer
-        # than it can bear is no place for it, whatever room we believe in.
-        crowd_wait = max(0.0, worker.crowd - 1) * self._mean_running_time()
-        if job is not None and crowd_wait and now + crowd_wait > job.timely_until:
-            return False
         return (
             not worker.probed_for
             and self._free(worker, now) >= job_type.slots
@@ -690,14 +676,9 @@
 
     def _shortest_slack(self) -> int:
         """The wait that a mean job of the most hurried grade can bear."""
-        return max(
-            MILLISECOND,
-            min(
-                self.orders["expected_time"][g]
-                + int((self.orders["running_time_stretch"][g] - 1) * self.calm.get(g, 0))
-                for g in self.orders["grades"]
-            ),
-        )
+        expected, stretch = self.orders["expected_time"], self.orders["running_time_stretch"]
+        slacks = (expected[g] + int((stretch[g] - 1) * self.calm.get(g, 0)) for g in self.orders["grades"])
+        return max(MILLISECOND, min(slacks))
 
     # ---- Asking ----
 
@@ -1081,7 +1062,12 @@
         """How long it may wait for its start before it is taken back."""
         if not self._may_rescue(job):
             return LONGEST_DRIFT
-        return max(self._prompt_start(worker), int((job.last_start - job.arrived) * PATIENCE))
+        allowance = max(self._prompt_start(worker), int((job.last_start - job.arrived) * PATIENCE))
+        # One that must stay in its group comes back to workers as full, and may run twice there.
+        bound = (
+            self.orders["repeat"][job.grade] == "labelled" and self.orders["repeat_group"][job.grade] != "all"
+        )
+        return max(allowance, self._grade_running_time(job.grade)) if bound else allowance
 
     def _rescuable(self, job: Submission, worker: Worker, silent: bool, now: int) -> bool:
         """Whether to take a submission back from a worker that does not get on with it."""
@@ -1171,10 +1157,6 @@
             self.tiers.clear()
         worker.listing = listing
         worker.ready = ready
-        if self.orders["weight_meaning"] == "live" and listing.weight > 0:
-            kind = listing.machine_kind
-            self.top_weight[kind] = max(self.top_weight[kind], listing.weight)
-            worker.crowd = self.top_weight[kind] / listing.weight - 1
         if asked:
             self._doubt(worker, self.host.now())
 
--- a/ploverspoke/simwire/adapter.py
+++ b/ploverspoke/simwire/adapter.py
@@ -127,7 +127,8 @@
         )
 
     def under_way(self, f: Fields) -> None:
-        self.dispatcher.answer_begun(f.whole("RequestId"), f.whole("Go"))
+        """A streamed answer; the wire itself takes none of those back."""
+        self.dispatcher.hand_off_started(f.whole("RequestId"), f.whole("Go"))
 
     def heard(self, f: Fields) -> None:
         """What another dispatcher tells; what cannot be read is no word of it."""
