--- a/ploverspoke/decisions/dispatcher.py
+++ b/ploverspoke/decisions/dispatcher.py
@@ -14,6 +14,7 @@
 from typing import Any
 from zlib import crc32
 
+from .chance import Chance
 from .host import Host, Listing, StandingOrders, never_ran
 
 MILLISECOND = 1_000_000
@@ -48,12 +49,12 @@
 REPORT_AGE = SECOND  # a report may be so old: what we sent since may not be in it
 TICKS_IN_EXPECTED = 4  # the clock's least rate: so many ticks in the shortest expected time
 ROSTER_CALL = 125 * MILLISECOND  # of the roster's time for each dispatcher that calls it
-MOST_REFUSED = 0.9
-LATENESS_BORNE = 0.1
-SHARE_KNOWN = 150
-HOME_LOAD = 0.75
-MORE_HOMES = 2
-LATE_STARTS = 16
+MOST_REFUSED = 0.9  # chance of a refusal on arrival
+LATENESS_BORNE = 0.1  # the mean wait of starts, in parts of what can be borne, up to which none is refused
+LATE_STARTS = 16  # of which that mean is taken
+SHARE_KNOWN = 150  # arrivals after which a subject's share of them is believed
+HOME_LOAD = 0.75  # of a mean worker's load that one home of a subject takes
+MORE_HOMES = 2  # where the homes have no room
 TELL_AFTER = 40 * MILLISECOND  # a change, so that those of one moment are told together
 TELL_AGAIN = 2 * SECOND  # where nothing changes
 TOLD_FADES = 5 * SECOND
@@ -61,21 +62,6 @@
 TELLING_PART = 16 / 256  # of a full message, for a submission and receiver
 
 
-class Chance:
-    """A linear congruential generator; only the high bits are used."""
-
-    def __init__(self, seed: int) -> None:
-        self.state = seed & 0xFFFF_FFFF_FFFF_FFFF
-        self.fraction()
-
-    def fraction(self) -> float:
-        self.state = (self.state * 6364136223846793005 + 1442695040888963407) & 0xFFFF_FFFF_FFFF_FFFF
-        return (self.state >> 32) / 4294967296.0
-
-    def below(self, n: int) -> int:
-        return int(self.fraction() * n)
-
-
 class Worker:
     """What this dispatcher knows of one worker."""
 
@@ -218,7 +204,9 @@
         Who knows of workers calls at a random moment: dispatchers that were started together would find
         one another in the roster's queue, and a call that is turned away there has taken its time too.
         """
-        self._tell_all()
+        if self.orders["telling_permitted"]:
+            self._tell(self.host.now(), to_all=True)
+            self._wake("tell all", self.host.now() + TELL_AGAIN)
         if self.orders["roster_must_be_asked"] and self.workers:
             self._wake("watch", self.host.now() + int(self.chance.fraction() * self._calls_of_all()))
         elif self.orders["roster_must_be_asked"]:
@@ -235,15 +223,7 @@
         self.tiers.clear()
 
     def submission_arrived(
-        self,
-        submission_id: int,
-        grade: int,
-        slots: float,
-        abandon_at: int,
-        customer: int,
-        work_hint: int,
-        subject: str,
-        is_retry: bool,
+        self, submission_id: int, grade: int, slots: float, abandon_at: int, work_hint: int, subject: str
     ) -> None:
         """The ordinary path, from top to bottom."""
         now = self.host.now()
@@ -260,10 +240,7 @@
         self.open[submission_id] = job
         if submission_id in self.resumed:
             self._resume(job, *self.resumed.pop(submission_id))
-        if now >= job.last_chance:
-            self._finish_unsatisfied(job)
-            return
-        if self._refuses(job, now):
+        if now >= job.last_chance or self._refuses(job, now):
             self._finish_unsatisfied(job)
             return
         # A placeholder of ours of this type gives up its place.
@@ -301,9 +278,8 @@
         worker.trial_until = 0
         # Workers have waiting rooms, so a full answer comes long after jobs stopped starting at once. A late
         # start is read as full: the room was what we had there without this job.
-        late = wait > self._prompt_start(worker)
-        if not late:
-            worker.drift_time /= 2
+        if wait <= self._prompt_start(worker):
+            worker.drift_time = max(MILLISECOND, worker.drift_time / 2)
             self._accepted(worker, job.in_use)
         else:
             job.waited_too_long = wait > job.last_start - job.arrived
@@ -317,10 +293,8 @@
 
     def hand_off_progressed(self, submission_id: int, hand_off: int, share_done: float) -> None:
         job = self.open.get(submission_id)
-        if job is not None and hand_off == job.hand_offs - 1:
-            job.heard_at = self.host.now()
-            if job.at is not None:
-                job.at.heard_at = job.heard_at
+        if job is not None and job.at is not None and hand_off == job.hand_offs - 1:
+            job.heard_at = job.at.heard_at = self.host.now()
 
     def hand_off_ended(
         self,
@@ -348,23 +322,20 @@
         worker.unstarted.pop(submission_id, None)
         job.at = None
         if outcome == "satisfied":
+            running_time = now - job.started_at if job.started_at else took
+            job.type.running_times.append(running_time)
+            self.mean_running_time = 0
             if job.started_at:
-                running_time = now - job.started_at
-                job.type.running_times.append(running_time)
-                self.mean_running_time = 0
                 pace = min(4.0, running_time / (self._grade_running_time(job.grade) or running_time or 1))
                 worker.paces.append(pace)
                 self.kind_paces[worker.listing.machine_kind].append(pace)
                 self.grade_running_times[job.grade].append(running_time)
             else:
-                job.type.running_times.append(took)
-                self.mean_running_time = 0
                 self._accepted(worker, job.in_use)
         elif outcome == "full":
             self._cut_room(worker, worker.in_flight + self._others(worker), 2 * worker.drift_time, now)
         elif outcome == "recalled" and not job.started_at and self._bound_to(job, worker):
-            # Taken back for its wait from a rack that it must stay in: its worker is as full as it was. Drawn
-            # for it again and again it got a copy of the job each time, where recalled work goes on.
+            # It must stay in its group: its worker, as full as it was, got a copy of it again and again.
             self._cut_room(worker, worker.running, 0, now)
         elif outcome in ("unreachable", "broken_off"):
             self._doubt(worker, now)
@@ -398,8 +369,7 @@
             self._list(listing)
 
     def roster_lost(self, turned_away: bool = False) -> None:
-        """The watch failed or dropped: watch again, after a wait that grows; turned away, one that leaves
-        the roster time for the calls of all."""
+        """Watch again, after a wait that grows; turned away, one that leaves it time for the calls of all."""
         self.roster_failures += 1
         self._say(f"roster lost, {self.roster_failures} in a row; asking again")
         failures, longest = min(self.roster_failures, 5), self.orders["roster_ask_within"]
@@ -436,10 +406,8 @@
         what = self.due.pop(token, None)
         if what == "watch":
             self.host.watch_roster()
-        elif what == "tell":
-            self._tell(self.host.now())
-        elif what == "tell all":
-            self._tell_all()
+        elif what in ("tell", "tell all"):
+            self._tell(self.host.now(), to_all=what == "tell all")
         elif what == "tick":
             self.clock_runs = False
             self._tick(self.host.now())
@@ -659,8 +627,7 @@
     def _refuses(self, job: Submission, now: int) -> bool:
         """Whether it is refused on arrival, by chance, where no worker can be asked for its queue.
 
-        The chance is what a start has waited lately beside what the most hurried grade can bear, alike for
-        all: a grade that bears more would else fill the workers, and the hurried one alone would be late.
+        Alike for all: a grade that bears more would fill the workers, the most hurried alone be late.
         """
         if self.orders["probing_permitted"] or job.group is not None:
             return False
@@ -678,7 +645,7 @@
         """The wait that a mean job of the most hurried grade can bear."""
         expected, stretch = self.orders["expected_time"], self.orders["running_time_stretch"]
         slacks = (expected[g] + int((stretch[g] - 1) * self.calm.get(g, 0)) for g in self.orders["grades"])
-        return max(MILLISECOND, min(slacks))
+        return int(max(MILLISECOND, min(slacks)))
 
     # ---- Asking ----
 
@@ -687,8 +654,7 @@
 
         Among many dispatchers each meets a worker so seldom that nought against nought slots in flight says
         nothing. One that can be taken back from a queue finds out by trying; an irreversible one can not, so
-        workers that were not heard of lately are probed first, as far as the price allows. Nor is trying free
-        for a labelled one where "full" is no proof: it is bound then, and what is taken back may run on.
+        workers not heard of lately are probed first. So for a labelled one where "full" is no proof.
         """
         if not drawn or not self.orders["probing_permitted"] or job.subject:
             return False
@@ -733,8 +699,7 @@
         else:
             self._cut_room(worker, worker.running, 0, now)
             if outcome == "worker_error":
-                # Its own word that it is not well, or that it drains, long before the roster tells us. Asked
-                # again and again, each of many dispatchers learned that by losing submissions there.
+                # Its own word that it is not well, or that it drains, long before the roster tells us.
                 self._set_aside(worker, now)
         for job_type in self.types.values():
             if worker in job_type.asked and not any(w.probed_for for w in job_type.asked):
@@ -802,30 +767,21 @@
             self.telling_at = now + TELL_AFTER
             self._wake("tell", self.telling_at)
 
-    def _tell(self, now: int) -> None:
-        if now < self.telling_at:
+    def _tell(self, now: int, to_all: bool = False) -> None:
+        """Twice to all after the start, as the first may be lost; then to the next in the ring."""
+        if now < self.telling_at and not to_all:
             return
         held = [w.name for w in self.busy.values() for _ in range(ceil(w.in_flight))]
-        if held != self.last_telling or now - self.told_at >= TELL_AGAIN:
-            self.told = self.told % 255 + 1
+        if to_all or held != self.last_telling or now - self.told_at >= TELL_AGAIN:
             own = self.orders["dispatcher_number"]
             ring = [*(n for n in self.near if n > own), *(n for n in self.near if n < own)]
-            self.host.tell_others(
-                ring[: self.tells], self.orders["zone"], self.told, self._lateness(now), held
-            )
-            self.last_telling, self.told_at = held, now
+            to = None if to_all else ring[: self.tells]
+            self.host.tell_others(to, self.orders["zone"], self.told, self._lateness(now), held)
+            self.last_telling, self.told_at, self.told = held, now, self.told % 255 + 1
         self.telling_at = self.told_at + TELL_AGAIN if held else 0
         if held:
             self._wake("tell", self.telling_at)
 
-    def _tell_all(self) -> None:
-        """Be known to all; said twice, as the first may be lost."""
-        if self.orders["telling_permitted"]:
-            self.host.tell_others(None, self.orders["zone"], 0, 0.0, [])
-            if not self.told:
-                self.told = 255
-                self._wake("tell all", self.host.now() + TELL_AGAIN)
-
     def _others(self, worker: Worker) -> float:
         """Slots that other dispatchers are taken to have there."""
         return worker.others * max(1.0, len(self.near) / self.tells) if worker.others else 0.0
@@ -853,8 +809,7 @@
         return any(given_up < sent_at < now_due for sent_at in worker.unstarted.values())
 
     def _prompt_start(self, worker: Worker) -> int:
-        prompt = self._prompt(self.start_lags[worker.listing.zone], SECOND)
-        return prompt
+        return self._prompt(self.start_lags[worker.listing.zone], SECOND)
 
     def _prompt(self, times: deque[int], unknown: int) -> int:
         return PROMPT_START * min(times) + PROMPT_START_SLACK if times else unknown
@@ -1027,8 +982,7 @@
         # A started job owes word at each interval. Where none has started, no word at all is the sign.
         heard = job.heard_at if job.started_at else max(worker.heard_at, job.sent_at)
         if not job.started_at:
-            # In a jam starts come late everywhere: a wait is no sign of a hung worker unless others' were far
-            # shorter. Else a third of a merely crowded fleet is set aside, and the rest is crowded the more.
+            # In a jam starts come late everywhere: only one far later than the others' tells a hung worker.
             silence = max(silence, WAIT_OVER_LATEST * max(self.start_lags[worker.listing.zone], default=0))
         silent = now - heard >= silence
         if silent and self.orders["probing_permitted"]:
@@ -1077,8 +1031,7 @@
             return True
         if job.started_at or now - job.sent_at <= self._allowance(job, worker):
             return False
-        # One that merely waits is taken back only when another place has room: a labelled one is bound to its
-        # rack then.
+        # One that merely waits is taken back only when another place has room.
         held, job.group = job.group, self._bound_to(job, worker)
         elsewhere = self._draw_two(job.type, now, job)
         job.group = held
@@ -1144,8 +1097,7 @@
             worker.aside = False
             worker.errors.clear()
             self.tiers.clear()
-            # From a random part of one job on, the first jobs of many dispatchers come spread over time; had
-            # each to earn a whole one first, hundreds would let the worker idle through its warm-up.
+            # From a random part of one job on, the first jobs of many dispatchers come spread over time.
             worker.cold_credit = self.chance.fraction() * self._mean_running_time()
             worker.cold_credit_at = self.host.now()
         gone = listing.condition == "gone"
--- a/ploverspoke/routing/router.py
+++ b/ploverspoke/routing/router.py
@@ -133,7 +133,6 @@
         self.rows = Rows(names["grades"])
         self.figures = Figures()
         self.figures.name(names["grades"])
-        self.customers = {name: number for number, name in enumerate(names["customers"])}
         self.zones = {name: number for number, name in enumerate(names["zones"])}
         self.machine_kinds = {name: number for number, name in enumerate(names["machine_kinds"])}
         self.x0 = x0_in(orders)
@@ -178,7 +177,6 @@
         ]
         in_use = {submission.grade for submission in self.submissions}
         self.orders, takes_over = self.rows.follow(self.orders, translated, names["grades"], in_use)
-        self.customers = {name: number for number, name in enumerate(names["customers"])}
         self.figures.name(names["grades"])
         self.x0 = x0_in(self.orders)
         self.roster.hold = hold_in(self.orders)
@@ -240,10 +238,8 @@
             grade,
             slots,
             abandon_at,
-            self.customers.get(headers.get("tenant", ""), 0),
             hint,
             headers.get("affinity-key", ""),
-            headers.get("client-retry") == "1",
         )
         if self.scribe is None:
             arrived()
--- a/ploverspoke/simwire/adapter.py
+++ b/ploverspoke/simwire/adapter.py
@@ -91,10 +91,8 @@
             f.whole("Kind"),
             f.number("Slots", 1.0),
             f.whole("DropDeadUs") * MICROSECOND,
-            f.whole("Tenant", 0),
             f.whole("PredictedUs", 0) * MICROSECOND,
             f.get("PathKey", ""),
-            f.flag("AgainByClient"),
         )
 
     def note(self, f: Fields) -> None:
--- a/ploverspoke/testbed/baselines.py
+++ b/ploverspoke/testbed/baselines.py
@@ -8,7 +8,8 @@
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any
 
-from ploverspoke.decisions.dispatcher import Chance, Dispatcher
+from ploverspoke.decisions.chance import Chance
+from ploverspoke.decisions.dispatcher import Dispatcher
 from ploverspoke.decisions.host import NEVER_RAN, Host, Listing, StandingOrders
 
 SECOND = 1_000_000_000
@@ -64,10 +65,8 @@
         grade: int,
         slots: float,
         abandon_at: int,
-        customer: int,
         work_hint: int,
         subject: str,
-        is_retry: bool,
     ) -> None:
         job = self.open[submission_id] = Open(submission_id, grade, slots, abandon_at)
         self.send(job)
@@ -76,8 +75,6 @@
 
     def hand_off_progressed(self, submission_id: int, hand_off: int, share_done: float) -> None: ...
 
-    def answer_begun(self, submission_id: int, hand_off: int) -> None: ...
-
     def hand_off_ended(
         self,
         submission_id: int,
--- a/ploverspoke/testbed/virtual.py
+++ b/ploverspoke/testbed/virtual.py
@@ -121,9 +121,7 @@
         self.taken[taken.number] = taken
         patience = request.abandon_at - self.clock.time
         abandon_at = request.abandon_at - min(ANSWER_EARLY, max(0, patience) // 10)
-        self.decisions.submission_arrived(
-            taken.number, grade, job.slots, abandon_at, job.customer, 0, job.subject, request.tries > 0
-        )
+        self.decisions.submission_arrived(taken.number, grade, job.slots, abandon_at, 0, job.subject)
 
     def left(self, request: Request) -> None:
         for taken in self.taken.values():
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -28,7 +28,6 @@
     "load_reports": "none",
     "grades": [0, 1, 2],
     "most_hand_offs": [4] * 3,
-    "second_copies": False,
     "recall_permitted": True,
     "probing_permitted": True,
     "come_back_advice": True,
@@ -40,8 +39,6 @@
     "warm_within": 5 * SECOND,
     "tip_multiple": 3.0,
     "fall_within": 2 * SECOND,
-    "beyond_share_benefit": 0.2,
-    "customer_share": [0.5, 0.5],
     "zone_crossing_price": 0.0,
     "probe_price": 1.0,
     "telling_permitted": False,
@@ -162,7 +159,7 @@
         self.arrived[submission_id] = self.clock
         self.abandon_at[submission_id] = self.clock + extra.pop("abandon_in", 3 * SECOND)
         self.tries[submission_id] = []
-        given: Mapping[str, Any] = {"customer": 0, "work_hint": 0, "subject": "", "is_retry": False, **extra}
+        given: Mapping[str, Any] = {"work_hint": 0, "subject": "", **extra}
         self.dispatcher.submission_arrived(
             submission_id, grade, slots, self.abandon_at[submission_id], **given
         )
@@ -229,7 +226,7 @@
     chance = random.Random(seed)
     names = [f"w{i}" for i in range(chance.randint(1, 7))]
     listed = [listing(n, kind=i % 2, rack=i % 3) for i, n in enumerate(names)]
-    stage = Stage(listed, seed, second_copies=False, **orders)
+    stage = Stage(listed, seed, **orders)
     ends = ["satisfied"] * 6 + ["worker_error", "full", "timed_out", "unreachable", "broken_off", "not_sent"]
     for step in range(steps):
         stage.pass_time(chance.choice([0, 1, 5, 30, 200]) * MS)
