--- /dev/null
+++ b/tests/test_tellings.py
@@ -0,0 +1,146 @@
+"""What dispatchers tell one another: a hint, whatever becomes of it; decisions, bytes and sockets."""
+
+import asyncio
+import random
+import socket
+
+import pytest
+
+from ploverspoke.protocol.heads import Garbled
+from ploverspoke.protocol.tellings import MOST_BYTES, Reader, mark_of, marks_of, write_telling
+from ploverspoke.routing.peers import Peers
+
+from .stage import MS, SECOND, Stage, listing, random_run
+
+TELLING = {"telling_permitted": True, "telling_price": 0.01, "probing_permitted": False, "dispatchers": 9}
+FULL = ["a", "a"]
+
+
+def test_a_worker_that_others_fill_is_left_alone_until_that_fades() -> None:
+    stage = Stage([listing("a"), listing("b")], **TELLING)
+    for teller, held in ((1, FULL), (2, ["a"])):
+        stage.dispatcher.told_of(teller, 0, 1, 0.0, held)
+    stage.submit(1)
+    stage.submit(2)
+    assert stage.where(1) == stage.where(2) == "b"
+    stage.pass_time(6 * SECOND)
+    stage.submit(3)
+    assert stage.dispatcher.workers["a"].others == 0
+
+
+def test_late_doubled_and_foreign_tellings_change_nothing() -> None:
+    stage = Stage([listing("a")], **TELLING)
+    told = stage.dispatcher.told_of
+    told(1, 0, 7, 0.0, ["a"])
+    told(1, 0, 6, 0.0, FULL)  # late
+    told(1, 0, 7, 0.0, FULL)  # twice
+    told(0, 0, 8, 0.0, FULL)  # from ourselves
+    told(1, 0, 8, 0.0, ["nobody"])
+    assert stage.dispatcher.workers["a"].others == 0 and set(stage.dispatcher.workers) == {"a"}
+    told(1, 0, 0, 0.0, FULL)  # a new start
+    assert stage.dispatcher.workers["a"].others == 2
+
+
+def test_without_permission_nothing_is_told_or_heard() -> None:
+    stage = Stage([listing("a")])
+    stage.dispatcher.told_of(1, 0, 1, 1.0, FULL)
+    stage.submit(1)
+    stage.pass_time(SECOND)
+    assert not stage.tellings and stage.dispatcher.workers["a"].others == 0
+
+
+def test_the_ring_of_the_zone_is_told_of_changes_only() -> None:
+    stage = Stage([listing("a")], **TELLING)
+    for teller, zone in ((5, 0), (3, 0), (4, 1)):
+        stage.dispatcher.told_of(teller, zone, 1, 0.0, [])
+    stage.pass_time(2 * SECOND)
+    stage.tellings.clear()
+    stage.submit(1)
+    stage.pass_time(30 * MS)
+    assert not stage.tellings
+    stage.pass_time(70 * MS)
+    (to, zone, _, _, held) = stage.tellings[0]
+    assert (to, zone, held) == ([3, 5], 0, ["a"]) and len(stage.tellings) == 1
+
+
+def test_refusals_follow_what_starts_have_waited() -> None:
+    stage = Stage([listing("a")], **TELLING)
+    stage.dispatcher.late_starts.extend([1.0] * 16)
+    for number in range(100):
+        stage.submit(number, grade=2, abandon_in=30 * SECOND)
+    refused = sum(answer == "nacked" for answer in stage.answers.values())
+    assert 60 < refused < 95
+    for teller in range(1, 9):
+        stage.dispatcher.told_of(teller, 0, 1, 0.0, [])
+    for number in range(100, 200):
+        stage.submit(number, grade=2, abandon_in=30 * SECOND)
+    assert sum(answer == "nacked" for answer in stage.answers.values()) == refused
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_rules_hold_whatever_is_told(seed: int) -> None:
+    """Also false tellings: of fleets that are full, late, doubled, of unknown workers and dispatchers."""
+    chance = random.Random(seed)
+    submitted = Stage.submit
+
+    def submit(self: Stage, *what: object, **more: object) -> None:
+        held = [chance.choice(["w0", "w1", "w2", "?"]) for _ in range(chance.randrange(9))]
+        self.dispatcher.told_of(chance.randrange(99), chance.randrange(2), chance.randrange(256), 0.3, held)
+        submitted(self, *what, **more)  # type: ignore[arg-type]
+
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(Stage, "submit", submit)
+        stage = random_run(5000 + seed, 300, **TELLING)
+    assert all(worker.others >= 0 for worker in stage.dispatcher.workers.values())
+
+
+def test_bytes_are_read_back_and_spoilt_ones_refused() -> None:
+    reader, workers = Reader(), ["10.0.0.1:80", "10.0.0.2:80"]
+    octets = write_telling(2, 9, 0.5, [workers[1], "elsewhere:1", workers[1]])
+    assert reader.read(octets, workers) == (2, 9, 128 / 255, [workers[1], workers[1]])
+    assert len(write_telling(0, 0, 1.0, workers * 200)) == MOST_BYTES
+    spoilt = [octets[:at] + bytes((octets[at] ^ 1,)) + octets[at + 1 :] for at in range(len(octets))]
+    for bad in (b"", octets[:-1], octets[:4], b"\x02" + octets[1:], bytes(300), *spoilt):
+        with pytest.raises(Garbled):
+            reader.read(bad, workers)
+
+
+def test_a_mark_that_two_workers_share_means_neither() -> None:
+    seen: dict[int, str] = {}
+    for number in range(100_000):
+        name = f"10.{number // 251}.7:{number % 251}"
+        if mark_of(name) in seen:
+            break
+        seen[mark_of(name)] = name
+    pair = (seen[mark_of(name)], name)
+    assert marks_of(["alone", *pair]) == {mark_of("alone"): "alone"}
+
+
+def test_datagrams_go_between_listed_addresses_only() -> None:
+    async def run() -> None:
+        loop = asyncio.get_running_loop()
+        probes = [socket.socket(type=socket.SOCK_DGRAM) for _ in range(2)]
+        for each in probes:
+            each.bind(("127.0.0.1", 0))
+        addresses = [each.getsockname() for each in probes]
+        for each in probes:
+            each.close()
+        heard: list[tuple[object, ...]] = []
+        peers = [Peers(addresses, n, lambda: ["a"], lambda *told: heard.append(told)) for n in range(2)]
+        for each in peers:
+            await each.open(loop)
+        peers[0].send(None, 1, 3, 0.0, ["a"])
+        stranger = socket.socket(type=socket.SOCK_DGRAM)
+        stranger.sendto(write_telling(1, 4, 0.0, ["a"]), addresses[1])
+        peers[0].transport.sendto(b"garbage", addresses[1])
+        for _ in range(100):
+            await asyncio.sleep(0.01)
+            if heard:
+                break
+        await asyncio.sleep(0.05)
+        assert heard == [(0, 1, 3, 0.0, ["a"])]
+        stranger.close()
+        for each in peers:
+            each.close()
+
+    asyncio.run(run())
