--- a/ploverspoke/decisions/dispatcher.py
+++ b/ploverspoke/decisions/dispatcher.py
@@ -15,7 +15,7 @@
 from zlib import crc32
 
 from .chance import Chance
-from .host import Host, Listing, StandingOrders, never_ran
+from .host import Host, Listing, Load, StandingOrders, never_ran
 
 MILLISECOND = 1_000_000
 SECOND = 1_000_000_000
@@ -59,6 +59,8 @@
 TELL_AGAIN = 2 * SECOND  # where nothing changes
 TOLD_FADES = 5 * SECOND
 TELLING_COST = 0.02  # points of service that tellings may cost
+MUCH_LESS = 0.5  # late than our own zone another must be to be sent to
+FAR_TOLD = 2  # dispatchers of other zones, drawn by chance, that hear each telling too
 TELLING_PART = 16 / 256  # of a full message, for a submission and receiver
 
 
@@ -114,10 +116,8 @@
 class Submission:
     """One submission taken and not yet answered."""
 
-    def __init__(
-        self, submission_id: int, grade: int, job_type: JobType, arrived: int, abandon_at: int
-    ) -> None:
-        self.id = submission_id
+    def __init__(self, number: int, grade: int, job_type: JobType, arrived: int, abandon_at: int) -> None:
+        self.id = number
         self.grade = grade
         self.type = job_type
         self.arrived = arrived
@@ -172,8 +172,9 @@
         self.asked_at = 0
         self.tiers: dict[Any, list[list[Worker]]] = {}  # who can be drawn, kept until readiness changes
         # The last telling of each dispatcher, oldest first: number, time, who was named, lateness.
-        self.told_by: dict[int, tuple[int, int, list[Worker], float]] = {}
+        self.told_by: dict[int, tuple[int, int, list[Worker], float, int]] = {}  # and zone
         self.near: list[int] = []  # dispatchers of our zone, in order
+        self.far: list[int] = []  # and of the others
         self.busy: dict[str, Worker] = {}  # workers where we have slots in flight
         self.told = 0  # our own tellings
         self.last_telling: list[str] = []
@@ -297,17 +298,10 @@
             job.heard_at = job.at.heard_at = self.host.now()
 
     def hand_off_ended(
-        self,
-        submission_id: int,
-        hand_off: int,
-        worker_name: str,
-        outcome: str,
-        took: int,
-        finished: bool,
-        load: Mapping[str, float] | None,
+        self, submission_id: int, hand_off: int, name: str, outcome: str, took: int, over: bool, load: Load
     ) -> None:
         now = self.host.now()
-        worker = self.workers[worker_name]
+        worker = self.workers[name]
         job = worker.out.pop(submission_id, None)
         if job is None:
             return
@@ -343,7 +337,7 @@
             worker.errors.append(outcome == "worker_error")
         if outcome == "worker_error" and sum(worker.errors) >= ERRORS_BAD:
             self._set_aside(worker, now)
-        if finished:
+        if over:
             self.open.pop(submission_id, None)
         if submission_id in self.open:
             self._decide_again(job, worker, outcome, now)
@@ -382,9 +376,7 @@
         """In which the roster can work through one call of each dispatcher."""
         return int(min(self.orders["dispatchers"] * ROSTER_CALL, self.orders["roster_ask_within"] // 2))
 
-    def probe_answered(
-        self, worker_name: str, outcome: str, took: int, load: Mapping[str, float] | None
-    ) -> None:
+    def probe_answered(self, worker_name: str, outcome: str, took: int, load: Load) -> None:
         now = self.host.now()
         worker = self.workers[worker_name]
         probed_for, worker.probed_for = worker.probed_for, ""
@@ -447,9 +439,10 @@
         named = [self.workers[name] for name in held if name in self.workers]
         for worker in named:
             worker.others += 1
-        self.told_by[teller] = number, now, named, lateness
-        if zone == self.orders["zone"] and teller not in self.near:
-            insort(self.near, teller)
+        self.told_by[teller] = number, now, named, lateness, zone
+        seen = self.near if zone == self.orders["zone"] else self.far
+        if teller not in seen:
+            insort(seen, teller)
         if not number and teller in self.near:
             self.told_at = -TELL_AGAIN
             self._news(now)
@@ -556,6 +549,12 @@
             return []
         for tier in self._tiers(job_type.machine_kind, job):
             found: list[Worker] = []
+            if self.orders["telling_permitted"]:
+                # Other zones' queues are not told to us: one is better only where starts are far less late.
+                most = MUCH_LESS * self._zone_lateness(self.orders["zone"], now)
+                zones = {w.listing.zone for w in tier}
+                less = {z for z in zones if z == self.orders["zone"] or self._zone_lateness(z, now) < most}
+                tier = [w for w in tier if w.listing.zone in less]
             # Drawing until two are roomy gives the same pairs as a list of all the roomy, for less work.
             left = list(tier)
             while left and len(found) < 2:
@@ -625,16 +624,18 @@
     # ---- Refusing ----
 
     def _refuses(self, job: Submission, now: int) -> bool:
-        """Whether it is refused on arrival, by chance, where no worker can be asked for its queue.
-
-        Alike for all: a grade that bears more would fill the workers, the most hurried alone be late.
-        """
+        """Whether it is refused on arrival, by chance alike for all grades, as no worker tells its queue."""
         if self.orders["probing_permitted"] or job.group is not None:
             return False
-        late = [self._lateness(now), *(told[3] for told in self.told_by.values())]
-        chance = min(MOST_REFUSED, sum(late) / len(late) - LATENESS_BORNE)
+        chance = min(MOST_REFUSED, self._zone_lateness(self.orders["zone"], now) - LATENESS_BORNE)
         return chance > 0 and self.chance.fraction() < chance
 
+    def _zone_lateness(self, zone: int, now: int) -> float:
+        """As told by its dispatchers; of a zone that nothing is heard of the worst is believed."""
+        late = [told[3] for told in self.told_by.values() if told[4] == zone]
+        late += [self._lateness(now)] if zone == self.orders["zone"] else []
+        return sum(late) / len(late) if late else 1.0
+
     def _lateness(self, now: int) -> float:
         """What our latest starts waited, and those to come until now, in parts of what can be borne."""
         slack = self._shortest_slack()
@@ -775,7 +776,8 @@
         if to_all or held != self.last_telling or now - self.told_at >= TELL_AGAIN:
             own = self.orders["dispatcher_number"]
             ring = [*(n for n in self.near if n > own), *(n for n in self.near if n < own)]
-            to = None if to_all else ring[: self.tells]
+            drawn = [self.far[self.chance.below(len(self.far))] for _ in range(FAR_TOLD) if self.far]
+            to = None if to_all else ring[: self.tells] + drawn
             self.host.tell_others(to, self.orders["zone"], self.told, self._lateness(now), held)
             self.last_telling, self.told_at, self.told = held, now, self.told % 255 + 1
         self.telling_at = self.told_at + TELL_AGAIN if held else 0
@@ -787,15 +789,12 @@
         return worker.others * max(1.0, len(self.near) / self.tells) if worker.others else 0.0
 
     def _forget(self, teller: int) -> None:
-        for worker in self.told_by.pop(teller, (0, 0, [], 0.0))[2]:
+        for worker in self.told_by.pop(teller, (0, 0, [], 0.0, 0))[2]:
             worker.others -= 1
 
     def _fade(self, now: int) -> None:
-        while self.told_by:
-            teller, told = next(iter(self.told_by.items()))
-            if now - told[1] <= TOLD_FADES:
-                break
-            self._forget(teller)
+        while self.told_by and now - next(iter(self.told_by.values()))[1] > TOLD_FADES:
+            self._forget(next(iter(self.told_by)))
 
     # ---- Room ----
 
--- a/ploverspoke/decisions/host.py
+++ b/ploverspoke/decisions/host.py
@@ -8,6 +8,7 @@
 from typing import Any, NamedTuple, Protocol
 
 StandingOrders = Mapping[str, Any]
+Load = Mapping[str, float] | None  # what a worker reports of itself
 NEVER_RAN = frozenset({"full", "unreachable", "not_sent"})  # outcomes of hand-offs that are known not to have
 
 
