--- a/ploverspoke/decisions/dispatcher.py
+++ b/ploverspoke/decisions/dispatcher.py
@@ -160,7 +160,7 @@
         self.asked_times: dict[int, deque[int]] = defaultdict(lambda: deque(maxlen=32))
         self.start_lags: dict[int, deque[int]] = defaultdict(lambda: deque(maxlen=32))
         self.late_starts: deque[float] = deque(maxlen=LATE_STARTS)  # waits over the wait that can be borne
-        self.asked_for: dict[str, int] = defaultdict(int)  # by subject
+        self.subjects: deque[str] = deque(maxlen=512)  # of our latest arrivals
         self.clock_runs = False
         self.lines_left = 40  # for the person on call; a flood would hide what matters
         self.roster_failures = 0
@@ -235,7 +235,7 @@
         job = Submission(submission_id, grade, job_type, now, abandon_at)
         job.subject = subject
         if subject:
-            self.asked_for[subject] += 1
+            self.subjects.append(subject)
         job.last_chance = abandon_at - self.orders["round"]
         job.last_start = self._last_timely_start(job, now, work_hint)
         self.open[submission_id] = job
@@ -571,7 +571,7 @@
         """How many workers are to hold what it needs: as many as its share of our arrivals would fill."""
         if not subject:
             return 0
-        share = (self.asked_for[subject] - 1) / max(SHARE_KNOWN, sum(self.asked_for.values()))
+        share = max(0, self.subjects.count(subject) - 1) / max(SHARE_KNOWN, len(self.subjects))
         return max(1, ceil(share * len(self.workers) / HOME_LOAD - 0.3))
 
     def _tiers(self, machine_kind: int, job: Submission | None) -> list[list[Worker]]:
@@ -1017,9 +1017,7 @@
             return LONGEST_DRIFT
         allowance = max(self._prompt_start(worker), int((job.last_start - job.arrived) * PATIENCE))
         # One that must stay in its group comes back to workers as full, and may run twice there.
-        bound = (
-            self.orders["repeat"][job.grade] == "labelled" and self.orders["repeat_group"][job.grade] != "all"
-        )
+        bound = (self._bound_to(job, worker) or ("all", 0)) != ("all", 0)
         return max(allowance, self._grade_running_time(job.grade)) if bound else allowance
 
     def _rescuable(self, job: Submission, worker: Worker, silent: bool, now: int) -> bool:
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -238,3 +238,13 @@
     stage.pass_time(2 * SECOND)
     went = [t["worker"] for t in stage.tries[3]]
     assert len(went) > 1 and all(here != there for here, there in zip(went, went[1:], strict=False))
+
+
+def test_a_subject_has_homes_by_its_share_of_the_latest_arrivals() -> None:
+    # One subject with a seventh of the traffic is more than a worker's load; thousands of others are no more
+    # than names, of which only the latest are kept.
+    stage = Stage([listing(f"w{n}") for n in range(40)])
+    for number in range(700):
+        stage.dispatcher.subjects.append("common" if number % 7 == 0 else f"user-{number}")
+    assert stage.dispatcher._homes("common") == 8 and stage.dispatcher._homes("user-699") == 1
+    assert stage.dispatcher._homes("") == 0 and len(stage.dispatcher.subjects) == 512
