--- a/tests/test_migration.py
+++ b/tests/test_migration.py
@@ -94,3 +94,10 @@
     assert result.exit_code == 0 and "cannot be sent" in result.output
     briefing = briefing_of(json.loads(path.read_text()), {})
     assert briefing.cannot_tell and not briefing.orders["telling_permitted"]
+
+
+def test_a_fleet_that_cannot_be_asked_keeps_its_rules() -> None:
+    # A hung, a slow and two pausing workers, a fleet that shrinks, four in ten dispatchers gone and back.
+    file = Path(__file__).parents[1] / "experiments" / "unasked.toml"
+    result = CliRunner().invoke(main, ["testbed", "run", str(file), "--seed", "1", "--policy", "ours"])
+    assert result.exit_code == 0, result.output
