--- a/tests/test_tellings.py
+++ b/tests/test_tellings.py
@@ -41,6 +41,14 @@
     assert stage.dispatcher.workers["a"].others == 2
 
 
+def test_a_telling_lifts_no_drain() -> None:
+    stage = Stage([listing("a")], **TELLING)
+    stage.dispatcher.roster_changed([listing("a", "draining")])
+    stage.dispatcher.told_of(1, 0, 1, 0.0, ["a"])
+    stage.submit(1)
+    assert stage.where(1) is None
+
+
 def test_without_permission_nothing_is_told_or_heard() -> None:
     stage = Stage([listing("a")])
     stage.dispatcher.told_of(1, 0, 1, 1.0, FULL)
