A dispatcher with peers can be replaced; messages wait for a start as their addresses do

At SIGHUP a configuration that adds peers permitted messages with nowhere to send them. A test for each, failing before. Customers' names, which nobody reads any more, are out.

--- a/ploverspoke/program/service.py
+++ b/ploverspoke/program/service.py
@@ -97,8 +97,6 @@
             self.on_ready()
         await self.over.wait()
         self.neighbours.leave()
-        if self.router.peers is not None:
-            self.router.peers.close()
 
     async def _list_came(self) -> None:
         """Who replaces another need not guess: that one serves until we say that we do."""
@@ -131,6 +129,9 @@
     def take_configuration(self, new: Briefing) -> None:
         """Raises BadKey, with nothing changed, where it lacks what the one in force has."""
         old = self.briefing
+        if self.router.peers is None:
+            # Addresses wait for the next start, and so do messages.
+            new = new._replace(orders={**new.orders, "telling_permitted": False})
         missing = first_missing(old.told, new.told)
         if missing is not None:
             raise BadKey(f"{missing} is missing: the configuration in force has it")
@@ -164,6 +165,8 @@
         if not self.leaving_since:
             say("told to end: finishing what was taken")
             self.leaving_since = self.deadlines.now()
+            if self.router.peers is not None:
+                self.router.peers.close()  # what others tell is for the process that comes after
             self.door.leave(handing_over=self.listening is not None)
             self._look_whether_over()
 
--- a/ploverspoke/program/standing_orders.py
+++ b/ploverspoke/program/standing_orders.py
@@ -84,7 +84,6 @@
         grades.append(name)
     return {
         "grades": grades,
-        "customers": [c.text("Name", "") for c in profile.parts("Tenants")],
         "zones": profile.row("Localities", [], str),
         "machine_kinds": profile.row("HostTypes", [], str),
     }
--- a/ploverspoke/routing/peers.py
+++ b/ploverspoke/routing/peers.py
@@ -25,9 +25,13 @@
         self.transport: asyncio.DatagramTransport | None = None
 
     async def open(self, loop: asyncio.AbstractEventLoop) -> None:
-        """Raises OSError where the address cannot be had."""
+        """Raises OSError where the address cannot be had.
+
+        It is shared with other processes of the same dispatcher: one that replaces another could not start
+        else. Each hears a part while both are there.
+        """
         self.transport, _ = await loop.create_datagram_endpoint(
-            lambda: self, local_addr=self.addresses[self.own]
+            lambda: self, local_addr=self.addresses[self.own], reuse_port=True
         )
 
     def close(self) -> None:
--- a/tests/test_tellings.py
+++ b/tests/test_tellings.py
@@ -3,14 +3,17 @@
 import asyncio
 import random
 import socket
+from typing import Any
 
 import pytest
 
+from ploverspoke.program.briefing import briefing_of
+from ploverspoke.program.service import Service
 from ploverspoke.protocol.heads import Garbled
 from ploverspoke.protocol.tellings import MOST_BYTES, Reader, mark_of, marks_of, write_telling
 from ploverspoke.routing.peers import Peers
 
-from .stage import MS, SECOND, Stage, listing, random_run
+from .stage import MS, SECOND, SETTINGS, Stage, listing, random_run
 
 TELLING = {"telling_permitted": True, "telling_price": 0.01, "probing_permitted": False, "dispatchers": 9}
 FULL = ["a", "a"]
@@ -148,8 +151,11 @@
             each.close()
         heard: list[tuple[object, ...]] = []
         peers = [Peers(addresses, n, lambda: ["a"], lambda *told: heard.append(told)) for n in range(2)]
-        for each in peers:
+        old = Peers(addresses, 1, lambda: [], lambda *told: None)
+        for each in (old, *peers):  # a process that replaces another opens the address while that has it
             await each.open(loop)
+        old.close()
+        await asyncio.sleep(0.01)
         peers[0].send(None, 1, 3, 0.0, ["a"])
         stranger = socket.socket(type=socket.SOCK_DGRAM)
         stranger.sendto(write_telling(1, 4, 0.0, ["a"]), addresses[1])
@@ -165,3 +171,34 @@
             each.close()
 
     asyncio.run(run())
+
+
+def test_a_started_program_greets_the_others_and_a_new_configuration_brings_no_messages() -> None:
+    async def run() -> None:
+        loop = asyncio.get_running_loop()
+        other = socket.socket(type=socket.SOCK_DGRAM)
+        other.bind(("127.0.0.1", 0))
+        other.setblocking(False)
+        limits = {**SETTINGS["Limits"], "Peers": True}
+        told: dict[str, Any] = {"discovery": "127.0.0.1:9"}
+        told["settings"] = {**SETTINGS, "PeersTotal": 2, "Limits": limits}
+        free = [socket.socket() for _ in range(2)]
+        for each in free:
+            each.bind(("127.0.0.1", 0))
+        ports = [each.getsockname()[1] for each in free]
+        for each in free:
+            each.close()
+        told["listen"] = f"127.0.0.1:{ports[0]}"
+        peers = [f"127.0.0.1:{ports[1]}", f"127.0.0.1:{other.getsockname()[1]}"]
+        service = Service(loop, briefing_of({**told, "peers": peers}, {}))
+        running = loop.create_task(service.run())
+        octets = await asyncio.wait_for(loop.sock_recv(other, 999), 5)
+        assert Reader().read(octets, []) == (0, 0, 0.0, [])
+        service._leave()
+        await asyncio.wait_for(running, 5)
+        other.close()
+        silent = Service(loop, briefing_of(told, {}))
+        silent.take_configuration(briefing_of({**told, "peers": peers}, {}))
+        assert not silent.router.orders["telling_permitted"]
+
+    asyncio.run(run())
