The rig of many processes: addresses of their own, relays, clocks, disks, timelines

Change: testbed/processes/. A run takes a block 127.N.0.0/16 (held by an abstract socket name); each process has an address of its own, by which stand-ins and relays know it, and its ports stay bound. Relays in one process stand for each at a second address: delay, loss, doubling, reordering, cuts one way, slow, silent, reset. The start of a run is told once all dispatchers serve.

--- a/ploverspoke/testbed/bench.py
+++ b/ploverspoke/testbed/bench.py
@@ -23,8 +23,8 @@
 from . import experiment as ex
 from .baselines import POLICIES, Policy
 from .experiment import experiment_of
+from .processes.addresses import held_ports
 from .settings import settings_of
-from .sockets import free_ports
 
 CLIENTS = (1, 8, 32, 128)
 WORKERS = 8
@@ -140,7 +140,7 @@
     """A dispatcher or the relay, with a list of workers that it is given at start; nobody is at its
     discovery.
     """
-    [port, nobody] = free_ports(2)
+    [port, nobody] = held_ports(2)
     e = _world(WORKERS, 1, "10s", 100.0)
     servers = [
         {
--- a/ploverspoke/testbed/commands.py
+++ b/ploverspoke/testbed/commands.py
@@ -58,7 +58,8 @@
     Exit 0: all that must hold held. 1: something did not, and is named. 2: the file or the call is wrong.
     """
     e = _read(experiment, seeds, policies)
-    sockets = sockets or e.dispatchers.store  # replicas are not played on virtual time
+    # Neither replicas nor links among dispatchers are played on virtual time.
+    sockets = sockets or e.dispatchers.store or e.dispatchers.talk or bool(e.timeline)
     if sockets and not policies:
         e = msgspec.structs.replace(e, policies=["ours"])
     driver: Driver = "sockets" if sockets else "virtual"
--- a/ploverspoke/testbed/experiment.py
+++ b/ploverspoke/testbed/experiment.py
@@ -14,6 +14,7 @@
 import numpy as np
 
 from .chances import Streams
+from .processes.timeline import BadTimeline, Step, check
 from .spans import MILLISECOND, SECOND, Span, read_span
 
 
@@ -134,6 +135,7 @@
 class Dispatchers(Part, frozen=True, kw_only=True):
     count: int = 2
     store: bool = False  # they are the replicas of one store (on sockets only)
+    talk: bool = False  # they tell one another where they have slots in flight (on sockets only)
     snapshot_every: int = 20_000  # entries, where there is a store
     memory_mb: int = 192
     sockets: int = 1024
@@ -365,6 +367,7 @@
     clients: Clients = Clients()
     traffic: list[Traffic]
     troubles: list[AnyTrouble] = []
+    timeline: list[Step] = []  # on sockets only: faults on processes d0, d1... and the links between them
     must_hold: MustHold = MustHold()
 
     def rules_at(self, at: int) -> tuple[list[str], int]:
@@ -460,6 +463,10 @@
             "rate, wave or burst out of range",
         )
     _check_troubles(e, must)
+    try:
+        check(e.timeline, [f"d{number}" for number in range(e.dispatchers.count)])
+    except BadTimeline as error:
+        raise BadExperiment(str(error)) from None
     for grade in e.must_hold.service_of_grade:
         must(any(g.name == grade for g in e.grades), f"must_hold.service_of_grade.{grade}", "no such grade")
     for policy in e.must_hold.over:
--- a/ploverspoke/testbed/settings.py
+++ b/ploverspoke/testbed/settings.py
@@ -54,6 +54,7 @@
             "MaxRetryAfterUs": us(rules.longest_come_back),
             "ConnectTimeoutUs": us(e.network.connect_time_out),
             "IdleCloseUs": 30_000_000,
+            "Peers": e.dispatchers.talk,
         },
         "Invariants": {
             "StopSendingWithinUs": us(rules.stop_sending_within),
--- a/ploverspoke/testbed/standins/process.py
+++ b/ploverspoke/testbed/standins/process.py
@@ -1,9 +1,9 @@
 """What all stand-in processes have in common: the run's clock, lines from and to whoever started them,
 records.
 
-Started with the path of a run's `spec.json`. On standard output: JSON lines, the first with `ports`. On
-standard
-input: `{"start": epoch, ...}` once, then whatever else its kind hears; the end of the input stops it.
+Started with the path of a run's `spec.json`. On standard output: JSON lines, the first with where it listens.
+On standard input: whatever its kind hears, `{"start": epoch, ...}` once among it; the end of the input stops
+it.
 """
 
 import asyncio
@@ -62,6 +62,8 @@
     seed: int
     records: str  # folder
     clients: int  # processes
+    hosts: list[str]  # of the dispatchers, each its own
+    own_hosts: dict[str, str]  # of stand-ins that listen, by kind
 
 
 class StandIn:
@@ -86,6 +88,10 @@
     def heard(self, told: dict[str, Any]) -> None:
         pass
 
+    def moved(self, by: int) -> None:
+        """The clock begins anew: what it has shown so far is later by so much, in most cases less than 0."""
+        self.seen.events = [event._replace(at=event.at + by) for event in self.seen.events]
+
     def counts(self) -> dict[str, Any]:
         """What is told now and then while it runs."""
         return {}
@@ -102,15 +108,20 @@
     lines: asyncio.StreamReader = asyncio.StreamReader()
     await loop.connect_read_pipe(lambda: asyncio.StreamReaderProtocol(lines), sys.stdin)
     say(await stand_in.prepare())
-    started = msgspec.json.decode(await lines.readline())
-    stand_in.clock.epoch = started["start"]
-    gc.collect()
-    gc.freeze()
-    stand_in.begin(started)
-    teller = loop.create_task(_tell(stand_in))
+    teller = None
     while line := await lines.readline():
-        stand_in.heard(msgspec.json.decode(line))
-    teller.cancel()
+        told = msgspec.json.decode(line)
+        if "start" not in told:
+            stand_in.heard(told)
+            continue
+        stand_in.moved(stand_in.clock.epoch - told["start"])
+        stand_in.clock.epoch = told["start"]
+        gc.collect()
+        gc.freeze()
+        stand_in.begin(told)
+        teller = loop.create_task(_tell(stand_in))
+    if teller is not None:
+        teller.cancel()
     write_records(stand_in.seen.events, Path(spec.records) / f"{name}-{part}.jsonl")
     say({"over": True})
 
--- a/ploverspoke/testbed/store_bench.py
+++ b/ploverspoke/testbed/store_bench.py
@@ -27,8 +27,8 @@
 
 from .bench import WORKERS, Process
 from .experiment import experiment_of
+from .processes.addresses import held_ports
 from .settings import settings_of
-from .sockets import free_ports
 
 SECRET = b"a secret of the bench's own"
 SIZES = (0, 1, 3, 5)  # replicas; 0: no store
@@ -55,7 +55,7 @@
         self.size = size
         self.cores = cores
         count = max(1, size)
-        ports = free_ports(2 * count + 1)
+        ports = held_ports(2 * count + 1)
         self.clients, self.peers, nobody = ports[:count], ports[count : 2 * count], ports[-1]
         (folder / "secret").write_bytes(SECRET)
         e = _world()
--- a/ploverspoke/testbed/virtual.py
+++ b/ploverspoke/testbed/virtual.py
@@ -397,6 +397,9 @@
         self.starts = [0] * e.dispatchers.count
         if e.dispatchers.store:
             raise ex.BadExperiment("dispatchers.store: a store is played on sockets only")
+        if e.timeline or e.dispatchers.talk:
+            key = "timeline" if e.timeline else "dispatchers.talk"
+            raise ex.BadExperiment(f"{key}: played on sockets only")
         for begin, end, number, how in ex.outages(e, seed):
             if how == "paused":
                 raise ex.BadExperiment("troubles: a pause of a dispatcher is played on sockets only")
