The store counts by its own clock: a wall clock an hour ahead made a booking run twice

Ruled out: two leaders, an uncommitted intent, slow syncs. At fault: Ledger._answer (ledger.py) forgot answers by the time in the newest entry, the leader's wall clock; one entry an hour ahead emptied the 15 minutes that are kept.

Change: store/clock.py, ns that go on by each replica's monotonic clock and are never behind an applied entry; the router tells the scribe spans, not Unix times. Tests of the rig, of real replicas under jumps, I/O errors at a sync, full disks and one-way cuts, and of tellings through relays. Tests keep files in memory.

--- a/ploverspoke/routing/router.py
+++ b/ploverspoke/routing/router.py
@@ -307,13 +307,13 @@
                 # It may be written down all the same: whoever leads now says what becomes of it.
                 self._drop(submission)
 
-        abandon_at = submission.abandon_at + self.clock_ahead
-        scribe.take(submission.request_id, submission.grade, submission.digest, abandon_at, committed)
+        left = submission.abandon_at - self.now()
+        scribe.take(submission.request_id, submission.grade, submission.digest, left, committed)
 
     def _resume(self, submission: Submission, past: Past) -> None:
         """Another replica had it: its hand-offs count, and it is bound by the first that may have run."""
         submission.hand_offs = [None] * past.hand_offs
-        sent_at = past.bound_at - self.clock_ahead
+        sent_at = self.now() - past.bound_for
         number = submission.number
         self.tell(self.dispatcher.submission_resumes, number, past.hand_offs, past.bound_to, sent_at)
 
--- a/ploverspoke/routing/scribe.py
+++ b/ploverspoke/routing/scribe.py
@@ -16,7 +16,7 @@
     digest: bytes
     hand_offs: int  # spent
     bound_to: str  # the worker that may have run it; "": none may
-    bound_at: int  # when it was sent there, in ns of Unix time
+    bound_for: int  # ns since it was sent there
 
 
 class Scribe(Protocol):
@@ -31,8 +31,8 @@
 
     def past(self, request_id: str) -> Past | None: ...
 
-    def take(self, request_id: str, grade: int, digest: bytes, abandon_at: int, then: Then) -> None:
-        """The abandon time in ns of Unix time."""
+    def take(self, request_id: str, grade: int, digest: bytes, left: int, then: Then) -> None:
+        """`left` is ns until its abandon time."""
 
     def intend(self, request_id: str, worker: str, index: int, then: Then) -> None: ...
 
--- a/ploverspoke/store/ledger.py
+++ b/ploverspoke/store/ledger.py
@@ -1,7 +1,8 @@
 """The state that the log changes: versions of the configuration, and what became of each submission.
 
 A command is a plain list, its first item the verb. Applying one never fails: what no longer fits is left out.
-All times are in it (nanoseconds of Unix time, the leader's), so that every replica comes to the same state.
+All times are in it (nanoseconds of the store's own clock, the leader's), so that every replica comes to the
+same state; wall times are there beside them, for people and for what happened while no replica ran.
 Bounds hold by count and by bytes of results: the oldest answers go first, open submissions never.
 """
 
@@ -19,10 +20,10 @@
 
 # Verbs and what follows them.
 TAKE = "take"  # id, grade, digest of the request, abandon time, now
-INTEND = "intend"  # id, worker, index of the hand-off, now
+INTEND = "intend"  # id, worker, index of the hand-off, now, wall time
 OUTCOME = "outcome"  # id, index, outcome
 ANSWER = "answer"  # id, how, result, digest, now
-CONFIGURE = "configure"  # body, who, now
+CONFIGURE = "configure"  # body, who, wall time
 
 
 class Intent(msgspec.Struct, array_like=True):
@@ -32,6 +33,7 @@
     index: int
     at: int
     outcome: str = ""  # "": not known
+    wall: int = 0  # ns of Unix time
 
 
 class Open(msgspec.Struct, array_like=True):
@@ -63,6 +65,7 @@
     open: dict[str, Open]
     answered: dict[str, Answered]
     configurations: list[Configuration]
+    now: int = 0  # 0: written when times were Unix time
 
 
 class Ledger:
@@ -74,6 +77,8 @@
         self.result_bytes = 0
         self.configurations: list[Configuration] = []
         self.on_configuration: Callable[[Configuration], None] | None = None
+        self.now = 0  # of the latest entry
+        self.on_time: Callable[[int], None] | None = None
 
     # ---- The state of the log ----
 
@@ -93,7 +98,9 @@
         # matters.
 
     def dump(self) -> bytes:
-        return msgspec.msgpack.encode(Dump(FORMAT, self.open, dict(self.answered), self.configurations))
+        return msgspec.msgpack.encode(
+            Dump(FORMAT, self.open, dict(self.answered), self.configurations, self.now)
+        )
 
     def load(self, data: bytes) -> None:
         dump: Dump = msgspec.msgpack.decode(data, type=Dump) if data else Dump(FORMAT, {}, {}, [])
@@ -101,18 +108,28 @@
         self.answered = OrderedDict(dump.answered)
         self.result_bytes = sum(len(a.result) for a in self.answered.values())
         self.configurations = dump.configurations
+        self.now = 0
+        self._time(dump.now or max((job.taken_at for job in self.open.values()), default=0))
         self._tell_configuration()
 
+    def _time(self, now: int) -> None:
+        self.now = max(self.now, now)
+        if self.on_time is not None:
+            self.on_time(self.now)
+
     # ---- Verbs ----
 
     def _take(self, name: str, grade: int, digest: bytes, abandon_at: int, now: int) -> None:
+        self._time(now)
         if name not in self.open and name not in self.answered:
             self.open[name] = Open(grade, digest, abandon_at, now, [])
 
-    def _intend(self, name: str, worker: str, index: int, now: int) -> None:
+    def _intend(self, name: str, worker: str, index: int, now: int, wall: int = 0) -> None:
+        self._time(now)
         job = self.open.get(name)
         if job is not None:
-            job.intents.append(Intent(worker, index, now))
+            # An entry of an older version has wall time only.
+            job.intents.append(Intent(worker, index, now, wall=wall or now))
 
     def _outcome(self, name: str, index: int, outcome: str) -> None:
         job = self.open.get(name)
@@ -122,6 +139,7 @@
 
     def _answer(self, name: str, how: str, result: str, digest: bytes, now: int) -> None:
         """The first answer stands."""
+        self._time(now)
         if name in self.answered:
             return
         job = self.open.pop(name, None)
--- a/ploverspoke/store/node.py
+++ b/ploverspoke/store/node.py
@@ -13,6 +13,7 @@
 
 from ploverspoke.transport.log_lines import say
 
+from .clock import StoreClock
 from .disk import Damaged, Disk, DiskTrouble, WrongStore
 from .ledger import CONFIGURE, Configuration, Ledger
 from .links import Links
@@ -34,6 +35,8 @@
         self.orders = orders
         self.disk = disk or Disk(orders.folder)
         self.ledger = Ledger()
+        self.clock = StoreClock(time.monotonic_ns)
+        self.ledger.on_time = self.clock.seen
         self.replica: Replica | None = None  # None: the disk is in trouble
         self.thread = ThreadPoolExecutor(1, thread_name_prefix="store")
         self.writing = False
--- a/ploverspoke/store/scribe.py
+++ b/ploverspoke/store/scribe.py
@@ -52,15 +52,21 @@
             return None
         found = fate(job, self.repeats[job.grade], self.full_may_have_run)
         first = found.may_have_run
-        return Past(
-            None, job.digest, found.hand_offs, first.worker if first else "", first.at if first else 0
-        )
-
-    def take(self, request_id: str, grade: int, digest: bytes, abandon_at: int, then: Then) -> None:
-        self.node.propose([ledger.TAKE, request_id, grade, digest, abandon_at, time.time_ns()], then)
+        if first is None:
+            return Past(None, job.digest, found.hand_offs, "", 0)
+        # The store's clock stood still while no replica ran, a wall clock may have been set back: the longer
+        # time counts, since past its window nothing runs again.
+        now = self.node.clock.now()
+        since = max(now - first.at, time.time_ns() - (first.wall or first.at))
+        return Past(None, job.digest, found.hand_offs, first.worker, since)
+
+    def take(self, request_id: str, grade: int, digest: bytes, left: int, then: Then) -> None:
+        now = self.node.clock.now()
+        self.node.propose([ledger.TAKE, request_id, grade, digest, now + left, now], then)
 
     def intend(self, request_id: str, worker: str, index: int, then: Then) -> None:
-        self.node.propose([ledger.INTEND, request_id, worker, index, time.time_ns()], then)
+        command = [ledger.INTEND, request_id, worker, index, self.node.clock.now(), time.time_ns()]
+        self.node.propose(command, then)
 
     def outcome(self, request_id: str, index: int, outcome: str) -> None:
         self.node.propose([ledger.OUTCOME, request_id, index, outcome], _nobody)
@@ -71,7 +77,7 @@
             kept = self.node.ledger.answered.get(request_id)
             then(yes and kept is not None and (kept.how, kept.result) == (how, result))
 
-        self.node.propose([ledger.ANSWER, request_id, how, result, digest, time.time_ns()], told)
+        self.node.propose([ledger.ANSWER, request_id, how, result, digest, self.node.clock.now()], told)
 
     # ---- Taking over ----
 
@@ -95,7 +101,7 @@
             if fate(job, self.repeats[job.grade], self.full_may_have_run).fate is Fate.LOST:
                 self._end(name, "abandoned")
             else:
-                wait = (job.abandon_at - time.time_ns()) / 1e9 + AFTER_ABANDON
+                wait = (job.abandon_at - self.node.clock.now()) / 1e9 + AFTER_ABANDON
                 asyncio.get_running_loop().call_later(max(0.0, wait), self._over, name)
 
     def _over(self, name: str) -> None:
@@ -105,7 +111,7 @@
             self._end(name, answer_when_over(job, repeat, to_all, self.full_may_have_run))
 
     def _end(self, name: str, how: str) -> None:
-        self.node.propose([ledger.ANSWER, name, how, "", b"", time.time_ns()], _nobody)
+        self.node.propose([ledger.ANSWER, name, how, "", b"", self.node.clock.now()], _nobody)
 
 
 def _nobody(yes: bool) -> None:
--- a/ploverspoke/testbed/processes/relay.py
+++ b/ploverspoke/testbed/processes/relay.py
@@ -11,6 +11,8 @@
 
 import asyncio
 import random
+import socket
+import struct
 import sys
 from collections import deque
 from pathlib import Path
@@ -145,6 +147,9 @@
         for side in (self.near, self.far):
             side.over = True
             if side.transport is not None:
+                # Closed without lingering: the other end reads a reset, not an end.
+                taken = side.transport.get_extra_info("socket")
+                taken.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
                 side.transport.abort()
         self.relays.streams.discard(self)
 
--- a/ploverspoke/testbed/processes/room.py
+++ b/ploverspoke/testbed/processes/room.py
@@ -1,6 +1,8 @@
 """Whether a run fits on this machine: told before anything is started."""
 
+import os
 import resource
+import shutil
 from pathlib import Path
 from typing import NamedTuple
 
@@ -19,6 +21,12 @@
     descriptors: int  # each; they are counted by process
 
 
+def in_memory() -> str | None:
+    """A place for files that no slow disk is behind, where the machine has one."""
+    place = "/dev/shm"
+    return place if os.access(place, os.W_OK) and shutil.disk_usage(place).free > LEFT_FREE else None
+
+
 def free_memory() -> int:
     """Bytes that can be had without swapping."""
     for line in Path("/proc/meminfo").read_text().splitlines():
--- a/ploverspoke/testbed/processes/starter.py
+++ b/ploverspoke/testbed/processes/starter.py
@@ -107,7 +107,7 @@
     class Connection(sqlite3.Connection):
         """Commits are where a disk fails; what was written before one is rolled back by whoever is told."""
 
-        def execute(self, text: str, *more: Any) -> sqlite3.Cursor:  # type: ignore[override]
+        def execute(self, text: str, *more: Any) -> sqlite3.Cursor:
             mode = controls.get("disk")
             if mode == FULL and text.lstrip().startswith(("insert", "begin")):
                 raise sqlite3.OperationalError("database or disk is full")
--- a/ploverspoke/testbed/sockets.py
+++ b/ploverspoke/testbed/sockets.py
@@ -17,8 +17,9 @@
 from . import records
 from .clients import LATE_ASKS
 from .processes.child import Child
+from .processes.history import Happened
 from .processes.rig import Place, Rig
-from .processes.room import MEBIBYTE, Want
+from .processes.room import MEBIBYTE, Want, in_memory
 from .processes.running import NotStarted, Running
 from .processes.timeline import Step
 from .records import Event, Records, merged, read_records
@@ -27,7 +28,7 @@
 
 LEAD = 300 * MILLISECOND  # from the word to start to the start
 READY_WITHIN = 20.0  # seconds
-MOST_BEHIND = 100 * MILLISECOND  # of the load generator; past that the figures are void
+MOST_BEHIND = 100 * MILLISECOND  # of the load generator and the stand-ins; past that a run is void
 FINAL_CALM = SECOND
 STAND_IN_MEMORY = 256 * MEBIBYTE
 KEPT_BY_DISPATCHERS = 21  # seconds, a connection to a worker that rests
@@ -40,6 +41,8 @@
     void: str
     took_s: float
     logs: str  # what dispatchers wrote, the last lines
+    history: list[Happened]  # what was done to them, and what they said
+    links: dict[str, int]  # what the relays counted
 
 
 class Program(Running):
@@ -117,6 +120,7 @@
         self.rig.on_down, self.rig.on_up = self._down, self._up
         self.rig.ends_within = max(g.abandon_time for g in e.grades) / SECOND + 0.7
         self.behind = 0
+        self.late = 0  # the stand-ins
         self.programs: list[Program] = []
         self.tasks: list[asyncio.Task[None]] = []
 
@@ -202,6 +206,7 @@
             if "fell" in told or "back" in told:
                 discovery.tell(told)
             self.behind = max(self.behind, told.get("behind", 0))
+            self.late = max(self.late, told.get("late", 0))
             if self.told is not None:
                 self.told({"at": self.rig.now(), "child": id(child), **told})
 
@@ -222,6 +227,8 @@
     def void(self) -> str:
         if self.behind > MOST_BEHIND:
             return f"the load generator fell behind by {write_span(self.behind)}"
+        if self.late > MOST_BEHIND:
+            return f"the machine was too slow: a stand-in was late by {write_span(self.late)}"
         if self.rig.faults:
             return f"{len(self.rig.faults)} faults, the first: {self.rig.faults[0]}"
         return self.rig.void()
@@ -230,14 +237,16 @@
 def play_on_sockets(e: ex.Experiment, seed: int, told: Told | None = None) -> Played:
     """One run, in real time. Raises NotStarted where a process does not come up, NoRoom where none fits."""
     began = time.monotonic()
-    with tempfile.TemporaryDirectory(prefix="ploverspoke-testbed-") as name:
+    with tempfile.TemporaryDirectory(prefix="ploverspoke-testbed-", dir=in_memory()) as name:
         folder = Path(name)
         stage = Stage(e, seed, folder, told)
         asyncio.run(_play(stage))
         parts = [read_records(path) for path in sorted(folder.glob("*.jsonl"))]
         events = merged([stage.seen.events, *parts])
+        history = stage.rig.happened()
         logs = "\n".join(path.read_text()[-2000:] for path in sorted(folder.glob("d*.log")))
-    return Played(events, stage.void(), time.monotonic() - began, logs)
+    counts = stage.rig.counts.get("links", {})
+    return Played(events, stage.void(), time.monotonic() - began, logs, history, counts)
 
 
 async def _play(stage: Stage) -> None:
--- a/ploverspoke/testbed/virtual.py
+++ b/ploverspoke/testbed/virtual.py
@@ -385,6 +385,9 @@
                 self.clock.at(t.at, self._change_settings)
                 self.clock.at(t.at + t.lasts, self._change_settings)
         workers = list(self.fleet.workers.values())
+        if e.timeline or e.dispatchers.talk:
+            key = "timeline" if e.timeline else "dispatchers.talk"
+            raise ex.BadExperiment(f"{key}: played on sockets only")
         self.fleet_troubles = FleetTroubles(
             e, seed, self.clock, workers, self.connections, self._worker_died, _nothing
         )
@@ -397,9 +400,6 @@
         self.starts = [0] * e.dispatchers.count
         if e.dispatchers.store:
             raise ex.BadExperiment("dispatchers.store: a store is played on sockets only")
-        if e.timeline or e.dispatchers.talk:
-            key = "timeline" if e.timeline else "dispatchers.talk"
-            raise ex.BadExperiment(f"{key}: played on sockets only")
         for begin, end, number, how in ex.outages(e, seed):
             if how == "paused":
                 raise ex.BadExperiment("troubles: a pause of a dispatcher is played on sockets only")
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,21 @@
+"""Where tests keep their files: in memory, if the machine has such a place.
+
+A disk that is busy with others makes a sync take seconds, and elections with it: the verdict would be the
+disk's. How slow and failing disks are borne is tested by the rig, which makes them so.
+"""
+
+import shutil
+import tempfile
+from pathlib import Path
+
+import pytest
+
+from ploverspoke.testbed.processes.room import in_memory
+
+
+def pytest_configure(config: pytest.Config) -> None:
+    where = in_memory()
+    if where is not None and config.option.basetemp is None:
+        folder = tempfile.mkdtemp(prefix="ploverspoke-tests-", dir=where)
+        config.add_cleanup(lambda: shutil.rmtree(folder, ignore_errors=True))
+        config.option.basetemp = Path(folder) / "tests"
--- /dev/null
+++ b/tests/test_processes_rig.py
@@ -0,0 +1,325 @@
+"""The rig of many processes: what its parts promise, and real replicas and dispatchers under its faults."""
+
+import asyncio
+import json
+import random
+import socket
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+import uvloop
+
+from ploverspoke.testbed.audit import SOCKETS_SLACK, audit
+from ploverspoke.testbed.experiment import BadExperiment
+from ploverspoke.testbed.processes.addresses import Block, bound, held_ports
+from ploverspoke.testbed.processes.history import History, around, read_history
+from ploverspoke.testbed.processes.links import Fault, Link, Links
+from ploverspoke.testbed.processes.relay import Relays, Spec, Stood
+from ploverspoke.testbed.processes.rig import Rig
+from ploverspoke.testbed.processes.room import MEBIBYTE, NoRoom, Want, make_sure
+from ploverspoke.testbed.processes.running import NotStarted, Running
+from ploverspoke.testbed.processes.timeline import BadTimeline, Step, Weight, check, drawn
+from ploverspoke.testbed.runner import run_virtual
+from ploverspoke.testbed.sockets import play_on_sockets
+from ploverspoke.testbed.spans import SECOND, Span
+
+from .test_testbed_model import WORLD, world
+
+MS = 1_000_000
+
+
+@pytest.mark.parametrize(
+    ("fault", "arrivals", "pieces"),
+    [
+        (Fault(), [[0]], [0]),
+        (Fault(cut=True), [[]], [0]),  # a stream's piece is held by its way, not by the link
+        (Fault(delay=5 * MS), [[5 * MS]], [5 * MS]),
+        (Fault(loss=1.0), [[]], [(200 + 400 + 800 + 1600 + 3200 + 6400) * MS]),
+        (Fault(double=1.0), [[0, 0]], [0]),
+        (Fault(delay=MS, reorder=1.0), [[3 * MS]], [MS]),
+        (Fault(rate=1000.0), [[100 * MS], [200 * MS]], [300 * MS]),  # one behind the other
+    ],
+)
+def test_a_link_brings_what_its_fault_says(
+    fault: Fault, arrivals: list[list[int]], pieces: list[int]
+) -> None:
+    link = Link(lambda: 0.0)
+    link.lay(1, fault)
+    assert [link.datagram(0, 100) for _ in arrivals] == arrivals
+    assert [link.piece(0, 100) for _ in pieces] == pieces
+    link.lift(1)
+    assert link.datagram(SECOND, 100) == [SECOND]
+
+
+def test_faults_lie_over_one_another_and_count_for_links_that_come_later() -> None:
+    links = Links(lambda name: random.Random(name).random)
+    first = links.link("a", "b")
+    links.lay(1, Fault(origin=["a"], cut=True))
+    links.lay(2, Fault(delay=MS))
+    links.lay(3, Fault(target=["b"], delay=MS))
+    assert first.now.cut and first.now.delay == 2 * MS
+    assert links.link("a", "c").now.cut and links.link("c", "b").now.delay == 2 * MS
+    assert not links.link("b", "a").now.cut  # one direction only
+    links.lift(1)
+    links.lift(1)
+    assert not first.now.cut and first.now.delay == 2 * MS
+
+
+@pytest.mark.parametrize(
+    ("step", "key"),
+    [
+        ({"what": "melt"}, "timeline[0].what"),
+        ({"what": "kill"}, "timeline[0].who"),
+        ({"what": "kill", "who": ["z"]}, "timeline[0].who"),
+        ({"what": "cut", "to": ["z"]}, "timeline[0].to"),
+        ({"what": "pause", "who": ["a"]}, "timeline[0].lasts"),
+        ({"what": "slow"}, "timeline[0].rate"),
+        ({"what": "loss", "share": 1.5}, "timeline[0].share"),
+        ({"what": "delay"}, "timeline[0].delay"),
+    ],
+)
+def test_a_wrong_timeline_is_refused_by_its_key(step: dict[str, Any], key: str) -> None:
+    with pytest.raises(BadTimeline) as caught:
+        check([Step(at=Span(0), **step)], ["a"])
+    assert str(caught.value).startswith(key)
+
+
+def test_a_drawn_timeline_is_its_seeds_and_keeps_the_calm_at_the_end() -> None:
+    weights = [
+        Weight(what=what, who=["a", "b", "c"], every=Span(SECOND), lasts=[Span(100 * MS), Span(9 * SECOND)])
+        for what in ("kill", "pause", "cut", "rough", "wall jumps", "slow", "delay", "double")
+    ]
+    steps = drawn(weights, 60 * SECOND, 1, calm=10 * SECOND)
+    assert steps == drawn(weights, 60 * SECOND, 1, calm=10 * SECOND) != drawn(weights, 60 * SECOND, 2)
+    assert check(steps, ["a", "b", "c"]) == steps
+    assert len(steps) > 200 and all(step.at + step.lasts <= 50 * SECOND for step in steps)
+
+
+def test_what_does_not_fit_is_refused_with_what_is_wanted() -> None:
+    wants = [Want("dispatchers", 250, 40 * MEBIBYTE, 100), Want("workers", 1, MEBIBYTE, 20_001)]
+    with pytest.raises(NoRoom, match="workers: 20001 descriptors in one process, 20000"):
+        make_sure(wants, 24 << 30, 20_000)
+    with pytest.raises(NoRoom, match="10001 MiB wanted .250 dispatchers of 40 MiB"):
+        make_sure(wants, 4 << 30, 30_000)
+    assert make_sure(wants, 24 << 30, 30_000) == "251 processes, 10001 MiB"
+
+
+def test_blocks_and_ports_are_held_and_a_program_can_listen_where_one_is_held() -> None:
+    one, other = Block(), Block()
+    try:
+        assert one.number != other.number
+        port = one.hold(one.own(0))
+        with pytest.raises(OSError, match="in use"), socket.socket() as thief:
+            thief.bind((one.own(0), port))
+        with bound(one.own(0), port) as listening:
+            listening.listen()
+        assert len(set(held_ports(50))) == 50
+    finally:
+        one.close()
+        other.close()
+    again = Block()
+    assert again.number == one.number
+    again.close()
+
+
+def test_a_history_is_read_up_to_its_last_whole_line(tmp_path: Path) -> None:
+    history = History(tmp_path / "a.history", "a")
+    for n in range(50):
+        history.add("step", n, at=n * MS)
+    (tmp_path / "a.history").open("ab").write(b'[51,"a"')
+    events = list(read_history(tmp_path / "a.history"))
+    assert [e.detail for e in events] == list(range(50))
+    assert around(events, 10 * MS, 3)[0].startswith("    -1.000 ms  a  step  9")
+
+
+async def until(found: Callable[[], Any], seconds: float = 10.0) -> Any:
+    for _ in range(int(seconds * 100)):
+        if value := found():
+            return value
+        await asyncio.sleep(0.01)
+    raise AssertionError("it did not come to that")
+
+
+def test_relays_pass_on_hold_and_reset_streams_and_datagrams() -> None:
+    block = Block()
+
+    class Heard(asyncio.DatagramProtocol):
+        def datagram_received(self, data: bytes, addr: tuple[str | int, ...]) -> None:
+            datagrams.append((data, str(addr[0])))
+
+    datagrams: list[tuple[bytes, str]] = []
+    came: list[bytes] = []
+    senders: list[str] = []
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        senders.append(writer.get_extra_info("peername")[0])
+        while data := await reader.read(1000):
+            came.append(data)
+            writer.write(data.upper())
+        came.append(b"end")
+        writer.close()
+
+    async def scene() -> None:
+        ports = [block.hold(block.own(n)) for n in range(2)]
+        stood = [
+            Stood(name, block.own(n), block.relayed(n), [ports[n]], [ports[n]]) for n, name in enumerate("ab")
+        ]
+        relays = Relays(Spec(1, stood))
+        await relays.open()
+        a, b = stood
+        await asyncio.start_server(serve, b.own, ports[1])
+        loop = asyncio.get_running_loop()
+        talk, _ = await loop.create_datagram_endpoint(asyncio.DatagramProtocol, local_addr=(a.own, ports[0]))
+        await loop.create_datagram_endpoint(Heard, local_addr=(b.own, ports[1]))
+
+        async def dial() -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+            return await asyncio.open_connection(b.relayed, ports[1], local_addr=(a.own, 0))
+
+        reader, writer = await dial()
+        writer.write(b"one")
+        assert await reader.read(10) == b"ONE" and senders == [a.own]
+        talk.sendto(b"x", (b.relayed, ports[1]))
+        await until(lambda: datagrams == [(b"x", a.relayed)])  # it seems to come from where a is believed
+
+        # Answers are cut off, what is asked arrives; then the other way round.
+        relays.heard({"lay": 1, "fault": {"origin": ["b"], "target": ["a"], "cut": True}})
+        writer.write(b"two")
+        await until(lambda: came[-1] == b"two")
+        with pytest.raises(TimeoutError):
+            await asyncio.wait_for(reader.read(10), 0.05)
+        relays.heard({"lay": 2, "fault": {"origin": ["a"], "cut": True}})
+        relays.heard({"lift": 1})
+        assert await reader.read(10) == b"TWO"
+        writer.write(b"three")
+        talk.sendto(b"y", (b.relayed, ports[1]))
+        writer.close()  # the end comes behind what was sent before it
+        await asyncio.sleep(0.05)
+        assert came[-1] == b"two" and len(datagrams) == 1
+        relays.heard({"lift": 2})
+        await until(lambda: came[-2:] == [b"three", b"end"])
+
+        reader, writer = await dial()
+        writer.write(b"four")
+        await reader.read(10)
+        relays.heard({"reset": {"origin": ["a"], "target": ["b"]}})
+        with pytest.raises(ConnectionResetError):
+            await reader.read(10)
+        relays.heard({"lay": 3, "fault": {"silent": True}})
+        reader, writer = await dial()
+        writer.write(b"five")
+        with pytest.raises(TimeoutError):
+            await asyncio.wait_for(reader.read(10), 0.05)
+        relays.heard({"lift": 3})
+        assert b"five" not in came and len(senders) == 2
+        counts = relays.heard({})
+        assert counts["taken"] == 3 and counts["links"]["lost"] == 1
+
+    try:
+        uvloop.run(asyncio.wait_for(scene(), 30))
+    finally:
+        block.close()
+
+
+def test_a_process_has_the_address_and_the_clocks_that_the_rig_gives_it(tmp_path: Path) -> None:
+    told: dict[str, dict[str, float]] = {}
+
+    async def scene() -> None:
+        streams: dict[str, tuple[asyncio.StreamReader, asyncio.StreamWriter]] = {}
+
+        def came(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            streams[writer.get_extra_info("peername")[0]] = (reader, writer)
+
+        server = await asyncio.start_server(came, "127.0.0.1", 0)
+        port = str(server.sockets[0].getsockname()[1])
+        async with Rig(tmp_path, 1) as rig:
+            for name, rate in (("true", 1.0), ("fast", 2.0), ("slow", 0.5)):
+                place = rig.place(name)
+                process = rig.add(place, "tests.probe", ["127.0.0.1", port, "0.4"])
+                process.rate = rate
+                process.wall_jumps(3600 * SECOND if name == "slow" else 0)
+            await rig.start()
+            await until(lambda: len(streams) == 3)
+
+            async def ask(place: Any) -> None:
+                reader, writer = streams[place.own]
+                began = time.monotonic()
+                writer.write(b"\n")
+                found = json.loads(await reader.readline())
+                took = time.monotonic() - began
+                told[place.name] = {"took": took, **found, "ahead": found["wall"] - time.time()}
+
+            await asyncio.gather(*(ask(place) for place in rig.places.values()))
+            assert isinstance(rig.running["true"], Running) and rig.running["true"].lives()
+            rig.running["true"].pause()
+        assert not any(process.lives() for process in rig.running.values())
+
+    asyncio.run(asyncio.wait_for(scene(), 30))
+    # All believe to have slept as long; on the true clock that was half as long, or twice.
+    assert all(one["slept"] > 0.35 for one in told.values())
+    assert told["slow"]["took"] > 0.75 and told["fast"]["took"] < told["slow"]["took"]
+    assert 3500 < told["slow"]["ahead"] < 3700 and abs(told["true"]["ahead"]) < 60
+
+
+def test_nothing_is_left_running_when_a_process_of_the_rig_does_not_come_up(tmp_path: Path) -> None:
+    async def scene() -> list[Running]:
+        async with Rig(tmp_path, 1) as rig:
+            rig.add(rig.place("a"), "tests.probe", ["127.0.0.1", str(held_ports(1)[0]), "1"])
+            bad = rig.add(rig.place("b"), "tests.probe", ["no number"])
+
+            async def never() -> bool:
+                return False
+
+            bad.ready = never
+            with pytest.raises(NotStarted, match="b did not come up; its log: (?s:.*)IndexError"):
+                await rig.start()
+        return list(rig.running.values())
+
+    assert not any(process.lives() for process in asyncio.run(asyncio.wait_for(scene(), 30)))
+
+
+def test_replicas_keep_the_rules_when_clocks_jump_disks_fail_and_links_are_cut_one_way() -> None:
+    # One fault behind the other: with two of three gone nobody can be answered, and clients wait on.
+    troubles = [
+        {"at": "1s", "what": "wall jumps", "who": ["d0", "d2"], "ahead": 3600.0},
+        {"at": "1s", "what": "disk fails", "who": ["d0"], "lasts": "500ms"},
+        {"at": "2500ms", "what": "disk fails", "who": ["d1"], "lasts": "500ms"},
+        {"at": "4s", "what": "wall jumps", "who": ["d0"], "ahead": -3600.0},
+        {"at": "4s", "what": "cut", "who": ["d2"], "lasts": "800ms"},
+        {"at": "6s", "what": "disk full", "who": ["d2"], "lasts": "500ms"},
+        {"at": "7500ms", "what": "pause", "who": ["d0"], "lasts": "700ms"},
+        {"at": "9s", "what": "cut", "to": ["d1"], "lasts": "800ms"},
+    ]
+    grades = [{**grade, "abandon_time": "3s"} for grade in WORLD["grades"]]
+    e = world(lasts="10s", grades=grades, dispatchers={"count": 3, "store": True}, timeline=troubles)
+    played = play_on_sockets(e, 1)
+    assert audit(e, played.events, SOCKETS_SLACK) == []
+    said = [event.detail for event in played.history if event.what == "says"]
+    for text in ("disk I/O error", "disk is full", "the disk can be written again"):
+        assert any(text in line for line in said), text
+    answered = [event for event in played.events if event.detail == "satisfied"]
+    assert len(answered) > 100 and {event.what for event in played.history} >= {
+        "lay",
+        "lift",
+        "pause is over",
+    }
+
+
+def test_dispatchers_talk_through_relays_and_a_cut_between_them_is_felt_there_only() -> None:
+    talk = {"count": 3, "talk": True}
+    e = world(
+        lasts="3s",
+        dispatchers=talk,
+        timeline=[{"at": "0s", "what": "cut", "who": ["d0"], "to": ["d1"]}],
+    )
+    played = play_on_sockets(e, 1)
+    assert audit(e, played.events, SOCKETS_SLACK) == []
+    assert played.links["passed"] > 10 and played.links["lost"] > 0
+    cut = [{"at": "0s", "what": "cut"}]
+    for told, key in (({"dispatchers": talk}, "dispatchers.talk"), ({"timeline": cut}, "timeline")):
+        with pytest.raises(BadExperiment, match=key):
+            run_virtual(world(**told), 1, "ours")
+    with pytest.raises(BadExperiment, match=r"timeline\[0\].who"):
+        world(timeline=[{"at": "0s", "what": "kill", "who": ["d7"]}])
