Consensus is a package of its own: the ledger is one state machine on it

Need: keepers of leases are replicas of the same consensus under another state.

No behaviour changes.

--- a/ploverspoke/store/orders.py
+++ b/ploverspoke/consensus/orders.py
@@ -16,7 +16,7 @@
 SHORTEST_SECRET = 16
 
 
-class StoreOrders(NamedTuple):
+class ReplicaOrders(NamedTuple):
     cluster: str
     name: str
     folder: Path
@@ -34,7 +34,7 @@
     return f"{name}.1"
 
 
-def read_store_orders(path: Path) -> StoreOrders:
+def read_replica_orders(path: Path) -> ReplicaOrders:
     """Raises BadKey, naming the key."""
     try:
         told = json.loads(path.read_text(encoding="utf-8"))
@@ -62,7 +62,7 @@
         raise BadKey(f"secret_file: {secret_file} cannot be read: {error.strerror}") from None
     if len(secret) < SHORTEST_SECRET:
         raise BadKey(f"secret_file: {secret_file} holds less than {SHORTEST_SECRET} bytes")
-    return StoreOrders(
+    return ReplicaOrders(
         top.text("cluster"),
         name,
         path.parent / top.text("folder"),
--- a/ploverspoke/store/__init__.py
+++ b/ploverspoke/store/__init__.py
@@ -1,1 +1,1 @@
-"""The daemon's own replicated store: consensus, a durable log, the ledger, and what is recovered from it."""
+"""The daemon's own replicated store: the ledger on `consensus/`, and what is recovered from it."""
--- a/ploverspoke/store/commands.py
+++ b/ploverspoke/store/commands.py
@@ -9,14 +9,14 @@
 
 import click
 
+from ploverspoke.consensus.ask import ask
+from ploverspoke.consensus.disk import Damaged, Disk, DiskTrouble, WrongStore
+from ploverspoke.consensus.frames import BadFrame
+from ploverspoke.consensus.orders import ReplicaOrders, read_replica_orders
 from ploverspoke.program.checked import BadKey
 
-from .ask import ask
 from .daemon import put_together
-from .disk import Damaged, Disk, DiskTrouble, WrongStore
-from .frames import BadFrame
 from .ledger import Ledger
-from .orders import StoreOrders, read_store_orders
 
 FILE = click.argument("file", type=click.Path(exists=True, dir_okay=False, path_type=Path))
 JSON = click.option("--json", "as_json", is_flag=True, help="For tools.")
@@ -27,21 +27,21 @@
     """Look at a store and change it. FILE is the store file of any of its replicas."""
 
 
-def _orders(file: Path) -> StoreOrders:
+def _orders(file: Path) -> ReplicaOrders:
     try:
-        return read_store_orders(file)
+        return read_replica_orders(file)
     except BadKey as error:
         raise click.UsageError(str(error)) from None
 
 
-def _ask(orders: StoreOrders, name: str, question: dict[str, Any]) -> Any:
+def _ask(orders: ReplicaOrders, name: str, question: dict[str, Any]) -> Any:
     try:
         return ask(orders.replicas[name][0], orders.secret, question)
     except (OSError, BadFrame) as error:
         return {"name": name, "role": "no answer", "why": str(error)}
 
 
-def _leader(orders: StoreOrders) -> str:
+def _leader(orders: ReplicaOrders) -> str:
     """The name of the one that leads. Raises ClickException where none does."""
     for name in orders.replicas:
         told = _ask(orders, name, {"ask": "status"})
--- a/ploverspoke/store/daemon.py
+++ b/ploverspoke/store/daemon.py
@@ -14,23 +14,23 @@
 
 import uvloop
 
+from ploverspoke.consensus.disk import Damaged, DiskTrouble, WrongStore
+from ploverspoke.consensus.orders import ReplicaOrders, read_replica_orders
 from ploverspoke.program.briefing import Briefing, address, briefing_of, read_told
 from ploverspoke.program.checked import BadKey, Checked
 from ploverspoke.program.exits import exit_code
 from ploverspoke.program.service import Service
 from ploverspoke.transport.log_lines import say
 
-from .disk import Damaged, DiskTrouble, WrongStore
 from .ledger import Configuration
 from .memory import RosterMemory
-from .node import CONFIGURATION, ROSTER, Node
-from .orders import StoreOrders, read_store_orders
+from .node import CONFIGURATION, ROSTER, StoreNode
 from .scribe import StoreScribe
 
 SHARED = ("settings", "discovery")
 
 
-def put_together(told: Any, shared: str, orders: StoreOrders, roster: Any) -> Briefing:
+def put_together(told: Any, shared: str, orders: ReplicaOrders, roster: Any) -> Briefing:
     """One replica's file, what the store shares, and the roster as last known. Raises BadKey."""
     listen = orders.replicas[orders.name][1]
     address(Checked({"clients": listen}, f"replicas.{orders.name}"), "clients", None)
@@ -43,9 +43,9 @@
 
 
 class Daemon:
-    def __init__(self, orders: StoreOrders) -> None:
+    def __init__(self, orders: ReplicaOrders) -> None:
         self.orders = orders
-        self.node = Node(orders)
+        self.node = StoreNode(orders)
         self.shared = ""
 
     async def run(self, new: bool, join: str) -> None:
@@ -88,6 +88,6 @@
     """Exit 0: told to end. 2: the configuration or the store cannot be used; says why."""
 
     def run() -> None:
-        uvloop.run(Daemon(read_store_orders(store)).run(new, join))
+        uvloop.run(Daemon(read_replica_orders(store)).run(new, join))
 
     return exit_code(run, WrongStore, Damaged, DiskTrouble)
--- a/ploverspoke/store/scribe.py
+++ b/ploverspoke/store/scribe.py
@@ -9,7 +9,7 @@
 from ploverspoke.transport.log_lines import say
 
 from . import ledger
-from .node import Node
+from .node import StoreNode
 from .recovery import Fate, answer_when_over, fate
 
 AFTER_ABANDON = 0.05  # seconds past the abandon time, in which its own answer may still be on its way
@@ -19,7 +19,7 @@
     """The `Scribe` of one replica."""
 
     def __init__(
-        self, node: Node, repeats: list[str], groups: list[str], full_may_have_run: bool = False
+        self, node: StoreNode, repeats: list[str], groups: list[str], full_may_have_run: bool = False
     ) -> None:
         """Repeat and group of each grade, and whether "full" is no proof, as the standing orders have it."""
         self.full_may_have_run = full_may_have_run
--- a/ploverspoke/testbed/store_bench.py
+++ b/ploverspoke/testbed/store_bench.py
@@ -18,12 +18,12 @@
 import msgspec
 from rich.table import Table
 
-from ploverspoke.store.ask import ask
-from ploverspoke.store.disk import Disk
-from ploverspoke.store.frames import BadFrame
+from ploverspoke.consensus.ask import ask
+from ploverspoke.consensus.disk import Disk
+from ploverspoke.consensus.frames import BadFrame
+from ploverspoke.consensus.log import Entry
+from ploverspoke.consensus.replica import Batch
 from ploverspoke.store.ledger import ANSWER, INTEND, OUTCOME, TAKE, Ledger
-from ploverspoke.store.log import Entry
-from ploverspoke.store.replica import Batch
 
 from .bench import WORKERS, Process
 from .experiment import experiment_of
--- a/tests/explorer.py
+++ b/tests/explorer.py
@@ -9,10 +9,10 @@
 from collections import defaultdict
 from typing import Any
 
-from ploverspoke.store.log import Entry, Log
-from ploverspoke.store.members import Members, majority, voters
-from ploverspoke.store.raft import Message, Raft
-from ploverspoke.store.replica import Batch, Replica
+from ploverspoke.consensus.log import Entry, Log
+from ploverspoke.consensus.members import Members, majority, voters
+from ploverspoke.consensus.raft import Message, Raft
+from ploverspoke.consensus.replica import Batch, Replica
 
 MS = 1_000_000
 
--- a/tests/test_store_consensus.py
+++ b/tests/test_store_consensus.py
@@ -9,8 +9,8 @@
 
 import pytest
 
-from ploverspoke.store import raft
-from ploverspoke.store.raft import Message, Raft
+from ploverspoke.consensus import raft
+from ploverspoke.consensus.raft import Message, Raft
 
 from .explorer import MS, Broken, World, explore, sweep
 
--- a/tests/test_store_node.py
+++ b/tests/test_store_node.py
@@ -14,13 +14,13 @@
 from click.testing import CliRunner
 
 from ploverspoke.cli import main
+from ploverspoke.consensus.disk import WrongStore
+from ploverspoke.consensus.members import Members
+from ploverspoke.consensus.orders import read_replica_orders
 from ploverspoke.program.checked import BadKey
-from ploverspoke.store.disk import WrongStore
 from ploverspoke.store.ledger import CONFIGURE
-from ploverspoke.store.members import Members
 from ploverspoke.store.memory import RosterMemory
-from ploverspoke.store.node import Node
-from ploverspoke.store.orders import read_store_orders
+from ploverspoke.store.node import StoreNode
 from ploverspoke.testbed.processes.addresses import held_ports
 
 
@@ -33,7 +33,7 @@
             f"r{n}": {"peers": f"127.0.0.1:{ports[2 * n]}", "clients": f"127.0.0.1:{ports[2 * n + 1]}"}
             for n in range(size + spare)
         }
-        self.nodes: dict[str, Node] = {}
+        self.nodes: dict[str, StoreNode] = {}
         (folder / "secret").write_text("a secret that is long enough")
 
     def file(self, replica: str, **changes: Any) -> Path:
@@ -49,18 +49,18 @@
         path.write_text(json.dumps({**told, "snapshot_every": 100, **changes}))
         return path
 
-    async def start(self, name: str, new: bool = False, join: str = "", **changes: Any) -> Node:
-        node = self.nodes[name] = Node(read_store_orders(self.file(name, **changes)))
+    async def start(self, name: str, new: bool = False, join: str = "", **changes: Any) -> StoreNode:
+        node = self.nodes[name] = StoreNode(read_replica_orders(self.file(name, **changes)))
         await node.open(new, join)
         return node
 
     async def stop(self, name: str) -> None:
         await self.nodes.pop(name).close()
 
-    async def leader(self) -> Node:
+    async def leader(self) -> StoreNode:
         return await until(self.leading)
 
-    def leading(self) -> Node | None:
+    def leading(self) -> StoreNode | None:
         return next((n for n in self.nodes.values() if n.leads()), None)
 
     async def change(self, made: Callable[[Members], Members]) -> None:
@@ -81,13 +81,13 @@
     raise AssertionError("it did not come to that")
 
 
-def write(node: Node, body: str) -> Awaitable[bool]:
+def write(node: StoreNode, body: str) -> Awaitable[bool]:
     future = asyncio.get_running_loop().create_future()
     node.propose([CONFIGURE, body, "test", 1], lambda yes: future.cancelled() or future.set_result(yes))
     return future
 
 
-def bodies(node: Node) -> list[str]:
+def bodies(node: StoreNode) -> list[str]:
     return [c.body for c in node.ledger.configurations]
 
 
@@ -248,7 +248,7 @@
     ]
     for change, key in bad:
         with pytest.raises(BadKey, match=key):
-            read_store_orders(cluster.file("r0", **change))
+            read_replica_orders(cluster.file("r0", **change))
 
 
 def test_the_roster_is_put_together_from_what_discovery_told() -> None:
--- a/tests/test_store_parts.py
+++ b/tests/test_store_parts.py
@@ -7,15 +7,15 @@
 import msgspec
 import pytest
 
+from ploverspoke.consensus.clock import StoreClock
+from ploverspoke.consensus.disk import Damaged, Disk, DiskTrouble, WrongStore
+from ploverspoke.consensus.frames import LONGEST, BadFrame, Frames
+from ploverspoke.consensus.log import Entry
+from ploverspoke.consensus.members import Members, differ_by_one, fingerprint
+from ploverspoke.consensus.replica import Batch
 from ploverspoke.store import ledger as ledger_module
-from ploverspoke.store.clock import StoreClock
-from ploverspoke.store.disk import Damaged, Disk, DiskTrouble, WrongStore
-from ploverspoke.store.frames import LONGEST, BadFrame, Frames
 from ploverspoke.store.ledger import ANSWER, CONFIGURE, INTEND, OUTCOME, TAKE, Ledger
-from ploverspoke.store.log import Entry
-from ploverspoke.store.members import Members, differ_by_one, fingerprint
 from ploverspoke.store.recovery import Fate, answer_when_over, fate
-from ploverspoke.store.replica import Batch
 
 MEMBERS: Members = {"a.1": ["a", "", "", True], "b.1": ["b", "", "", True], "c.1": ["c", "", "", True]}
 SECRET = b"sixteen bytes it has"
