--- /dev/null
+++ b/tests/test_leases_explored.py
@@ -0,0 +1,143 @@
+"""Leases in every interleaving that can be had: seeded schedules, all short ones, and planted faults."""
+
+import itertools
+from concurrent.futures import ProcessPoolExecutor
+from multiprocessing import get_context
+from os import sched_getaffinity
+from typing import Any
+
+import pytest
+
+from ploverspoke.leases import holder as holder_module
+from ploverspoke.leases.holder import Holder, Lease
+from ploverspoke.leases.keeper import Keeper
+from ploverspoke.leases.rules import DRIFT
+from ploverspoke.leases.terms import RELEASE, Terms
+
+from .lease_explorer import CHOICES, Broken, Fence, Parts, by_choices, explore
+
+SCHEDULES, DEPTH = 20_000, 5
+
+
+def sweep(first: int, count: int) -> tuple[int, int]:
+    worlds = [explore(seed, places=2 if seed % 5 == 0 else 1) for seed in range(first, first + count)]
+    return sum(w.changes for w in worlds), sum(w.refused for w in worlds)
+
+
+def all_from(first: int) -> int:
+    count = 0
+    for rest in itertools.product(range(CHOICES), repeat=DEPTH):
+        by_choices((first, *rest))
+        count += 1
+    return count
+
+
+def test_no_schedule_has_two_holders_at_once_or_tokens_that_fall() -> None:
+    cores = len(sched_getaffinity(0))
+    part = SCHEDULES // 40
+    with ProcessPoolExecutor(cores, mp_context=get_context("spawn")) as pool:
+        seeded = [pool.submit(sweep, first, part) for first in range(0, SCHEDULES, part)]
+        short = [pool.submit(all_from, first) for first in range(CHOICES)]
+        changes, refused = (sum(row) for row in zip(*(wait.result() for wait in seeded), strict=True))
+        assert sum(wait.result() for wait in short) == CHOICES ** (DEPTH + 1)
+    # A sweep in which little happens proves nothing.
+    assert changes > 2 * SCHEDULES and refused > 50
+
+
+class CountsFromTheAnswer(Holder):
+    def told(self, message: dict[str, Any]) -> None:
+        if message["n"] in self.sent:
+            self.sent[message["n"]] = self.host.now()
+        super().told(message)
+
+
+class NoMargin(Holder):
+    def told(self, message: dict[str, Any]) -> None:
+        rows = [[name, token, int(span / (1 - DRIFT))] for name, token, span in message["has"]]
+        super().told({**message, "has": rows})
+
+
+class HearsOldAnswers(Holder):
+    def want(self, name: str, duration: int) -> Lease:
+        lease = super().want(name, duration)
+        lease.first = 0
+        return lease
+
+
+class GrantsAtOnce(Keeper):
+    def leads(self, era: int = 0) -> None:
+        super().leads(era)
+        self.deadlines = dict.fromkeys(self.deadlines, self.host.now())
+
+
+class BeginsAgain(Terms):
+    def next_token(self) -> int:
+        return self.last + 1
+
+
+class ForgetsTheRestore(Keeper):
+    def leads(self, era: int = 0) -> None:
+        super().leads(self.terms.era)
+
+
+class RenewsWhatIsOver(Keeper):
+    """What has been said to be over is renewed as long as the log does not say so, and once more after."""
+
+    def _answer(self, holder: str, message: dict[str, Any]) -> None:
+        rows = [[name, token, duration] for name, duration, token, _ in message["want"] if token]
+        self.host.tell(holder, {"n": message["n"], "has": rows, "lost": [], "refused": []})
+
+
+class ReleasesForAnybody(Keeper):
+    def _released(self, holder: str, rows: Any) -> None:
+        """An old holder's word, or an old word, ends what another has by now."""
+        found = [[name, one.token] for name, _, _ in rows for one in self.terms.names.get(name, ())]
+        if found:
+            self.host.propose([RELEASE, found], lambda yes: None)
+
+
+class TakesAll(Fence):
+    def takes(self, token: int) -> bool:
+        return True
+
+
+class ProvesNothing(Keeper):
+    """Answers renewals without a majority's word."""
+
+    def _confirm(self) -> None:
+        batch, self.batch = self.batch, []
+        for holder, message in batch:
+            self._answer(holder, message)
+
+
+PLANTED = [
+    Parts(holder=CountsFromTheAnswer),
+    Parts(holder=NoMargin),
+    Parts(holder=HearsOldAnswers),
+    Parts(keeper=GrantsAtOnce),
+    Parts(terms=BeginsAgain),
+    Parts(keeper=ForgetsTheRestore),
+    Parts(keeper=RenewsWhatIsOver),
+    Parts(keeper=ReleasesForAnybody),
+    Parts(keeper=ProvesNothing),
+    Parts(fence=TakesAll),
+]
+
+
+def named(parts: Parts) -> str:
+    return next(c.__name__ for c in vars(parts).values() if c.__module__ == __name__)
+
+
+@pytest.mark.parametrize("parts", PLANTED, ids=named)
+def test_a_planted_fault_is_found(parts: Parts) -> None:
+    for seed in range(4000):
+        try:
+            explore(seed, parts=parts)
+        except Broken:
+            return
+    raise AssertionError("not found in 4000 schedules")
+
+
+def test_the_margin_is_what_two_clocks_of_five_percent_need() -> None:
+    assert (1 - DRIFT) / 0.95 <= 1 / 1.05
+    assert holder_module.DRIFT == DRIFT
