Keepers and holders on sockets, and a proof on processes that no two act at once

Need: leases are to be shown on real processes that are killed, paused and cut off, not by unit tests alone.

Change: ploverspoke keep FILE runs a keeper (leases/node.py, door.py, daemon.py) on the consensus of the store; leases/client.py is a holder on sockets, acting.py steps that none outlasts, fence.py the receiving side. testbed: contenders and a resource (which shares no code with the product), a checker of their histories by the machine's clock, and files of kind leases for testbed run.

Found on the way: a want with a waiting time below 0, after a loss within one tick, made keepers close the connection.

--- a/ploverspoke/cli.py
+++ b/ploverspoke/cli.py
@@ -99,6 +99,22 @@
     sys.exit(daemon(store, new, join))
 
 
+@main.command()
+@click.argument("file", type=FILE)
+@click.option("--new", is_flag=True, help="The first start of a new set of keepers.")
+@click.option("--join", default="", help="The mark of the running set that it joins.")
+def keep(file: Path, new: bool, join: str) -> None:
+    """Run one keeper of leases with this FILE (docs/operating-leases.md).
+
+    It runs until SIGTERM. Exit 0: told to end. 2: the file or the disk is of no use, and why is said.
+    """
+    try:
+        from ploverspoke.leases.daemon import main as keeper
+    except ModuleNotFoundError as error:
+        raise click.ClickException(f"a keeper needs {error.name}: install ploverspoke[daemon]") from None
+    sys.exit(keeper(file, new, join))
+
+
 @main.command()
 @click.argument("old", type=click.Path(path_type=Path))
 @click.argument("new", type=click.Path(path_type=Path))
--- a/ploverspoke/consensus/orders.py
+++ b/ploverspoke/consensus/orders.py
@@ -34,15 +34,24 @@
     return f"{name}.1"
 
 
-def read_replica_orders(path: Path) -> ReplicaOrders:
-    """Raises BadKey, naming the key."""
+def read_file(path: Path) -> Checked:
+    """A file of JSON, not looked at yet. Raises BadKey."""
     try:
         told = json.loads(path.read_text(encoding="utf-8"))
     except OSError as error:
         raise BadKey(f"{path} cannot be read: {error.strerror}") from None
     except (ValueError, RecursionError) as error:
         raise BadKey(f"{path} is no JSON: {error}") from None
-    top = Checked(told)
+    return Checked(told)
+
+
+def read_replica_orders(path: Path) -> ReplicaOrders:
+    """Raises BadKey, naming the key."""
+    return replica_orders_of(read_file(path), path)
+
+
+def replica_addresses(top: Checked) -> dict[str, tuple[str, str]]:
+    """Of peers and of clients, by name. Raises BadKey."""
     replicas = top.part("replicas")
     found = {}
     for name in replicas.value:
@@ -52,9 +61,11 @@
         for key in ("peers", "clients"):
             address(one, key, None)
         found[name] = (one.text("peers"), one.text("clients"))
-    name = top.text("name")
-    if name not in found:
-        raise top.bad("name", "one of the replicas")
+    return found
+
+
+def shared_secret(top: Checked, path: Path) -> bytes:
+    """Raises BadKey."""
     secret_file = path.parent / top.text("secret_file")
     try:
         secret = secret_file.read_bytes().strip()
@@ -62,11 +73,20 @@
         raise BadKey(f"secret_file: {secret_file} cannot be read: {error.strerror}") from None
     if len(secret) < SHORTEST_SECRET:
         raise BadKey(f"secret_file: {secret_file} holds less than {SHORTEST_SECRET} bytes")
+    return secret
+
+
+def replica_orders_of(top: Checked, path: Path) -> ReplicaOrders:
+    """Raises BadKey, naming the key."""
+    found = replica_addresses(top)
+    name = top.text("name")
+    if name not in found:
+        raise top.bad("name", "one of the replicas")
     return ReplicaOrders(
         top.text("cluster"),
         name,
         path.parent / top.text("folder"),
-        secret,
+        shared_secret(top, path),
         found,
         top.whole("election_ms", 200, least=50) * 1_000_000,
         top.whole("snapshot_every", 20_000, least=100),
--- /dev/null
+++ b/ploverspoke/leases/client.py
@@ -0,0 +1,200 @@
+"""A holder on sockets: a thin driver of `Holder` that speaks with one keeper at a time."""
+
+import asyncio
+import contextlib
+import os
+import time
+from typing import Any, cast
+
+from ploverspoke.consensus.frames import BadFrame, Frames
+from ploverspoke.transport.log_lines import say
+
+from .holder import NEVER, Holder, Lease, Message
+from .orders import Keepers
+
+DIAL_WITHIN = 1.0  # seconds
+SAYS_GOODBYE = 0.05  # seconds, for a last message
+LONGEST_NAP = 60.0
+
+
+class KeeperConnection(asyncio.Protocol):
+    def __init__(self, client: "LeaseClient") -> None:
+        self.client = client
+        self.frames = Frames(client.keepers.secret, {"id": client.me, "store": ""})
+        self.transport: asyncio.Transport | None = None
+        self.ready = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        self.transport.write(self.frames.hello())
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.transport = None
+        self.client.lost(self)
+
+    def data_received(self, data: bytes) -> None:
+        try:
+            messages = self.frames.feed(data)
+            if self.frames.other is not None and not self.ready:
+                self.ready = True
+                self.client.connected(self)
+            for message in messages:
+                self.client.told(self, message)
+        except (BadFrame, KeyError, TypeError, ValueError) as error:
+            say(f"leases: a keeper's answer is refused: {error}")
+            self.close()
+
+    def close(self) -> None:
+        if self.transport is not None:
+            self.transport.abort()
+
+
+class LeaseClient:
+    """The host of a `Holder`. Its id is new with each start: a process never takes its old self's word."""
+
+    def __init__(self, keepers: Keepers, name: str, start: str = "") -> None:
+        self.keepers = keepers
+        self.me = f"{name}/{start or os.urandom(6).hex()}"
+        self.holder = Holder(self)
+        self.loop = asyncio.get_running_loop()
+        self.at = int.from_bytes(os.urandom(2), "big") % len(keepers.clients)  # not all at the first
+        self.connection: KeeperConnection | None = None
+        self.dialling: asyncio.Task[None] | None = None
+        self.timer: asyncio.TimerHandle | None = None
+        self.closed = False
+        self.changed = asyncio.Event()
+
+    # ---- What its user asks ----
+
+    def want(self, name: str, duration: int) -> Lease:
+        """`duration` in ns. Renewed until it is released. See `Holder`."""
+        lease = self.holder.want(name, duration)
+        self._after()
+        return lease
+
+    def release(self, name: str, to: str = "") -> None:
+        self.holder.release(name, to)
+        self._after()
+
+    def left(self, name: str) -> int:
+        return self.holder.left(name)
+
+    def token(self, name: str) -> int:
+        return self.holder.token(name)
+
+    async def held(self, name: str, within: float) -> int:
+        """The token as soon as it is ours; 0 where it is not within so many seconds, or is refused."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(within):
+                while not (token := self.token(name)) and name in self.holder.leases:
+                    self.changed.clear()
+                    await self.changed.wait()
+                return token
+        return 0
+
+    async def close(self) -> None:
+        """Everything is released; where that cannot be told, it is over by its time."""
+        for name in list(self.holder.leases):
+            self.release(name)
+        await asyncio.sleep(SAYS_GOODBYE if self.connection is not None else 0)
+        self.closed = True
+        if self.timer is not None:
+            self.timer.cancel()
+        if self.dialling is not None:
+            self.dialling.cancel()
+        if self.connection is not None:
+            self.connection.close()
+
+    def figures(self) -> dict[str, Any]:
+        """For operators: held now, lost, renewals, and the least that was left at one, in ms."""
+        holder = self.holder
+        least = holder.least_left
+        return {
+            "held": sum(1 for name in holder.leases if holder.left(name)),
+            "waited_for": sum(1 for name in holder.leases if not holder.left(name)),
+            "acquired": holder.acquired,
+            "lost": holder.lost,
+            "renewals": holder.renewals,
+            "least_left_ms": -1 if least == NEVER else least // 1_000_000,
+        }
+
+    # ---- The holder's host ----
+
+    def now(self) -> int:
+        return time.monotonic_ns()
+
+    def send(self, message: Message) -> None:
+        connection = self.connection
+        if connection is not None and connection.ready and connection.transport is not None:
+            connection.transport.write(connection.frames.write(message))
+        elif self.dialling is None:
+            self._dial()
+
+    def go_elsewhere(self) -> None:
+        self._leave()
+        self.at = (self.at + 1) % len(self.keepers.clients)
+
+    # ---- What happens ----
+
+    def connected(self, connection: KeeperConnection) -> None:
+        if connection is self.connection:
+            self.holder.connected()
+            self._after()
+
+    def told(self, connection: KeeperConnection, message: Any) -> None:
+        if connection is not self.connection:
+            return
+        if "elsewhere" in message:
+            where = message["elsewhere"]
+            if where in self.keepers.clients:
+                self._leave()
+                self.at = self.keepers.clients.index(where)
+                self._dial()
+            return
+        self.holder.told(message)
+        self.changed.set()
+        self._after()
+
+    def lost(self, connection: KeeperConnection) -> None:
+        if connection is self.connection:
+            self.connection = None
+
+    def _leave(self) -> None:
+        connection, self.connection = self.connection, None
+        if connection is not None:
+            connection.close()
+        if self.dialling is not None:
+            self.dialling.cancel()
+            self.dialling = None
+
+    def _dial(self) -> None:
+        if not self.closed:
+            self.dialling = self.loop.create_task(self._connect(self.keepers.clients[self.at]))
+
+    async def _connect(self, where: str) -> None:
+        host, _, port = where.rpartition(":")
+        connection = KeeperConnection(self)
+        try:
+            async with asyncio.timeout(DIAL_WITHIN):
+                await self.loop.create_connection(lambda: connection, host.strip("[]"), int(port))
+            self.connection = connection
+        except (OSError, TimeoutError):
+            self.at = (self.at + 1) % len(self.keepers.clients)
+        finally:
+            if self.dialling is asyncio.current_task():
+                self.dialling = None
+
+    def _after(self) -> None:
+        """See when time is wanted next."""
+        if self.timer is not None:
+            self.timer.cancel()
+        if not self.closed:
+            left = min(LONGEST_NAP, max(0.0, (self.holder.wake() - self.now()) / 1e9))
+            self.timer = self.loop.call_later(left, self._ring)
+
+    def _ring(self) -> None:
+        before = self.holder.lost
+        self.holder.tick()
+        if self.holder.lost > before:
+            self.changed.set()
+        self._after()
--- a/ploverspoke/leases/holder.py
+++ b/ploverspoke/leases/holder.py
@@ -33,7 +33,9 @@
 
     def __init__(self, name: str, duration: int, since: int, first: int) -> None:
         self.name = name
-        self.first = first  # the message that asked for it first: answers to earlier ones speak of another time
+        self.first = (
+            first  # the message that asked for it first: answers to earlier ones speak of another time
+        )
         self.duration = duration
         self.since = since
         self.token = 0
@@ -86,8 +88,8 @@
 
     def connected(self) -> None:
         """A keeper can be asked."""
-        self.next_ask = 0
-        self.tick()
+        if self.leases or self.releasing:
+            self._ask(self.host.now())
 
     def tick(self) -> None:
         """Time has passed. `wake` says when it is wanted."""
@@ -168,7 +170,7 @@
         # Before it is sent, and known before any answer can come.
         self.sent[self.number] = now
         self.sent.pop(self.number - MOST_KEPT, None)
-        want = [[one.name, one.duration, one.token, now - one.since] for one in self.leases.values()]
+        want = [[one.name, one.duration, one.token, max(0, now - one.since)] for one in self.leases.values()]
         release = [[name, token, to] for name, (token, _, to) in self.releasing.items()]
         again = max(LEAST_AGAIN, self._period() * ASK_PART // AGAIN_PART)
         self.next_ask = now + again
--- a/ploverspoke/testbed/commands.py
+++ b/ploverspoke/testbed/commands.py
@@ -1,7 +1,9 @@
 """`ploverspoke testbed`: run, compare, bench."""
 
 import sys
+import tomllib
 from pathlib import Path
+from typing import Any, NoReturn
 
 import click
 import msgspec
@@ -53,10 +55,12 @@
     out: Path | None,
     events: bool,
 ) -> None:
-    """Run an EXPERIMENT file and judge it.
+    """Run an EXPERIMENT file and judge it. One of kind "leases" is played by real processes.
 
     Exit 0: all that must hold held. 1: something did not, and is named. 2: the file or the call is wrong.
     """
+    if (told := _kind(experiment)).get("kind") == "leases":
+        _run_leases(told, seeds, out)
     e = _read(experiment, seeds, policies)
     # Neither replicas nor links among dispatchers are played on virtual time.
     sockets = sockets or e.dispatchers.store or e.dispatchers.talk or bool(e.timeline)
@@ -83,6 +87,39 @@
     sys.exit(1 if result.failed else 0)
 
 
+def _kind(path: Path) -> dict[str, Any]:
+    """What the file says, where it is TOML at all."""
+    try:
+        return tomllib.loads(path.read_text(encoding="utf-8"))
+    except (OSError, ValueError):
+        return {}
+
+
+def _run_leases(told: dict[str, Any], seeds: tuple[int, ...], out: Path | None) -> NoReturn:
+    """Keepers and contenders, real processes, in real time; a void run is no green one."""
+    from .processes.lease_run import read_lease_experiment, run_leases
+    from .processes.timeline import BadTimeline
+
+    try:
+        e = read_lease_experiment(told)
+    except BadTimeline as error:
+        raise click.UsageError(str(error)) from None
+    results = []
+    for seed in seeds or e.seeds:
+        found = run_leases(e, seed)
+        results.append(found)
+        figures = {key: value for key, value in found.items() if key not in ("void", "failed", "shown")}
+        print(f"{e.name}: " + "  ".join(f"{key}={value}" for key, value in figures.items()), flush=True)
+        for line in found["shown"] or found["failed"]:
+            print(line, flush=True)
+        if found["void"]:
+            print(f"void: {found['void']}", flush=True)
+    if out is not None:
+        out.mkdir(parents=True, exist_ok=True)
+        (out / "result.json").write_bytes(msgspec.json.format(msgspec.json.encode(results)))
+    sys.exit(1 if any(found["void"] or found["failed"] for found in results) else 0)
+
+
 def _say(done: RunScore) -> None:
     broken = f", {done.broken_rules} broken rules" if done.broken_rules else ""
     print(
--- /dev/null
+++ b/ploverspoke/testbed/processes/lease_run.py
@@ -0,0 +1,244 @@
+"""A run of keepers and contenders under a drawn timeline: `play` starts, troubles, ends and judges them."""
+
+import asyncio
+import tempfile
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import msgspec
+
+from ..spans import MILLISECOND, SECOND, Span, read_span, write_span
+from . import contender
+from .child import Child
+from .history import Happened, read_history
+from .lease_check import FEWEST_CHANGES, Verdict, gaps, judge
+from .rig import Place, Rig, listens
+from .room import in_memory
+from .running import Running
+from .timeline import BadTimeline, Step, Weight, check, drawn
+
+HOLDER_KILLED = "holder killed"
+CALM = 6 * SECOND  # at the end, without troubles
+MODULE = "ploverspoke.testbed.processes"
+SECRET = "a secret of the testbed's own"
+
+
+class Plan(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """What is played. Times of troubles are means."""
+
+    keepers: int = 5
+    contenders: int = 20
+    names: dict[str, int] = msgspec.field(
+        default_factory=lambda: {"one": 1, "two": 1, "three": 3}
+    )  # and places
+    lasts: Span = Span(60 * SECOND)
+    duration: Span = Span(SECOND)
+    election: Span = Span(100 * MILLISECOND)
+    kills: Span = Span(3 * SECOND)
+    pauses: Span = Span(2 * SECOND)
+    cuts: Span = Span(2 * SECOND)
+    rough: Span = Span(4 * SECOND)
+    drifting: bool = True
+    fenced: bool = True
+    keeps: float = 0.05  # chance that a contender goes on for good
+    holder_killed: Span = Span(0)  # so often the holder of the first name is killed; 0: never
+
+
+class MustHold(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    changes: int = FEWEST_CHANGES  # of holder, over all names; with fewer a run is void
+    gap: Span = Span(0)  # from a kill of the holder to another's first look, at the 99th percentile
+    kills: int = 0  # of holders, with fewer a run is void
+    none_lost: bool = False  # no lease is lost by one that lives
+
+
+class LeaseExperiment(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """A file with `kind = "leases"`."""
+
+    kind: str
+    name: str
+    about: str = ""
+    seeds: list[int]
+    calm: bool = False  # nothing is done to anybody, but for kills of holders
+    plan: Plan = Plan()
+    must_hold: MustHold = MustHold()
+
+
+class Outcome(NamedTuple):
+    verdict: Verdict
+    void: str
+    faults: list[str]  # what went wrong by itself
+    shown: list[str]  # findings, each with what happened round it
+    events: list[Happened]
+    steps: list[Step]
+    links: dict[str, int]
+
+
+def timeline(plan: Plan, seed: int) -> list[Step]:
+    """The troubles of a run, by its seed."""
+    keepers = [f"k{n}" for n in range(plan.keepers)]
+    contenders = [f"c{n}" for n in range(plan.contenders)]
+    longest = [Span(100 * MILLISECOND), Span(10 * SECOND)]
+    short = [Span(100 * MILLISECOND), Span(2 * SECOND)]
+    weights = [
+        Weight(what="kill", who=contenders, every=plan.kills, lasts=short),
+        Weight(what="kill", who=keepers, every=Span(plan.kills * 2), lasts=short),
+        Weight(what="pause", who=contenders, every=plan.pauses, lasts=longest),
+        Weight(what="pause", who=keepers, every=Span(plan.pauses * 3), lasts=short),
+        Weight(what="cut", who=[*keepers, *contenders], every=plan.cuts, lasts=short),
+        Weight(what="cut", who=keepers, every=Span(plan.cuts * 3), lasts=short),
+        Weight(what="cut", who=[*contenders, "r"], every=Span(plan.cuts * 2), lasts=short),
+        Weight(what="rough", who=[*keepers, *contenders, "r"], every=plan.rough, lasts=short),
+        Weight(what="wall jumps", who=keepers, every=Span(5 * SECOND), lasts=[Span(0), Span(0)]),
+        Weight(what="reset", who=contenders, every=plan.rough, lasts=[Span(0), Span(0)]),
+    ]
+    return drawn(weights, plan.lasts, seed, calm=CALM)
+
+
+class Leases:
+    """The processes of one run on a rig."""
+
+    def __init__(self, rig: Rig, plan: Plan) -> None:
+        self.rig, self.plan = rig, plan
+        self.keepers: list[Place] = []
+        self.contenders: list[Running] = []
+        self.resource: Child | None = None
+        self.file = rig.folder / "keepers.json"
+
+    async def start(self) -> None:
+        rig, plan = self.rig, self.plan
+        (rig.folder / "secret").write_text(SECRET)
+        self.keepers = [rig.place(f"k{n}", ["peers", "clients"]) for n in range(plan.keepers)]
+        replicas = {
+            p.name: {"peers": p.through("peers"), "clients": p.through("clients")} for p in self.keepers
+        }
+        common: dict[str, Any] = {
+            "cluster": "testbed",
+            "secret_file": "secret",
+            "replicas": replicas,
+            "election_ms": plan.election // MILLISECOND,
+            "snapshot_every": 200,
+            "leases": {
+                name: {"places": places, "longest_ms": plan.duration * 3 // MILLISECOND}
+                for name, places in plan.names.items()
+            },
+        }
+        self.file.write_bytes(msgspec.json.encode(common))
+        for place in self.keepers:
+            own = rig.folder / f"{place.name}.json"
+            own.write_bytes(msgspec.json.encode({**common, "name": place.name, "folder": place.name}))
+            keeper = rig.add(place, "ploverspoke", ["keep", str(own)])
+            keeper.ready = listens(place.own, place.ports["clients"])
+        resource = rig.place("r", ["act"])
+        for number in range(plan.contenders):
+            place = rig.place(f"c{number}")
+            spec = rig.folder / f"{place.name}.spec.json"
+            told = contender.Spec(
+                place.name,
+                rig.seed,
+                str(self.file),
+                resource.through("act"),
+                str(rig.folder / f"{place.name}.acts.history"),
+                list(plan.names),
+                int(plan.duration),
+                plan.duration // 5,
+                0.02,
+                plan.keeps,
+            )
+            spec.write_bytes(msgspec.json.encode(told))
+            running = rig.add(place, f"{MODULE}.contender", [str(spec)])
+            if plan.drifting:
+                running.rate = (0.95, 1.0, 1.05)[number % 3]
+            self.contenders.append(running)
+        await rig.open()
+        history = str(rig.folder / "resource.history")
+        # Where several may hold a lease, no order of tokens says whose is old.
+        fenced = [name for name, places in plan.names.items() if places == 1 and plan.fenced]
+        words = [resource.own, str(resource.ports["act"]), history, *fenced]
+        self.resource = await rig.child(f"{MODULE}.resource", words)
+        await self.resource.hear()
+        await rig.start([place.name for place in self.keepers], ["--new"])
+        await rig.start([running.name for running in self.contenders])
+
+    async def kill_holders(self) -> None:
+        """The one whose effects came last on the first name is killed, and started again a while later."""
+        name, every = next(iter(self.plan.names)), self.plan.holder_killed / SECOND
+        by_address = {self.rig.places[running.name].own: running for running in self.contenders}
+        history = self.rig.folder / "resource.history"
+        while True:
+            await asyncio.sleep(every)
+            effects = [e.detail for e in read_history(history) if e.what == "effect" and e.detail[0] == name]
+            holder = by_address[effects[-1][4]] if effects else None
+            if holder is not None and holder.lives():
+                self.rig.history.add(HOLDER_KILLED, [holder.name, name])
+                await holder.kill()
+                await asyncio.sleep(every / 4)
+                await holder.start()
+
+
+async def _play(plan: Plan, seed: int, folder: Path, steps: list[Step] | None) -> Outcome:
+    async with Rig(folder, seed) as rig:
+        leases = Leases(rig, plan)
+        await leases.start()
+        names = list(rig.places)
+        played = check(timeline(plan, seed) if steps is None else steps, names)
+        killing = asyncio.create_task(leases.kill_holders()) if plan.holder_killed else None
+        await rig.play(played, plan.lasts)
+        if killing is not None:
+            killing.cancel()
+        events = rig.happened()
+    verdict = judge(events, plan.names)
+    shown = [rig.shown(what, at) for what, at in verdict.findings[:3]]
+    return Outcome(verdict, rig.void(), rig.faults, shown, events, played, rig.counts.get("links", {}))
+
+
+def read_lease_experiment(told: dict[str, Any]) -> LeaseExperiment:
+    """Raises BadTimeline, naming the key."""
+    try:
+        found = msgspec.convert(told, LeaseExperiment, dec_hook=lambda kind, value: read_span(value))
+    except msgspec.ValidationError as error:
+        raise BadTimeline(str(error)) from None
+    except ValueError as error:
+        raise BadTimeline(f"plan: {error}") from None
+    if not found.plan.names or min(found.plan.names.values()) < 1:
+        raise BadTimeline("plan.names: expected names, each with 1 place or more")
+    if found.plan.keepers not in (1, 3, 5) or found.plan.contenders < 1:
+        raise BadTimeline("plan.keepers: expected 1, 3 or 5, and plan.contenders 1 or more")
+    return found
+
+
+def run_leases(e: LeaseExperiment, seed: int) -> dict[str, Any]:
+    """One seed: figures, `void`, what `failed`, and findings with what happened round them."""
+    outcome = play(e.plan, seed, [] if e.calm else None)
+    verdict, must = outcome.verdict, e.must_hold
+    waits = gaps(outcome.events, HOLDER_KILLED)
+    lost = [event for event in outcome.events if event.what == "lost"]
+    p99 = waits[int(len(waits) * 0.99) - 1] if len(waits) > 1 else 0.0
+    void = outcome.void or verdict.void(must.changes)
+    if not void and len(waits) < must.kills:
+        void = f"only {len(waits)} kills of a holder: that proves nothing"
+    failed = [*(what for what, _ in verdict.findings), *outcome.faults]
+    if must.gap and p99 * SECOND > must.gap:
+        failed.append(
+            f"another acts {p99:.2f} s after a kill, {write_span(must.gap)} at the most were wanted"
+        )
+    if must.none_lost and lost:
+        failed.append(f"{len(lost)} leases were lost by holders that live, the first: {lost[0].detail}")
+    figures = {
+        "seed": seed,
+        "effects": verdict.effects,
+        "changes": verdict.changes,
+        "refused_tokens": verdict.refused,
+        "lost": len(lost),
+        "steps": len(outcome.steps),
+        "holder_kills": len(waits),
+        "gap_p50_s": waits[len(waits) // 2] if waits else 0.0,
+        "gap_p99_s": p99,
+        "gap_most_s": waits[-1] if waits else 0.0,
+    }
+    return {**figures, "void": void, "failed": failed, "shown": outcome.shown}
+
+
+def play(plan: Plan, seed: int, steps: list[Step] | None = None) -> Outcome:
+    """One run, in real time; `steps` in place of the timeline that the seed draws."""
+    with tempfile.TemporaryDirectory(prefix="ploverspoke-leases-", dir=in_memory()) as name:
+        return asyncio.run(_play(plan, seed, Path(name), steps))
--- a/tests/test_testbed_files.py
+++ b/tests/test_testbed_files.py
@@ -2,6 +2,7 @@
 
 import subprocess
 import sys
+import tomllib
 from pathlib import Path
 from typing import Any
 
@@ -11,6 +12,8 @@
 from ploverspoke.cli import main
 from ploverspoke.testbed.compare import compare, difference
 from ploverspoke.testbed.experiment import BadExperiment, experiment_of, read_experiment
+from ploverspoke.testbed.processes.lease_run import read_lease_experiment
+from ploverspoke.testbed.processes.timeline import BadTimeline
 from ploverspoke.testbed.runner import read_result, run_experiment
 from ploverspoke.testbed.scores import merged_histogram
 
@@ -21,7 +24,9 @@
 
 @pytest.mark.parametrize("path", SHIPPED, ids=lambda p: p.stem)
 def test_a_shipped_experiment_is_sound_and_named_as_its_file(path: Path) -> None:
-    assert read_experiment(path).name == path.stem
+    told = tomllib.loads(path.read_text())
+    read = read_lease_experiment(told) if told.get("kind") == "leases" else read_experiment(path)
+    assert read.name == path.stem and read.seeds
 
 
 BAD: list[tuple[dict[str, Any], str]] = [
@@ -57,6 +62,23 @@
     assert says in str(told.value) and "\n" not in str(told.value)
 
 
+@pytest.mark.parametrize(
+    ("change", "says"),
+    [
+        ({"plan": {"names": {}}}, "plan.names"),
+        ({"plan": {"names": {"one": 0}}}, "plan.names"),
+        ({"plan": {"keepers": 4}}, "plan.keepers"),
+        ({"plan": {"lasts": 6}}, "with its unit"),
+        ({"plan": {"keeper": 3}}, "`keeper`"),
+        ({"must_hold": {"gap": "soon"}}, "with its unit"),
+    ],
+)
+def test_a_wrong_file_of_leases_names_the_key(change: dict[str, Any], says: str) -> None:
+    with pytest.raises(BadTimeline) as told:
+        read_lease_experiment({"kind": "leases", "name": "x", "seeds": [1], **change})
+    assert says in str(told.value)
+
+
 def test_a_result_is_left_and_read_again(tmp_path: Path) -> None:
     e = world(seeds=[1, 2], policies=["ours", "random"], must_hold={"service": 0.5, "over": {"random": 2.0}})
     result = run_experiment(e, "virtual", tmp_path)
