ploverspoke lease: list, show, acquire, release, watch, run; keepers restored from a backup

Need: operators look at leases, hold one, run a command under one, and bring keepers back from a backup.

Change: leases/commands.py. lease run ends its command, TERM then KILL, before the lease is over, and with itself. A restore begins a new era of tokens on another disk id.

Found by its tests on real keepers: a backup of one replica could be restored on that replica only (each file has an owner), also for the store: restore now writes the owner, and clears the vote in a new term; a replica that could not open said AttributeError in place of why (Node.close used links that were not there); the rig started every process twice when it was given no names, and lost the first handles: it refuses that now.

--- a/ploverspoke/cli.py
+++ b/ploverspoke/cli.py
@@ -16,6 +16,7 @@
         "Experiments with the dispatcher on virtual time or sockets.",
     ),
     "store": ("ploverspoke.store.commands", "store", "Look at a store and change it."),
+    "lease": ("ploverspoke.leases.commands", "lease", "Leases for tasks that belong to the whole fleet."),
     "demo": ("ploverspoke.testbed.demo", "demo", "See it work: workers, dispatchers and load on free ports."),
 }
 
--- a/ploverspoke/consensus/disk.py
+++ b/ploverspoke/consensus/disk.py
@@ -41,6 +41,35 @@
 """
 
 
+def restore(folder: Path, backup: Path, me: str) -> "Disk":
+    """Put a backup, of whichever replica, in an empty folder as the disk of `me`; open, to be closed.
+
+    It is another disk than the one that was: nobody takes it for what had promised what it has forgotten.
+    Raises WrongStore where the folder is not empty, Damaged, or DiskTrouble; then nothing is left there.
+    """
+    target = folder / "store.db"
+    if target.exists():
+        raise WrongStore(f"{target} exists: it is never written over")
+    folder.mkdir(parents=True, exist_ok=True)
+    try:
+        source, copy = sqlite3.connect(backup), sqlite3.connect(target)
+        try:
+            source.backup(copy)
+        finally:
+            source.close()
+            copy.close()
+        disk = Disk(folder)
+        disk.open()
+        for key, value in (("disk", secrets.token_hex(8)), ("me", me), ("vote", (disk.term + 1, ""))):
+            disk.keep(key, value)
+        return disk
+    except (Damaged, DiskTrouble, WrongStore, sqlite3.Error) as error:
+        target.unlink()
+        if isinstance(error, sqlite3.Error):
+            raise Damaged(f"{backup}: {error}") from None
+        raise
+
+
 class Disk:
     """Used by one thread at a time."""
 
--- a/ploverspoke/consensus/node.py
+++ b/ploverspoke/consensus/node.py
@@ -36,6 +36,7 @@
         self.state = state
         self.clock = StoreClock(time.monotonic_ns)
         self.replica: Replica | None = None  # None: the disk is in trouble
+        self.links = Links(orders.secret, {}, self._heard, self._asked)
         self.thread = ThreadPoolExecutor(1, thread_name_prefix="store")
         self.writing = False
         self.pumping = False
@@ -75,7 +76,7 @@
         if self.disk.fingerprint != mark:
             raise WrongStore(f"{self.disk.path} is of a store with another name or with other replicas")
         self.me = me
-        self.links = Links(self.orders.secret, {"id": me, "store": mark}, self._heard, self._asked)
+        self.links.greeting.update(id=me, store=mark)
         host, _, port = self.orders.replicas[self.orders.name][0].rpartition(":")
         await self.links.open(host.strip("[]"), int(port))
         self.opened()
@@ -375,5 +376,6 @@
         if self.timer is not None:
             self.timer.cancel()
         self.links.close()
-        await self.loop.run_in_executor(self.thread, self.disk.close)
+        # Also where it was never opened: why not is what is to be told then.
+        await asyncio.get_running_loop().run_in_executor(self.thread, self.disk.close)
         self.thread.shutdown()
--- a/ploverspoke/leases/client.py
+++ b/ploverspoke/leases/client.py
@@ -76,6 +76,11 @@
         self.holder.release(name, to)
         self._after()
 
+    def give_back(self, name: str, token: int) -> None:
+        """What an earlier process with this id has left held."""
+        self.holder.give_back(name, token)
+        self._after()
+
     def left(self, name: str) -> int:
         return self.holder.left(name)
 
--- /dev/null
+++ b/ploverspoke/leases/commands.py
@@ -0,0 +1,353 @@
+"""`ploverspoke lease`: look at leases, hold one, run a command under one."""
+
+import asyncio
+import contextlib
+import ctypes
+import json
+import os
+import signal
+import socket
+import sys
+import time
+from collections.abc import Callable, Coroutine
+from pathlib import Path
+from typing import Any
+
+import click
+
+from ploverspoke.consensus.ask import ask
+from ploverspoke.consensus.disk import Damaged, DiskTrouble, WrongStore
+from ploverspoke.consensus.disk import restore as restore_disk
+from ploverspoke.consensus.frames import BadFrame
+from ploverspoke.consensus.orders import first_id
+from ploverspoke.program.checked import BadKey
+
+from .client import LeaseClient
+from .node import ERA_KEPT
+from .orders import Keepers, read_keeper_orders, read_keepers
+
+FILE = click.argument("file", type=click.Path(exists=True, dir_okay=False, path_type=Path))
+JSON = click.option("--json", "as_json", is_flag=True, help="For tools.")
+NOT_HELD, WRONG_CALL, NO_KEEPER, LEASE_ENDED = 1, 2, 3, 4
+FOR = click.option("--for", "seconds", type=float, default=30.0, show_default=True, help="Its duration, s.")
+AS = click.option("--as", "holder", default=socket.gethostname, help="The holder's name; a start is added.")
+POLL = 0.5
+PR_SET_PDEATHSIG = 1
+
+
+@click.group()
+def lease() -> None:
+    """Leases for tasks of the whole fleet. FILE is the file of any keeper, or one with `replicas` and
+    `secret_file` alone.
+
+    Exit 0: done. 1: not held, or not there. 2: the call or the file is of no use. 3: no keeper leads.
+    """
+
+
+def _keepers(file: Path) -> Keepers:
+    try:
+        return read_keepers(file)
+    except BadKey as error:
+        raise click.UsageError(str(error)) from None
+
+
+def _ask_leader(keepers: Keepers) -> dict[str, Any]:
+    """What the leading keeper knows. Ends the call with 3 where none leads."""
+    why = []
+    for name, where in keepers.peers.items():
+        try:
+            told = ask(where, keepers.secret, {"ask": "leases"})
+        except (OSError, BadFrame) as error:
+            why.append(f"{name}: {error}")
+            continue
+        if told.get("leads"):
+            found: dict[str, Any] = told
+            return found
+        why.append(f"{name} does not lead")
+    click.echo(f"ploverspoke: no keeper leads: {'; '.join(why)}", err=True)
+    sys.exit(NO_KEEPER)
+
+
+def _rows(told: dict[str, Any]) -> list[dict[str, Any]]:
+    """By name, and within one by token."""
+    names = {row["name"] for row in told["held"]} | set(told["waiting"])
+    return [
+        {
+            "name": name,
+            "held": sorted((r for r in told["held"] if r["name"] == name), key=lambda r: int(r["token"])),
+            "waiting": told["waiting"].get(name, []),
+        }
+        for name in sorted(names)
+    ]
+
+
+def _line(row: dict[str, Any]) -> str:
+    held = ", ".join(f"{r['holder']} (token {r['token']}, over in {r['over_in_ms']} ms)" for r in row["held"])
+    return f"{row['name']}: {held or 'held by nobody'}; {len(row['waiting'])} wait"
+
+
+@lease.command(name="list")
+@FILE
+@JSON
+def list_(file: Path, as_json: bool) -> None:
+    """All leases that are held or waited for, and those that are declared."""
+    told = _ask_leader(_keepers(file))
+    if as_json:
+        click.echo(json.dumps({"leases": _rows(told), "declared": told["declared"]}, indent=2))
+        return
+    for row in _rows(told):
+        click.echo(_line(row))
+    for name, rule in told["declared"].items():
+        click.echo(f"declared: {name}, {rule['places']} places, {rule['longest_ms']} ms at the most")
+
+
+@lease.command()
+@FILE
+@click.argument("name")
+@JSON
+def show(file: Path, name: str, as_json: bool) -> None:
+    """One lease, and who waits for it in their order. Exit 1 where nobody holds it."""
+    row = next((r for r in _rows(_ask_leader(_keepers(file))) if r["name"] == name), None)
+    row = row or {"name": name, "held": [], "waiting": []}
+    click.echo(json.dumps(row, indent=2) if as_json else _line(row))
+    if not as_json:
+        for place, holder in enumerate(row["waiting"], 1):
+            click.echo(f"  {place}. {holder}")
+    sys.exit(0 if row["held"] else NOT_HELD)
+
+
+@lease.command()
+@FILE
+@click.argument("name")
+@click.option("--changes", type=int, default=0, help="End after so many; 0: go on.")
+@JSON
+def watch(file: Path, name: str, changes: int, as_json: bool) -> None:
+    """Say each time when another holds it, twice a second at the most."""
+    keepers, known, seen = _keepers(file), None, 0
+    while True:
+        row = next((r for r in _rows(_ask_leader(keepers)) if r["name"] == name), None)
+        held = [[r["holder"], r["token"]] for r in row["held"]] if row is not None else []
+        if held != known:
+            known, seen = held, seen + 1
+            shown = {"name": name, "at": time.time(), "held": held}
+            text = ", ".join(f"{holder} under {token}" for holder, token in held) or "nobody"
+            click.echo(json.dumps(shown) if as_json else f"{name}: {text}")
+            if seen == changes:
+                return
+        time.sleep(POLL)
+
+
+def _with_client(
+    keepers: Keepers, holder: str, start: str, use: Callable[[LeaseClient], Coroutine[Any, Any, int]]
+) -> int:
+    async def whole() -> int:
+        client = LeaseClient(keepers, holder, start)
+        try:
+            return await use(client)
+        finally:
+            await client.close()
+
+    return asyncio.run(whole())
+
+
+@lease.command()
+@FILE
+@click.argument("name")
+@FOR
+@AS
+@click.option(
+    "--wait", type=float, default=0.0, help="Seconds for which it is waited for, beside a second to ask."
+)
+@JSON
+def acquire(file: Path, name: str, seconds: float, holder: str, wait: float, as_json: bool) -> None:
+    """Take a lease for its duration and leave it so: it is over by itself, or by `release`.
+
+    Prints holder and token, and for how long it is certainly held. Exit 1 where it is not had.
+    """
+    told: dict[str, Any] = {}
+    start = os.urandom(6).hex()
+
+    async def use(client: LeaseClient) -> int:
+        held = client.want(name, int(seconds * 1e9))
+        held.on_lost = lambda why: told.update(why=why)
+        token = await client.held(name, 1.0 + wait)
+        told.update(name=name, holder=client.me, token=token, left_s=client.left(name) / 1e9)
+        client.holder.leases.clear()  # not released at the end: that is for whoever asked
+        return 0 if token else NOT_HELD
+
+    code = _with_client(_keepers(file), holder, start, use)
+    if as_json:
+        click.echo(json.dumps(told))
+    elif code == 0:
+        click.echo(
+            f"{name} is held by {told['holder']} under token {told['token']} for {told['left_s']:.1f} s"
+        )
+    else:
+        click.echo(f"{name} is not had: {told.get('why', 'others hold it, or no keeper answers')}")
+    sys.exit(code)
+
+
+@lease.command()
+@FILE
+@click.argument("name")
+@click.option("--holder", required=True, help="As `acquire` said it: NAME/START.")
+@click.option("--token", type=int, required=True)
+@JSON
+def release(file: Path, name: str, holder: str, token: int, as_json: bool) -> None:
+    """Give a lease back before its time. Exit 1 where that holder does not hold it under that token."""
+    keepers = _keepers(file)
+    who, _, start = holder.rpartition("/")
+
+    async def use(client: LeaseClient) -> int:
+        client.give_back(name, token)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(2.0):
+                while client.holder.releasing:
+                    await asyncio.sleep(0.02)
+        return 0
+
+    def is_held() -> bool:
+        return any(
+            (row["name"], row["holder"], row["token"]) == (name, holder, token)
+            for row in _ask_leader(keepers)["held"]
+        )
+
+    done = is_held()
+    if done:
+        _with_client(keepers, who, start, use)
+        done = not is_held()
+    if as_json:
+        click.echo(json.dumps({"done": done}))
+    else:
+        click.echo("released" if done else f"{holder} does not hold {name} under token {token}")
+    sys.exit(0 if done else NOT_HELD)
+
+
+@lease.command()
+@FILE
+@click.argument("name")
+@click.argument("command", nargs=-1, required=True, type=click.UNPROCESSED)
+@FOR
+@AS
+@click.option("--wait", type=float, default=3600.0, show_default=True, help="Seconds to wait for it.")
+@click.option("--grace", type=float, default=2.0, show_default=True, help="Seconds from TERM to KILL.")
+def run(
+    file: Path, name: str, command: tuple[str, ...], seconds: float, holder: str, wait: float, grace: float
+) -> None:
+    """Run COMMAND under a lease: `lease run FILE NAME -- COMMAND`. Its token is in PLOVERSPOKE_LEASE_TOKEN.
+
+    When the lease cannot be renewed the command is ended before it is over: TERM, then KILL after the grace.
+    Should this process be killed, so is the command. Exit: the command's own; 1 where the lease was not had,
+    4 where the command was ended for its sake.
+    """
+    duration, patience = int(seconds * 1e9), int(grace * 1e9)
+    if patience * 4 > duration:
+        raise click.UsageError(f"--grace {grace:g}: at most a quarter of --for {seconds:g}")
+
+    async def use(client: LeaseClient) -> int:
+        client.want(name, duration)
+        token = await client.held(name, wait)
+        if not token:
+            click.echo(f"ploverspoke: {name} is not had", err=True)
+            return NOT_HELD
+        environment = {**os.environ, "PLOVERSPOKE_LEASE_TOKEN": str(token)}
+        process = await asyncio.create_subprocess_exec(*command, env=environment, preexec_fn=_ends_with_us)
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, process.send_signal, number)
+        return await _guard(client, name, token, process, patience)
+
+    sys.exit(_with_client(_keepers(file), holder, "", use))
+
+
+async def _guard(
+    client: LeaseClient, name: str, token: int, process: asyncio.subprocess.Process, patience: int
+) -> int:
+    """Waits for its end, and makes it while the lease still has `patience` (ns) left."""
+    ended = asyncio.ensure_future(process.wait())
+    told = False
+    while not ended.done():
+        left = client.left(name) if client.token(name) == token else 0
+        if left <= patience // 4:
+            if process.returncode is None:
+                process.kill()
+            await ended
+            return LEASE_ENDED
+        if left <= patience + patience // 4 and not told:
+            told = True
+            click.echo(f"ploverspoke: {name} cannot be renewed, the command is ended", err=True)
+            with contextlib.suppress(ProcessLookupError):
+                process.terminate()
+        bound = patience // 4 if told else patience + patience // 4
+        await asyncio.wait([ended], timeout=max(0.01, min(0.25, (left - bound) / 1e9)))
+    code = ended.result()
+    return LEASE_ENDED if told else code if code >= 0 else 128 - code
+
+
+def _ends_with_us() -> None:
+    ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
+@lease.command()
+@FILE
+@JSON
+def status(file: Path, as_json: bool) -> None:
+    """What each keeper says of itself. Exit 3 where none leads."""
+    keepers = _keepers(file)
+    rows = []
+    for name, where in keepers.peers.items():
+        try:
+            rows.append(ask(where, keepers.secret, {"ask": "status"}))
+        except (OSError, BadFrame) as error:
+            rows.append({"name": name, "role": "no answer", "why": str(error)})
+    if as_json:
+        click.echo(json.dumps(rows, indent=2, default=str))
+    else:
+        for row in rows:
+            click.echo("  ".join(f"{key}={value}" for key, value in row.items() if key != "members"))
+    sys.exit(0 if any(row.get("leading") for row in rows) else NO_KEEPER)
+
+
+@lease.command()
+@FILE
+@click.argument("path", type=click.Path(path_type=Path))
+@JSON
+def backup(file: Path, path: Path, as_json: bool) -> None:
+    """Copy what the keeper of this FILE keeps, while it runs, to PATH on its machine."""
+    try:
+        orders = read_keeper_orders(file).replica
+        told = ask(
+            orders.replicas[orders.name][0], orders.secret, {"ask": "backup", "path": str(path.absolute())}
+        )
+    except BadKey as error:
+        raise click.UsageError(str(error)) from None
+    except (OSError, BadFrame) as error:
+        told = {"done": False, "why": str(error)}
+    click.echo(json.dumps(told) if as_json else "done" if told["done"] else f"not done: {told['why']}")
+    sys.exit(0 if told["done"] else NO_KEEPER)
+
+
+@lease.command()
+@FILE
+@click.argument("path", type=click.Path(exists=True, dir_okay=False, path_type=Path))
+def restore(file: Path, path: Path) -> None:
+    """Put a backup in the place of what this FILE's keeper keeps, which must not run and must be empty.
+
+    For all keepers together, from one backup. A new era of tokens begins, above all that were given; nothing
+    is given until the longest lease is over.
+    """
+    try:
+        orders = read_keeper_orders(file).replica
+    except BadKey as error:
+        raise click.UsageError(str(error)) from None
+    try:
+        disk = restore_disk(orders.folder, path, first_id(orders.name))
+        # Above every era that was begun before, as long as clocks do not go back between two restores.
+        era = max((disk.kept(ERA_KEPT) or 0) + 1, int(time.time()))
+        disk.keep(ERA_KEPT, era)
+        disk.close()
+    except WrongStore as error:
+        raise click.UsageError(str(error)) from None
+    except (Damaged, DiskTrouble) as error:
+        raise click.ClickException(f"the backup cannot be used: {error}") from None
+    click.echo(f"restored {disk.path}, era {era}")
--- a/ploverspoke/leases/holder.py
+++ b/ploverspoke/leases/holder.py
@@ -73,7 +73,13 @@
         lease = self.leases.pop(name, None)
         if lease is not None and lease.token:
             self.releasing[name] = (lease.token, self.number + 1, to)
-            self.next_ask = 0
+        # Also where it was only waited for: that is told, too.
+        self.next_ask = 0
+
+    def give_back(self, name: str, token: int) -> None:
+        """Release what is not known here to be held, under the token that it was given."""
+        self.releasing[name] = (token, self.number + 1, "")
+        self.next_ask = 0
 
     def left(self, name: str) -> int:
         """ns for which it is certainly ours; 0 where it is not."""
--- a/ploverspoke/store/commands.py
+++ b/ploverspoke/store/commands.py
@@ -2,7 +2,6 @@
 
 import getpass
 import json
-import sqlite3
 import sys
 from pathlib import Path
 from typing import Any
@@ -11,8 +10,9 @@
 
 from ploverspoke.consensus.ask import ask
 from ploverspoke.consensus.disk import Damaged, Disk, DiskTrouble, WrongStore
+from ploverspoke.consensus.disk import restore as restore_disk
 from ploverspoke.consensus.frames import BadFrame
-from ploverspoke.consensus.orders import ReplicaOrders, read_replica_orders
+from ploverspoke.consensus.orders import ReplicaOrders, first_id, read_replica_orders
 from ploverspoke.program.checked import BadKey
 
 from .daemon import put_together
@@ -167,24 +167,14 @@
     What was committed after the backup is gone: only for all replicas together, from one backup.
     """
     orders = _orders(file)
-    target = orders.folder / "store.db"
-    if target.exists():
-        raise click.UsageError(f"{target} exists: a store is never written over")
-    orders.folder.mkdir(parents=True, exist_ok=True)
-    source, copy = sqlite3.connect(path), sqlite3.connect(target)
     try:
-        source.backup(copy)
-    finally:
-        source.close()
-        copy.close()
-    try:
-        disk = Disk(orders.folder)
-        disk.open()
+        disk = restore_disk(orders.folder, path, first_id(orders.name))
         disk.close()
-    except (Damaged, DiskTrouble, WrongStore) as error:
-        target.unlink()
+    except WrongStore as error:
+        raise click.UsageError(str(error)) from None
+    except (Damaged, DiskTrouble) as error:
         raise click.ClickException(f"the backup cannot be used: {error}") from None
-    click.echo(f"restored {target}")
+    click.echo(f"restored {disk.path}")
 
 
 @store.command()
--- a/ploverspoke/testbed/processes/rig.py
+++ b/ploverspoke/testbed/processes/rig.py
@@ -143,7 +143,7 @@
 
     async def start(self, names: Iterable[str] | None = None, more: Sequence[str] = ()) -> None:
         """All of these, in groups that the machine bears. Raises NotStarted."""
-        await in_groups(self.running[name].start(more) for name in (names or list(self.running)))
+        await in_groups(self.running[name].start(more) for name in (self.running if names is None else names))
 
     # ---- Faults on links ----
 
--- a/ploverspoke/testbed/processes/running.py
+++ b/ploverspoke/testbed/processes/running.py
@@ -64,6 +64,8 @@
 
     async def start(self, more: Sequence[str] = ()) -> None:
         """Raises NotStarted where it does not get ready, its log's end in the text."""
+        if self.lives():
+            raise NotStarted(f"{self.name} runs already: one handle is for one process")
         self.plan.write_bytes(msgspec.json.encode(msgspec.structs.replace(self._plan, rate=self.rate)))
         self.starts += 1
         self.paused = False
