--- a/ploverspoke/leases/commands.py
+++ b/ploverspoke/leases/commands.py
@@ -10,6 +10,7 @@
 import sys
 import time
 from collections.abc import Callable, Coroutine
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -25,10 +26,12 @@
 from .client import LeaseClient
 from .node import ERA_KEPT
 from .orders import Keepers, read_keeper_orders, read_keepers
+from .tasks import is_back, summarise
+from .tasks import publish as publish_task
 
 FILE = click.argument("file", type=click.Path(exists=True, dir_okay=False, path_type=Path))
 JSON = click.option("--json", "as_json", is_flag=True, help="For tools.")
-NOT_HELD, WRONG_CALL, NO_KEEPER, LEASE_ENDED = 1, 2, 3, 4
+NOT_HELD, NO_KEEPER, LEASE_ENDED, NOT_BACK = 1, 3, 4, 5
 FOR = click.option("--for", "seconds", type=float, default=30.0, show_default=True, help="Its duration, s.")
 AS = click.option("--as", "holder", default=socket.gethostname, help="The holder's name; a start is added.")
 POLL = 0.5
@@ -288,6 +291,138 @@
     ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
 
 
+@lease.command()
+@FILE
+@click.argument("name")
+@click.argument("command", nargs=-1, required=True, type=click.UNPROCESSED)
+@click.option("--ready", required=True, help="The operators' door (admin_addr) of what is restarted.")
+@click.option("--within", type=float, default=30.0, show_default=True, help="Seconds for it to be back.")
+@FOR
+@AS
+@click.option("--wait", type=float, default=3600.0, show_default=True, help="Seconds to wait for a place.")
+def restart(
+    file: Path,
+    name: str,
+    command: tuple[str, ...],
+    ready: str,
+    within: float,
+    seconds: float,
+    holder: str,
+    wait: float,
+) -> None:
+    """Restart a dispatcher under one place of a lease: `lease restart FILE NAME --ready A:P -- COMMAND`
+
+    COMMAND restarts it, or makes it take a new configuration; the place is given back once its operators'
+    door answers `check`. Exit: 0; 1 where no place was had; 4 where the lease was lost; 5 where COMMAND
+    failed or it is not back in time: then the place comes back by the lease's time, and not all follow at
+    once.
+    """
+
+    async def use(client: LeaseClient) -> int:
+        client.want(name, int(seconds * 1e9))
+        token = await client.held(name, wait)
+        if not token:
+            click.echo(f"ploverspoke: no place of {name} is had", err=True)
+            return NOT_HELD
+        environment = {**os.environ, "PLOVERSPOKE_LEASE_TOKEN": str(token)}
+        process = await asyncio.create_subprocess_exec(*command, env=environment, preexec_fn=_ends_with_us)
+        code = await _guard(client, name, token, process, int(seconds * 1e9 / 8))
+        if code == 0 and await is_back(ready, within):
+            return 0 if client.token(name) == token else LEASE_ENDED
+        why = f"the command gave {code}" if code else f"{ready} is not back within {within:g} s"
+        click.echo(f"ploverspoke: {why}; the place is given back by its time", err=True)
+        client.holder.leases.clear()
+        return LEASE_ENDED if code == LEASE_ENDED else NOT_BACK
+
+    sys.exit(_with_client(_keepers(file), holder, "", use))
+
+
+@lease.command()
+@FILE
+@click.argument("name")
+@click.argument("store_file", type=click.Path(exists=True, dir_okay=False, path_type=Path))
+@click.argument("configuration", type=click.Path(exists=True, dir_okay=False, path_type=Path))
+@FOR
+@AS
+@click.option("--wait", type=float, default=60.0, show_default=True, help="Seconds to wait for the lease.")
+@JSON
+def publish(
+    file: Path,
+    name: str,
+    store_file: Path,
+    configuration: Path,
+    seconds: float,
+    holder: str,
+    wait: float,
+    as_json: bool,
+) -> None:
+    """Commit CONFIGURATION in the store of STORE_FILE under a lease, as `store configure` does without.
+
+    The store refuses what comes under a lower token than it has seen, and from then on what comes without.
+    Exit 1 where it was not taken.
+    """
+    from ploverspoke.store.commands import ask_leader, read_configuration
+
+    keepers = _keepers(file)
+    orders, body = read_configuration(store_file, configuration)
+
+    async def use(client: LeaseClient) -> int:
+        client.want(name, int(seconds * 1e9))
+        if not await client.held(name, wait):
+            told: dict[str, Any] = {"done": False, "why": f"{name} is not had"}
+        else:
+            asks = partial(ask_leader, orders)
+            told = await publish_task(client, name, body, client.me, asks, seconds / 3)
+        said = f"version {told.get('version')}" if told.get("done") else f"not done: {told.get('why')}"
+        click.echo(json.dumps(told) if as_json else said)
+        return 0 if told.get("done") else NOT_HELD
+
+    sys.exit(_with_client(keepers, holder, "", use))
+
+
+@lease.command()
+@FILE
+@click.argument("name")
+@click.option(
+    "--from", "doors", multiple=True, required=True, help="Operators' door of a dispatcher; repeated."
+)
+@click.option(
+    "--to", "path", type=click.Path(path_type=Path), required=True, help="The file, replaced whole."
+)
+@click.option("--every", type=float, default=10.0, show_default=True, help="Seconds.")
+@FOR
+@AS
+@click.option("--times", type=int, default=0, help="End after so many files; 0: go on.")
+def summary(
+    file: Path,
+    name: str,
+    doors: tuple[str, ...],
+    path: Path,
+    every: float,
+    seconds: float,
+    holder: str,
+    times: int,
+) -> None:
+    """Write the figures of all dispatchers and their sums to one file, while the lease is ours.
+
+    Started on several machines, one of them writes and the others wait. The file holds the token, and is
+    never replaced by one of an earlier holder. Exit 1 where the lease is refused.
+    """
+    wrote: list[int] = []
+
+    async def use(client: LeaseClient) -> int:
+        held = client.want(name, int(seconds * 1e9))
+        held.on_lost = lambda why: click.echo(f"{name}: {why}", err=True)
+
+        def over() -> bool:
+            return 0 < times <= len(wrote)
+
+        await summarise(client, name, list(doors), path, every, wrote.append, over)
+        return 0 if over() else NOT_HELD
+
+    sys.exit(_with_client(_keepers(file), holder, "", use))
+
+
 @lease.command()
 @FILE
 @JSON
--- a/ploverspoke/store/commands.py
+++ b/ploverspoke/store/commands.py
@@ -50,6 +50,22 @@
     raise click.ClickException("no replica leads just now")
 
 
+def ask_leader(orders: ReplicaOrders, question: dict[str, Any]) -> Any:
+    """Raises ClickException where none leads."""
+    return _ask(orders, _leader(orders), question)
+
+
+def read_configuration(file: Path, configuration: Path) -> tuple[ReplicaOrders, str]:
+    """The orders of a store's FILE and a configuration's text, checked for it. Raises UsageError."""
+    orders = _orders(file)
+    try:
+        body = configuration.read_text(encoding="utf-8")
+        put_together(json.loads(body), "", orders, None)
+    except (BadKey, ValueError, OSError) as error:
+        raise click.UsageError(f"{configuration}: {error}") from None
+    return orders, body
+
+
 def _say(told: Any, as_json: bool) -> None:
     if as_json:
         click.echo(json.dumps(told, indent=2, default=str))
@@ -125,14 +141,8 @@
 
     A new discovery is watched at once; what else differs waits for each replica's next start.
     """
-    orders = _orders(file)
-    try:
-        body = configuration.read_text(encoding="utf-8")
-        put_together(json.loads(body), "", orders, None)
-    except (BadKey, ValueError, OSError) as error:
-        raise click.UsageError(f"{configuration}: {error}") from None
-    question = {"ask": "configure", "body": body, "by": getpass.getuser()}
-    _done(_ask(orders, _leader(orders), question), as_json)
+    orders, body = read_configuration(file, configuration)
+    _done(ask_leader(orders, {"ask": "configure", "body": body, "by": getpass.getuser()}), as_json)
 
 
 @store.command()
--- a/ploverspoke/store/ledger.py
+++ b/ploverspoke/store/ledger.py
@@ -23,7 +23,7 @@
 INTEND = "intend"  # id, worker, index of the hand-off, now, wall time
 OUTCOME = "outcome"  # id, index, outcome
 ANSWER = "answer"  # id, how, result, digest, now
-CONFIGURE = "configure"  # body, who, wall time
+CONFIGURE = "configure"  # body, who, wall time, token of a lease (0: none)
 
 
 class Intent(msgspec.Struct, array_like=True):
@@ -66,6 +66,7 @@
     answered: dict[str, Answered]
     configurations: list[Configuration]
     now: int = 0  # 0: written when times were Unix time
+    configured_under: int = 0
 
 
 class Ledger:
@@ -77,6 +78,7 @@
         self.result_bytes = 0
         self.configurations: list[Configuration] = []
         self.on_configuration: Callable[[Configuration], None] | None = None
+        self.configured_under = 0  # the highest token that a configuration came with
         self.now = 0  # of the latest entry
         self.on_time: Callable[[int], None] | None = None
 
@@ -99,7 +101,7 @@
 
     def dump(self) -> bytes:
         return msgspec.msgpack.encode(
-            Dump(FORMAT, self.open, dict(self.answered), self.configurations, self.now)
+            Dump(FORMAT, self.open, dict(self.answered), self.configurations, self.now, self.configured_under)
         )
 
     def load(self, data: bytes) -> None:
@@ -108,6 +110,7 @@
         self.answered = OrderedDict(dump.answered)
         self.result_bytes = sum(len(a.result) for a in self.answered.values())
         self.configurations = dump.configurations
+        self.configured_under = dump.configured_under
         self.now = 0
         self._time(dump.now or max((job.taken_at for job in self.open.values()), default=0))
         self._tell_configuration()
@@ -153,7 +156,11 @@
                 break
             self.result_bytes -= len(self.answered.pop(oldest).result)
 
-    def _configure(self, body: str, by: str, now: int) -> None:
+    def _configure(self, body: str, by: str, now: int, token: int = 0) -> None:
+        # Once they are published under a lease, an old publisher's comes too late, and so does one without.
+        if token < self.configured_under:
+            return
+        self.configured_under = token
         version = self.configurations[-1].version + 1 if self.configurations else 1
         self.configurations.append(Configuration(version, body, by, now))
         del self.configurations[:-CONFIGURATIONS]
--- a/ploverspoke/store/node.py
+++ b/ploverspoke/store/node.py
@@ -36,14 +36,23 @@
     def asked_of_state(self, question: dict[str, Any], reply: Reply) -> bool:
         verb = question.get("ask")
         if verb == "configure":
-            command = [CONFIGURE, str(question["body"]), str(question["by"]), time.time_ns()]
-            self.propose(command, lambda yes: reply({"done": yes}))
+            token = question.get("token", 0)
+            if not isinstance(token, int):
+                return False
+            command = [CONFIGURE, str(question["body"]), str(question["by"]), time.time_ns(), token]
+            self.propose(command, lambda yes: reply(self._configured_or_not(yes, token)))
         elif verb == "configurations":
             reply([[c.version, c.by, c.at, c.body] for c in self.ledger.configurations])
         else:
             return False
         return True
 
+    def _configured_or_not(self, yes: bool, token: int) -> dict[str, Any]:
+        if yes and token < self.ledger.configured_under:
+            return {"done": False, "why": f"published under token {self.ledger.configured_under} since"}
+        configuration = self.ledger.configuration()
+        return {"done": yes, "version": configuration.version if yes and configuration is not None else 0}
+
     def _configured(self, configuration: Configuration) -> None:
         if configuration.version <= self.configuration_known:
             return
--- a/tests/test_leases_commands.py
+++ b/tests/test_leases_commands.py
@@ -24,8 +24,11 @@
 Call = Callable[..., Awaitable[tuple[int, str]]]
 
 
-def with_keepers(tmp_path: Path, script: Callable[[Leases, Call], Awaitable[None]]) -> None:
-    plan = Plan(keepers=3, contenders=0, names={"one": 1, "two": 1}, duration=Span(4 * SECOND))
+def with_keepers(
+    tmp_path: Path, script: Callable[[Leases, Call], Awaitable[None]], names: dict[str, int] | None = None
+) -> None:
+    """Three real keepers on a rig, ready; then the script, which gets a way to call `ploverspoke lease`."""
+    plan = Plan(keepers=3, contenders=0, names=names or {"one": 1, "two": 1}, duration=Span(4 * SECOND))
 
     async def call(leases: Leases, verb: str, *words: str) -> tuple[int, str]:
         process = await asyncio.create_subprocess_exec(
--- a/tests/test_testbed_files.py
+++ b/tests/test_testbed_files.py
@@ -138,14 +138,24 @@
 def test_the_platforms_start_imports_none_of_it() -> None:
     program = "import sys, ploverspoke.program.service; print(*sys.modules)"
     modules = subprocess.run([sys.executable, "-c", program], capture_output=True, text=True, check=True)
-    for heavy in ("click", "msgspec", "numpy", "rich", "matplotlib", "ploverspoke.testbed"):
-        assert heavy not in modules.stdout.split()
+    found = set(modules.stdout.split())
+    for heavy in ("click", "msgspec", "numpy", "rich", "matplotlib"):
+        assert heavy not in found
+    # Nothing beside what it is made of: no store, no leases, no consensus.
+    assert {name.split(".")[1] for name in found if name.startswith("ploverspoke.")} == {
+        "decisions",
+        "program",
+        "protocol",
+        "routing",
+        "transport",
+    }
 
 
 def test_the_stand_ins_share_no_code_with_the_program() -> None:
     # With the same parsers they would have the same faults.
-    program = "import sys, ploverspoke.testbed.standins.{}; print(*sys.modules)"
-    for module in ("worker", "discovery", "clients", "rig"):
+    program = "import sys, ploverspoke.testbed.{}; print(*sys.modules)"
+    beside = ("processes.resource", "processes.lease_check", "processes.relay")
+    for module in (*(f"standins.{name}" for name in ("worker", "discovery", "clients", "rig")), *beside):
         words = [sys.executable, "-c", program.format(module)]
         modules = subprocess.run(words, capture_output=True, text=True, check=True).stdout.split()
         ours = {
