--- a/ploverspoke/testbed/commands.py
+++ b/ploverspoke/testbed/commands.py
@@ -162,9 +162,11 @@
 @click.option(
     "--store", is_flag=True, help="What a store costs and how long a lost leader is missed, instead."
 )
-def bench(quick: bool, out: Path | None, store: bool) -> None:
+@click.option("--leases", is_flag=True, help="What keepers of leases bear and cost, instead.")
+def bench(quick: bool, out: Path | None, store: bool, leases: bool) -> None:
     """Measure one dispatcher on one core against a bare relay, and the decisions' cost by fleet size."""
     from .bench import measure, tables
+    from .lease_bench import lease_tables, measure_leases
     from .store_bench import measure_store, store_tables
 
     def say(text: str) -> None:
@@ -175,6 +177,9 @@
     if store:
         figures = found = measure_store(quick, say)
         shown = store_tables(found)
+    elif leases:
+        figures = borne = measure_leases(quick, say)
+        shown = lease_tables(borne)
     else:
         figures = measured = measure(quick, say)
         shown = tables(measured)
--- a/tests/test_leases_processes.py
+++ b/tests/test_leases_processes.py
@@ -37,6 +37,22 @@
     assert played.verdict.void(fewest=5) == "" and played.verdict.void(fewest=10_000)
 
 
+def test_nobody_acts_past_the_end_while_a_majority_is_gone_and_all_go_on_by_themselves() -> None:
+    begins, lasts = 4 * SECOND, 6 * SECOND
+    steps = [
+        Step(at=Span(begins), what="pause", who=["k0", "k1"], lasts=Span(lasts)),
+        Step(at=Span(begins), what="kill", who=["k2"], lasts=Span(lasts)),
+    ]
+    plan = Plan(keepers=5, contenders=8, names={"one": 1, "two": 1}, lasts=Span(16 * SECOND))
+    played = play(plan, 3, steps)
+    assert (played.shown, played.void, played.faults) == ([], "", [])
+    epoch = next(event.at for event in played.events if event.what == "begin")
+    acts = [(event.at - epoch) / SECOND for event in played.events if event.what == "acts"]
+    # A lease lasts 1 s, and a holder's clock is 5% slow at the most.
+    assert not [at for at in acts if 5.1 < at < 9.9]
+    assert [at for at in acts if at < 4] and [at for at in acts if at > 13]
+
+
 def row(at: int, who: str, what: str, *detail: object) -> Happened:
     return Happened(at * MS, who, what, list(detail))
 
