A dispatcher's pause is played on virtual time, too

Need: the virtual driver refused it, and pauses among hundreds cost a minute each on sockets.

Change: what comes to a paused VirtualDispatcher (timers, results, probes, lists, clients) waits and is worked through in order when it goes on.

--- a/ploverspoke/testbed/virtual.py
+++ b/ploverspoke/testbed/virtual.py
@@ -1,7 +1,7 @@
 """Virtual time: any number of dispatchers' decisions before the models, to the byte the same for a seed."""
 
 from collections.abc import Callable
-from functools import partial
+from functools import partial, wraps
 from typing import Any
 
 from ploverspoke.decisions.host import Listing
@@ -83,6 +83,19 @@
         self.answered = False
 
 
+def held_while_paused(method: Callable[..., None]) -> Callable[..., None]:
+    """What comes to a stopped process waits in its buffers and its timers, and is worked through in order."""
+
+    @wraps(method)
+    def come(self: "VirtualDispatcher", *what: Any) -> None:
+        if self.paused:
+            self.held.append((method, what))
+        else:
+            method(self, *what)
+
+    return come
+
+
 class VirtualDispatcher:
     """The host of one dispatcher's decisions."""
 
@@ -93,6 +106,8 @@
         self.zone = number % len(world.e.zones())
         self.alive = True
         self.leaving = False
+        self.paused = 0  # by so many troubles
+        self.held: list[tuple[Callable[..., None], tuple[Any, ...]]] = []
         self.next = 1
         self.taken: dict[int, Taken] = {}
         self.resting: dict[str, int] = {}  # connections, by worker
@@ -113,6 +128,7 @@
 
     # ---- From clients ----
 
+    @held_while_paused
     def arrived(self, request: Request) -> None:
         job = request.job
         grade = self.rows.numbers[self.world.e.grades[job.grade].name]
@@ -123,6 +139,7 @@
         abandon_at = request.abandon_at - min(ANSWER_EARLY, max(0, patience) // 10)
         self.decisions.submission_arrived(taken.number, grade, job.slots, abandon_at, 0, job.subject)
 
+    @held_while_paused
     def left(self, request: Request) -> None:
         for taken in self.taken.values():
             if taken.request is request and not taken.answered:
@@ -203,6 +220,7 @@
     def wake_at(self, token: int, when: int) -> None:
         self.clock.at(when, self._woken, token)
 
+    @held_while_paused
     def _woken(self, token: int) -> None:
         if self.alive:
             self.decisions.woken(token)
@@ -222,6 +240,7 @@
         back = self.clock.time + self.world.one_way(self.zone, there.zone)
         self.clock.at(back, self._probed, there.name, "satisfied", sent_at, True)
 
+    @held_while_paused
     def _probed(self, worker: str, outcome: str, sent_at: int, reports: bool) -> None:
         if self.alive:
             told = self.world.fleet.workers[worker].report() if reports else None
@@ -231,6 +250,7 @@
     def watch_roster(self) -> None:
         self.clock.at(self.clock.time + self.world.e.network.near, self._call_roster)
 
+    @held_while_paused
     def _call_roster(self) -> None:
         if self.alive:
             # A look at the whole list starts each watch, as on sockets.
@@ -239,6 +259,7 @@
     def _roster_said(self, told: tuple[int, bool, list[Entry]] | None) -> None:
         self.clock.at(self.clock.time + self.world.e.network.near, self._tell_roster, told)
 
+    @held_while_paused
     def _tell_roster(self, told: tuple[int, bool, list[Entry]] | None) -> None:
         if not self.alive:
             return
@@ -263,14 +284,17 @@
 
     # ---- What becomes of hand-offs ----
 
+    @held_while_paused
     def started(self, hand_off: HandOff) -> None:
         if hand_off.open and self.alive:
             self.decisions.hand_off_started(hand_off.submission.number, hand_off.index)
 
+    @held_while_paused
     def progressed(self, hand_off: HandOff, share: float) -> None:
         if hand_off.open and self.alive:
             self.decisions.hand_off_progressed(hand_off.submission.number, hand_off.index, share)
 
+    @held_while_paused
     def ended(self, hand_off: HandOff, outcome: str) -> None:
         if not hand_off.open or not self.alive:
             return
@@ -283,6 +307,7 @@
             self._close(hand_off)
         self._tell_end(hand_off, outcome)
 
+    @held_while_paused
     def _tell_end(self, hand_off: HandOff, outcome: str) -> None:
         taken = hand_off.submission
         if not self.alive or taken.hand_offs[hand_off.index] is None:
@@ -343,11 +368,21 @@
         if taken.answered and not any(taken.hand_offs):
             self.taken.pop(taken.number, None)
 
-    # ---- Its own end ----
+    # ---- Pauses, and its own end ----
+
+    def pause(self) -> None:
+        self.paused += 1
+
+    def resume(self) -> None:
+        self.paused -= 1
+        while self.held and not self.paused:
+            method, what = self.held.pop(0)
+            method(self, *what)
 
     def die(self) -> None:
         """SIGKILL: its connections are reset, to workers and to clients."""
         self.alive = False
+        self.held.clear()
         for taken in self.taken.values():
             for hand_off in taken.hand_offs:
                 if hand_off is not None:
@@ -402,7 +437,8 @@
             raise ex.BadExperiment("dispatchers.store: a store is played on sockets only")
         for begin, end, number, how in ex.outages(e, seed):
             if how == "paused":
-                raise ex.BadExperiment("troubles: a pause of a dispatcher is played on sockets only")
+                self.clock.at(begin, self._pause, number, end)
+                continue
             if how == "replaced":
                 self.clock.at(begin, self._start_beside, number, end)
                 continue
@@ -478,6 +514,12 @@
         for process in self._processes():
             process.resting.pop(worker.name, None)
 
+    def _pause(self, number: int, end: int) -> None:
+        """SIGSTOP. One that is killed meanwhile, and its next process, hear nothing of the SIGCONT."""
+        dispatcher = self.dispatchers[number]
+        dispatcher.pause()
+        self.clock.at(end, dispatcher.resume)
+
     def _kill(self, number: int) -> None:
         if self.dispatchers[number].alive:
             self.seen.add(self.clock.time, records.DISPATCHER_DOWN, dispatcher=number)
--- a/tests/test_testbed_model.py
+++ b/tests/test_testbed_model.py
@@ -8,6 +8,7 @@
 import pytest
 
 from ploverspoke.testbed import records
+from ploverspoke.testbed.audit import VIRTUAL_SLACK, audit
 from ploverspoke.testbed.chances import Streams
 from ploverspoke.testbed.clients import Clients, Request
 from ploverspoke.testbed.clock import VirtualClock
@@ -255,3 +256,14 @@
     late = next(r for r in sent if r.job.number == behind[-1].job)
     assert late.abandon_at == late.job.at + e.grades[late.job.grade].abandon_time
     assert len(sent) >= len(schedule(e, 1)), "the offered load is not slowed"
+
+
+def test_a_paused_dispatcher_works_through_what_piled_up_and_is_none_the_worse_for_others() -> None:
+    pause = {"what": "dispatcher paused", "at": "2s", "lasts": "500ms", "dispatchers": [0]}
+    events = play(world(troubles=[pause]), 1, "ours")
+    answered = [e for e in events if e.what == records.ANSWERED]
+    stopped = [e for e in answered if e.dispatcher == 0 and 2.001 * SECOND < e.at < 2.5 * SECOND]
+    went_on = [e for e in answered if e.dispatcher == 1 and 2 * SECOND < e.at < 2.5 * SECOND]
+    woke = [e for e in answered if e.dispatcher == 0 and 2.5 * SECOND <= e.at < 2.51 * SECOND]
+    assert not stopped and went_on and len(woke) > 3
+    assert audit(world(), events, VIRTUAL_SLACK) == []
