Tools of replicas share one module; a hand-over keeps its turn

Need: status, backup and what is said of them stood twice, for stores and for keepers; a waiter that a lease was handed to could be passed by one that had waited for longer and asked between release and grant.

Change: consensus/tools.py; the start of a command under a lease is one function of run and restart.

--- a/ploverspoke/leases/commands.py
+++ b/ploverspoke/leases/commands.py
@@ -9,7 +9,7 @@
 import socket
 import sys
 import time
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Sequence
 from functools import partial
 from pathlib import Path
 from typing import Any
@@ -21,6 +21,7 @@
 from ploverspoke.consensus.disk import restore as restore_disk
 from ploverspoke.consensus.frames import BadFrame
 from ploverspoke.consensus.orders import first_id
+from ploverspoke.consensus.tools import ask_replica, done, say
 from ploverspoke.program.checked import BadKey
 
 from .client import LeaseClient
@@ -248,13 +249,9 @@
         raise click.UsageError(f"--grace {grace:g}: at most a quarter of --for {seconds:g}")
 
     async def use(client: LeaseClient) -> int:
-        client.want(name, duration)
-        token = await client.held(name, wait)
-        if not token:
-            click.echo(f"ploverspoke: {name} is not had", err=True)
+        token, process = await _begin_under(client, name, duration, wait, command)
+        if process is None:
             return NOT_HELD
-        environment = {**os.environ, "PLOVERSPOKE_LEASE_TOKEN": str(token)}
-        process = await asyncio.create_subprocess_exec(*command, env=environment, preexec_fn=_ends_with_us)
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, process.send_signal, number)
@@ -263,6 +260,19 @@
     sys.exit(_with_client(_keepers(file), holder, "", use))
 
 
+async def _begin_under(
+    client: LeaseClient, name: str, duration: int, wait: float, command: Sequence[str]
+) -> tuple[int, asyncio.subprocess.Process | None]:
+    """The command, begun under the lease with its token; none where it is not had in time."""
+    client.want(name, duration)
+    token = await client.held(name, wait)
+    if not token:
+        click.echo(f"ploverspoke: {name} is not had", err=True)
+        return 0, None
+    environment = {**os.environ, "PLOVERSPOKE_LEASE_TOKEN": str(token)}
+    return token, await asyncio.create_subprocess_exec(*command, env=environment, preexec_fn=_ends_with_us)
+
+
 async def _guard(
     client: LeaseClient, name: str, token: int, process: asyncio.subprocess.Process, patience: int
 ) -> int:
@@ -319,13 +329,9 @@
     """
 
     async def use(client: LeaseClient) -> int:
-        client.want(name, int(seconds * 1e9))
-        token = await client.held(name, wait)
-        if not token:
-            click.echo(f"ploverspoke: no place of {name} is had", err=True)
+        token, process = await _begin_under(client, name, int(seconds * 1e9), wait, command)
+        if process is None:
             return NOT_HELD
-        environment = {**os.environ, "PLOVERSPOKE_LEASE_TOKEN": str(token)}
-        process = await asyncio.create_subprocess_exec(*command, env=environment, preexec_fn=_ends_with_us)
         code = await _guard(client, name, token, process, int(seconds * 1e9 / 8))
         if code == 0 and await is_back(ready, within):
             return 0 if client.token(name) == token else LEASE_ENDED
@@ -429,17 +435,10 @@
 def status(file: Path, as_json: bool) -> None:
     """What each keeper says of itself. Exit 3 where none leads."""
     keepers = _keepers(file)
-    rows = []
-    for name, where in keepers.peers.items():
-        try:
-            rows.append(ask(where, keepers.secret, {"ask": "status"}))
-        except (OSError, BadFrame) as error:
-            rows.append({"name": name, "role": "no answer", "why": str(error)})
-    if as_json:
-        click.echo(json.dumps(rows, indent=2, default=str))
-    else:
-        for row in rows:
-            click.echo("  ".join(f"{key}={value}" for key, value in row.items() if key != "members"))
+    rows = [
+        ask_replica(name, where, keepers.secret, {"ask": "status"}) for name, where in keepers.peers.items()
+    ]
+    say(rows, as_json)
     sys.exit(0 if any(row.get("leading") for row in rows) else NO_KEEPER)
 
 
@@ -448,18 +447,13 @@
 @click.argument("path", type=click.Path(path_type=Path))
 @JSON
 def backup(file: Path, path: Path, as_json: bool) -> None:
-    """Copy what the keeper of this FILE keeps, while it runs, to PATH on its machine."""
+    """Copy what the keeper of this FILE keeps, while it runs, to PATH on its machine. Exit 1: not done."""
     try:
         orders = read_keeper_orders(file).replica
-        told = ask(
-            orders.replicas[orders.name][0], orders.secret, {"ask": "backup", "path": str(path.absolute())}
-        )
     except BadKey as error:
         raise click.UsageError(str(error)) from None
-    except (OSError, BadFrame) as error:
-        told = {"done": False, "why": str(error)}
-    click.echo(json.dumps(told) if as_json else "done" if told["done"] else f"not done: {told['why']}")
-    sys.exit(0 if told["done"] else NO_KEEPER)
+    question = {"ask": "backup", "path": str(path.absolute())}
+    done(ask_replica(orders.name, orders.replicas[orders.name][0], orders.secret, question), as_json)
 
 
 @lease.command()
--- a/ploverspoke/leases/keeper.py
+++ b/ploverspoke/leases/keeper.py
@@ -223,7 +223,10 @@
             found.append([name, token])
             self.ended.add(token)
             queue = self.queues.get(name, [])
-            queue.sort(key=lambda one: one.holder != to)
+            for one in queue:
+                if one.holder == to:
+                    one.since = -NEVER  # before all others
+            queue.sort(key=lambda one: one.since)
         if found:
             self.host.propose([RELEASE, found], lambda yes: None)
 
--- a/ploverspoke/store/commands.py
+++ b/ploverspoke/store/commands.py
@@ -8,11 +8,10 @@
 
 import click
 
-from ploverspoke.consensus.ask import ask
 from ploverspoke.consensus.disk import Damaged, Disk, DiskTrouble, WrongStore
 from ploverspoke.consensus.disk import restore as restore_disk
-from ploverspoke.consensus.frames import BadFrame
 from ploverspoke.consensus.orders import ReplicaOrders, first_id, read_replica_orders
+from ploverspoke.consensus.tools import ask_replica, done, say
 from ploverspoke.program.checked import BadKey
 
 from .daemon import put_together
@@ -35,10 +34,7 @@
 
 
 def _ask(orders: ReplicaOrders, name: str, question: dict[str, Any]) -> Any:
-    try:
-        return ask(orders.replicas[name][0], orders.secret, question)
-    except (OSError, BadFrame) as error:
-        return {"name": name, "role": "no answer", "why": str(error)}
+    return ask_replica(name, orders.replicas[name][0], orders.secret, question)
 
 
 def _leader(orders: ReplicaOrders) -> str:
@@ -66,22 +62,6 @@
     return orders, body
 
 
-def _say(told: Any, as_json: bool) -> None:
-    if as_json:
-        click.echo(json.dumps(told, indent=2, default=str))
-        return
-    for row in told if isinstance(told, list) else [told]:
-        click.echo("  ".join(f"{key}={value}" for key, value in row.items() if key != "members"))
-
-
-def _done(told: dict[str, Any], as_json: bool) -> None:
-    if as_json:
-        click.echo(json.dumps(told))
-    else:
-        click.echo("done" if told.get("done") else f"not done: {told.get('why') or 'it may not be just now'}")
-    sys.exit(0 if told.get("done") else 1)
-
-
 @store.command()
 @FILE
 @JSON
@@ -89,7 +69,7 @@
     """What each replica says of itself. Exit 1 where none leads."""
     orders = _orders(file)
     told = [_ask(orders, name, {"ask": "status"}) for name in orders.replicas]
-    _say(told, as_json)
+    say(told, as_json)
     sys.exit(0 if any(one.get("leads") for one in told) else 1)
 
 
@@ -109,7 +89,7 @@
     """Add a replica that learns, or make one that has learned a voter."""
     orders = _orders(file)
     question = {"ask": "members", "name": name, "peers": peers, "clients": clients, "votes": votes}
-    _done(_ask(orders, _leader(orders), question), as_json)
+    done(_ask(orders, _leader(orders), question), as_json)
 
 
 @members.command()
@@ -119,7 +99,7 @@
 def remove(file: Path, name: str, as_json: bool) -> None:
     """Remove a replica."""
     orders = _orders(file)
-    _done(_ask(orders, _leader(orders), {"ask": "members", "name": name, "remove": True}), as_json)
+    done(_ask(orders, _leader(orders), {"ask": "members", "name": name, "remove": True}), as_json)
 
 
 @store.command()
@@ -129,7 +109,7 @@
 def transfer(file: Path, to: str, as_json: bool) -> None:
     """Hand leadership to the replica of that name."""
     orders = _orders(file)
-    _done(_ask(orders, _leader(orders), {"ask": "transfer", "to": to}), as_json)
+    done(_ask(orders, _leader(orders), {"ask": "transfer", "to": to}), as_json)
 
 
 @store.command()
@@ -142,7 +122,7 @@
     A new discovery is watched at once; what else differs waits for each replica's next start.
     """
     orders, body = read_configuration(file, configuration)
-    _done(ask_leader(orders, {"ask": "configure", "body": body, "by": getpass.getuser()}), as_json)
+    done(ask_leader(orders, {"ask": "configure", "body": body, "by": getpass.getuser()}), as_json)
 
 
 @store.command()
@@ -155,7 +135,7 @@
     if isinstance(found, dict):
         raise click.ClickException(str(found.get("why")))
     rows = [{"version": v, "by": by, "at": at, "bytes": len(body)} for v, by, at, body in found]
-    _say(rows, as_json)
+    say(rows, as_json)
 
 
 @store.command()
@@ -165,7 +145,7 @@
 def backup(file: Path, path: Path, as_json: bool) -> None:
     """Copy the store of this file's replica, while it runs, to PATH on its machine."""
     orders = _orders(file)
-    _done(_ask(orders, orders.name, {"ask": "backup", "path": str(path.absolute())}), as_json)
+    done(_ask(orders, orders.name, {"ask": "backup", "path": str(path.absolute())}), as_json)
 
 
 @store.command()
@@ -220,4 +200,4 @@
         },
     }
     disk.close()
-    _say(told, as_json)
+    say(told, as_json)
