--- a/ploverspoke/testbed/processes/lease_run.py
+++ b/ploverspoke/testbed/processes/lease_run.py
@@ -38,11 +38,23 @@
     pauses: Span = Span(2 * SECOND)
     cuts: Span = Span(2 * SECOND)
     rough: Span = Span(4 * SECOND)
+    many: int = 0  # further names, of one place each
+    each: int = 0  # so many of those each contender wants, and none of `names`; 0: all
+    rest: Span = Span(20 * MILLISECOND)  # between two effects under a lease
     drifting: bool = True
     fenced: bool = True
     keeps: float = 0.05  # chance that a contender goes on for good
     holder_killed: Span = Span(0)  # so often the holder of the first name is killed; 0: never
 
+    def places(self) -> dict[str, int]:
+        return {**self.names, **{f"n{number}": 1 for number in range(self.many)}}
+
+    def wanted(self, contender: int) -> list[str]:
+        """By that contender; with `each`, a name is wanted by contenders far apart."""
+        if not self.each:
+            return list(self.places())
+        return [f"n{(contender * self.each + k) % self.many}" for k in range(self.each)]
+
 
 class MustHold(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     changes: int = FEWEST_CHANGES  # of holder, over all names; with fewer a run is void
@@ -119,7 +131,7 @@
             "snapshot_every": 200,
             "leases": {
                 name: {"places": places, "longest_ms": plan.duration * 3 // MILLISECOND}
-                for name, places in plan.names.items()
+                for name, places in plan.places().items()
             },
         }
         self.file.write_bytes(msgspec.json.encode(common))
@@ -138,10 +150,10 @@
                 str(self.file),
                 resource.through("act"),
                 str(rig.folder / f"{place.name}.acts.history"),
-                list(plan.names),
+                plan.wanted(number),
                 int(plan.duration),
                 plan.duration // 5,
-                0.02,
+                plan.rest / SECOND,
                 plan.keeps,
             )
             spec.write_bytes(msgspec.json.encode(told))
@@ -152,7 +164,7 @@
         await rig.open()
         history = str(rig.folder / "resource.history")
         # Where several may hold a lease, no order of tokens says whose is old.
-        fenced = [name for name, places in plan.names.items() if places == 1 and plan.fenced]
+        fenced = [name for name, places in plan.places().items() if places == 1 and plan.fenced]
         words = [resource.own, str(resource.ports["act"]), history, *fenced]
         self.resource = await rig.child(f"{MODULE}.resource", words)
         await self.resource.hear()
@@ -186,7 +198,7 @@
         if killing is not None:
             killing.cancel()
         events = rig.happened()
-    verdict = judge(events, plan.names)
+    verdict = judge(events, plan.places())
     shown = [rig.shown(what, at) for what, at in verdict.findings[:3]]
     return Outcome(verdict, rig.void(), rig.faults, shown, events, played, rig.counts.get("links", {}))
 
@@ -201,6 +213,8 @@
         raise BadTimeline(f"plan: {error}") from None
     if not found.plan.names or min(found.plan.names.values()) < 1:
         raise BadTimeline("plan.names: expected names, each with 1 place or more")
+    if found.plan.each > found.plan.many:
+        raise BadTimeline("plan.each: expected at most plan.many")
     if found.plan.keepers not in (1, 3, 5) or found.plan.contenders < 1:
         raise BadTimeline("plan.keepers: expected 1, 3 or 5, and plan.contenders 1 or more")
     return found
--- a/tests/test_testbed_files.py
+++ b/tests/test_testbed_files.py
@@ -68,6 +68,7 @@
         ({"plan": {"names": {}}}, "plan.names"),
         ({"plan": {"names": {"one": 0}}}, "plan.names"),
         ({"plan": {"keepers": 4}}, "plan.keepers"),
+        ({"plan": {"each": 2, "many": 1}}, "plan.each"),
         ({"plan": {"lasts": 6}}, "with its unit"),
         ({"plan": {"keeper": 3}}, "`keeper`"),
         ({"must_hold": {"gap": "soon"}}, "with its unit"),
