Keepers on real consensus are explored, too

Need: the explorer of leases stood on a model of what consensus promises; a model may be wrong.

Change: the worlds of the consensus explorer carry keepers and holders as leases/node.py puts them together.

--- a/tests/explorer.py
+++ b/tests/explorer.py
@@ -84,6 +84,7 @@
 
 class Node:
     applied = 0  # since its start
+    state_kind: Any = Tape
 
     def __init__(self, world: "World", name: str) -> None:
         self.world = world
@@ -98,7 +99,7 @@
         self.up = True
         self.boots += 1
         self.applied = 0
-        self.tape = Tape()
+        self.tape = self.state_kind()
         self.writing = None
         boot = self.boots
         self.replica = Replica(
@@ -138,6 +139,8 @@
 
 
 class World:
+    node_kind: type[Node] = Node
+
     def __init__(
         self, seed: int, size: int, machine: type[Raft] = Raft, spare: int = 0, stormy: bool = False
     ) -> None:
@@ -159,7 +162,7 @@
         self.steps = 0
         self.nodes: dict[str, Node] = {}
         for n in names:
-            self.nodes[n] = Node(self, n)
+            self.nodes[n] = self.node_kind(self, n)
 
     # ---- The network ----
 
--- a/tests/lease_explorer.py
+++ b/tests/lease_explorer.py
@@ -10,11 +10,15 @@
 from collections.abc import Callable, Sequence
 from typing import Any
 
+import msgspec
+
 from ploverspoke.leases.holder import Holder
 from ploverspoke.leases.keeper import Keeper
 from ploverspoke.leases.rules import Rule, Rules
 from ploverspoke.leases.terms import Terms
 
+from . import explorer as consensus
+
 MS = 1_000_000
 LEAST, LASTS = 1000 * MS, 2000 * MS
 NAME = "task"
@@ -46,7 +50,9 @@
         holder: type[Holder] = Holder,
         terms: type[Terms] = Terms,
         fence: type[Fence] = Fence,
+        hears_late: bool = False,  # a keeper applies another's entries before it hears that it leads no more
     ) -> None:
+        self.hears_late = hears_late
         self.keeper, self.holder, self.terms, self.fence = keeper, holder, terms, fence
 
 
@@ -165,7 +171,8 @@
         self.epoch += 1
         self.leader = node
         # Whoever hears of another's entries has heard before that it leads no more.
-        node.keeper.leads_no_more()
+        if not self.parts.hears_late:
+            node.keeper.leads_no_more()
         node.pending.clear()
         node.catch_up()
         node.keeper.leads(node.era)
@@ -367,3 +374,158 @@
     elif choice == 8:
         world.holders[0].holder.release(NAME)
         world.tick()
+
+
+# ---- The same on real consensus ----
+
+
+class Applied:
+    """Terms, with the count of entries that the consensus explorer asks for."""
+
+    def __init__(self) -> None:
+        self.terms = Terms()
+        self.values: list[Any] = []
+
+    def apply(self, index: int, command: list[Any]) -> None:
+        self.values.append(command)
+        self.terms.apply(index, command)
+
+    def dump(self) -> bytes:
+        return msgspec.msgpack.encode([len(self.values), self.terms.dump()])
+
+    def load(self, data: bytes) -> None:
+        count, terms = msgspec.msgpack.decode(data) if data else (0, b"")
+        self.values = [None] * count
+        self.terms.load(terms)
+
+
+class RaftNode(consensus.Node):
+    """A replica with a keeper on it, as `leases/node.py` puts them together."""
+
+    world: "RaftWorld"
+    state_kind = Applied
+
+    def start(self) -> None:
+        super().start()
+        self.keeper = self.world.parts.keeper(self, self.tape.terms, self.world.rules)
+
+    def role_changed(self, role: str, leader: str) -> None:
+        if role == "leader":
+            super().role_changed(role, leader)
+            self.world.later.append((self, self.boots, self._read))
+        elif self.keeper.leading:
+            self.keeper.leads_no_more()
+
+    def _read(self) -> None:
+        self.replica.read(self._took_over)
+
+    def _took_over(self, yes: bool) -> None:
+        if yes and self.replica.raft.role == "leader" and not self.keeper.leading:
+            self.keeper.leads()
+
+    # The keeper's host.
+
+    def now(self) -> int:
+        return self.world.clock
+
+    def propose(self, command: list[Any], then: Callable[[bool], None]) -> None:
+        self.world.later.append((self, self.boots, lambda: self.replica.propose([command], then)))
+
+    def confirm(self, then: Callable[[bool], None]) -> None:
+        self.world.later.append((self, self.boots, lambda: self.replica.read(then)))
+
+    def tell(self, holder: str, message: dict[str, Any]) -> None:
+        self.world.told.append((int(holder), message))
+
+
+class RaftHolder:
+    """The host of a holder; its clock runs up to 5% fast or slow beside the keepers'."""
+
+    def __init__(self, world: "RaftWorld", number: int) -> None:
+        self.world, self.number = world, number
+        self.rate = (0.95, 1.0, 1.05)[number % 3]
+        self.at = number % len(world.nodes)
+        self.holder = world.parts.holder(self)
+
+    def now(self) -> int:
+        return int(self.world.clock * self.rate)
+
+    def send(self, message: dict[str, Any]) -> None:
+        self.world.asked.append((f"n{self.at}", str(self.number), message))
+
+    def go_elsewhere(self) -> None:
+        self.at = (self.at + 1) % len(self.world.nodes)
+
+
+class RaftWorld(consensus.World):
+    node_kind = RaftNode
+
+    def __init__(self, seed: int, parts: Parts | None = None) -> None:
+        self.parts = parts or Parts()
+        self.rules = Rules({NAME: Rule(1, LASTS)}, LEAST)
+        self.later: list[tuple[RaftNode, int, Callable[[], None]]] = []  # what a loop would do next
+        self.told: list[tuple[int, dict[str, Any]]] = []
+        self.asked: list[tuple[str, str, dict[str, Any]]] = []
+        super().__init__(seed, 3)
+        self.holders = [RaftHolder(self, number) for number in range(3)]
+        self.acting: set[tuple[int, int]] = set()
+        self.highest = self.changes = 0
+        for each in self.holders:
+            each.holder.want(NAME, LASTS)
+
+    def propose(self, node: consensus.Node) -> None:
+        """The keepers propose for themselves."""
+
+    def check(self) -> None:
+        super().check()
+        acting = {(h.number, h.holder.token(NAME)) for h in self.holders if h.holder.left(NAME)}
+        consensus.must(len(acting) <= 1, f"two hold it at once: {sorted(acting)}")
+        for number, token in acting - self.acting:
+            consensus.must(token >= self.highest, f"holder {number} begins under {token}, not {self.highest}")
+            self.changes += token > self.highest
+            self.highest = max(self.highest, token)
+        self.acting = acting
+
+    def step(self) -> None:
+        chance = self.chance
+        for node, boots, call in self.later if chance.random() < 0.8 else ():
+            if node.up and node.boots == boots:
+                call()
+        if chance.random() < 0.9:
+            self.later.clear()
+        if self.asked and chance.random() < 0.7:
+            to, holder, message = self.asked.pop(
+                0 if chance.random() < 0.8 else chance.randrange(len(self.asked))
+            )
+            node = self.nodes[to]
+            assert isinstance(node, RaftNode)
+            if node.up:
+                node.keeper.asked(holder, message)
+        if self.told and chance.random() < 0.7:
+            number, message = self.told.pop(0 if chance.random() < 0.8 else chance.randrange(len(self.told)))
+            self.holders[number].holder.told(message)
+        if chance.random() < 0.05:
+            self.clock += chance.choice([100, 500, 1000, 2000]) * MS
+        for node in self.nodes.values():
+            assert isinstance(node, RaftNode)
+            if node.up:
+                node.keeper.tick()
+        for each in self.holders:
+            each.holder.tick()
+            if chance.random() < 0.002:
+                each.holder.release(NAME)
+                each.holder.tick()
+                each.holder.want(NAME, LASTS)
+        super().step()
+
+
+def explore_raft(seed: int, steps: int = 1500, parts: Parts | None = None) -> RaftWorld:
+    """One schedule on real replicas of the consensus. Raises Broken of the consensus explorer."""
+    world = RaftWorld(seed, parts)
+    try:
+        for _ in range(steps):
+            world.step()
+    except Exception as error:
+        error.add_note(f"raft, seed {seed}, step {world.steps}")
+        raise
+    return world
--- a/tests/test_leases_explored.py
+++ b/tests/test_leases_explored.py
@@ -14,9 +14,11 @@
 from ploverspoke.leases.rules import DRIFT
 from ploverspoke.leases.terms import RELEASE, Terms
 
-from .lease_explorer import CHOICES, Broken, Fence, Parts, by_choices, explore
+from . import explorer as consensus
+from .lease_explorer import CHOICES, Broken, Fence, Parts, by_choices, explore, explore_raft
 
 SCHEDULES, DEPTH = 20_000, 5
+ON_RAFT = 2_000
 
 
 def sweep(first: int, count: int) -> tuple[int, int]:
@@ -24,6 +26,10 @@
     return sum(w.changes for w in worlds), sum(w.refused for w in worlds)
 
 
+def sweep_raft(first: int, count: int) -> int:
+    return sum(explore_raft(seed).changes for seed in range(first, first + count))
+
+
 def all_from(first: int) -> int:
     count = 0
     for rest in itertools.product(range(CHOICES), repeat=DEPTH):
@@ -38,10 +44,14 @@
     with ProcessPoolExecutor(cores, mp_context=get_context("spawn")) as pool:
         seeded = [pool.submit(sweep, first, part) for first in range(0, SCHEDULES, part)]
         short = [pool.submit(all_from, first) for first in range(CHOICES)]
+        on_raft = [
+            pool.submit(sweep_raft, first, ON_RAFT // 40) for first in range(0, ON_RAFT, ON_RAFT // 40)
+        ]
         changes, refused = (sum(row) for row in zip(*(wait.result() for wait in seeded), strict=True))
         assert sum(wait.result() for wait in short) == CHOICES ** (DEPTH + 1)
+        changes_on_raft = sum(wait.result() for wait in on_raft)
     # A sweep in which little happens proves nothing.
-    assert changes > 2 * SCHEDULES and refused > 50
+    assert changes > 2 * SCHEDULES and refused > 50 and changes_on_raft > ON_RAFT
 
 
 class CountsFromTheAnswer(Holder):
@@ -121,11 +131,13 @@
     Parts(keeper=ReleasesForAnybody),
     Parts(keeper=ProvesNothing),
     Parts(fence=TakesAll),
+    Parts(hears_late=True),
 ]
 
 
 def named(parts: Parts) -> str:
-    return next(c.__name__ for c in vars(parts).values() if c.__module__ == __name__)
+    planted = (c.__name__ for c in vars(parts).values() if getattr(c, "__module__", "") == __name__)
+    return next(planted, "hears late")
 
 
 @pytest.mark.parametrize("parts", PLANTED, ids=named)
@@ -138,6 +150,16 @@
     raise AssertionError("not found in 4000 schedules")
 
 
+@pytest.mark.parametrize("parts", [Parts(keeper=GrantsAtOnce), Parts(holder=CountsFromTheAnswer)], ids=named)
+def test_a_planted_fault_is_found_on_real_consensus(parts: Parts) -> None:
+    for seed in range(600):
+        try:
+            explore_raft(seed, parts=parts)
+        except consensus.Broken:
+            return
+    raise AssertionError("not found in 600 schedules")
+
+
 def test_the_margin_is_what_two_clocks_of_five_percent_need() -> None:
     assert (1 - DRIFT) / 0.95 <= 1 / 1.05
     assert holder_module.DRIFT == DRIFT
