--- a/ploverspoke/testbed/processes/contender.py
+++ b/ploverspoke/testbed/processes/contender.py
@@ -14,7 +14,7 @@
 import msgspec
 import uvloop
 
-from ploverspoke.leases import acting
+from ploverspoke.leases import acting, holder
 from ploverspoke.leases.client import LeaseClient
 from ploverspoke.leases.orders import read_keepers
 
@@ -35,6 +35,7 @@
     step: int  # ns that an effect may take
     rest: float  # seconds between two effects
     keeps: float  # chance to go on for good, rather than to release after a while
+    outlasts: bool = False  # a planted fault: it believes a lease to last for twice its duration
 
 
 class Looks:
@@ -112,6 +113,8 @@
 
 
 async def live(spec: Spec) -> None:
+    if spec.outlasts:
+        vars(holder)["DRIFT"] = -1.0
     await Contender(spec).run()
 
 
--- a/ploverspoke/testbed/processes/lease_run.py
+++ b/ploverspoke/testbed/processes/lease_run.py
@@ -43,6 +43,7 @@
     rest: Span = Span(20 * MILLISECOND)  # between two effects under a lease
     drifting: bool = True
     fenced: bool = True
+    outlasts: bool = False  # a planted fault, for tests of the checker: see `contender.Spec`
     keeps: float = 0.05  # chance that a contender goes on for good
     holder_killed: Span = Span(0)  # so often the holder of the first name is killed; 0: never
 
@@ -155,6 +156,7 @@
                 plan.duration // 5,
                 plan.rest / SECOND,
                 plan.keeps,
+                plan.outlasts,
             )
             spec.write_bytes(msgspec.json.encode(told))
             running = rig.add(place, f"{MODULE}.contender", [str(spec)])
--- a/tests/test_leases_processes.py
+++ b/tests/test_leases_processes.py
@@ -37,6 +37,18 @@
     assert played.verdict.void(fewest=5) == "" and played.verdict.void(fewest=10_000)
 
 
+def test_holders_that_count_too_long_are_found_on_processes() -> None:
+    # Each in turn does not reach the keepers for a while, and the next is given the lease by then.
+    keepers = ["k0", "k1", "k2"]
+    steps = [
+        Step(at=Span(n * 1500 * MS), what="cut", who=[f"c{n % 4}"], to=keepers, lasts=Span(2500 * MS))
+        for n in range(1, 6)
+    ]
+    plan = Plan(keepers=3, contenders=4, names={"one": 1}, lasts=Span(9 * SECOND), keeps=1.0, outlasts=True)
+    played = play(plan, 1, steps)
+    assert (played.void, played.faults) == ("", []) and "act at once" in played.shown[0]
+
+
 def test_nobody_acts_past_the_end_while_a_majority_is_gone_and_all_go_on_by_themselves() -> None:
     begins, lasts = 4 * SECOND, 6 * SECOND
     steps = [
