--- a/ploverspoke/consensus/tools.py
+++ b/ploverspoke/consensus/tools.py
@@ -2,12 +2,15 @@
 
 import json
 import sys
+from pathlib import Path
 from typing import Any
 
 import click
 
 from .ask import ask
+from .disk import Damaged, Disk, DiskTrouble, WrongStore, restore
 from .frames import BadFrame
+from .orders import ReplicaOrders, first_id
 
 
 def ask_replica(name: str, where: str, secret: bytes, question: dict[str, Any]) -> Any:
@@ -18,6 +21,16 @@
         return {"name": name, "role": "no answer", "why": str(error)}
 
 
+def restored(orders: ReplicaOrders, backup: Path) -> Disk:
+    """A backup as the disk of these orders' replica; to be closed. Raises what click says and exits with."""
+    try:
+        return restore(orders.folder, backup, first_id(orders.name))
+    except WrongStore as error:
+        raise click.UsageError(str(error)) from None
+    except (Damaged, DiskTrouble) as error:
+        raise click.ClickException(f"the backup cannot be used: {error}") from None
+
+
 def say(told: Any, as_json: bool) -> None:
     """Rows, a line each."""
     if as_json:
--- a/ploverspoke/leases/commands.py
+++ b/ploverspoke/leases/commands.py
@@ -17,11 +17,8 @@
 import click
 
 from ploverspoke.consensus.ask import ask
-from ploverspoke.consensus.disk import Damaged, DiskTrouble, WrongStore
-from ploverspoke.consensus.disk import restore as restore_disk
 from ploverspoke.consensus.frames import BadFrame
-from ploverspoke.consensus.orders import first_id
-from ploverspoke.consensus.tools import ask_replica, done, say
+from ploverspoke.consensus.tools import ask_replica, done, restored, say
 from ploverspoke.program.checked import BadKey
 
 from .client import LeaseClient
@@ -469,14 +466,9 @@
         orders = read_keeper_orders(file).replica
     except BadKey as error:
         raise click.UsageError(str(error)) from None
-    try:
-        disk = restore_disk(orders.folder, path, first_id(orders.name))
-        # Above every era that was begun before, as long as clocks do not go back between two restores.
-        era = max((disk.kept(ERA_KEPT) or 0) + 1, int(time.time()))
-        disk.keep(ERA_KEPT, era)
-        disk.close()
-    except WrongStore as error:
-        raise click.UsageError(str(error)) from None
-    except (Damaged, DiskTrouble) as error:
-        raise click.ClickException(f"the backup cannot be used: {error}") from None
+    disk = restored(orders, path)
+    # Above every era that was begun before, as long as clocks do not go back between two restores.
+    era = max((disk.kept(ERA_KEPT) or 0) + 1, int(time.time()))
+    disk.keep(ERA_KEPT, era)
+    disk.close()
     click.echo(f"restored {disk.path}, era {era}")
--- a/ploverspoke/store/commands.py
+++ b/ploverspoke/store/commands.py
@@ -9,9 +9,8 @@
 import click
 
 from ploverspoke.consensus.disk import Damaged, Disk, DiskTrouble, WrongStore
-from ploverspoke.consensus.disk import restore as restore_disk
-from ploverspoke.consensus.orders import ReplicaOrders, first_id, read_replica_orders
-from ploverspoke.consensus.tools import ask_replica, done, say
+from ploverspoke.consensus.orders import ReplicaOrders, read_replica_orders
+from ploverspoke.consensus.tools import ask_replica, done, restored, say
 from ploverspoke.program.checked import BadKey
 
 from .daemon import put_together
@@ -157,13 +156,8 @@
     What was committed after the backup is gone: only for all replicas together, from one backup.
     """
     orders = _orders(file)
-    try:
-        disk = restore_disk(orders.folder, path, first_id(orders.name))
-        disk.close()
-    except WrongStore as error:
-        raise click.UsageError(str(error)) from None
-    except (Damaged, DiskTrouble) as error:
-        raise click.ClickException(f"the backup cannot be used: {error}") from None
+    disk = restored(orders, path)
+    disk.close()
     click.echo(f"restored {disk.path}")
 
 
--- a/ploverspoke/testbed/processes/controls.py
+++ b/ploverspoke/testbed/processes/controls.py
@@ -5,7 +5,7 @@
 from pathlib import Path
 
 FIELDS = ("wall_ahead", "clock_ahead", "disk", "sync_takes")  # ns, ns, one of the modes, ns
-WELL, FULL, FAILS, FAILS_LATE = range(4)  # of a disk; a late failure is told of what has been written
+WELL, FULL, FAILS = range(3)  # of a disk
 SIZE = 8 * len(FIELDS)
 
 
--- a/ploverspoke/testbed/processes/history.py
+++ b/ploverspoke/testbed/processes/history.py
@@ -5,7 +5,7 @@
 """
 
 import time
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterator
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -53,7 +53,3 @@
     """The events next to that time, as lines; times in ms from it."""
     near = sorted(sorted(events, key=lambda e: abs(e.at - at))[:count], key=lambda e: e.at)
     return [f"{(e.at - at) / 1e6:+10.3f} ms  {e.who}  {e.what}  {e.detail}" for e in near]
-
-
-def latest(events: Iterable[Happened], what: str) -> list[Happened]:
-    return [event for event in events if event.what == what]
--- a/ploverspoke/testbed/processes/starter.py
+++ b/ploverspoke/testbed/processes/starter.py
@@ -20,7 +20,7 @@
 import msgspec
 import uvloop
 
-from .controls import FAILS, FAILS_LATE, FULL, Controls
+from .controls import FAILS, FULL, Controls
 from .history import History, true_now
 
 PR_SET_PDEATHSIG = 1
@@ -117,9 +117,6 @@
                     os_sleep(takes / 1e9)
                 if mode == FAILS:
                     raise sqlite3.OperationalError("disk I/O error")
-                if mode == FAILS_LATE:
-                    super().execute(text)
-                    raise sqlite3.OperationalError("disk I/O error")
             return super().execute(text, *more)
 
     return Connection
