--- a/ploverspoke/__main__.py
+++ b/ploverspoke/__main__.py
@@ -7,6 +7,10 @@
 
     command_line(prog_name="ploverspoke")
 else:
+    from .program.early import hold_signals
+
+    hold_signals()
+
     from .program.service import main
 
     sys.exit(main())
--- a/ploverspoke/program/service.py
+++ b/ploverspoke/program/service.py
@@ -8,9 +8,11 @@
 import socket
 from collections.abc import Callable
 from functools import partial
+from typing import NamedTuple
 
 import uvloop
 
+from ploverspoke.decisions.host import StandingOrders
 from ploverspoke.routing.door import Door
 from ploverspoke.routing.operators import OperatorsDoor
 from ploverspoke.routing.peers import Peers
@@ -24,15 +26,14 @@
 
 from .briefing import Briefing, read_briefing
 from .checked import BadKey, first_missing
+from .early import HELD_SIGNALS, hold_signals
 from .exits import exit_code
 from .neighbours import Neighbours
 from .passed import passed_socket
 
 STILL_COMING = 700 * MILLISECOND  # after the signal to end, connections may go on coming for so long
-STILL_SERVED = 2200 * MILLISECOND  # and clients go on over theirs: nobody else may be there for them yet
-HANDED_OVER = 600 * MILLISECOND  # the same where another process has the socket: each answer sent them there
-LAST_ANSWERS = 3400 * MILLISECOND  # after the signal whoever still waits is answered
-LAST_WORD = 3550 * MILLISECOND  # and nobody is waited for any more
+LONGEST_TO_FINISH = 3 * SECOND  # then what was taken has the longest abandon time to end in, but no more
+HANDED_OVER = 600 * MILLISECOND  # so long clients go on here where another process has the socket
 LOOK_EVERY = 20 * MILLISECOND
 LIST_WITHIN = 1500 * MILLISECOND  # for discovery's first answer, where another process serves meanwhile
 NEIGHBOURS_EVERY = 250 * MILLISECOND
@@ -71,11 +72,13 @@
         self.neighbours = Neighbours(None)
         self.on_ready: Callable[[], None] = lambda: None
         self.over = asyncio.Event()
+        self.end = times_to_end(briefing.orders, False)
 
     async def run(self) -> None:
         for number in (signal.SIGTERM, signal.SIGINT):
             self.loop.add_signal_handler(number, self._leave)
         self.loop.add_signal_handler(signal.SIGHUP, self._read_again)
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, HELD_SIGNALS)
         if self.briefing.admin is not None:
             self.operators.listener.open(*self.briefing.admin)
         if self.neighbours.enter():
@@ -168,21 +171,45 @@
             if self.router.peers is not None:
                 self.router.peers.close()  # what others tell is for the process that comes after
             self.door.leave(handing_over=self.listening is not None)
+            self.end = times_to_end(self.router.orders, self.listening is not None)
             self._look_whether_over()
 
     def _look_whether_over(self) -> None:
         now = self.deadlines.now()
         since = now - self.leaving_since
-        shared = self.listening is not None
-        still_coming, still_served = (0, HANDED_OVER) if shared else (STILL_COMING, STILL_SERVED)
-        if since >= (still_coming if self.door.is_empty() else still_served):
+        if since >= (self.end.still_coming if self.door.is_empty() else self.end.still_served):
             self.door.shut()
-        if since >= LAST_ANSWERS:
+        if since >= self.end.last_answers:
             self.router.answer_all()
-        if (self.door.is_shut and self.door.is_empty()) or since >= LAST_WORD:
+        if (self.door.is_shut and self.door.is_empty()) or since >= self.end.last_word:
             self.over.set()
         else:
-            self.deadlines.at(now + LOOK_EVERY, self._look_whether_over)
+            self.deadlines.at(now + self.end.look_every, self._look_whether_over)
+
+
+class TimesToEnd(NamedTuple):
+    """After the signal to end."""
+
+    still_coming: int  # so long the socket stays open, even with nobody there
+    still_served: int  # and clients go on over theirs: nobody else may be there for them yet
+    last_answers: int  # then whoever still waits is answered
+    last_word: int  # and nobody is waited for any more
+    look_every: int
+
+
+def times_to_end(orders: StandingOrders, shared: bool) -> TimesToEnd:
+    """We may be killed once what came last has had the longest abandon time in force: all is over before.
+
+    Where another process has the socket, clients are sent over to it with each answer.
+    """
+    finish = min(LONGEST_TO_FINISH, max(orders["abandon_time"][grade] for grade in orders["grades"]))
+    return TimesToEnd(
+        0 if shared else STILL_COMING,
+        HANDED_OVER if shared else STILL_COMING + finish // 2,
+        STILL_COMING + finish * 18 // 20,
+        STILL_COMING + finish * 19 // 20,
+        max(MILLISECOND, min(LOOK_EVERY, finish // 100)),
+    )
 
 
 def _run() -> None:
@@ -199,4 +226,5 @@
 
 
 def main() -> int:
+    hold_signals()
     return exit_code(_run)
--- a/ploverspoke/routing/door.py
+++ b/ploverspoke/routing/door.py
@@ -20,7 +20,10 @@
 SLOW_READER = 10 * SECOND  # for an answer to be read
 LINGER = SECOND  # for a client to read why it was turned away
 NO_LEADER = 200 * MILLISECOND  # when to come back where no replica leads
-MOST_AHEAD = 64 * 1024  # bytes that a client may send ahead of its answer
+# What a client sends ahead of its answer is read, since its leaving comes behind it.
+FREE_AHEAD = 64 * 1024  # bytes that are not weighed
+MOST_AHEAD = 256 * 1024  # that are kept; who sends more is closed with the answer that it waits for
+MOST_THROWN_AWAY = 8 * 1024 * 1024  # of those beyond; then it has to wait
 
 
 class ClientSession:
@@ -36,6 +39,7 @@
         self.keep = True
         self.closing = False
         self.failure: Garbled | None = None  # of the reader; told when all before it is answered
+        self.thrown_away = 0  # bytes beyond what may be sent ahead
         self.held = 0  # bytes of requests, read and not yet taken
         self.served = False  # a submission of its was taken
         self.unwelcome = False  # beyond what we have room for
@@ -57,8 +61,7 @@
             buffer = self.connection.buffer
             buffer.read(len(buffer))
         elif self.answering or self.connection.unsent:
-            if len(self.connection.buffer) > MOST_AHEAD:
-                self.connection.hold_reading(True)
+            self._keep_ahead()
         else:
             self._read_on()
 
@@ -73,6 +76,18 @@
         if submission is not None:
             self.door.router.client_left(submission, self)
 
+    def _keep_ahead(self) -> None:
+        self._weigh()
+        buffer = self.connection.buffer
+        ahead = len(buffer)
+        too_much = ahead > MOST_AHEAD or (ahead > FREE_AHEAD and self.door.is_full())
+        if too_much or self.thrown_away:
+            buffer.read(ahead)
+            self.thrown_away += ahead
+            self._weigh()
+            if self.thrown_away > MOST_THROWN_AWAY:
+                self.connection.hold_reading(True)
+
     def all_written(self) -> None:
         if not self.answering and not self.closing:
             self._read_on()
@@ -96,7 +111,9 @@
         """Read and handle requests until one has to be waited for or nothing is left."""
         self.connection.hold_reading(False)
         while not self.answering and not self.closing and not self.connection.unsent:
-            if self.waiting:
+            if self.thrown_away:
+                self._close()  # what came next is gone
+            elif self.waiting:
                 self.answering = True
                 self._handle(*self.waiting.popleft())
             elif self.failure is not None:
@@ -125,6 +142,7 @@
     def _weigh(self) -> None:
         held = len(self.reader.body) if self.reader.inside else 0
         held += sum(len(body) for _, _, _, body, _ in self.waiting)
+        held += max(0, len(self.connection.buffer) - FREE_AHEAD)
         self.door.held += held - self.held
         self.held = held
 
@@ -191,6 +209,13 @@
     def rejected(self) -> None:
         self._answer(400, b"no worker can use it")
 
+    def has_left(self) -> bool:
+        left = self.connection.was_left()
+        if left:
+            # Where reading is held, or the loop has not come round, its end would be heard too late or never.
+            self.connection.abort()
+        return left
+
     def dropped(self) -> None:
         self.answering = False
         self.submission = None
@@ -201,7 +226,7 @@
         self.submission = None
         # Who sends what cannot be used is done with: else the same comes again, as fast as it can be sent.
         refused = 400 <= status < 500
-        ending = self.door.is_shut or self.door.handing_over
+        ending = self.door.is_shut or self.door.handing_over or self.thrown_away > 0
         keep = self.keep and not refused and not ending
         self.connection.write(clients.answer(status, body, keep, come_back_after, location))
         self.idle_since = self.door.deadlines.now()
@@ -230,7 +255,7 @@
 
     def leave(self) -> None:
         """Close it between two requests; one that waits in the kernel is read first, and answered."""
-        if self.is_idle() and not (self.door.handing_over and self.connection.has_unread()):
+        if self.is_idle() and not self.connection.has_unread():
             self.hang_up()
 
     def hang_up(self) -> None:
@@ -296,10 +321,12 @@
         """Those that said nothing for a while make way first, the oldest before others; then idle ones."""
         found = self._oldest_unserved()
         if found is None:
-            idle = (s for s in self.sessions.values() if s.served and s.is_idle())
-            found = min(idle, key=lambda s: s.idle_since, default=None)
-        elif self.deadlines.now() - found.idle_since < SPEAKS_WITHIN:
-            return False
+            idle = sorted(
+                (s for s in self.sessions.values() if s.served and s.is_idle()), key=lambda s: s.idle_since
+            )
+            found = next((s for s in idle if not s.connection.has_unread()), None)
+        elif self.deadlines.now() - found.idle_since < SPEAKS_WITHIN or found.connection.has_unread():
+            return False  # what it said may be unread where the loop was busy
         if found is None:
             return False
         self.forget(found)
@@ -334,6 +361,7 @@
         if self.is_shut:
             return
         self.is_shut = True
+        self.listener.take_rest()
         self.listener.close()
         for session in self.sessions.values():
             session.leave()
--- a/ploverspoke/routing/errands.py
+++ b/ploverspoke/routing/errands.py
@@ -44,8 +44,8 @@
     ) -> None:
         """In two: the last byte is written a moment later, so that a dropped connection has not run it.
 
-        `may_go` is asked just before the last byte, whenever that is: this process may have been stopped
-        for long.
+        `may_go` is asked just before the first byte and again before the last, whenever that is: the
+        connection may have come up late, and this process may have been stopped for long.
         """
         self.pool = pool
         self.deadlines = pool.deadlines
@@ -77,13 +77,14 @@
 
     def connected(self, connection: Connection) -> None:
         self.opening = None
+        if not self._may_still_go():
+            self.pool.rest_on(self.address, connection)
+            self._end(End.WITHHELD)
+            return
         self.connection = connection
         message = self.message(self.until - self.deadlines.now())
         if not self.in_two:
-            if self._is_too_late():
-                self._stop(End.WITHHELD, End.WITHHELD)
-            else:
-                self._write_to_the_end(connection, message)
+            self._write_to_the_end(connection, message)
             return
         self.last_byte = message[-1:]
         connection.write(message[:-1])
@@ -92,7 +93,11 @@
     def _write_last(self) -> None:
         if self.last_byte is None or self.connection is None:
             return
-        if self._is_too_late():
+        if self.connection.has_unread():
+            # The other side's end, or an answer to what it does not have yet: that is heard first.
+            self.deadlines.at(self.deadlines.now(), self._write_last)
+            return
+        if not self._may_still_go():
             self._stop(End.WITHHELD, End.WITHHELD)
             return
         last, self.last_byte = self.last_byte, None
@@ -103,9 +108,9 @@
         if connection.open and not connection.unsent and self.sender is not None:
             self.sender.errand_written()
 
-    def _is_too_late(self) -> bool:
-        """A process that was stopped wakes up with its deadlines past, and may be no leader any more."""
-        return self.deadlines.now() >= self.until or (self.may_go is not None and not self.may_go())
+    def _may_still_go(self) -> bool:
+        """A process that was stopped wakes up with its deadlines past, and with much else changed."""
+        return self.deadlines.now() < self.until and (self.may_go is None or self.may_go())
 
     def not_connected(self, end: End) -> None:
         self.opening = None
@@ -114,6 +119,10 @@
     def bytes_came(self) -> None:
         if self.connection is None:
             return
+        if self.last_byte is not None and self.connection.rested is not None:
+            # It has no whole request of ours: this answers the one before, once more and late.
+            self._stop(End.UNSENT, End.UNSENT)
+            return
         try:
             self.connection.feed(self.answer)
         except Garbled:
--- a/ploverspoke/routing/router.py
+++ b/ploverspoke/routing/router.py
@@ -313,6 +313,7 @@
     def _resume(self, submission: Submission, past: Past) -> None:
         """Another replica had it: its hand-offs count, and it is bound by the first that may have run."""
         submission.hand_offs = [None] * past.hand_offs
+        submission.sent = past.hand_offs > 0
         sent_at = self.now() - past.bound_for
         number = submission.number
         self.tell(self.dispatcher.submission_resumes, number, past.hand_offs, past.bound_to, sent_at)
@@ -383,11 +384,23 @@
             # It may come back for its answer, here or at another replica.
             if client in submission.waiters.clients:
                 submission.waiters.clients.remove(client)
+            self._end_unsent(submission)
         elif submission.client is not None:
             self._close(submission, LEFT)
             self.tell(self.dispatcher.client_left, submission.number)
             self._forget(submission)
 
+    def _end_unsent(self, submission: Submission) -> None:
+        """Where the last that waited has left and no worker has had or may get it: who comes back hears
+        that it has not run.
+        """
+        waiters = submission.waiters
+        if waiters is None or waiters.clients or submission.sent or submission.out():
+            return
+        if submission.client is not None:
+            self._answer(submission, "nacked")
+            self.tell(self.dispatcher.client_left, submission.number)
+
     def answer_all(self) -> None:
         """The end of the program: nobody is left without an answer."""
         for submission in self.submissions:
@@ -415,6 +428,7 @@
     def hand_off_ended(self, hand_off: HandOff, end: End, result: str, load: Load | None) -> None:
         submission = hand_off.submission
         submission.hand_offs[hand_off.index] = None
+        self._end_unsent(submission)
         if self.scribe is not None and self._is_kept(submission):
             self.scribe.outcome(submission.request_id, hand_off.index, OUTCOMES[end])
         if end is End.SERVED:
@@ -434,14 +448,14 @@
         )
         self._forget(submission)
 
-    def _roster_told(self, body: bytes) -> int:
+    def _roster_told(self, body: bytes) -> tuple[int, bool]:
         listings: list[Listing] = []
         version, whole = discovery.read_list(body, partial(self._enter, listings))
         self._roster_changed(listings, whole)
         self.lists_told += 1
         if self.on_roster is not None:
             self.on_roster(body)
-        return version
+        return version, whole
 
     def move_roster(self, address: str) -> None:
         """Discovery has another address: its versions are its own, so its whole list is asked for at once."""
@@ -527,8 +541,23 @@
             time_out,
             hand_off,
             in_two=self.orders["repeat"][submission.grade] == "irreversible",
-            may_go=None if self.scribe is None else self.scribe.leads,
+            may_go=partial(self._lets_go, hand_off, address),
+        )
+
+    def _lets_go(self, hand_off: HandOff, address: str) -> bool:
+        """Whether a hand-off may still be written. Every one passes here last, whatever it waited for since
+        its worker was chosen: a connection, a commit, this process.
+        """
+        submission, worker = hand_off.submission, self.dispatcher.workers[hand_off.worker]
+        may = (
+            submission.client is not None
+            and worker.ready  # else it was told to be draining or gone meanwhile
+            and self.addresses.get(hand_off.worker) == address
+            and (self.scribe is None or self.scribe.leads())
+            and not submission.client.has_left()
         )
+        submission.sent = submission.sent or may
+        return may
 
     def recall(self, submission_id: int, hand_off: int) -> None:
         submission = self.submissions.get(submission_id)
--- a/ploverspoke/routing/scribe.py
+++ b/ploverspoke/routing/scribe.py
@@ -72,6 +72,10 @@
     def rejected(self) -> None:
         self._all(lambda client: client.rejected())
 
+    def has_left(self) -> bool:
+        """All have; what was resumed for nobody yet goes on."""
+        return bool(self.clients) and all([client.has_left() for client in self.clients])
+
     def dropped(self) -> None:
         self._all(lambda client: client.dropped())
 
--- a/ploverspoke/routing/submissions.py
+++ b/ploverspoke/routing/submissions.py
@@ -20,6 +20,9 @@
     def rejected(self) -> None:
         """The request is at fault."""
 
+    def has_left(self) -> bool:
+        """Whether nobody waits any more, be it that we have not been told yet."""
+
     def dropped(self) -> None:
         """No answer can be given here: another replica has it, or will have."""
 
@@ -48,6 +51,7 @@
         self.waiters: Waiters | None = (
             None  # the same client and those that came back, where there is a store
         )
+        self.sent = False  # something of it was written to a worker
         self.hand_offs: list[Errand | Intended | None] = []  # None: ended
         self.last_answer: Deadline | None = None
 
--- a/ploverspoke/supervisor/child.py
+++ b/ploverspoke/supervisor/child.py
@@ -12,12 +12,14 @@
 
 from ploverspoke.program.briefing import Briefing, read_briefing
 from ploverspoke.program.checked import BadKey
+from ploverspoke.program.early import hold_signals
 from ploverspoke.program.service import Service
 
 from .shares import child_briefing
 
 
 def main() -> int:
+    hold_signals()
     place, count, number = map(int, os.environ["PLOVERSPOKE_CHILD"].split(","))
     allowed = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
     descriptors = None if allowed == resource.RLIM_INFINITY else allowed
--- a/ploverspoke/transport/connections.py
+++ b/ploverspoke/transport/connections.py
@@ -28,9 +28,15 @@
 
 class Connection(asyncio.BufferedProtocol):
     def __init__(
-        self, table: "SlotTable[Connection]", came: "Callable[[Connection], None] | None" = None
+        self,
+        table: "SlotTable[Connection]",
+        came: "Callable[[Connection], None] | None" = None,
+        address: str = "",
     ) -> None:
         self.table = table  # where it has a number as long as it is open
+        self.address = address  # that was called
+        self.unwanted = False  # nothing more is to be sent there
+        self.discarded = False  # given up while it came up
         self.number = 0
         self.came = came  # told of a connection that the other side has opened
         self.user: ConnectionUser | None = None
@@ -45,6 +51,9 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
+        if self.discarded:
+            self.transport.abort()
+            return
         # Any byte that stays with us counts, so that it is known whether a request has gone out whole.
         self.transport.set_write_buffer_limits(high=0)
         self.open = True
@@ -72,6 +81,8 @@
             self.user.all_written()
 
     def connection_lost(self, exc: Exception | None) -> None:
+        if not self.open:
+            return
         self.open = False
         self.table.remove(self.number)
         user, self.user = self.user, None
@@ -94,14 +105,23 @@
             data.release()
 
     def has_unread(self) -> bool:
-        """Whether something came that the loop has not read yet."""
-        if not self.open or self.transport is None:
-            return False
-        taken = self.transport.get_extra_info("socket")
-        try:
-            return taken is not None and bool(select.select([taken], [], [], 0)[0])
-        except (OSError, ValueError):
+        """Whether something came that the loop has not read yet, be it the other side's end."""
+        return self._asked_for(select.POLLIN | select.POLLRDHUP)
+
+    def was_left(self) -> bool:
+        """Whether the other side has ended it, read or not: the loop may not have turned since, or may not
+        be reading here.
+        """
+        return not self.open or self._asked_for(select.POLLRDHUP)
+
+    def _asked_for(self, events: int) -> bool:
+        """Whether the kernel has one of these, an error or a reset; not by select: that ends at 1,024."""
+        taken = None if self.transport is None else self.transport.get_extra_info("socket")
+        if not self.open or taken is None or taken.fileno() < 0:
             return False
+        poll = select.poll()
+        poll.register(taken, events)
+        return bool(poll.poll(0))
 
     def hold_reading(self, hold: bool) -> None:
         """Read no more for now, so that who sends too much has to wait."""
@@ -121,6 +141,14 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def discard(self) -> None:
+        """Give it up while it comes up. Where its task is cancelled just when it is up, the loop closes it
+        and says nothing of its end: it was counted for good.
+        """
+        self.discarded = True
+        self.abort()
+        self.connection_lost(None)
+
     def finish(self) -> None:
         """Write no more, but let the other side read to the end."""
         if self.open and self.transport is not None:
--- a/ploverspoke/transport/listener.py
+++ b/ploverspoke/transport/listener.py
@@ -49,8 +49,12 @@
             self.loop.remove_reader(listening)
             listening.close()
 
-    def _take_some(self) -> None:
-        for _ in range(AT_ONCE):
+    def take_rest(self) -> None:
+        """Before the end: those that still wait in the kernel's queue would be reset with the socket."""
+        self._take_some(BACKLOG)
+
+    def _take_some(self, most: int = AT_ONCE) -> None:
+        for _ in range(most):
             if self.socket is None:
                 return
             if not self.may_take(len(self.seating)):
@@ -58,7 +62,9 @@
                 return
             try:
                 accepted, _ = self.socket.accept()
-            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+            except ConnectionAbortedError:
+                continue
+            except (BlockingIOError, InterruptedError):
                 return
             except OSError as error:
                 say(f"a connection could not be taken: {error.strerror}")
--- a/ploverspoke/transport/pools.py
+++ b/ploverspoke/transport/pools.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import errno
+from bisect import insort
 from collections import defaultdict, deque
+from operator import itemgetter
 from typing import Protocol
 
 from .connections import Connection, ConnectionUser
@@ -52,17 +54,16 @@
 
     def __init__(self, pool: "Pool", address: str, caller: Caller, time_out: int) -> None:
         self.pool = pool
+        self.connection = pool.make(address)
         self.caller: Caller | None = caller
         self.late = pool.deadlines.at(pool.deadlines.now() + time_out, self.too_late)
         self.task = pool.loop.create_task(self.open(address))
 
     async def open(self, address: str) -> None:
         host, _, port = address.rpartition(":")
-        connection, end = None, End.UNSENT
+        end = End.UNSENT
         try:
-            _, connection = await self.pool.loop.create_connection(
-                self.pool.make, host.strip("[]"), int(port)
-            )
+            await self.pool.loop.create_connection(lambda: self.connection, host.strip("[]"), int(port))
         except ConnectionRefusedError:
             end = End.REFUSED
         except OSError as error:
@@ -74,28 +75,32 @@
             end = End.NEVER_UP
             say(f"a worker's address is none: {address!r}")
         self.pool.deadlines.call_off(self.late)
-        if connection is None or not connection.open:
+        if not self.connection.open:
             self._fail(end)
         elif self.caller is None:
-            connection.abort()
+            self.connection.abort()
         else:
             caller, self.caller = self.caller, None
             self.pool.opening -= 1
-            connection.user = caller
-            caller.connected(connection)
+            self.connection.user = caller
+            caller.connected(self.connection)
 
     def too_late(self) -> None:
-        self.task.cancel()
+        self._call_off()
         self._fail(End.NEVER_UP)
 
     def give_up(self) -> None:
         """Nobody waits for it any more."""
         self.pool.deadlines.call_off(self.late)
-        self.task.cancel()
+        self._call_off()
         if self.caller is not None:
             self.caller = None
             self.pool.opening -= 1
 
+    def _call_off(self) -> None:
+        self.task.cancel()
+        self.connection.discard()
+
     def _fail(self, end: End) -> None:
         caller, self.caller = self.caller, None
         if caller is not None:
@@ -123,8 +128,8 @@
         self.sweep: Deadline | None = None
         self.breaks: deque[tuple[int, int]] = deque(maxlen=BREAKS_KEPT)  # when, and after how long a rest
 
-    def make(self) -> Connection:
-        return Connection(self.connections)
+    def make(self, address: str) -> Connection:
+        return Connection(self.connections, address=address)
 
     def hold_at_most(self, most_open: int) -> None:
         """Another share from now on; those at rest make way at once, those in use with their end."""
@@ -139,7 +144,8 @@
         while resting and (longest_rest is None or now - resting[-1][1] < longest_rest):
             number, since = resting.pop()  # the latest used
             connection = self.connections.get(number)
-            if connection is not None and now - since < self.keep_for:
+            # What lies unread there is its end, or an answer that would be taken for the next request's.
+            if connection is not None and now - since < self.keep_for and not connection.has_unread():
                 connection.user = caller
                 connection.rested = now - since
                 caller.connected(connection)
@@ -171,18 +177,29 @@
 
     def rest(self, address: str, connection: Connection) -> None:
         """A caller is done with it, and it can carry another request."""
+        self._rest_since(address, connection, self.deadlines.now())
+
+    def rest_on(self, address: str, connection: Connection) -> None:
+        """A caller has not used it after all: to the other side it has been idle all the time."""
+        self._rest_since(address, connection, self.deadlines.now() - (connection.rested or 0))
+
+    def _rest_since(self, address: str, connection: Connection, since: int) -> None:
         if not connection.open:
             return
-        now = self.deadlines.now()
+        if connection.unwanted:
+            self._close(connection.number)
+            return
         connection.user = AtRest(connection)
-        self.resting[address].append((connection.number, now))
+        insort(self.resting[address], (connection.number, since), key=itemgetter(1))
         if self.sweep is None:
-            self.sweep = self.deadlines.at(now + self.keep_for, self._drop_stale)
+            self.sweep = self.deadlines.at(since + self.keep_for, self._drop_stale)
 
     def drop(self, address: str) -> None:
-        """Nobody is called there any more."""
+        """Nobody is called there any more; what is in use there ends with its use."""
         for number, _ in self.resting.pop(address, []):
             self._close(number)
+        for connection in self.connections:
+            connection.unwanted = connection.unwanted or connection.address == address
 
     def _close(self, number: int) -> None:
         """Close it, unless the other side has done so: then its number is stale."""
--- a/tests/test_store_router.py
+++ b/tests/test_store_router.py
@@ -159,6 +159,28 @@
     with_scribe(script, "intend")
 
 
+@pytest.mark.parametrize("comes_back", [False, True])
+def test_what_nobody_waits_for_and_nobody_was_sent_is_nacked(comes_back: bool) -> None:
+    # The last had left while it waited for a worker, and it was sent on all the same, whenever one was ready.
+    async def script(world: World, scribe: Scribe) -> None:
+        ready = world.entries
+        await world.tell([{**entry, "state": "Terminating"} for entry in ready])
+        _, writer = await world.connect()
+        writer.write(world.request("r1", "book"))
+        while not world.service.router.open_now():
+            await asyncio.sleep(0.001)
+        writer.close()
+        while world.service.router.open_now():
+            await asyncio.sleep(0.001)
+        await world.tell(ready)
+        if comes_back:
+            assert (await world.ask(world.request("r1", "book")))[0] == 503
+        assert (await world.ask(world.request("r2", "book")))[0] == 200
+        assert [name for _, name in world.sent] == ["r2"]
+
+    with_scribe(script)
+
+
 def test_clients_are_sent_on_to_the_leader() -> None:
     async def script(world: World, scribe: Scribe) -> None:
         scribe.leading = False
