Hand-offs that merely wait are taken back within what wasted work may cost

So the cause is _rescuable: a redoable one that waits is taken back whenever another worker looks roomy, and where workers take no notice of that it runs all the same. The settings do not say whether they do; they say what wasted work costs.

Change: as with asking and telling, a part of the service (0.02) that it may cost, over the price of waste, is the credit that each submission brings; silent workers are left as before.

--- a/ploverspoke/decisions/dispatcher.py
+++ b/ploverspoke/decisions/dispatcher.py
@@ -42,7 +42,8 @@
 ASKING_COST = 0.006  # points of service that asking before hand-offs may cost
 MOST_ASKED = 8.0  # probes for one submission on average, whatever their price
 ASK_ROUNDS = 3  # for one submission, while nobody answers that it has room
-SAVED_ASKING = 4  # submissions' worth of probes that can be saved up
+SAVED_ASKING = 4  # submissions' worth of probes, and of hand-offs taken back, that can be saved up
+RECALLING_COST = 0.02  # points of service that hand-offs taken back may cost, should they run all the same
 PROMPT_ANSWER = 50 * MILLISECOND  # to a probe, while no answer was seen
 KNOWN = SECOND  # workers heard of since then need not be asked
 FRESH = 300 * MILLISECOND  # a report that arrived since then need not be asked for again
@@ -168,7 +169,8 @@
         self.kind_paces: dict[int, deque[float]] = defaultdict(lambda: deque(maxlen=64))
         # Slots free at once, as reported, by machine kind.
         self.most_free: dict[int, float] = defaultdict(float)
-        self.may_ask = 0.0  # probes that may be sent before hand-offs
+        # Probes that may be sent before hand-offs; hand-offs that may be taken back from sound workers.
+        self.may_ask, self.may_recall = 0.0, 1.0
         self.asked_at = 0
         self.tiers: dict[Any, list[list[Worker]]] = {}  # who can be drawn, kept until readiness changes
         # The last telling of each dispatcher, oldest first: number, time, who was named, lateness.
@@ -196,6 +198,7 @@
         # dispatchers, and the others' slots are taken for as many times those that are heard of.
         self.tells = max(1, int(TELLING_COST / max(1e-6, TELLING_PART * self.orders["telling_price"])))
         self.asks_each = min(MOST_ASKED, ASKING_COST / max(1e-9, self.orders["probe_price"]))  # submission
+        self.recalls_each = RECALLING_COST / max(1e-9, self.orders["waste_price"])  # submission
 
     # ---- What can happen ----
 
@@ -231,6 +234,7 @@
         self.arrivals.append(now)
         self._fade(now)
         self.may_ask = min(self.may_ask + self.asks_each, SAVED_ASKING * self.asks_each)
+        self.may_recall = min(self.may_recall + self.recalls_each, SAVED_ASKING * (1 + self.recalls_each))
         job_type = self._job_type(slots, self.orders["machine_kind_needed"][grade])
         job = Submission(submission_id, grade, job_type, now, abandon_at)
         job.subject = subject
@@ -1022,17 +1026,16 @@
 
     def _rescuable(self, job: Submission, worker: Worker, silent: bool, now: int) -> bool:
         """Whether to take a submission back from a worker that does not get on with it."""
-        if not self._may_rescue(job):
-            return False
-        if silent:
-            return True
+        may = self._may_rescue(job)
+        if silent or not may:
+            return may
         if job.started_at or now - job.sent_at <= self._allowance(job, worker):
             return False
-        # One that merely waits is taken back only when another place has room.
+        # One that merely waits is moved only where there is room, and not often: it may run all the same.
         held, job.group = job.group, self._bound_to(job, worker)
-        elsewhere = self._draw_two(job.type, now, job)
-        job.group = held
-        return bool(elsewhere)
+        takes = self.may_recall >= 1 and bool(self._draw_two(job.type, now, job))
+        job.group, self.may_recall = held, self.may_recall - takes
+        return takes
 
     def _bound_to(self, job: Submission, worker: Worker) -> tuple[str, int] | None:
         """Where a repeat must stay after a hand-off there that may have run."""
--- a/ploverspoke/program/standing_orders.py
+++ b/ploverspoke/program/standing_orders.py
@@ -69,6 +69,7 @@
         # Prices.
         "zone_crossing_price": prices.number("CrossZone", 0.0),
         "probe_price": prices.number("Probe", 0.0),
+        "waste_price": prices.number("Waste", 0.0),
         "telling_price": prices.number("Peer", 0.0),
     }
 
--- a/ploverspoke/routing/roster.py
+++ b/ploverspoke/routing/roster.py
@@ -10,14 +10,16 @@
 from ploverspoke.transport.ends import End
 from ploverspoke.transport.log_lines import say
 from ploverspoke.transport.pools import Opening, Pool
-from ploverspoke.transport.units import SECOND
+from ploverspoke.transport.units import MILLISECOND, SECOND
 
 CONNECT_TIME = 2 * SECOND
 # What a silent call keeps from us counts as told 2 s after the wait that it was allowed, or 6 s after it fell
 # silent, if that is later or it was allowed none. The next call's answer has to be here by then, not its
-# asking: half of that time is for the one, half for the other.
-ANSWER_TIME = SECOND  # beyond the wait
-WHOLE_ANSWER_TIME = 3 * SECOND  # for a call that may not wait
+# asking, and where all watches fall silent at once discovery works through the next calls of all, one by one
+# (six took 2 s). The answer to a wait comes when that is over, also from a discovery that is busy.
+ANSWER_TIME = 250 * MILLISECOND  # beyond the wait
+WHOLE_ANSWER_TIME = 4 * SECOND  # for a call that may not wait, but has to wait its turn
+AT_ONCE_EVERY = SECOND  # no more often is a broken watch opened anew without a pause
 
 
 class Call:
@@ -32,6 +34,7 @@
         self.answer = discovery.ListAnswer(self._complete)
         self.body: bytes | None = None
         self.lasts = False
+        self.heard_out = False  # what lay unread at the end of its time was read
 
     def begin(self) -> None:
         if self.watch.call is self:
@@ -79,7 +82,12 @@
         pass
 
     def _silent(self) -> None:
-        self.watch.silent(self)
+        if self.connection is not None and self.connection.has_unread() and not self.heard_out:
+            # This process may have been stopped: what came in time is read first.
+            self.heard_out = True
+            self.late = self.watch.deadlines.at(self.watch.deadlines.now() + MILLISECOND, self._silent)
+        else:
+            self.watch.silent(self)
 
     def give_over(self) -> Connection | None:
         """Its end; what it has of a connection is the caller's."""
@@ -107,13 +115,19 @@
         hold: int,
         told: Callable[[bytes], tuple[int, bool]],  # gives version and whether it was whole; raises Garbled
         lost: Callable[[bool], None],  # whether it has too many calls
+        pushed: bool = False,
     ) -> None:
+        """Pushed: changes count as told whether or not a watch is open, by an agent beside us that has no
+        other callers: a watch that broke is opened anew without the pause that spreads calls.
+        """
         self.loop = loop
         self.deadlines = deadlines
         self.address = address
         self.hold = hold
         self.told = told
         self.lost = lost
+        self.pushed = pushed
+        self.anew_at = -AT_ONCE_EVERY  # when it was last opened anew without a pause
         self.version: int | None = None
         # One at a time, but the next may come up before the last is quite closed.
         self.pool = Pool(loop, deadlines, 2, CONNECT_TIME, CONNECT_TIME)
@@ -176,6 +190,12 @@
 
     def failed(self, call: Call, turned_away: bool) -> None:
         call.hang_up()
-        if self.call is call:
-            self.call = None
+        if self.call is not call:
+            return
+        self.call = None
+        now = self.deadlines.now()
+        if self.pushed and not turned_away and now - self.anew_at >= AT_ONCE_EVERY:
+            self.anew_at = now
+            self.start()
+        else:
             self.lost(turned_away)
--- a/ploverspoke/routing/router.py
+++ b/ploverspoke/routing/router.py
@@ -465,7 +465,8 @@
 
     def _watch_on(self, address: str) -> RosterWatch:
         hold, told = hold_in(self.orders), self._roster_told
-        return RosterWatch(self.loop, self.deadlines, address, hold, told, self._roster_lost)
+        pushed = not self.orders["roster_must_be_asked"]
+        return RosterWatch(self.loop, self.deadlines, address, hold, told, self._roster_lost, pushed)
 
     def _roster_changed(self, listings: list[Listing], whole: bool) -> None:
         dispatcher = self.dispatcher
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -41,6 +41,7 @@
     "fall_within": 2 * SECOND,
     "zone_crossing_price": 0.0,
     "probe_price": 1.0,
+    "waste_price": 0.0,
     "telling_permitted": False,
     "telling_price": 0.0,
     "dispatcher_number": 0,
--- a/tests/test_asking.py
+++ b/tests/test_asking.py
@@ -1,5 +1,7 @@
 """What a dispatcher of a large fleet goes by: probes, live weights, its share of a cold worker."""
 
+import pytest
+
 from .stage import MS, SECOND, Stage, listing
 
 ASKING = {"probe_price": 0.001, "machine_kind_needed": [-1, -1, -1]}
@@ -153,3 +155,17 @@
         answer(stage, probed, 4.0, 0.0)
     stage.pass_time(SECOND)
     assert all(stage.where(s) for s in range(450))
+
+
+@pytest.mark.parametrize(("waste_price", "most"), [(0.0, 40), (0.25, 8)])
+def test_what_may_run_all_the_same_is_taken_back_the_less_the_dearer_that_is(
+    waste_price: float, most: int
+) -> None:
+    # Workers that take no notice ran all that was taken back, and many dispatchers filled half of them so.
+    stage = Stage([listing(f"w{i}") for i in range(40)], waste_price=waste_price)
+    for number in range(40):
+        stage.submit(number)  # none of them starts
+        stage.pass_time(20 * MS)
+    stage.pass_time(500 * MS)
+    recalled = sum(t.get("recalled", False) for tries in stage.tries.values() for t in tries)
+    assert recalled <= most and (waste_price or recalled > 20)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -516,12 +516,12 @@
 class HeldWatch:
     """A watch, and a discovery that the test works by hand."""
 
-    def __init__(self, hold: int = 10 * SECOND) -> None:
+    def __init__(self, hold: int = 10 * SECOND, pushed: bool = False) -> None:
         loop = asyncio.get_running_loop()
         self.discovery, deadlines = HeldWorker(), Deadlines(loop)
         self.clock, self.lists, self.lost = Clock(deadlines), list[int](), list[bool]()
         self.watch = RosterWatch(
-            loop, deadlines, f"127.0.0.1:{self.discovery.port}", hold, self.told, self.lost.append
+            loop, deadlines, f"127.0.0.1:{self.discovery.port}", hold, self.told, self.lost.append, pushed
         )
 
     def told(self, body: bytes) -> tuple[int, bool]:
@@ -557,7 +557,7 @@
                 if silences == 1:
                     await held.called(3)
             counts_as_told = 6 * SECOND if not silences else 12 * SECOND
-            held.clock.wake_after(counts_as_told // 2 if not silences else counts_as_told - SECOND)
+            held.clock.wake_after(counts_as_told - 3 * SECOND // 2)
             peer = await held.called(2 if not silences else 3 + silences)
             assert not held.lost, "no pause is asked for"
         assert b"from=41&" in held.calls()[-1]
@@ -635,6 +635,49 @@
     on_loop(script)
 
 
+def test_an_answer_that_lies_unread_at_the_end_of_its_time_is_heard() -> None:
+    # A process that was stopped wakes up with the deadline past, and with the answer in the kernel.
+    async def script() -> None:
+        held = HeldWatch()
+        held.watch.start()
+        peer = await held.called(1)
+        peer.end.send(told_by(shown(version=5)))
+        await held.called(2)
+        peer.end.send(told_by(shown(version=6)))
+        held.clock.wake_after(13 * SECOND)
+        await held.called(3)
+        assert held.lists == [5, 6] and len(held.discovery.called()) == 1 and not held.lost
+        # One that drips is silent all the same.
+        peer.end.send(b"HTTP/1.1 200 O")
+        held.clock.wake_after(13 * SECOND)
+        await turns()
+        peer.end.send(b"K")
+        held.clock.wake_after(10 * MS)
+        await until(lambda: len(held.discovery.called()) == 2)
+        held.watch.stop()
+
+    on_loop(script)
+
+
+def test_a_pushed_watch_that_breaks_is_opened_anew_without_a_pause() -> None:
+    # What changed in the pause counted as told, and the grace was over before it was heard.
+    async def script() -> None:
+        held = HeldWatch(pushed=True)
+        held.watch.start()
+        peer = await held.called(1)
+        peer.end.send(told_by(shown(version=5)))
+        await held.called(2)
+        peer.reset()
+        held.discovery.peers.clear()
+        peer = await held.called(1)
+        assert b"from=5&" in held.calls()[0] and not held.lost
+        peer.reset()  # again at once: it is down, or ends each call
+        await until(lambda: held.lost)
+        assert held.lost == [False]
+
+    on_loop(script)
+
+
 def test_numbers_that_go_back_are_a_new_discovery_s_and_all_of_it_is_asked_for() -> None:
     async def script() -> None:
         held = HeldWatch()
