--- a/ploverspoke/program/standing_orders.py
+++ b/ploverspoke/program/standing_orders.py
@@ -4,11 +4,12 @@
 from typing import Any
 
 from ploverspoke.protocol.words import GROUPS, LOAD_NAMES, REPEATS
-from ploverspoke.transport.units import SECOND
+from ploverspoke.transport.units import MILLISECOND, SECOND
 
 from .checked import Checked
 
 ROSTER_ASK_WITHIN = 10 * SECOND  # where no rule says it: retries of a lost watch are no rarer
+LEAST_ASK_WITHIN = 200 * MILLISECOND  # waits follow from it: without any, calls would follow on one another
 REPORTS = {"inline": "answers", "on_probe": "probes", "off": "none"}
 
 
@@ -29,7 +30,7 @@
         "dispatcher_number": profile.whole("SlotNo", 0),
         "zone": profile.whole("Zone", 0),
         "roster_must_be_asked": profile.text("Discovery", "push") == "ask",
-        "roster_ask_within": rules.time("MustAskInUs", 0) or ROSTER_ASK_WITHIN,
+        "roster_ask_within": max(rules.time("MustAskInUs", 0) or ROSTER_ASK_WITHIN, LEAST_ASK_WITHIN),
         "grades": list(range(len(grades))),  # the numbers of those in force
         # One value for each service grade.
         "most_hand_offs": [most_hand_offs] * len(grades),
@@ -56,7 +57,7 @@
         "telling_permitted": limits.flag("Peers"),
         "come_back_advice": limits.flag("RetryAfter"),
         "longest_come_back": limits.time("MaxRetryAfterUs", 0),
-        "connect_time_out": limits.time("ConnectTimeoutUs", 1_000_000),
+        "connect_time_out": limits.time("ConnectTimeoutUs", 0) or SECOND,
         "idle_limit": limits.time("IdleCloseUs", 30_000_000),
         "most_open": limits.whole("MaxOpen", 10_000, least=1),
         # The figures of the rules.
--- a/tests/test_briefing.py
+++ b/tests/test_briefing.py
@@ -80,3 +80,22 @@
         read_briefing({"RELAY_CONFIG": str(tmp_path / "none")})
     with pytest.raises(BadKey, match="no JSON"):
         read("{", tmp_path)
+
+
+@pytest.mark.parametrize(
+    ("part", "name", "value", "order", "becomes"),
+    [
+        ("Limits", "ConnectTimeoutUs", 0, "connect_time_out", 1_000_000_000),
+        ("Limits", "ConnectTimeoutUs", 1, "connect_time_out", 1_000),
+        ("Invariants", "MustAskInUs", 0, "roster_ask_within", 10_000_000_000),
+        ("Invariants", "MustAskInUs", 1, "roster_ask_within", 200_000_000),
+        ("Limits", "IdleCloseUs", 0, "idle_limit", 0),
+    ],
+)
+def test_times_of_nought_and_next_to_it_do_no_harm(
+    part: str, name: str, value: int, order: str, becomes: int, tmp_path: Path
+) -> None:
+    # No connection ever came up in no time, and calls of the watch followed on one another without a pause.
+    told = json.loads(json.dumps(GOOD))
+    told["settings"].setdefault(part, {})[name] = value
+    assert read(told, tmp_path).orders[order] == becomes
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -14,6 +14,7 @@
 import struct
 import subprocess
 import sys
+import time
 from collections.abc import Callable, Coroutine, Iterator
 from pathlib import Path
 from typing import Any
@@ -60,6 +61,14 @@
     raise AssertionError(why or "it never came")
 
 
+def placed(so: Callable[[], Any]) -> None:
+    """Wait, with the loop standing still, until the kernel has it: on a busy machine that takes a moment."""
+    end = time.monotonic() + 10
+    while not so():
+        assert time.monotonic() < end
+        time.sleep(0)
+
+
 class Clock:
     """The program's clock: real time, and what the test adds, or one moment held."""
 
@@ -181,6 +190,10 @@
     world.service.router._roster_told(shown(*entries))
 
 
+def newest(world: World) -> ClientSession:
+    return list(world.service.door.sessions.values())[-1]
+
+
 Script = Callable[[World], Coroutine[Any, Any, None]]
 
 
@@ -212,6 +225,7 @@
             tell(world, {**chosen, "addr": other["addr"]}, other)
         elif what == "left":
             client.close()
+            placed(newest(world).connection.was_left)
         elif what == "late":
             clock.ahead += 31 * SECOND
         else:
@@ -259,13 +273,15 @@
         elif how == "queued behind":
             client.end.send(world.request("behind", grade))
             await turns()
+        connection = newest(world).connection
         if how == "reset":
             client.reset()
         else:
             client.close()
         if how in ("in a turn before", "far ahead"):
-            await turns(300)
-            assert not world.service.router.open_now(), "it was heard while nothing else happened"
+            await until(lambda: not world.service.router.open_now(), "not heard while nothing else happened")
+        else:
+            placed(connection.was_left)
         world.sent.clear()
         tell(world, ready)
         for _ in range(4):  # the clock ticks, and what waits is drawn
@@ -290,8 +306,8 @@
             with contextlib.suppress(BlockingIOError):
                 ahead = ahead[client.end.send(ahead) :]
             await asyncio.sleep(0)
-        await turns(300)
-        session = next(iter(world.service.door.sessions.values()))
+        session = newest(world)
+        await until(lambda: session.thrown_away)
         assert session.held + len(session.connection.buffer) <= 512 * 1024
         tell(world, world.entries[0])
         assert await until(client.status) == 200
@@ -326,8 +342,10 @@
             lambda: client.end.send(world.request("r", grade)),
             (lambda: kept.end.send(said)) if said else kept.close,
         ]
-        for step in steps if request_first else reversed(steps):
+        unread = [newest(world).connection, next(iter(world.service.pool.connections))]
+        for step, connection in list(zip(steps, unread, strict=True))[:: 1 if request_first else -1]:
             step()
+            placed(connection.has_unread)
         if not said:
             worker.peers.remove(kept)
         await until(lambda: worker.copies("r"))
@@ -379,13 +397,13 @@
         client = caller(world.port)
         client.end.send(world.request("r", "book"))
         await until(lambda: worker.called() and worker.peers[0].read())
-        peer = worker.peers[0]
-        if how == "closed":
-            peer.close()
-        elif how == "reset":
-            peer.reset()
-        elif how == "left":
+        peer, connection = worker.peers[0], next(iter(world.service.pool.connections))
+        if how == "left":
             client.close()
+            placed(newest(world).connection.was_left)
+        elif how != "drains":
+            peer.close() if how == "closed" else peer.reset()
+            placed(connection.has_unread)
         drained = {**listed("h", worker.port), "state": "Terminating"}, world.entries[0]
         if how == "drains":
             tell(world, *drained)
@@ -743,9 +761,11 @@
         clients = [kept, *new] if first == "kept" else [*new, kept]
         for number, client in enumerate(clients):
             client.end.send(world.request(f"r{number}"))
+        placed(newest(world).connection.has_unread)
         world.service.door.shut()
         for client in clients:
-            assert await until(lambda c=client: c.status() or c.has_ended()) == 200  # type: ignore[misc]
+            await until(client.has_ended)
+            assert client.status() == 200
             assert b"connection: close" in client.came.lower()
 
     play(script, workers=2, **CALM)
@@ -762,6 +782,7 @@
         await turns()
         oldest: ClientSession = next(iter(world.service.door.sessions.values()))
         clients[0].end.send(world.request("b"))
+        placed(oldest.connection.has_unread)
         assert world.service.door._make_room() and not oldest.closing
         assert await until(clients[0].status) == 200
         await until(clients[1].has_ended)
