A resting connection that is spoken on is nobody's in that very turn

Cause: AtRest.bytes_came aborted the connection, whose end the loop tells a turn later; until then Pool.call gave it to the next caller, and nothing lay unread in the kernel any more. Change: Connection.discard, which takes it out at once. Test: fails with abort in its place.

--- a/ploverspoke/transport/connections.py
+++ b/ploverspoke/transport/connections.py
@@ -36,7 +36,7 @@
         self.table = table  # where it has a number as long as it is open
         self.address = address  # that was called
         self.unwanted = False  # nothing more is to be sent there
-        self.discarded = False  # given up while it came up
+        self.discarded = False  # given up, be it while it came up
         self.number = 0
         self.came = came  # told of a connection that the other side has opened
         self.user: ConnectionUser | None = None
@@ -142,8 +142,10 @@
             self.transport.abort()
 
     def discard(self) -> None:
-        """Give it up while it comes up. Where its task is cancelled just when it is up, the loop closes it
-        and says nothing of its end: it was counted for good.
+        """It ends in this very turn, whatever the loop says of it later.
+
+        Where its task is cancelled just when it is up, the loop closes it and says nothing of its end: it was
+        counted for good.
         """
         self.discarded = True
         self.abort()
--- a/ploverspoke/transport/pools.py
+++ b/ploverspoke/transport/pools.py
@@ -40,7 +40,8 @@
         self.connection = connection
 
     def bytes_came(self) -> None:
-        self.connection.abort()
+        # Aborted only, it would be there for the next caller until the loop tells its end.
+        self.connection.discard()
 
     def connection_ended(self) -> None:
         pass
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -357,6 +357,40 @@
     play(script, workers=1, **CALM)
 
 
+def test_a_resting_connection_that_is_spoken_on_is_nobody_s_in_that_very_turn() -> None:
+    # It was aborted, and until the loop told its end the next caller had it.
+    async def script(world: World) -> None:
+        client = caller(world.port)
+        client.end.send(world.request("before"))
+        assert await until(client.status) == 200
+        await turns()
+        pool, address = world.service.pool, world.entries[0]["addr"]
+        rested = next(iter(pool.connections))
+        given: list[Connection] = []
+
+        class Caller:
+            def connected(self, connection: Connection) -> None:
+                given.append(connection)
+
+            def not_connected(self, end: End) -> None: ...
+
+            def bytes_came(self) -> None: ...
+
+            def connection_ended(self) -> None: ...
+
+            def all_written(self) -> None: ...
+
+        assert rested.user is not None
+        rested.user.bytes_came()
+        pool.call(address, Caller())
+        assert not given
+        await until(lambda: given)
+        assert given[0] is not rested and pool.held() == 1
+        given[0].abort()
+
+    play(script, workers=1, **CALM)
+
+
 @pytest.mark.parametrize(
     "said",
     [b"HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n", b"HTTP/1.1 400 No\r\nContent-Length: 0\r\n\r\n"],
@@ -794,12 +828,14 @@
 def held_start(tmp_path: Path) -> Iterator[Callable[[str], subprocess.Popen[bytes]]]:
     """The program, with a signal to it just while its imports are under way."""
     started: list[subprocess.Popen[bytes]] = []
+    # An address of this process's own: what is free here is not taken by a run beside this one.
+    host = f"127.{1 + (os.getpid() >> 16) % 200}.{(os.getpid() >> 8) % 256}.{1 + os.getpid() % 250}"
     with socket.socket() as free, socket.socket() as nobody:
-        free.bind(("127.0.0.1", 0))
-        nobody.bind(("127.0.0.1", 0))
+        free.bind((host, 0))
+        nobody.bind((host, 0))
         listen, discovery = free.getsockname()[1], nobody.getsockname()[1]
     path = tmp_path / "config.json"
-    addresses = {"listen": f"127.0.0.1:{listen}", "discovery": f"127.0.0.1:{discovery}"}
+    addresses = {"listen": f"{host}:{listen}", "discovery": f"{host}:{discovery}"}
     path.write_text(json.dumps({**addresses, "settings": SETTINGS}))
 
     def start(name: str) -> subprocess.Popen[bytes]:
