A test whose dispatcher did not start fails instead of waiting for ever

Two of 182 runs of the crossings, ten at a time, stood still in World.start. Cause by reading: the port found free was taken by a run beside it, the service had ended, and the loop waits for a socket that never comes. Not reproduced singly.

--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -82,6 +82,8 @@
         )
         self.running = asyncio.create_task(self.service.run())
         while self.service.door.listener.socket is None or not self.watches:
+            if self.running.done():
+                self.running.result()  # its port may have been taken by a run beside this one
             await asyncio.sleep(0.001)
 
     async def surround(self, workers: int) -> str:
