testbed capacity: what a fleet's size asks of each role, from measured slopes

Whoever buys machines has a size and no figures for it. What was not measured is named and never 0, a fit that its points contradict is said and the worst measured ratio taken, and each use beyond the measured sizes is told.

--- /dev/null
+++ b/ploverspoke/testbed/capacity/budgets.py
@@ -0,0 +1,99 @@
+"""What a dispatcher spends on control, by what is counted as control, against the budget. Without I/O."""
+
+import msgspec
+
+from .estimate import Figure, estimate, stops_at, total
+from .loads import ORDINARY, PEAK, STATED, WORKED_OUT, Amount, loads, telling
+from .size import Budget, Fleet
+from .slopes import Slopes
+from .verdicts import HOLDS, NOT_MEASURED, OVER
+
+MB = 1_000_000
+DISPATCHER, WATCHING = "dispatcher", "dispatcher watching configuration"
+FIGURES = {
+    "messages": ("messages_in", "messages_out"),
+    "core": ("core_share",),
+    "memory": ("memory_bytes",),
+    "bytes": ("bytes_in", "bytes_out"),
+}
+CONTROL = "control alone: the list, its changes, new settings; no task"
+STARTS = "and starts and ends of tasks, without progress reports"
+PROGRESS = "and progress reports, one a second of each task"
+TELLINGS = "control alone, and tellings of all dispatchers of a zone"
+COUNTED = (CONTROL, STARTS, PROGRESS, TELLINGS)
+
+
+class BudgetRow(msgspec.Struct, frozen=True, kw_only=True):
+    counted: str  # what counts as control
+    dispatchers: int
+    situation: str
+    core: Figure
+    memory: Figure
+    bytes: Figure
+    verdict: str
+
+
+def figure_of(
+    slopes: Slopes, role: str, kind: str, sizes: dict[str, Amount], progress: bool = True
+) -> Figure:
+    """Both ways together, of what goes two ways."""
+    return total([estimate(slopes, role, name, sizes, progress) for name in FIGURES[kind]])
+
+
+def counted_sizes(fleet: Fleet, dispatchers: int, situation: str, counted: str) -> dict[str, Amount]:
+    sizes = dict(loads(fleet, dispatchers, situation)[DISPATCHER])
+    if counted in (CONTROL, TELLINGS):
+        sizes["tasks_running"] = sizes["starts_a_second"] = Amount(0, WORKED_OUT)
+    if counted == TELLINGS:
+        sizes["peers_telling"] = telling(fleet, dispatchers)
+    return sizes
+
+
+def within(budget: Budget, core: Figure, memory: Figure, octets: Figure) -> str:
+    """Over where any figure is, else it holds where all were measured along all that it meets."""
+    pairs = (
+        (core.value, budget.core_share),
+        (memory.value, budget.memory_mb * MB),
+        (octets.value, budget.bytes_a_second),
+    )
+    if any(value is not None and value > limit for value, limit in pairs):
+        return OVER
+    whole = all(figure.value is not None and not figure.without for figure in (core, memory, octets))
+    return HOLDS if whole else NOT_MEASURED
+
+
+def budget_rows(fleet: Fleet, slopes: Slopes) -> list[BudgetRow]:
+    found = []
+    for counted in COUNTED:
+        for dispatchers in fleet.size.dispatchers:
+            for situation in (ORDINARY, PEAK):
+                sizes = counted_sizes(fleet, dispatchers, situation, counted)
+                core, memory, octets = (
+                    figure_of(slopes, DISPATCHER, kind, sizes, counted == PROGRESS)
+                    for kind in ("core", "memory", "bytes")
+                )
+                found.append(
+                    BudgetRow(
+                        counted=counted,
+                        dispatchers=dispatchers,
+                        situation=situation,
+                        core=core,
+                        memory=memory,
+                        bytes=octets,
+                        verdict=within(fleet.budget, core, memory, octets),
+                    )
+                )
+    return found
+
+
+def core_with(fleet: Fleet, slopes: Slopes, tasks: int, counted: str) -> float | None:
+    """The share of a core of one dispatcher with so many tasks running, at the peak of the largest fleet."""
+    sizes = counted_sizes(fleet, max(fleet.size.dispatchers), PEAK, counted)
+    sizes["tasks_running"] = Amount(tasks, STATED)
+    return figure_of(slopes, DISPATCHER, "core", sizes, counted == PROGRESS).value
+
+
+def stop_of(fleet: Fleet, slopes: Slopes, figure: str, size: str, limit: float, counted: str) -> float | None:
+    """The size at which one dispatcher reaches the limit, at the peak of the largest fleet."""
+    sizes = counted_sizes(fleet, max(fleet.size.dispatchers), PEAK, counted)
+    return stops_at(slopes, DISPATCHER, figure, sizes, size, limit, counted == PROGRESS)
--- /dev/null
+++ b/ploverspoke/testbed/capacity/rows.py
@@ -0,0 +1,466 @@
+"""One row for each line of the fleet's size: what is asked, what today's design gives, what carries it, a
+verdict, from which size on it stops, and which other rows' mechanisms it needs. Without I/O.
+
+What the rows say of the code is written by hand, read off the modules that they name; their figures come from
+slopes, plays and the fleet file alone.
+"""
+
+from collections.abc import Callable, Sequence
+from typing import NamedTuple
+
+import msgspec
+
+from .budgets import PROGRESS, STARTS, BudgetRow, core_with, stop_of
+from .loads import (
+    DAY,
+    PEAK,
+    RACK,
+    ZONE,
+    configuration_changes,
+    larger_region,
+    lost_workers,
+    running_time,
+    zone_part,
+)
+from .machines import VOTERS, layout, losses, third_site
+from .played import Plays, Run
+from .size import Fleet
+from .slopes import Slopes
+from .verdicts import FAILS, HOLDS, MISSING, NOT_MEASURED, worst
+
+SECOND = 1_000_000_000
+KB = 1_000
+NONE = "none"
+PLAYED, SLOPES, READ, WORKED = "played", "slopes of one process", "read off the code", "worked out"
+BEYOND = "beyond what was played"
+
+
+class Need(NamedTuple):
+    row: str  # whose mechanism it needs
+    why: str
+
+
+class Row(msgspec.Struct, frozen=True, kw_only=True):
+    key: str
+    line: str  # of the size
+    demand: str
+    gives: str  # what today's design gives
+    mechanism: str  # module and page, or "none"
+    verdict: str
+    basis: str  # of the verdict
+    letter: str  # when it fails: a a promise on an ordinary day, b a budget on one, c in a failure
+    stops: str  # from which size on today's design stops
+    needs: list[Need] = []
+
+
+class Facts(NamedTuple):
+    """What all rows are worked out from."""
+
+    fleet: Fleet
+    slopes: Slopes
+    plays: Plays
+    budget: list[BudgetRow]
+    distributed: bool  # whether the distribution of configuration is counted in
+
+    @property
+    def fewest(self) -> int:
+        return min(self.fleet.size.dispatchers)
+
+    def measured_to(self, size: str) -> float:
+        """The largest of that size at which anything of a dispatcher was measured."""
+        lines = [one for one in self.slopes.lines if (one.role, one.size) == ("dispatcher", size)]
+        return max((line.measured_to for line in lines), default=0.0)
+
+    def runs(self, *plays: str) -> list[Run]:
+        return [run for run in self.plays.runs if any(word in run.play for word in plays)]
+
+    def stop(self, figure: str, size: str, limit: float, counted: str) -> float | None:
+        return stop_of(self.fleet, self.slopes, figure, size, limit, counted)
+
+
+def judged(runs: list[Run], words: Sequence[str] = ()) -> tuple[str, str]:
+    """The verdict of the runs that count, and what they say; only of lines with one of the words, if any."""
+    counted = [run for run in runs if not run.void]
+    if not counted:
+        voids = sorted({run.void for run in runs})
+        return NOT_MEASURED, f"not played{' (void: ' + '; '.join(voids) + ')' if voids else ''}"
+
+    def about(texts: list[str]) -> list[str]:
+        return [text for text in texts if not words or any(word in text.lower() for word in words)]
+
+    failed = sorted({text for run in counted for text in about(run.failed)})
+    held = sorted({text for run in counted for text in about(run.held)})
+    sizes = ", ".join(str(many) for many in sorted({run.dispatchers for run in counted}))
+    told = f"{len(counted)} run{'s' if len(counted) > 1 else ''} played with {sizes} dispatchers"
+    if failed:
+        return FAILS, f"{told}, failed: {'; '.join(failed)}"
+    return (HOLDS, f"{told}, held") if held else (NOT_MEASURED, f"{told} say nothing of it")
+
+
+def number(value: float | None, unit: str = "") -> str:
+    return NOT_MEASURED if value is None else f"{value:.3g}{unit}"
+
+
+def at_each(facts: Facts, counted: str) -> tuple[str, str]:
+    """The verdict over all numbers of dispatchers, and how it is at each."""
+    found = {}
+    for dispatchers in facts.fleet.size.dispatchers:
+        rows = [row for row in facts.budget if (row.counted, row.dispatchers) == (counted, dispatchers)]
+        found[dispatchers] = worst([row.verdict for row in rows])
+    told = ", ".join(f"{verdict} with {many}" for many, verdict in found.items())
+    return worst(list(found.values())), told
+
+
+def measured_or_played(verdict: str, measured_to: float, demand: float) -> tuple[str, str]:
+    """Where nothing was played, one dispatcher that bore its part on its own counts: verdict and basis."""
+    if verdict == NOT_MEASURED and measured_to >= demand:
+        return HOLDS, SLOPES
+    return verdict, PLAYED
+
+
+def stop_text(value: float | None, of: str) -> str:
+    return f"{value:.3g} {of}" if value is not None else f"no number of {of} near what was measured"
+
+
+# ---- On an ordinary day ----
+
+
+def workers_row(facts: Facts) -> Row:
+    workers = facts.fleet.size.workers
+    to = facts.measured_to("workers_listed")
+    stop = facts.stop("core_share", "workers_listed", facts.fleet.budget.core_share, STARTS)
+    verdict, played = judged(facts.runs("peak"), ("rule", "worker"))
+    verdict, basis = measured_or_played(verdict, to, workers)
+    return Row(
+        key="workers",
+        line=f"{workers} workers",
+        demand=f"each dispatcher knows and may use all {workers}",
+        gives=f"the whole list at each; one dispatcher measured to {to:g} listed; {played}",
+        mechanism="`routing/roster.py`, `docs/architecture.md`",
+        verdict=verdict,
+        basis=basis,
+        letter="a",
+        stops=stop_text(stop, "listed workers") + ", by the share of a core",
+    )
+
+
+def starts_row(facts: Facts) -> Row:
+    size = facts.fleet.size
+    each = size.task_starts_a_second / facts.fewest
+    to = facts.measured_to("starts_a_second")
+    stop = facts.stop("core_share", "starts_a_second", facts.fleet.budget.core_share, STARTS)
+    verdict, played = judged(facts.runs("peak"), ("starts a second", "rule"))
+    verdict, basis = measured_or_played(verdict, to, each)
+    return Row(
+        key="starts",
+        line=f"{size.jobs_a_day:,} jobs a day, {size.task_starts_a_second:g} starts a second at the peak",
+        demand=f"{size.jobs_a_day / DAY:.2g} jobs a second; {each:.2g} starts a second at one of "
+        f"{facts.fewest} dispatchers",
+        gives=f"each hands out its own; one dispatcher measured to {to:g} a second; {played}",
+        mechanism="`decisions/dispatcher.py`, `docs/design.md`",
+        verdict=verdict,
+        basis=basis,
+        letter="a",
+        stops=stop_text(stop, "starts a second at one dispatcher") + ", by its share of a core",
+    )
+
+
+def tasks_row(facts: Facts) -> Row:
+    size = facts.fleet.size
+    each, slots = size.tasks_running / facts.fewest, size.tasks_running / size.workers
+    to = facts.measured_to("tasks_running")
+    verdict, played = judged(facts.runs("peak"), ("running", "rule"))
+    verdict, basis = measured_or_played(verdict, to, each)
+    return Row(
+        key="tasks",
+        line=f"{size.tasks_running:,} tasks running",
+        demand=f"{each:.3g} at one of {facts.fewest} dispatchers, {slots:.2g} at a worker; each runs for "
+        f"{running_time(facts.fleet):.3g} s, where the peak lasts",
+        gives=f"one errand and one connection for each; one dispatcher measured to {to:g}; {played}",
+        mechanism="`routing/errands.py`, `docs/architecture.md`",
+        verdict=verdict,
+        basis=basis,
+        letter="a",
+        stops="the connections to workers that `limits.sockets` leaves; its share of a core is a row below",
+    )
+
+
+def gangs_row(facts: Facts) -> Row:
+    fleet = facts.fleet
+    gang = fleet.size.largest_gang
+    core = core_with(fleet, facts.slopes, gang, PROGRESS)
+    share = number(None if core is None else 100 * core, "% of a core")
+    return Row(
+        key="gangs",
+        line=f"gangs of up to {gang}",
+        demand="all tasks of a gang begin together, or none does",
+        gives="each task is a submission of its own: a part of a gang may run and hold workers while the "
+        f"rest waits. {gang} tasks at one dispatcher, with progress reports: {share}",
+        mechanism=NONE,
+        verdict=MISSING,
+        basis=READ,
+        letter="a",
+        stops="2 tasks in a gang",
+        needs=[Need("quotas", f"one start takes up to {gang} of a team's places at once")],
+    )
+
+
+def quotas_row(facts: Facts) -> Row:
+    teams = facts.fleet.size.teams
+    return Row(
+        key="quotas",
+        line=f"{teams} teams with quotas",
+        demand="over all dispatchers a team has no more than its quota, and its quota when it asks",
+        gives="submissions name no team; `MaxOpen` bounds one dispatcher, whoever asks; nothing is counted "
+        "over two of them",
+        mechanism=NONE,
+        verdict=MISSING,
+        basis=READ,
+        letter="a",
+        stops="1 team with a quota",
+        needs=[Need("changes", f"the table of {teams} quotas changes, and is the same at all dispatchers")],
+    )
+
+
+def urgent_row(facts: Facts) -> Row:
+    size = facts.fleet.size
+    verdict, played = judged(facts.runs("peak"), ("urgent",))
+    return Row(
+        key="urgent",
+        line=f"urgent work starts within {size.urgent_starts_within / SECOND:g} s",
+        demand="at the peak, and in trouble",
+        gives="grades with expected times of their own; a queue is first come, first served within a slot "
+        f"count and machine kind, and nothing that runs makes way; {played}",
+        mechanism="`decisions/dispatcher.py` (patience, benefits), `docs/design.md`",
+        verdict=verdict,
+        basis=PLAYED,
+        letter="a",
+        stops=f"where all slots are busy: how many a worker has is not stated, "
+        f"{size.tasks_running / size.workers:.2g} of them run",
+        needs=[
+            Need("quotas", "what is over its quota has to wait when workers are full"),
+            Need("changes", "limits of other grades are tightened everywhere at once in trouble"),
+        ],
+    )
+
+
+def changes_row(facts: Facts) -> Row:
+    size = facts.fleet.size
+    soon = size.configuration_in_force_within / SECOND
+    busiest = configuration_changes(facts.fleet, PEAK).value
+    row = Row(
+        key="changes",
+        line=f"{size.configuration_changes_a_day} changes of configuration a day, in force within {soon:g} s",
+        demand=f"{busiest:.2g} a minute in the busiest hour (assumed), at every dispatcher",
+        gives="each reads a file of its own at SIGHUP (`program/service.py`); `lease publish` commits to a "
+        "store, which its own replicas alone take; nothing tells dispatchers, or what is in force where",
+        mechanism=NONE,
+        verdict=MISSING,
+        basis=READ,
+        letter="a",
+        stops="2 machines with a dispatcher",
+    )
+    if not facts.distributed:
+        return row
+    runs = facts.runs("configuration", "changes")
+    verdict, played = judged(runs)
+    return msgspec.structs.replace(
+        row,
+        gives=f"config servers agree on versions and tell every dispatcher that watches; {played}",
+        mechanism="`distribution/`, `docs/distribution.md`",
+        verdict=verdict,
+        basis=PLAYED,
+        stops=NOT_MEASURED if verdict == NOT_MEASURED else BEYOND,
+    )
+
+
+def zones_row(facts: Facts) -> Row:
+    size = facts.fleet.size
+    verdict, played = judged(facts.runs("peak"), ("zone", "region"))
+    return Row(
+        key="zones",
+        line=f"{size.regions} regions with {size.zones} zones",
+        demand=f"work stays near; {zone_part(facts.fleet, size.workers)} workers in a zone",
+        gives="own zone first, others where it has no room; a region is not known: zones of the other are "
+        f"no further away; {played}",
+        mechanism="`decisions/dispatcher.py` (`_tiers`), `docs/design.md`",
+        verdict=verdict,
+        basis=PLAYED,
+        letter="a",
+        stops="2 regions, where the way between them is dearer than between zones",
+    )
+
+
+# ---- Budgets ----
+
+
+def control_row(facts: Facts) -> Row:
+    budget = facts.fleet.budget
+    verdict, told = at_each(facts, STARTS)
+    stop = facts.stop("core_share", "starts_a_second", budget.core_share, STARTS)
+    return Row(
+        key="budget",
+        line=f"a dispatcher within {100 * budget.core_share:g}% of a core, {budget.memory_mb:g} MB and "
+        f"{budget.bytes_a_second / KB:g} KB/s, progress reports not counted",
+        demand="on an ordinary day and at its peak",
+        gives=told,
+        mechanism="`limits` bound memory and descriptors (`docs/architecture.md`); nothing bounds the rest",
+        verdict=verdict,
+        basis=SLOPES,
+        letter="b",
+        stops=stop_text(stop, "starts a second at one dispatcher") + ", by its share of a core",
+    )
+
+
+def progress_row(facts: Facts) -> Row:
+    budget = facts.fleet.budget
+    verdict, told = at_each(facts, PROGRESS)
+    core = facts.stop("core_share", "tasks_running", budget.core_share, PROGRESS)
+    octets = facts.stop("bytes_in", "tasks_running", budget.bytes_a_second, PROGRESS)
+    return Row(
+        key="progress",
+        line="a dispatcher within that, progress reports counted",
+        demand="a report a second of each task that runs",
+        gives=told,
+        mechanism="`ProgressUs`, one interval for all tasks (`program/standing_orders.py`)",
+        verdict=verdict,
+        basis=SLOPES,
+        letter="b",
+        stops=f"{stop_text(core, 'tasks running at one dispatcher')}, by its share of a core; "
+        f"{stop_text(octets, 'tasks')}, by the bytes that come in",
+        needs=[Need("changes", "workers and all dispatchers change the interval in step")],
+    )
+
+
+def machines_row(facts: Facts) -> Row:
+    fleet = facts.fleet
+    machines = layout(fleet)
+    found = {one.what: one for one in losses(machines)}
+    two = found["any two machines"]
+    zones = all(one.majority for what, one in found.items() if what.startswith("zone "))
+    return Row(
+        key="machines",
+        line=f"{fleet.budget.control_machines} machines for control",
+        demand="all roles but dispatchers, discovery and workers; two machines down, or a zone gone",
+        gives=f"{VOTERS} voters of each kind in as many zones, {len(machines) - VOTERS} machines for single "
+        f"tasks; two down: {two.note}; {'any zone may go' if zones else 'not every zone may go'}",
+        mechanism="`consensus/`, `docs/operating-leases.md`, `docs/operating-the-store.md`",
+        verdict=HOLDS if two.majority and zones else MISSING,
+        basis=WORKED,
+        letter="b",
+        stops=f"{VOTERS // 2 + 1} voters down",
+    )
+
+
+# ---- Failures ----
+
+
+def failing_rows(facts: Facts) -> list[Row]:
+    fleet = facts.fleet
+    failures = fleet.failures
+    rack, zone = lost_workers(fleet, RACK).value, lost_workers(fleet, ZONE).value
+    told: list[tuple[str, str, str, str, str]] = [
+        (
+            "machine",
+            f"{failures.machines_a_day:g} machines fail a day",
+            "set aside by its errors, then gone from discovery's list",
+            "`decisions/dispatcher.py`, `docs/on-call.md`",
+            "machine",
+        ),
+        (
+            "restarts",
+            f"{failures.restarts_a_day:g} are restarted or replaced a day",
+            "workers drain by the list; dispatchers a few at a time under a lease, or replaced over a "
+            "passed socket",
+            "`leases/commands.py` (`restart`), `program/passed.py`, `docs/operating-leases.md`",
+            "restart",
+        ),
+        (
+            "rack",
+            f"a rack or switch every {failures.rack_every_days:g} days",
+            f"as so many machines at once, {rack:g} assumed; repeats may be bound to a rack, nothing else "
+            "goes by it",
+            "`decisions/dispatcher.py`, `docs/on-call.md`",
+            "rack",
+        ),
+        (
+            "zone",
+            f"a zone every {failures.zone_every_days:g} days",
+            f"{zone:g} workers go and their dispatchers with them; other zones are drawn",
+            "`decisions/dispatcher.py` (`_tiers`), `docs/on-call.md`",
+            "zone",
+        ),
+    ]
+    rows = []
+    for key, line, gives, mechanism, play in told:
+        verdict, played = judged(facts.runs(play))
+        rows.append(
+            Row(
+                key=key,
+                line=line,
+                demand="rules kept, urgent work in time, budgets kept, back by itself",
+                gives=f"{gives}; {played}",
+                mechanism=mechanism,
+                verdict=verdict,
+                basis=PLAYED,
+                letter="c",
+                stops=NOT_MEASURED if verdict == NOT_MEASURED else BEYOND,
+            )
+        )
+    return rows
+
+
+def apart_row(facts: Facts) -> Row:
+    verdict, played = judged(facts.runs("region"))
+    return Row(
+        key="apart",
+        line=f"regions apart for {facts.fleet.failures.regions_apart / SECOND / 60:g} minutes",
+        demand="each goes on with its own workers; nothing grows without bound; one fleet again afterwards",
+        gives="dispatchers keep the last list and set aside what they cannot reach; a configuration names "
+        "one discovery, and the region that is cut off from it is changed by hand; the side with fewer "
+        f"voters gets no lease and commits nothing; {played}",
+        mechanism="`routing/roster.py`, `leases/keeper.py`, `docs/leases.md`",
+        verdict=verdict,
+        basis=PLAYED,
+        letter="c",
+        stops=NOT_MEASURED if verdict == NOT_MEASURED else BEYOND,
+        needs=[Need("changes", "discovery, limits and grades of one region change at all its dispatchers")],
+    )
+
+
+def region_row(facts: Facts) -> Row:
+    fleet = facts.fleet
+    gone = [one for one in losses(layout(fleet)) if one.what.startswith("region ")]
+    ends = " and ".join(one.what for one in gone if not one.majority)
+    left = fleet.size.zones - larger_region(fleet)
+    return Row(
+        key="region lost",
+        line="a region gone (asked of the machines; not in the list of failures)",
+        demand=f"the other goes on: {left} of {fleet.size.zones} zones may be all that is left",
+        gives=f"without {ends} the {VOTERS} voters have no majority, and no split over two regions bears "
+        f"the loss of either; one voter at a third site would{'' if third_site() else ' not'}",
+        mechanism="members are changed by hand (`consensus/members.py`, `docs/operating-the-store.md`)",
+        verdict=MISSING if ends else HOLDS,
+        basis=WORKED,
+        letter="c",
+        stops=f"{fleet.size.regions} regions without a third site",
+    )
+
+
+ROWS: tuple[Callable[[Facts], Row], ...] = (
+    workers_row,
+    starts_row,
+    tasks_row,
+    gangs_row,
+    quotas_row,
+    urgent_row,
+    changes_row,
+    zones_row,
+    control_row,
+    progress_row,
+    machines_row,
+)
+
+
+def size_rows(facts: Facts) -> list[Row]:
+    return [*(row(facts) for row in ROWS), *failing_rows(facts), apart_row(facts), region_row(facts)]
--- /dev/null
+++ b/ploverspoke/testbed/capacity/table.py
@@ -0,0 +1,118 @@
+"""The whole table: rows of the size, budgets, what each role costs, and which mechanism is missing first.
+
+Without I/O. The rows are worked out twice where the distribution of configuration was measured: as they were
+without it, by which it was chosen, and as they are with it.
+"""
+
+from collections.abc import Sequence
+
+import msgspec
+
+from .budgets import FIGURES, WATCHING, BudgetRow, budget_rows, figure_of
+from .estimate import Figure
+from .loads import SITUATIONS, Amount, loads
+from .played import Plays
+from .rows import Facts, Row, size_rows
+from .size import Fleet
+from .slopes import Slopes
+from .verdicts import HOLDS, UNMET
+
+SERVER = "config server"
+# Who carries each role: module and page.
+ROLES = {
+    "dispatcher": "`routing/`, `decisions/` (`docs/architecture.md`)",
+    WATCHING: "`distribution/` (`docs/distribution.md`)",
+    "discovery": "the platform's; `routing/roster.py` asks it (`docs/architecture.md`)",
+    "worker": "the platform's; `routing/errands.py` asks it (`docs/architecture.md`)",
+    "keeper": "`leases/keeper.py` (`docs/leases.md`)",
+    "store replica": "`store/node.py` (`docs/store.md`)",
+    SERVER: "`distribution/` (`docs/distribution.md`)",
+    "configuration publisher": "`leases/tasks.py`, `publish` (`docs/operating-leases.md`)",
+    "fleet summary": "`leases/tasks.py`, `summarise` (`docs/operating-leases.md`)",
+    "rolling restart": "`leases/commands.py`, `restart` (`docs/operating-leases.md`)",
+    "supervisor": "`supervisor/watch.py` (`docs/processes.md`)",
+}
+
+
+class RoleRow(msgspec.Struct, frozen=True, kw_only=True):
+    role: str
+    dispatchers: int
+    situations: list[str]  # in which it meets these sizes
+    state: str
+    figures: dict[str, Figure]  # by "messages", "core", "memory", "bytes"
+
+
+class Choice(msgspec.Struct, frozen=True, kw_only=True):
+    row: str
+    letter: str
+    needed_by: list[str]
+
+
+class Table(msgspec.Struct, frozen=True, kw_only=True):
+    fleet: Fleet
+    before: list[Row]  # without the distribution of configuration
+    rows: list[Row]
+    budget: list[BudgetRow]
+    roles: list[RoleRow]
+    missing: list[Choice]  # of `before`, the first first
+    missing_now: list[Choice]
+
+    def row(self, key: str) -> Row:
+        return next(row for row in self.rows if row.key == key)
+
+    def wanting(self) -> list[Row]:
+        """What does not hold, or was not measured."""
+        return [row for row in self.rows if row.verdict != HOLDS]
+
+
+def choose(rows: Sequence[Row]) -> list[Choice]:
+    """The rows that do not hold, first the one to mend first: a before b before c, then by how many others
+    need its mechanism, then as they stand. What was not measured is none of them; the page names it.
+    """
+    needed = {row.key: [other.key for other in rows if row.key in dict(other.needs)] for row in rows}
+    unmet = [row for row in rows if row.verdict in UNMET]
+    unmet.sort(key=lambda row: (row.letter, -len(needed[row.key])))
+    return [Choice(row=row.key, letter=row.letter, needed_by=needed[row.key]) for row in unmet]
+
+
+def role_rows(fleet: Fleet, slopes: Slopes) -> list[RoleRow]:
+    """Situations and numbers of dispatchers in which a role meets the same sizes share a row."""
+    found = []
+    for role in ROLES:
+        for dispatchers in fleet.size.dispatchers:
+            situations: dict[str, list[str]] = {}
+            sizes: dict[str, dict[str, Amount]] = {}
+            for situation in SITUATIONS:
+                met = loads(fleet, dispatchers, situation)[role]
+                state = ", ".join(
+                    f"{amount.value:.4g} {name}" for name, amount in met.items() if amount.value
+                )
+                situations.setdefault(state, []).append(situation)
+                sizes[state] = met
+            found += [
+                RoleRow(
+                    role=role,
+                    dispatchers=dispatchers,
+                    situations=situations[state],
+                    state=state.replace("_", " "),
+                    figures={kind: figure_of(slopes, role, kind, sizes[state]) for kind in FIGURES},
+                )
+                for state in situations
+            ]
+    return found
+
+
+def make_table(fleet: Fleet, slopes: Slopes, plays: Plays) -> Table:
+    budget = budget_rows(fleet, slopes)
+    distributed = any(line.role in (SERVER, WATCHING) for line in slopes.lines)
+    before = size_rows(Facts(fleet, slopes, plays, budget, False))
+    rows = size_rows(Facts(fleet, slopes, plays, budget, True)) if distributed else before
+    return Table(
+        fleet=fleet,
+        before=before,
+        rows=rows,
+        budget=budget,
+        roles=role_rows(fleet, slopes),
+        missing=choose(before),
+        missing_now=choose(rows),
+    )
--- /dev/null
+++ b/ploverspoke/testbed/capacity/verdicts.py
@@ -0,0 +1,16 @@
+"""What a row comes to."""
+
+from collections.abc import Sequence
+from typing import Final
+
+HOLDS: Final = "holds"
+OVER: Final = "over budget"
+FAILS: Final = "fails"
+MISSING: Final = "missing"
+NOT_MEASURED: Final = "not measured"
+WORST_FIRST = (MISSING, FAILS, OVER, NOT_MEASURED, HOLDS)
+UNMET = (MISSING, FAILS, OVER)
+
+
+def worst(verdicts: Sequence[str]) -> str:
+    return min(verdicts, key=WORST_FIRST.index) if verdicts else NOT_MEASURED
--- a/ploverspoke/testbed/commands.py
+++ b/ploverspoke/testbed/commands.py
@@ -9,6 +9,7 @@
 import msgspec
 from rich.progress import Progress
 
+from .capacity.capacity_command import capacity
 from .compare import compare
 from .experiment import BadExperiment, Experiment, read_experiment
 from .runner import Driver, Result, read_result, run_experiment
@@ -187,3 +188,6 @@
         show.print(table)
     if out is not None:
         out.write_bytes(msgspec.json.format(msgspec.json.encode(figures)))
+
+
+testbed.add_command(capacity)
--- /dev/null
+++ b/tests/test_capacity_table.py
@@ -0,0 +1,295 @@
+"""The table of a fleet's size: its file, figures from slopes, verdicts, what is missing first, the page."""
+
+import re
+import tomllib
+from pathlib import Path
+from typing import Any
+
+import pytest
+from click.testing import CliRunner
+
+from ploverspoke.cli import main
+from ploverspoke.testbed.capacity.budgets import CONTROL, PROGRESS, STARTS
+from ploverspoke.testbed.capacity.estimate import estimate, stops_at
+from ploverspoke.testbed.capacity.loads import APART, ORDINARY, PEAK, ZONE, Amount, loads
+from ploverspoke.testbed.capacity.machines import layout, losses, splits, third_site
+from ploverspoke.testbed.capacity.played import NONE, Plays, Run
+from ploverspoke.testbed.capacity.render import BEGIN, END, BadPage, between, markdown, put_in
+from ploverspoke.testbed.capacity.rows import Need, Row
+from ploverspoke.testbed.capacity.size import BadFleet, fleet_of, read_fleet
+from ploverspoke.testbed.capacity.slopes import Line, Slopes, write_slopes
+from ploverspoke.testbed.capacity.table import Table, choose, make_table
+
+ROOT = Path(__file__).parents[1]
+FLEET = ROOT / "experiments/fleet-ahead.toml"
+
+
+def told(table: str, key: str, value: object) -> dict[str, Any]:
+    whole = tomllib.loads(FLEET.read_text())
+    whole[table][key] = value
+    return whole
+
+
+@pytest.mark.parametrize(
+    ("table", "key", "value"),
+    [
+        ("size", "worker", 980),  # unknown
+        ("size", "workers", 0),
+        ("size", "workers", -3),
+        ("size", "workers", "many"),
+        ("size", "dispatchers", []),
+        ("size", "dispatchers", [200, 0]),
+        ("size", "urgent_starts_within", 3.4),  # without its unit
+        ("size", "urgent_starts_within", "3.4h"),
+        ("size", "urgent_starts_within", "0s"),
+        ("size", "regions", 8),
+        ("size", "largest_gang", 4801),
+        ("budget", "core_share", 0.0),
+        ("budget", "memory", 64),
+        ("budget", "bytes_a_second", -1.0),
+        ("failures", "zone_every_days", 0.0),
+        ("failures", "regions_apart", "1 hour"),
+        ("failures", "racks", 1),
+    ],
+)
+def test_a_wrong_fleet_file_names_the_key(table: str, key: str, value: object) -> None:
+    with pytest.raises(BadFleet) as error:
+        fleet_of(told(table, key, value))
+    assert key in str(error.value) and "\n" not in str(error.value)
+
+
+def test_a_missing_key_and_another_kind_are_named() -> None:
+    whole = tomllib.loads(FLEET.read_text())
+    del whole["budget"]["memory_mb"]
+    with pytest.raises(BadFleet, match="memory_mb"):
+        fleet_of(whole)
+    with pytest.raises(BadFleet, match="kind"):
+        fleet_of({**tomllib.loads(FLEET.read_text()), "kind": "leases"})
+
+
+def line(figure: str, size: str, points: list[tuple[float, float]], **more: Any) -> Line:
+    """Through its first and last point."""
+    (x0, y0), (x1, y1) = points[0], points[-1]
+    slope = (y1 - y0) / (x1 - x0)
+    fit = {"intercept": y0 - slope * x0, "slope": slope, "residual": 0.0, "contradicted": False, "unit": "-"}
+    asked = {"role": "dispatcher", "figure": figure, "size": size, "points": points, "measured_to": x1}
+    return Line(**{**asked, **fit, **more})
+
+
+def slopes(*lines: Line) -> Slopes:
+    return Slopes(format=1, at="2026-12-02", text="abc", machine="made up", lines=list(lines))
+
+
+def sizes(**amounts: float) -> dict[str, Amount]:
+    return {name: Amount(value, "stated") for name, value in amounts.items()}
+
+
+LISTED = line("core_share", "workers_listed", [(100.0, 0.001), (300.0, 0.003)])  # 0.00001 each, from 0
+STARTED = line("core_share", "starts_a_second", [(0.0, 0.001), (4.0, 0.009)], still={"workers_listed": 100})
+TOLD = line(
+    "core_share", "tasks_running", [(0.0, 0.001), (20.0, 0.011)], still={"workers_listed": 100, "progress": 1}
+)
+QUIET = line(
+    "core_share", "tasks_running", [(0.0, 0.001), (20.0, 0.001)], still={"workers_listed": 100, "progress": 0}
+)
+
+
+def test_a_figure_is_the_base_and_each_slope_times_its_size() -> None:
+    found = estimate(
+        slopes(LISTED, STARTED, TOLD, QUIET), "dispatcher", "core_share",
+        sizes(workers_listed=980, starts_a_second=0.6, tasks_running=24),
+    )  # fmt: skip
+    # 980 x 0.00001 + 0.6 x 0.002 + 24 x 0.0005, and no base: a hundred listed workers are all of 0.001.
+    assert found.value == pytest.approx(0.0098 + 0.0012 + 0.012)
+    assert found.origin == "worked out" and not found.without and not found.contradicted
+    assert found.stretched == [
+        "workers_listed: measured to 300, used at 980", "tasks_running: measured to 20, used at 24"
+    ]  # fmt: skip
+
+
+def test_of_two_lines_the_one_with_or_without_progress_reports_counts() -> None:
+    both, at = slopes(TOLD, QUIET), sizes(tasks_running=20)
+    assert estimate(both, "dispatcher", "core_share", at, True).value == pytest.approx(0.011)
+    assert estimate(both, "dispatcher", "core_share", at, False).value == pytest.approx(0.001)
+
+
+def test_what_was_read_at_that_very_size_is_measured_and_an_assumed_size_is_said() -> None:
+    point = estimate(slopes(LISTED), "dispatcher", "core_share", sizes(workers_listed=300))
+    assert (point.value, point.origin) == (0.003, "measured")
+    assumed = estimate(slopes(LISTED), "dispatcher", "core_share", {"workers_listed": Amount(200, "assumed")})
+    assert assumed.origin == "assumed"
+
+
+def test_what_was_not_measured_is_named_and_never_nought() -> None:
+    nothing = estimate(slopes(LISTED), "keeper", "core_share", sizes(holders=3))
+    assert (nothing.value, nothing.origin) == (None, "not measured")
+    part = estimate(slopes(LISTED), "dispatcher", "core_share", sizes(workers_listed=300, peers_telling=2))
+    assert part.without == ["core_share by peers_telling"]
+    none_of_it = estimate(
+        slopes(LISTED), "dispatcher", "core_share", sizes(workers_listed=300, peers_telling=0)
+    )
+    assert not none_of_it.without
+    table = made(slopes(LISTED))
+    assert all(row.bytes.value is None and row.verdict == "not measured" for row in table.budget)
+    assert "keeper: bytes, core, memory, messages" in markdown(table, slopes(LISTED), NONE)
+
+
+def test_a_contradicted_fit_is_said_and_the_worst_measured_ratio_taken() -> None:
+    points = [(0.0, 0.0), (1.0, 0.006), (4.0, 0.008)]
+    bad = line("core_share", "starts_a_second", points, residual=0.67, contradicted=True)
+    found = estimate(slopes(bad), "dispatcher", "core_share", sizes(starts_a_second=4))
+    assert found.value == pytest.approx(0.024) and found.origin == "worked out"
+    assert "residual 67%, the worst measured ratio" in found.contradicted[0]
+    text = markdown(made(slopes(bad)), slopes(bad), NONE)
+    assert found.contradicted[0] in text and "w!" in text
+
+
+def test_a_fit_that_falls_counts_as_its_highest_point() -> None:
+    falls = line("memory_bytes", "workers_listed", [(100.0, 31e6), (300.0, 30e6)])
+    assert estimate(slopes(falls), "dispatcher", "memory_bytes", sizes(workers_listed=980)).value == 31.5e6
+
+
+def test_where_todays_design_stops_is_solved_and_not_told_from_afar() -> None:
+    at = sizes(workers_listed=100, starts_a_second=0.1)
+    both = slopes(LISTED, STARTED)
+    stop = stops_at(both, "dispatcher", "core_share", at, "starts_a_second", 0.012)
+    assert stop == pytest.approx((0.012 - 0.001) / 0.002)
+    assert stops_at(both, "dispatcher", "core_share", at, "starts_a_second", 1.0) is None
+    assert stops_at(both, "dispatcher", "memory_bytes", at, "starts_a_second", 1.0) is None
+
+
+# ---- The fleet ----
+
+
+def made(measured: Slopes, plays: Plays = NONE) -> Table:
+    return make_table(read_fleet(FLEET), measured, plays)
+
+
+def test_what_a_dispatcher_meets_by_hand() -> None:
+    fleet = read_fleet(FLEET)
+    peak = loads(fleet, 200, PEAK)["dispatcher"]
+    assert peak["tasks_running"].value == 24 and peak["starts_a_second"].value == pytest.approx(0.6)
+    # 9,400 jobs of 64 tasks at the most over a day, 200 dispatchers.
+    ordinary = loads(fleet, 200, ORDINARY)["dispatcher"]["starts_a_second"]
+    assert ordinary.value == pytest.approx(9400 * 64 / 86400 / 200) and ordinary.origin == "assumed"
+    # 140 of 980 workers go with 29 of 200 dispatchers; 685.7 tasks start again within the minute.
+    zone = loads(fleet, 200, ZONE)["dispatcher"]
+    assert zone["starts_a_second"].value == pytest.approx((120 + 4800 / 7 / 60) / 171)
+    assert zone["list_changes_a_second"].value == pytest.approx(140 / 60)
+    assert loads(fleet, 200, APART)["dispatcher"]["list_changes_a_second"].value == pytest.approx(560 / 60)
+
+
+def test_a_budget_is_held_against_what_counts_as_control() -> None:
+    table = made(slopes(LISTED, STARTED, TOLD, QUIET))
+    core = {(row.counted, row.dispatchers, row.situation): row for row in table.budget}
+    assert core[CONTROL, 200, PEAK].core.value == pytest.approx(0.0098)
+    assert core[STARTS, 200, PEAK].core.value == pytest.approx(0.0098 + 0.6 * 0.002)
+    assert core[PROGRESS, 200, PEAK].core.value == pytest.approx(0.0098 + 0.6 * 0.002 + 24 * 0.0005)
+    assert core[PROGRESS, 200, PEAK].verdict == "over budget"
+    assert core[STARTS, 200, PEAK].verdict == "not measured"  # no memory, no bytes
+    assert table.row("progress").verdict == "over budget"
+
+
+def test_of_five_voters_in_two_regions_one_region_is_always_missed() -> None:
+    machines = layout(read_fleet(FLEET))
+    voters = [one for one in machines if "keeper" in one.roles]
+    assert len(machines) == 8 and len(voters) == len({one.zone for one in voters}) == 5
+    found = {one.what: one.majority for one in losses(machines)}
+    assert found["any two machines"] and all(found[f"zone z{n}"] for n in range(1, 8))
+    assert not found["region r1"] and found["region r2"]
+    assert not any(first and second for _, _, first, second in splits()) and third_site()
+
+
+def row(key: str, verdict: str, letter: str, *needs: str) -> Row:
+    said = {"line": key, "demand": "", "gives": "", "mechanism": "", "basis": "", "stops": ""}
+    return Row(
+        key=key, verdict=verdict, letter=letter, needs=[Need(other, "") for other in needs], **said
+    )  # fmt: skip
+
+
+def test_missing_first_is_a_before_b_before_c_then_what_most_others_need() -> None:
+    rows = [
+        row("zone", "fails", "c", "table"),
+        row("core", "over budget", "b", "table"),
+        row("gangs", "missing", "a", "quotas"),
+        row("quotas", "missing", "a", "table"),
+        row("table", "missing", "a"),
+        row("urgent", "not measured", "a", "quotas"),
+        row("workers", "holds", "a"),
+        row("regions", "missing", "c"),
+    ]
+    found = choose(rows)
+    assert [one.row for one in found] == ["table", "quotas", "gangs", "core", "zone", "regions"]
+    assert found[0].needed_by == ["zone", "core", "quotas"]
+    assert [one.row for one in choose(rows[::-1])][:2] == ["table", "quotas"]
+
+
+def test_of_the_fleet_ahead_changes_are_missing_first_then_quotas_then_gangs() -> None:
+    assert [one.row for one in made(slopes()).missing][:3] == ["changes", "quotas", "gangs"]
+
+
+def test_with_the_distribution_measured_the_row_is_shown_before_and_after() -> None:
+    server = line("core_share", "watchers", [(10.0, 0.001), (400.0, 0.02)], role="config server")
+    run = Run(play="configuration changes", seed=1, dispatchers=50, held=["in force within 10 s"])
+    played = Plays(format=1, at="2026-12-02", text="abc", machine="made up", runs=[run])
+    table = made(slopes(server), played)
+    assert [one.row for one in table.missing][0] == "changes"
+    assert [one.row for one in table.missing_now][0] == "quotas"
+    assert table.row("changes").verdict == "holds"
+    assert made(slopes(server)).row("changes").verdict == "not measured"
+
+
+def test_a_play_that_failed_or_is_void_is_said() -> None:
+    failed = Run(play="zone lost", seed=1, dispatchers=50, failed=["urgent work began within 3.4 s: 3.9 s"])
+    void = Run(play="rack", seed=1, dispatchers=50, void="the machine was too slow", held=["all"])
+    played = Plays(format=1, at="2026-12-02", text="abc", machine="made up", runs=[failed, void])
+    table = made(slopes(), played)
+    assert table.row("zone").verdict == "fails" and "3.9 s" in table.row("zone").gives
+    assert table.row("rack").verdict == "not measured" and "too slow" in table.row("rack").gives
+    assert "zone" in [one.row for one in table.missing]
+
+
+def test_rows_name_modules_and_pages_that_there_are() -> None:
+    for one in made(slopes()).rows:
+        for name in re.findall(r"`([a-z_]+/[a-z_./-]*|docs/[\w.-]+)`", one.mechanism + one.gives):
+            assert (ROOT / name).exists() or (ROOT / "ploverspoke" / name).exists(), (one.key, name)
+
+
+# ---- The command and the page ----
+
+
+def call(*words: str) -> tuple[int, str]:
+    found = CliRunner().invoke(main, ["testbed", "capacity", *words])
+    return found.exit_code, found.output
+
+
+def test_the_command_writes_between_the_markers_and_says_what_does_not_hold(tmp_path: Path) -> None:
+    file, page = tmp_path / "slopes.json", tmp_path / "page.md"
+    write_slopes(slopes(LISTED), file)
+    page.write_text(f"before\n{BEGIN}\nstale\n{END}\nafter\n")
+    code, said = call(str(file), "--size", str(FLEET), "--write", str(page))
+    assert code == 1 and "was not measured: workers, starts, tasks, gangs" in said
+    text = page.read_text()
+    assert text.startswith("before\n") and text.endswith("\nafter\n") and "stale" not in text
+    assert between(text) == markdown(made(slopes(LISTED)), slopes(LISTED), NONE)
+    code, said = call(str(file), "--size", str(FLEET), "--json")
+    assert code == 1 and '"missing_now"' in said
+
+
+def test_a_wrong_file_or_page_is_refused(tmp_path: Path) -> None:
+    file, size, page = tmp_path / "slopes.json", tmp_path / "size.toml", tmp_path / "page.md"
+    write_slopes(slopes(LISTED), file)
+    size.write_text(FLEET.read_text().replace("workers = 980", "workers = 0"))
+    page.write_text("no markers\n")
+    for words, says in (
+        ((str(file), "--size", str(size)), "size.workers"),
+        ((str(size), "--size", str(FLEET)), "no slopes"),
+        ((str(file), "--size", str(FLEET), "--plays", str(size)), "no plays"),
+        ((str(file), "--size", str(FLEET), "--write", str(page)), "expected <!--"),
+        ((str(tmp_path / "none.json"),), "does not exist"),
+    ):
+        code, said = call(*words)
+        assert code == 2 and says in said, said
+    assert page.read_text() == "no markers\n"
+    with pytest.raises(BadPage):
+        put_in(f"{END} {BEGIN}", "")
