Capacity rows by what was played: starts and running tasks by their counts, rules by the audit

The peak's rows went by words in the plays' findings; how many starts and running tasks there were stands there as figures.

--- a/ploverspoke/testbed/capacity/estimate.py
+++ b/ploverspoke/testbed/capacity/estimate.py
@@ -16,6 +16,7 @@
 from .slopes import Line, Slopes
 
 PROGRESS = "progress"  # in `still` of a line: whether the tasks told their progress
+TEAMS = "teams"  # and how many of them the settings name
 NOT_MEASURED = "not measured"
 MOST_STRETCH = 10.0  # times the largest measured size; a stop further away is not told
 COUNTS = 0.05  # an assumed size that makes up less than this of a figure does not make it assumed
@@ -55,13 +56,16 @@
 
 
 def lines_of(slopes: Slopes, role: str, figure: str, progress: bool) -> list[Line]:
-    """One line for each size: of two that differ in progress reports, the one asked for."""
+    """One line for each size. Of several the one with progress reports as asked for; then the one that was
+    measured with most teams, as it costs more.
+    """
     found: dict[str, Line] = {}
+
+    def fits(line: Line) -> tuple[bool, float]:
+        return line.still.get(PROGRESS, float(progress)) == progress, line.still.get(TEAMS, 0.0)
+
     for line in slopes.of(role, figure):
-        told = line.still.get(PROGRESS)
-        if told is not None and bool(told) != progress and line.size == "tasks_running":
-            continue
-        if line.size not in found or (told is not None and bool(told) == progress):
+        if line.size not in found or fits(line) > fits(found[line.size]):
             found[line.size] = line
     return list(found.values())
 
@@ -74,13 +78,15 @@
     if not lines:
         return Figure(value=None, origin=NOT_MEASURED)
     slope = {line.size: used(line) for line in lines}
+    # What is not there adds nothing, neither does the world in which it was measured.
+    counted = [line for line in lines if (met := sizes.get(line.size)) and met.value > 0] or lines
     base = 0.0
-    for line in lines:
+    for line in counted:
         others = sum(slope[size].each * at for size, at in line.still.items() if size in slope)
         base = max(base, slope[line.size].base - others)
     value, assumed = base, 0.0
     stretched, known = [], False
-    for line in lines:
+    for line in counted:
         amount = sizes.get(line.size)
         if amount is None:
             continue  # told under `without`
@@ -92,11 +98,11 @@
     unknown = [size for size, amount in sizes.items() if amount.value > 0 and size not in slope]
     unknown += [f"{line.size}, which this table does not know" for line in lines if line.size not in sizes]
     without = [f"{figure} by {size}" for size in unknown]
-    straight = len(lines) == 1 and known and not slope[lines[0].size].contradicted
+    straight = len(counted) == 1 and known and not slope[counted[0].size].contradicted
     if straight:
-        value = next(v for at, v in lines[0].points if at == sizes[lines[0].size].value)
+        value = next(v for at, v in counted[0].points if at == sizes[counted[0].size].value)
     origin = "assumed" if value and assumed > COUNTS * value else "measured" if straight else "worked out"
-    contradicted = [told.contradicted for told in slope.values() if told.contradicted]
+    contradicted = [told for line in counted if (told := slope[line.size].contradicted)]
     return Figure(value=value, origin=origin, stretched=stretched, contradicted=contradicted, without=without)
 
 
--- a/ploverspoke/testbed/capacity/rows.py
+++ b/ploverspoke/testbed/capacity/rows.py
@@ -33,6 +33,7 @@
 NONE = "none"
 PLAYED, SLOPES, READ, WORKED = "played", "slopes of one process", "read off the code", "worked out"
 BEYOND = "beyond what was played"
+NEARLY = 0.97  # arrivals are drawn by chance: so much of a rate is that rate
 
 
 class Need(NamedTuple):
@@ -97,6 +98,15 @@
     return (HOLDS, f"{told}, held") if held else (NOT_MEASURED, f"{told} say nothing of it")
 
 
+def reached(runs: list[Run], figure: str, demand: float, of: str) -> tuple[str, str]:
+    """The verdict of the runs that count by one of their figures: its least, against what is asked."""
+    found = [value for run in runs if not run.void and (value := run.figures.get(figure)) is not None]
+    if not found:
+        return NOT_MEASURED, judged([run for run in runs if run.void])[1]
+    verdict = HOLDS if min(found) >= NEARLY * demand else FAILS
+    return verdict, f"played: {min(found):.4g} {of}"
+
+
 def number(value: float | None, unit: str = "") -> str:
     return NOT_MEASURED if value is None else f"{value:.3g}{unit}"
 
@@ -129,7 +139,7 @@
     workers = facts.fleet.size.workers
     to = facts.measured_to("workers_listed")
     stop = facts.stop("core_share", "workers_listed", facts.fleet.budget.core_share, STARTS)
-    verdict, played = judged(facts.runs("peak"), ("rule", "worker"))
+    verdict, played = judged(facts.runs("peak"), ("rule",))
     verdict, basis = measured_or_played(verdict, to, workers)
     return Row(
         key="workers",
@@ -149,7 +159,9 @@
     each = size.task_starts_a_second / facts.fewest
     to = facts.measured_to("starts_a_second")
     stop = facts.stop("core_share", "starts_a_second", facts.fleet.budget.core_share, STARTS)
-    verdict, played = judged(facts.runs("peak"), ("starts a second", "rule"))
+    verdict, played = reached(
+        facts.runs("peak"), "starts_a_second", size.task_starts_a_second, "starts a second"
+    )
     verdict, basis = measured_or_played(verdict, to, each)
     return Row(
         key="starts",
@@ -169,7 +181,7 @@
     size = facts.fleet.size
     each, slots = size.tasks_running / facts.fewest, size.tasks_running / size.workers
     to = facts.measured_to("tasks_running")
-    verdict, played = judged(facts.runs("peak"), ("running", "rule"))
+    verdict, played = reached(facts.runs("peak"), "tasks_running", size.tasks_running, "tasks running")
     verdict, basis = measured_or_played(verdict, to, each)
     return Row(
         key="tasks",
@@ -276,7 +288,7 @@
 
 def zones_row(facts: Facts) -> Row:
     size = facts.fleet.size
-    verdict, played = judged(facts.runs("peak"), ("zone", "region"))
+    verdict, played = judged(facts.runs("peak"), ("rule",))
     return Row(
         key="zones",
         line=f"{size.regions} regions with {size.zones} zones",
@@ -315,13 +327,14 @@
 def progress_row(facts: Facts) -> Row:
     budget = facts.fleet.budget
     verdict, told = at_each(facts, PROGRESS)
+    _, played = judged(facts.runs("peak"), ("processor time", "bytes a second"))
     core = facts.stop("core_share", "tasks_running", budget.core_share, PROGRESS)
     octets = facts.stop("bytes_in", "tasks_running", budget.bytes_a_second, PROGRESS)
     return Row(
         key="progress",
         line="a dispatcher within that, progress reports counted",
         demand="a report a second of each task that runs",
-        gives=told,
+        gives=f"{told}; {played}",
         mechanism="`ProgressUs`, one interval for all tasks (`program/standing_orders.py`)",
         verdict=verdict,
         basis=SLOPES,
@@ -411,7 +424,7 @@
 
 
 def apart_row(facts: Facts) -> Row:
-    verdict, played = judged(facts.runs("region"))
+    verdict, played = judged(facts.runs("region", "absence"))
     return Row(
         key="apart",
         line=f"regions apart for {facts.fleet.failures.regions_apart / SECOND / 60:g} minutes",
