testbed slopes: what a dispatcher costs against its sizes, by small worlds

The table of capacity needs measured slopes. The command plays worlds that differ in one size with one dispatcher started as users start it, and reads processor time by the scheduler's own count, resident memory, and bytes and messages at the stand-ins, which count them now by dispatcher (told only where asked for). The relays count bytes of what passes. Not measured yet.

--- /dev/null
+++ b/ploverspoke/testbed/capacity/dispatcher.py
@@ -0,0 +1,224 @@
+"""The dispatcher's slopes: worlds that differ in one size, with one dispatcher that is looked at.
+
+Sizes that chance has a part in (starts, running tasks, changes of the list) are taken as they were.
+"""
+
+import asyncio
+import signal
+from collections.abc import Callable, Sequence
+from functools import partial
+from typing import Any, NamedTuple
+
+from .. import experiment as ex
+from ..settings import settings_of
+from ..spans import SECOND
+from .parts import Found, Part, Say, lines_of
+from .world import Act, Reading, World, played, rewrite
+
+HOW = (
+    "processor time of the scheduler's own count (schedstat), memory of /proc/PID/status, "
+    "bytes and messages of the streams at the stand-ins, without TCP and IP heads"
+)
+PEERS_HOW = (
+    "bytes and datagrams at the relays between dispatchers; core_share is with the rig's starter, "
+    "which costs time of its own"
+)
+SETTLED, STRETCH = 5, 12  # seconds
+QUICK_SETTLED, QUICK_STRETCH = 3, 4
+WORKERS = 100  # where they are not varied
+SLOTS = 4
+PEER_STARTS = 0.6  # a second and dispatcher: 120 over 200
+LONG, SHORT = "600s", "200ms"
+SEED = 1
+
+
+class Planned(NamedTuple):
+    size: float  # as it is meant; what is counted takes its place
+    told: dict[str, Any]  # the experiment
+    acts: Callable[[ex.Experiment], Sequence[tuple[int, Act]]] = lambda e: ()
+
+
+class Stretch(NamedTuple):
+    settled: int  # seconds
+    lasts: int
+
+    @property
+    def end(self) -> int:
+        return self.settled + self.lasts
+
+
+def stretch(quick: bool) -> Stretch:
+    return Stretch(QUICK_SETTLED, QUICK_STRETCH) if quick else Stretch(SETTLED, STRETCH)
+
+
+def told(
+    over: Stretch, workers: int = WORKERS, work: str = SHORT, rate: float = 0.0, **more: Any
+) -> dict[str, Any]:
+    """An experiment of one kind of task that nothing hurries."""
+    abandon = LONG if work == SHORT else "1800s"
+    grade = {
+        "name": "task",
+        "expected_time": abandon,
+        "abandon_time": abandon,
+        "work": {"law": "fixed", "mean": work},
+    }
+    return {
+        "name": "slopes",
+        "lasts": f"{over.end}s",
+        "grades": [grade],
+        "workers": [{"count": workers, "slots": SLOTS}],
+        "dispatchers": {"count": 1, "sockets": 4096},
+        "traffic": [{"rate": rate}],
+        **more,
+    }
+
+
+async def series(
+    role: str,
+    size: str,
+    worlds: Sequence[Planned],
+    quick: bool,
+    say: Say,
+    still: dict[str, float],
+    how: str = HOW,
+    together: bool = True,
+) -> Found:
+    """All these worlds, side by side or in turn, and the lines through them."""
+    over = stretch(quick)
+
+    async def one(planned: Planned) -> tuple[float, Reading]:
+        e = ex.experiment_of(planned.told)
+        _, reading = await played(e, SEED, over.settled * SECOND, planned.acts(e))
+        at = reading.sizes.get(size, planned.size)
+        shown = "void: " + reading.void if reading.void else f"core {reading.figures['core_share']:.3%}"
+        say(f"{role}, {size} {at:g}: {shown}")
+        return at, reading
+
+    if together:
+        found = list(await asyncio.gather(*(one(planned) for planned in worlds)))
+    else:
+        found = [await one(planned) for planned in worlds]
+    void = [f"{role}, {size} {at:g}: {reading.void}" for at, reading in found if reading.void]
+    points = [(at, reading.figures) for at, reading in found if not reading.void]
+    note = "; ".join(f"void: {text}" for text in void)
+    return Found(lines_of(role, size, points, how, still, note), void)
+
+
+# ---- The parts ----
+
+
+async def workers_listed(quick: bool, say: Say) -> Found:
+    over = stretch(quick)
+    worlds = [Planned(count, told(over, count)) for count in (100, 300, 980)]
+    return await series("dispatcher", "workers_listed", worlds, quick, say, {})
+
+
+async def tasks_running(quick: bool, say: Say) -> Found:
+    over = stretch(quick)
+    found = Found([], [])
+    for progress in (1, 0):
+        rules = {"progress_every": "1s" if progress else LONG}
+        worlds = [
+            Planned(
+                count,
+                told(
+                    over,
+                    work="900s",
+                    worker_rules=rules,
+                    traffic=[{"rate": count / 1.0, "start": "0s", "end": "1s"}],
+                ),
+            )
+            for count in (8, 24, 48, 96)
+        ]
+        still = {"progress": float(progress), "workers_listed": float(WORKERS)}
+        one = await series("dispatcher", "tasks_running", worlds, quick, say, still)
+        found = Found([*found.lines, *one.lines], [*found.void, *one.void])
+    return found
+
+
+async def starts_a_second(quick: bool, say: Say) -> Found:
+    over = stretch(quick)
+    worlds = [Planned(rate, told(over, rate=rate)) for rate in (1.0, 3.0, 9.0, 27.0)]
+    still = {"progress": 0.0, "workers_listed": float(WORKERS)}
+    return await series("dispatcher", "starts_a_second", worlds, quick, say, still)
+
+
+async def list_changes(quick: bool, say: Say) -> Found:
+    """Workers drain and come back, each a change when it does: nothing runs there."""
+    over, workers = stretch(quick), 300
+
+    def drains(a_second: float) -> list[dict[str, Any]]:
+        each = 2.0 / a_second
+        count = int((over.end - 3) / each)
+        return [
+            {"what": "drain", "at": f"{n * each:.3f}s", "lasts": "3s", "workers": [f"w{n % workers}"]}
+            for n in range(count)
+        ]
+
+    worlds = [Planned(rate, told(over, workers, troubles=drains(rate))) for rate in (1.0, 4.0, 16.0)]
+    return await series(
+        "dispatcher", "list_changes_a_second", worlds, quick, say, {"workers_listed": float(workers)}
+    )
+
+
+async def reloads(quick: bool, say: Say) -> Found:
+    over = stretch(quick)
+    found = Found([], [])
+    for teams in (1, 170):
+        customers = [{"name": f"team-{n}"} for n in range(teams)]
+
+        worlds = [
+            Planned(float(rate), told(over, customers=customers), partial(_reloads, over, rate))
+            for rate in (15, 30, 60, 120)
+        ]
+        still = {"teams": float(teams), "workers_listed": float(WORKERS)}
+        one = await series("dispatcher", "reloads_a_minute", worlds, quick, say, still)
+        found = Found([*found.lines, *one.lines], [*found.void, *one.void])
+    return found
+
+
+def _reloads(over: Stretch, a_minute: int, e: ex.Experiment) -> list[tuple[int, Act]]:
+    count = a_minute * over.lasts // 60
+    each = over.lasts * SECOND // count
+    begin = int((over.settled + 0.3) * SECOND)
+    return [(begin + n * each, reload(e, n)) for n in range(count)]
+
+
+def reload(e: ex.Experiment, number: int) -> Act:
+    """A file that differs from the one before, and SIGHUP; refused ones are a fault."""
+
+    def act(world: World) -> None:
+        program = world.programs[0]
+        config = world.configs[0]
+        settings = settings_of(e, 0)
+        settings["ServiceGrades"][0]["Benefit"] = 1.0 + 0.01 * (number + 1)
+        rewrite(program, {**config, "settings": settings})
+        program.signal(signal.SIGHUP)
+        world.reloads += 1
+
+    return act
+
+
+async def peers_telling(quick: bool, say: Say) -> Found:
+    over = stretch(quick)
+    worlds = [
+        Planned(
+            float(count - 1),
+            told(over, rate=PEER_STARTS * count, dispatchers={"count": count, "talk": True}),
+        )
+        for count in (4, 11, 32)
+    ]
+    still = {"starts_a_second": PEER_STARTS, "workers_listed": float(WORKERS)}
+    return await series(
+        "dispatcher", "peers_telling", worlds, quick, say, still, how=PEERS_HOW, together=False
+    )
+
+
+PARTS = [
+    Part(("dispatcher",), "workers_listed", workers_listed),
+    Part(("dispatcher",), "tasks_running", tasks_running),
+    Part(("dispatcher",), "starts_a_second", starts_a_second),
+    Part(("dispatcher",), "list_changes_a_second", list_changes),
+    Part(("dispatcher",), "reloads_a_minute", reloads),
+    Part(("dispatcher",), "peers_telling", peers_telling),
+]
--- /dev/null
+++ b/ploverspoke/testbed/capacity/parts.py
@@ -0,0 +1,79 @@
+"""A part: one size of one role, varied; what it gives is lines, and the worlds that were void."""
+
+from collections.abc import Awaitable, Callable, Sequence
+from typing import NamedTuple
+
+from .fits import TooFewPoints, fit
+from .slopes import Line
+
+UNITS = {
+    "core_share": "cores",
+    "memory_bytes": "bytes",
+    "memory_growth_bytes": "bytes a second",
+    "connections": "connections",
+    "connections_made": "connections a second",
+    "probes": "probes a second",
+    "seconds": "seconds",
+    "processor_seconds": "seconds",
+    "memory_peak_bytes": "bytes",
+    "bytes_sent": "bytes",
+}
+GROWTH_RESOLUTION = 4096.0  # a page a second
+
+Say = Callable[[str], None]
+
+
+class Found(NamedTuple):
+    lines: list[Line]
+    void: list[str]  # a line each
+
+
+class Part(NamedTuple):
+    roles: tuple[str, ...]  # that it gives lines of
+    size: str
+    measure: Callable[[bool, Say], Awaitable[Found]]
+
+    def name(self) -> str:
+        return f"{self.roles[0]}/{self.size}"
+
+
+def unit_of(figure: str) -> str:
+    if figure in UNITS:
+        return UNITS[figure]
+    return "messages a second" if "messages" in figure else "bytes a second"
+
+
+def lines_of(
+    role: str,
+    size: str,
+    found: Sequence[tuple[float, dict[str, float]]],
+    how: str,
+    still: dict[str, float],
+    note: str = "",
+) -> list[Line]:
+    """One line a figure, where there are points enough; none else."""
+    lines = []
+    for figure in dict.fromkeys(key for _, figures in found for key in figures):
+        points = [(at, figures[figure]) for at, figures in found if figure in figures]
+        try:
+            line = fit(points, GROWTH_RESOLUTION if figure == "memory_growth_bytes" else 0.0)
+        except TooFewPoints:
+            continue
+        lines.append(
+            Line(
+                role=role,
+                figure=figure,
+                size=size,
+                unit=unit_of(figure),
+                points=points,
+                intercept=line.intercept,
+                slope=line.slope,
+                residual=line.residual,
+                contradicted=line.contradicted,
+                measured_to=max(at for at, _ in points),
+                still=still,
+                how=how,
+                note=note,
+            )
+        )
+    return lines
--- /dev/null
+++ b/ploverspoke/testbed/capacity/world.py
@@ -0,0 +1,235 @@
+"""A world in which one size has a value, and what the dispatchers in it used over a settled stretch.
+
+The dispatcher that is measured is the program as users start it, with nothing between it and the kernel: the
+rig's `starter.py` would cost it time at each look at the clock. Worlds of several dispatchers need that
+starter, by which each has an address of its own; they are read for messages and bytes.
+"""
+
+import asyncio
+import sys
+import tempfile
+import time
+from collections.abc import Callable, Sequence
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import msgspec
+import numpy as np
+
+from .. import experiment as ex
+from ..processes.child import Child
+from ..processes.rig import Place
+from ..processes.room import in_memory
+from ..processes.running import NotStarted
+from ..sockets import Program, Stage
+from ..spans import MILLISECOND, SECOND
+from .process import Used, used
+
+LOOKS_EVERY = 500 * MILLISECOND
+AFTER = 400 * MILLISECOND  # the end of the stretch, until the stand-ins have told of it
+SOURCE = "127.0.0.1"  # the kernel's own choice for who sends on loopback
+MOST_REFUSED = 0.02  # of the answers; past that the world did something else than was asked for
+KINDS = {"running": "workers", "answers": "clients", "version": "discovery"}  # by a word that only it says
+TAKEN = "new configuration: settings taken"
+TRAFFIC = ("bytes_in", "bytes_out", "messages_in", "messages_out")
+
+Act = Callable[["World"], None]
+
+
+class Reading(NamedTuple):
+    """Of one world. Rates are a second and a dispatcher."""
+
+    sizes: dict[str, float]  # as they were in the stretch, where they are counted
+    figures: dict[str, float]
+    void: str  # why it gives no point; "" where it does
+
+
+class Bare(Program):
+    """The program without the rig's starter: it sends from the kernel's own choice of address."""
+
+    def command(self) -> list[str]:
+        return [sys.executable, "-m", self.module]
+
+
+class World(Stage):
+    def __init__(
+        self, e: ex.Experiment, seed: int, folder: Path, settled: int, acts: Sequence[tuple[int, Act]] = ()
+    ) -> None:
+        """`settled` is when the stretch begins, ns from the start; it lasts until the experiment ends."""
+        super().__init__(e, seed, folder, self._hear)
+        self.tells_traffic = True
+        self.settled = settled
+        self.acts = sorted(acts, key=lambda act: act[0])
+        self.bare = e.dispatchers.count == 1
+        self.reports: dict[str, list[dict[str, Any]]] = {kind: [] for kind in KINDS.values()}
+        self.looks: list[list[tuple[int, Used]]] = []  # by dispatcher
+        self.relayed: list[tuple[int, dict[str, Any]]] = []
+        self.configs: list[dict[str, Any]] = []
+        self.reloads = 0  # that were asked for
+
+    # ---- In place of the stage's own ----
+
+    def _hosts(self, places: list[Place]) -> list[str]:
+        return [SOURCE] if self.bare else super()._hosts(places)
+
+    def _program(self, place: Place, config: dict[str, Any], store: dict[str, Any] | None) -> Program:
+        self.configs.append(config)
+        return (Bare if self.bare else Program)(self.rig, place, config, store)
+
+    def _begins(self, epoch: int, workers: Child, discovery: Child) -> None:
+        self.tasks.append(asyncio.create_task(self._listen(discovery, discovery)))
+        self.tasks.append(asyncio.create_task(self._look_on(epoch)))
+        self.tasks.append(asyncio.create_task(self._act(epoch)))
+
+    def _end(self) -> int:
+        return self.e.lasts + AFTER
+
+    # ---- While it runs ----
+
+    def _hear(self, told: dict[str, Any]) -> None:
+        for word, kind in KINDS.items():
+            if word in told and "traffic" in told:
+                self.reports[kind].append({key: told[key] for key in (word, "counted_at", "traffic")})
+                if kind == "clients":
+                    self.reports[kind][-1]["sent"] = told["sent"]
+
+    async def _look_on(self, epoch: int) -> None:
+        self.looks = [[] for _ in self.programs]
+        at = self.settled
+        try:
+            while at <= self.e.lasts:
+                await asyncio.sleep(max(0, epoch + at - time.monotonic_ns()) / SECOND)
+                for looks, program in zip(self.looks, self.programs, strict=True):
+                    if program.process is not None and program.lives():
+                        looks.append((time.monotonic_ns() - epoch, used(program.process.pid)))
+                if self.rig.relays is not None and (at == self.settled or at + LOOKS_EVERY > self.e.lasts):
+                    await self.rig.ask_relays({})
+                    self.relayed.append((time.monotonic_ns() - epoch, self.rig.counts["links"]))
+                at += LOOKS_EVERY
+        except OSError as error:
+            self.rig.faults.append(f"a dispatcher could not be looked at: {error}")
+
+    async def _act(self, epoch: int) -> None:
+        for at, act in self.acts:
+            await asyncio.sleep(max(0, epoch + at - time.monotonic_ns()) / SECOND)
+            act(self)
+
+    # ---- What it was ----
+
+    def between(self, kind: str, begin: int, end: int) -> list[dict[str, Any]]:
+        """The reports of these stand-ins in that time of the run."""
+        return [told for told in self.reports[kind] if begin <= told["counted_at"] <= end]
+
+    def rates(self, kind: str, keys: Sequence[str], begin: int, end: int) -> dict[str, float]:
+        """A second, over all dispatchers."""
+        told = self.between(kind, begin, end)
+        took = (told[-1]["counted_at"] - told[0]["counted_at"]) / SECOND
+        return {key: (_sum(told[-1], key) - _sum(told[0], key)) / took for key in keys}
+
+    def read(self) -> Reading:
+        """Raises nothing: a world that cannot be read is void."""
+        void = self.void()
+        if not void and (
+            any(len(self.between(kind, self.settled, self.e.lasts)) < 2 for kind in self.reports)
+            or any(len(looks) < 2 for looks in self.looks)
+        ):
+            void = "too little was seen of the stretch"
+        if void:
+            return Reading({}, {}, void)
+        figures, sizes = self._used(), self._sizes()
+        count = len(self.programs)
+        total = dict.fromkeys(TRAFFIC, 0.0)
+        for kind in self.reports:
+            for key, rate in self.rates(kind, TRAFFIC, self.settled, self.e.lasts).items():
+                total[key] += rate / count
+                if key.startswith("bytes"):
+                    figures[f"{key}_{kind}"] = rate / count
+        figures |= total | self._told_by_peers(count)
+        taken = sum(Path(p.log.name).read_text().count(TAKEN) for p in self.programs)
+        if taken != self.reloads:
+            return Reading({}, {}, f"{self.reloads} reloads were asked for, {taken} were taken")
+        return Reading(sizes, figures, self._refused())
+
+    def _used(self) -> dict[str, float]:
+        shares, growths, memories, peaks = [], [], [], []
+        for looks in self.looks:
+            (first_at, first), (last_at, last) = looks[0], looks[-1]
+            shares.append((last.processor - first.processor) / (last_at - first_at))
+            growths.append(growth([(at / SECOND, float(seen.memory)) for at, seen in looks]))
+            memories.append(last.memory)
+            peaks.append(last.memory_peak)
+        return {
+            "core_share": float(np.mean(shares)),
+            "memory_bytes": float(np.mean(memories)),
+            "memory_growth_bytes": float(np.mean(growths)),
+        }
+
+    def _sizes(self) -> dict[str, float]:
+        begin, end = self.settled, self.e.lasts
+        count = len(self.programs)
+        running = [told["running"] for told in self.between("workers", begin, end)]
+        sent, listed = self.between("clients", begin, end), self.between("discovery", begin, end)
+        return {
+            "tasks_running": float(np.mean(running)) / count,
+            "starts_a_second": _rate(sent, "sent") / count,
+            "list_changes_a_second": _rate(listed, "version"),
+        }
+
+    def _told_by_peers(self, count: int) -> dict[str, float]:
+        """As the relays between them saw it; datagrams that are lost on the way are not played here."""
+        if len(self.relayed) < 2:
+            return {}
+        (begin, first), (end, last) = self.relayed[0], self.relayed[-1]
+        took = (end - begin) / SECOND * count
+        octets, datagrams = ((last[key] - first[key]) / took for key in ("octets", "passed"))
+        return {
+            "peer_bytes_in": octets,
+            "peer_bytes_out": octets,
+            "peer_messages_in": datagrams,
+            "peer_messages_out": datagrams,
+        }
+
+    def _refused(self) -> str:
+        answers: dict[str, int] = self.reports["clients"][-1]["answers"]
+        others = sum(number for how, number in answers.items() if how != "satisfied")
+        if others > MOST_REFUSED * max(50, sum(answers.values())):
+            return f"the load was not carried: {answers}"
+        return ""
+
+
+def growth(looks: Sequence[tuple[float, float]]) -> float:
+    """Bytes a second, by the line through all of them."""
+    at, memory = (np.array(column) for column in zip(*looks, strict=True))
+    return float(round(np.polyfit(at - at[0], memory, 1)[0]))
+
+
+def _sum(told: dict[str, Any], key: str) -> float:
+    return float(sum(one[key] for one in told["traffic"]))
+
+
+def _rate(told: Sequence[dict[str, Any]], key: str) -> float:
+    took = (told[-1]["counted_at"] - told[0]["counted_at"]) / SECOND
+    return float((told[-1][key] - told[0][key]) / took)
+
+
+async def played(
+    e: ex.Experiment, seed: int, settled: int, acts: Sequence[tuple[int, Act]] = ()
+) -> tuple[World, Reading]:
+    """One world, in real time; one that does not come up is void. Raises NoRoom where it does not fit."""
+    with tempfile.TemporaryDirectory(prefix="ploverspoke-slopes-", dir=in_memory()) as name:
+        world = World(e, seed, Path(name), settled, acts)
+        try:
+            await world.play()
+        except (NotStarted, TimeoutError) as error:
+            world.rig.faults.append(str(error) or "a stand-in was not ready in time")
+        finally:
+            await world.close()
+        return world, world.read()
+
+
+def rewrite(program: Program, config: dict[str, Any]) -> None:
+    """Its configuration's file, whole at any moment."""
+    path = Path(program.environment["RELAY_CONFIG"])
+    fresh = path.with_suffix(".new")
+    fresh.write_bytes(msgspec.json.encode(config))
+    fresh.replace(path)
--- a/ploverspoke/testbed/commands.py
+++ b/ploverspoke/testbed/commands.py
@@ -9,6 +9,7 @@
 import msgspec
 from rich.progress import Progress
 
+from .capacity.command import slopes
 from .compare import compare
 from .experiment import BadExperiment, Experiment, read_experiment
 from .runner import Driver, Result, read_result, run_experiment
@@ -156,6 +157,9 @@
     console().print(differences_table(rows, (f"{one} {policies[0]}", f"{other} {policies[1]}")))
 
 
+testbed.add_command(slopes)
+
+
 @testbed.command()
 @click.option("--quick", is_flag=True, help="Shorter, and fewer steps.")
 @click.option("--out", type=click.Path(dir_okay=False, path_type=Path), help="A JSON file for the figures.")
--- a/ploverspoke/testbed/processes/running.py
+++ b/ploverspoke/testbed/processes/running.py
@@ -70,11 +70,7 @@
         self.starts += 1
         self.paused = False
         self.process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-m",
-            "ploverspoke.testbed.processes.starter",
-            str(self.plan),
-            self.module,
+            *self.command(),
             *self.words,
             *more,
             env={**os.environ, **self.environment},
@@ -91,6 +87,10 @@
                     return
             await asyncio.sleep(LOOKS_EVERY)
 
+    def command(self) -> list[str]:
+        starter = "ploverspoke.testbed.processes.starter"
+        return [sys.executable, "-m", starter, str(self.plan), self.module]
+
     async def end(self, number: signal.Signals, within: float) -> None:
         """Send it a signal and wait for its end; past the time (s) it is killed."""
         if self.process is None:
--- a/ploverspoke/testbed/sockets.py
+++ b/ploverspoke/testbed/sockets.py
@@ -123,6 +123,7 @@
         self.late = 0  # the stand-ins
         self.programs: list[Program] = []
         self.tasks: list[asyncio.Task[None]] = []
+        self.tells_traffic = False
 
     async def play(self) -> None:
         e, rig = self.e, self.rig
@@ -138,8 +139,9 @@
             "seed": self.seed,
             "records": str(self.folder),
             "clients": clients,
-            "hosts": [place.own for place in places],
+            "hosts": self._hosts(places),
             "own_hosts": {"workers": rig.block.stand_in(1), "discovery": rig.block.stand_in(2)},
+            "tells_traffic": self.tells_traffic,
         }
         spec.write_bytes(msgspec.json.encode(told))
         rig.make_sure(wants(e))
@@ -157,7 +159,7 @@
         for number, place in enumerate(places):
             config = self._config(number, places, discovery_address)
             store = self._store(number, places) if e.dispatchers.store else None
-            program = Program(rig, place, config, store)
+            program = self._program(place, config, store)
             rig.running[place.name] = program
             self.programs.append(program)
         await rig.start()
@@ -165,9 +167,24 @@
         for child in (workers, discovery, *others):
             child.tell({"start": epoch, "dispatchers": [place.at("clients") for place in places]})
         self.tasks += [asyncio.create_task(self._listen(child, discovery)) for child in (workers, *others)]
-        end = e.lasts + max(g.abandon_time for g in e.grades) + FINAL_CALM
-        end += LATE_ASKS if e.dispatchers.store else 0
-        await rig.play(outage_steps(e, self.seed), end, epoch)
+        self._begins(epoch, workers, discovery)
+        await rig.play(outage_steps(e, self.seed), self._end(), epoch)
+
+    # ---- What another stage may do in another way ----
+
+    def _hosts(self, places: list[Place]) -> list[str]:
+        """The addresses that dispatchers send from."""
+        return [place.own for place in places]
+
+    def _program(self, place: Place, config: dict[str, Any], store: dict[str, Any] | None) -> Program:
+        return Program(self.rig, place, config, store)
+
+    def _begins(self, epoch: int, workers: Child, discovery: Child) -> None:
+        """All has started; the run begins then."""
+
+    def _end(self) -> int:
+        end = self.e.lasts + max(g.abandon_time for g in self.e.grades) + FINAL_CALM
+        return end + (LATE_ASKS if self.e.dispatchers.store else 0)
 
     async def _first(self, child: Child) -> dict[str, Any]:
         told = await asyncio.wait_for(child.hear(), READY_WITHIN)
--- a/ploverspoke/testbed/standins/clients.py
+++ b/ploverspoke/testbed/standins/clients.py
@@ -26,9 +26,12 @@
         self.request: Request | None = None
         self.used = 0
         self.wrote_at = 0
+        self.traffic = clients.counters.of(dispatcher)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
+        self.traffic.connected += 1
+        self.traffic.connections += 1
 
     def carry(self, request: Request) -> None:
         assert self.transport is not None
@@ -36,12 +39,17 @@
         request.connection = self
         self.used += 1
         self.wrote_at = self.clients.clock.now()
-        self.transport.write(self.clients.message(request))
+        data = self.clients.message(request)
+        self.traffic.bytes_in += len(data)
+        self.traffic.messages_in += 1
+        self.transport.write(data)
         self.clients.model.taken(request)
 
     def data_received(self, data: bytes) -> None:
+        self.traffic.bytes_out += len(data)
         try:
             for message in self.reader.feed(data):
+                self.traffic.messages_out += 1
                 request, self.request = self.request, None
                 if request is None:
                     say({"fault": f"an answer that nobody waits for: {message.first[:40]!r}"})
@@ -73,6 +81,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.transport = None
+        self.traffic.connections -= 1
         self.clients.forget(self)
         request, self.request = self.request, None
         if request is None or request.over:
--- a/ploverspoke/testbed/standins/discovery.py
+++ b/ploverspoke/testbed/standins/discovery.py
@@ -25,6 +25,7 @@
         self.dispatcher = -1
         self.reader = Reader()
         self.transport: asyncio.Transport | None = None
+        self.traffic = discovery.counters.of(-1)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
@@ -32,13 +33,20 @@
         if self.dispatcher < 0:
             say({"fault": "discovery was called by somebody who is no dispatcher"})
             self.transport.abort()
+            return
+        self.traffic = self.discovery.counters.of(self.dispatcher)
+        self.traffic.connected += 1
+        self.traffic.connections += 1
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.transport = None
+        self.traffic.connections -= 1
 
     def data_received(self, data: bytes) -> None:
+        self.traffic.bytes_out += len(data)
         try:
             for message in self.reader.feed(data):
+                self.traffic.messages_out += 1
                 self._asked(message)
         except (BadWire, ValueError):
             self._write(answer(400, "Bad Request", b""))
@@ -66,6 +74,8 @@
 
     def _write(self, data: bytes) -> None:
         if self.transport is not None:
+            self.traffic.bytes_in += len(data)
+            self.traffic.messages_in += 1
             self.transport.write(data)
 
 
@@ -102,6 +112,9 @@
     def begin(self, told: dict[str, Any]) -> None:
         self.troubles = RosterTroubles(self.e, self.seed, self.clock, self.roster)
 
+    def counts(self) -> dict[str, Any]:
+        return {"version": self.roster.version}
+
     def shown(self, entry: Entry) -> dict[str, Any]:
         # The run's clock begins at its epoch; starts are told in Unix time.
         ahead = time.time_ns() - time.monotonic_ns() + self.clock.epoch
--- a/ploverspoke/testbed/standins/process.py
+++ b/ploverspoke/testbed/standins/process.py
@@ -20,6 +20,7 @@
 from ..clock import AnyTimer
 from ..experiment import Experiment, experiment_from_builtins
 from ..records import Records, write_records
+from .counters import Counters
 
 TELLS_EVERY = 0.25  # seconds
 LOOKS_EVERY = 0.02  # at its own clock
@@ -65,6 +66,7 @@
     clients: int  # processes
     hosts: list[str]  # of the dispatchers, each its own
     own_hosts: dict[str, str]  # of stand-ins that listen, by kind
+    tells_traffic: bool = False  # whoever asks for it has to listen to every stand-in
 
 
 class StandIn:
@@ -79,6 +81,7 @@
         self.part = part
         self.e: Experiment = experiment_from_builtins(spec.experiment)
         self.seed = spec.seed
+        self.counters = Counters(len(spec.hosts))
 
     async def prepare(self) -> dict[str, Any]:
         """Open what there is to open; gives what is told first."""
@@ -132,7 +135,10 @@
 async def _tell(stand_in: StandIn) -> None:
     while True:
         await asyncio.sleep(TELLS_EVERY)
-        say({"late": stand_in.late, **stand_in.counts()})
+        told = {"late": stand_in.late, **stand_in.counts()}
+        if stand_in.spec.tells_traffic:
+            told |= {"counted_at": stand_in.clock.now(), "traffic": stand_in.counters.told()}
+        say(told)
 
 
 async def _watch(stand_in: StandIn) -> None:
--- a/ploverspoke/testbed/standins/worker.py
+++ b/ploverspoke/testbed/standins/worker.py
@@ -35,6 +35,7 @@
         self.run: Run | None = None
         self.requests = 0
         self.silent = False  # whatever is written is swallowed
+        self.traffic = there.fleet.counters.of(-1)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
@@ -45,10 +46,15 @@
             return
         self.zone = self.dispatcher % len(self.fleet.e.zones())
         self.there.connections.add(self)
+        self.traffic = self.fleet.counters.of(self.dispatcher)
+        self.traffic.connected += 1
+        self.traffic.connections += 1
 
     def data_received(self, data: bytes) -> None:
+        self.traffic.bytes_out += len(data)
         try:
             for message in self.reader.feed(data):
+                self.traffic.messages_out += 1
                 delay = self.there.one_way(self.zone)
                 if self.there.is_cut(self.zone):
                     self.silent = True
@@ -63,6 +69,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.there.connections.discard(self)
+        self.traffic.connections -= 1
         self.transport = None
         run = self.run
         if run is not None and not run.over:
@@ -112,6 +119,7 @@
             self.abort()
 
     def _probe(self, path: str) -> None:
+        self.traffic.probes += 1
         worker = self.there.worker
         if worker.frozen:
             worker.while_frozen.append((self._probe, path))
@@ -159,12 +167,18 @@
         if delay:
             self.fleet.clock.at(self.fleet.clock.now() + delay, self._write_now, data)
         else:
+            self._count(data)
             self.transport.write(data)
 
     def _write_now(self, data: bytes) -> None:
         if self.transport is not None and not self.silent:
+            self._count(data)
             self.transport.write(data)
 
+    def _count(self, data: bytes) -> None:
+        self.traffic.bytes_in += len(data)
+        self.traffic.messages_in += 1
+
     def _note_closed(self, run: Run) -> None:
         there, now = self.there, self.fleet.clock.now()
         if run.serial:
@@ -245,10 +259,11 @@
 
     def counts(self) -> dict[str, Any]:
         return {
+            "running": sum(len(worker.running) for worker in self.fleet.workers.values()),
             "workers": {
                 name: [_state(worker), worker.load(), worker.serial]
                 for name, worker in self.fleet.workers.items()
-            }
+            },
         }
 
     def job(self, submission: str) -> Job | None:
