--- a/ploverspoke/testbed/capacity/budgets.py
+++ b/ploverspoke/testbed/capacity/budgets.py
@@ -15,6 +15,7 @@
     "core": ("core_share",),
     "memory": ("memory_bytes",),
     "bytes": ("bytes_in", "bytes_out"),
+    "growth": ("memory_growth_bytes",),
 }
 CONTROL = "control alone: the list, its changes, new settings; no task"
 STARTS = "and starts and ends of tasks, without progress reports"
--- a/ploverspoke/testbed/capacity/estimate.py
+++ b/ploverspoke/testbed/capacity/estimate.py
@@ -16,7 +16,6 @@
 from .slopes import Line, Slopes
 
 PROGRESS = "progress"  # in `still` of a line: whether the tasks told their progress
-TEAMS = "teams"  # and how many of them the settings name
 NOT_MEASURED = "not measured"
 MOST_STRETCH = 10.0  # times the largest measured size; a stop further away is not told
 COUNTS = 0.05  # an assumed size that makes up less than this of a figure does not make it assumed
@@ -56,13 +55,13 @@
 
 
 def lines_of(slopes: Slopes, role: str, figure: str, progress: bool) -> list[Line]:
-    """One line for each size. Of several the one with progress reports as asked for; then the one that was
-    measured with most teams, as it costs more.
+    """One line for each size. Of several the one with progress reports as asked for; then the one beside
+    which most of all else stood: five keepers in place of three, 170 teams in place of one.
     """
     found: dict[str, Line] = {}
 
     def fits(line: Line) -> tuple[bool, float]:
-        return line.still.get(PROGRESS, float(progress)) == progress, line.still.get(TEAMS, 0.0)
+        return line.still.get(PROGRESS, float(progress)) == progress, sum(line.still.values())
 
     for line in slopes.of(role, figure):
         if line.size not in found or fits(line) > fits(found[line.size]):
@@ -70,6 +69,12 @@
     return list(found.values())
 
 
+def along(line: Line, amount: Amount) -> Figure:
+    """One line by itself, all else as it stood when it was measured."""
+    alone = Slopes(format=0, at="", text="", machine="", lines=[msgspec.structs.replace(line, still={})])
+    return estimate(alone, line.role, line.figure, {line.size: amount})
+
+
 def estimate(
     slopes: Slopes, role: str, figure: str, sizes: Mapping[str, Amount], progress: bool = True
 ) -> Figure:
--- a/ploverspoke/testbed/capacity/render.py
+++ b/ploverspoke/testbed/capacity/render.py
@@ -21,19 +21,31 @@
     "of the fit and the worst measured ratio was\ntaken; `+` something else adds to it that was not measured."
     " KB and MB are 1,000 and 1,000,000 bytes, both ways together."
 )
-UNITS = {"core": (100.0, "%"), "memory": (1 / MB, " MB"), "bytes": (1 / 1000, " KB/s"), "messages": (1.0, "")}
+SHOWN = ("messages", "core", "memory", "bytes", "growth")
+UNITS = {
+    "core": (100.0, "%"),
+    "memory": (1 / MB, " MB"),
+    "bytes": (1 / 1000, " KB/s"),
+    "messages": (1.0, ""),
+    "growth": (1 / 1000, " KB/s"),
+}
 
 
 class BadPage(ValueError):
     """The page has no place for the table; the text says why."""
 
 
+def digits(value: float) -> str:
+    """Three of them; whole numbers from a thousand on."""
+    return f"{value:,.0f}" if abs(value) >= 999.5 else f"{value:.3g}"
+
+
 def shown(figure: Figure, kind: str) -> str:
     if figure.value is None:
         return NOT_MEASURED
     times, unit = UNITS[kind]
     marks = "*" * bool(figure.stretched) + "!" * bool(figure.contradicted) + "+" * bool(figure.without)
-    return f"{figure.value * times:.3g}{unit} {MARKS[figure.origin]}{marks}"
+    return f"{digits(figure.value * times)}{unit} {MARKS[figure.origin]}{marks}"
 
 
 def rows_of(heading: Sequence[str], rows: Iterable[Sequence[str]]) -> list[str]:
@@ -145,7 +157,16 @@
 
 
 def role_tables(table: Table) -> list[str]:
-    heading = ("dispatchers", "when", "state held and met", "messages a second", "core", "memory", "bytes")
+    heading = (
+        "dispatchers",
+        "when",
+        "state held and met",
+        "messages a second",
+        "core",
+        "memory",
+        "bytes",
+        "memory grows by",
+    )
     lines: list[str] = []
     for role, carried in ROLES.items():
         rows = [row for row in table.roles if row.role == role]
@@ -156,13 +177,29 @@
         # Where the number of dispatchers changes nothing, one row says it for all.
         same: dict[tuple[str, ...], list[int]] = {}
         for row in rows:
-            figures = (shown(row.figures[kind], kind) for kind in ("messages", "core", "memory", "bytes"))
+            figures = (shown(row.figures[kind], kind) for kind in SHOWN)
             told = (", ".join(row.situations), row.state or "-", *figures)
             same.setdefault(told, []).append(row.dispatchers)
         lines += [*rows_of(heading, ((", ".join(map(str, many)), *told) for told, many in same.items())), ""]
     return lines
 
 
+def further_table(table: Table) -> list[str]:
+    many = table.fleet.size.dispatchers
+    rows = []
+    for row in table.further:
+        still = ", ".join(f"{value:g} {name}" for name, value in row.still.items()).replace("_", " ")
+        figures = [
+            f"{digits(at.value)} {MARKS[at.origin]}{'*' * bool(at.stretched)}{'!' * bool(at.contradicted)}"
+            if (at := row.at.get(one)) is not None and at.value is not None
+            else "-"
+            for one in many
+        ]
+        rows.append((row.role, row.figure.replace("_", " "), row.unit, row.size, still or "-", *figures))
+    heading = ("role", "figure", "unit", "along", "beside", *(f"{one} dispatchers" for one in many))
+    return [*rows_of(heading, rows), ""] if rows else ["None was measured.", ""]
+
+
 def machine_tables(table: Table, slopes: Slopes) -> list[str]:
     fleet = table.fleet
     machines = layout(fleet)
@@ -212,7 +249,9 @@
         return ["No scale test was played."]
     rows = []
     for run in plays.runs:
-        figures = ", ".join(f"{name} {value:.4g}" for name, value in run.figures.items() if value is not None)
+        figures = ", ".join(
+            f"{name} {digits(value)}" for name, value in run.figures.items() if value is not None
+        )
         found = f"void: {run.void}" if run.void else "; ".join(run.failed) or "all held"
         rows.append(
             (
@@ -276,6 +315,7 @@
         "Which row needs what another lacks:", "", *needs_table(table), "",
         "## The budget of a dispatcher", "", LEGEND, "", *budget_table(table), "",
         "## Each role, on a day and in the worst minute of each failure", "", *role_tables(table),
+        "Figures that only some roles have, along one size at the peak:", "", *further_table(table),
         "## The machines", "", *machine_tables(table, slopes), "",
         "## The scale tests", "", *plays_table(plays), "",
         "## How far it was stretched, and what was assumed", "",
--- a/ploverspoke/testbed/capacity/table.py
+++ b/ploverspoke/testbed/capacity/table.py
@@ -9,8 +9,8 @@
 import msgspec
 
 from .budgets import FIGURES, WATCHING, BudgetRow, budget_rows, figure_of
-from .estimate import Figure
-from .loads import SITUATIONS, Amount, loads
+from .estimate import Figure, along
+from .loads import PEAK, SITUATIONS, Amount, loads
 from .played import Plays
 from .rows import Facts, Row, size_rows
 from .size import Fleet
@@ -39,7 +39,18 @@
     dispatchers: int
     situations: list[str]  # in which it meets these sizes
     state: str
-    figures: dict[str, Figure]  # by "messages", "core", "memory", "bytes"
+    figures: dict[str, Figure]  # by "messages", "core", "memory", "bytes", "growth"
+
+
+class Further(msgspec.Struct, frozen=True, kw_only=True):
+    """A figure that only some roles have, along one size, at the peak."""
+
+    role: str
+    figure: str
+    unit: str
+    size: str
+    still: dict[str, float]
+    at: dict[int, Figure]  # by dispatchers
 
 
 class Choice(msgspec.Struct, frozen=True, kw_only=True):
@@ -54,6 +65,7 @@
     rows: list[Row]
     budget: list[BudgetRow]
     roles: list[RoleRow]
+    further: list[Further]
     missing: list[Choice]  # of `before`, the first first
     missing_now: list[Choice]
 
@@ -102,6 +114,26 @@
     return found
 
 
+def further_rows(fleet: Fleet, slopes: Slopes) -> list[Further]:
+    """Those that are no figure of all roles; in the worst second of a failure, for one."""
+    common = {name for names in FIGURES.values() for name in names}
+    found = []
+    for line in slopes.lines:
+        if line.figure in common or not any(value for _, value in line.points):
+            continue
+        at = {}
+        for dispatchers in fleet.size.dispatchers:
+            amount = loads(fleet, dispatchers, PEAK).get(line.role, {}).get(line.size)
+            if amount is not None:
+                at[dispatchers] = along(line, amount)
+        found.append(
+            Further(
+                role=line.role, figure=line.figure, unit=line.unit, size=line.size, still=line.still, at=at
+            )
+        )
+    return found
+
+
 def make_table(fleet: Fleet, slopes: Slopes, plays: Plays) -> Table:
     budget = budget_rows(fleet, slopes)
     distributed = any(line.role in (SERVER, WATCHING) for line in slopes.lines)
@@ -113,6 +145,7 @@
         rows=rows,
         budget=budget,
         roles=role_rows(fleet, slopes),
+        further=further_rows(fleet, slopes),
         missing=choose(before),
         missing_now=choose(rows),
     )
--- a/tests/test_capacity_table.py
+++ b/tests/test_capacity_table.py
@@ -113,6 +113,32 @@
     assert estimate(both, "dispatcher", "core_share", at, False).value == pytest.approx(0.001)
 
 
+def test_of_several_lines_the_one_beside_which_most_else_stood_counts() -> None:
+    three = line("core_share", "holders", [(0.0, 0.01), (100.0, 0.02)], role="keeper", still={"keepers": 3})
+    five = line("core_share", "holders", [(0.0, 0.01), (100.0, 0.03)], role="keeper", still={"keepers": 5})
+    for both in (slopes(three, five), slopes(five, three)):
+        assert estimate(both, "keeper", "core_share", sizes(holders=100)).value == 0.03
+
+
+def test_what_is_not_there_adds_nothing_neither_does_the_world_of_its_line() -> None:
+    telling = line("core_share", "peers_telling", [(3.0, 0.02), (31.0, 0.03)])
+    found = estimate(
+        slopes(LISTED, telling), "dispatcher", "core_share", sizes(workers_listed=100, peers_telling=0)
+    )
+    assert found.value == 0.001
+
+
+def test_a_figure_of_some_roles_only_is_shown_along_its_size() -> None:
+    seen = line(
+        "messages_in_worst_second", "dispatchers", [(10.0, 40.0), (40.0, 160.0)],
+        role="discovery", still={"zone_lost_workers": 140},
+    )  # fmt: skip
+    table = made(slopes(seen))
+    assert table.further[0].at[400].value == pytest.approx(1600)
+    assert table.further[0].at[400].stretched == ["dispatchers: measured to 40, used at 400"]
+    assert "| 140 zone lost workers | 800 a* | 1,600 a* |" in markdown(table, slopes(seen), NONE)
+
+
 def test_what_was_read_at_that_very_size_is_measured_and_an_assumed_size_is_said() -> None:
     point = estimate(slopes(LISTED), "dispatcher", "core_share", sizes(workers_listed=300))
     assert (point.value, point.origin) == (0.003, "measured")
@@ -131,7 +157,7 @@
     assert not none_of_it.without
     table = made(slopes(LISTED))
     assert all(row.bytes.value is None and row.verdict == "not measured" for row in table.budget)
-    assert "keeper: bytes, core, memory, messages" in markdown(table, slopes(LISTED), NONE)
+    assert "keeper: bytes, core, growth, memory, messages" in markdown(table, slopes(LISTED), NONE)
 
 
 def test_a_contradicted_fit_is_said_and_the_worst_measured_ratio_taken() -> None:
