--- a/ploverspoke/testbed/commands.py
+++ b/ploverspoke/testbed/commands.py
@@ -9,6 +9,8 @@
 import msgspec
 from rich.progress import Progress
 
+from .capacity.capacity_command import capacity
+from .capacity.command import slopes
 from .compare import compare
 from .experiment import BadExperiment, Experiment, read_experiment
 from .runner import Driver, Result, read_result, run_experiment
@@ -156,6 +158,9 @@
     console().print(differences_table(rows, (f"{one} {policies[0]}", f"{other} {policies[1]}")))
 
 
+testbed.add_command(slopes)
+
+
 @testbed.command()
 @click.option("--quick", is_flag=True, help="Shorter, and fewer steps.")
 @click.option("--out", type=click.Path(dir_okay=False, path_type=Path), help="A JSON file for the figures.")
@@ -187,3 +192,6 @@
         show.print(table)
     if out is not None:
         out.write_bytes(msgspec.json.format(msgspec.json.encode(figures)))
+
+
+testbed.add_command(capacity)
