--- a/ploverspoke/testbed/capacity/command.py
+++ b/ploverspoke/testbed/capacity/command.py
@@ -14,11 +14,11 @@
 
 from ..processes.room import NoRoom
 from ..tables import console
-from . import dispatcher
-from .parts import Found, Part, Say
+from . import dispatcher, fleet, keeper, store_replica
+from .parts import Asked, Found, Part
 from .slopes import FORMAT, BadSlopes, Line, Slopes, read_slopes, write_slopes
 
-PARTS: list[Part] = [*dispatcher.PARTS]
+PARTS: list[Part] = [*dispatcher.PARTS, *fleet.PARTS, *keeper.PARTS, *store_replica.PARTS]
 
 
 def chosen(words: Sequence[str], parts: Sequence[Part]) -> list[Part]:
@@ -45,12 +45,12 @@
     return msgspec.structs.replace(fresh, lines=lines)
 
 
-async def measure(parts: Iterable[Part], quick: bool, say: Say) -> Found:
+async def measure(parts: Iterable[Part], asked: Asked) -> Found:
     lines: list[Line] = []
     void: list[str] = []
     for part in parts:
         try:
-            found = await part.measure(quick, say)
+            found = await part.measure(asked)
         except NoRoom as error:
             found = Found([], [f"{part.name()}: {error}"])
         lines += found.lines
@@ -92,14 +92,19 @@
     return found
 
 
+def _say(text: str) -> None:
+    click.echo(text, err=True)
+
+
 @click.command()
 @click.argument("roles", nargs=-1, metavar="[ROLE...]")
 @click.option(
     "--out", type=click.Path(dir_okay=False, path_type=Path), required=True, help="The slopes file."
 )
 @click.option("--quick", is_flag=True, help="Shorter stretches: for a look, not for the file that is kept.")
+@click.option("--in-turn", is_flag=True, help="No worlds side by side: several times as long.")
 @click.option("--json", "as_json", is_flag=True, help="For tools: the lines of this call.")
-def slopes(roles: tuple[str, ...], out: Path, quick: bool, as_json: bool) -> None:
+def slopes(roles: tuple[str, ...], out: Path, quick: bool, in_turn: bool, as_json: bool) -> None:
     """Measure what each ROLE costs against its sizes, and keep the lines in a file.
 
     Without a ROLE all are measured; ROLE/SIZE is one size of one. What the file has of other roles and
@@ -115,7 +120,7 @@
         old = read_slopes(out) if out.exists() else None
     except BadSlopes as error:
         raise click.UsageError(str(error)) from None
-    found = asyncio.run(measure(parts, quick, lambda text: click.echo(text, err=True)))
+    found = asyncio.run(measure(parts, Asked(_say, quick, not in_turn)))
     fresh = slopes_of(found.lines)
     if found.lines:
         write_slopes(merged(old, fresh), out)
--- a/ploverspoke/testbed/capacity/dispatcher.py
+++ b/ploverspoke/testbed/capacity/dispatcher.py
@@ -12,7 +12,7 @@
 from .. import experiment as ex
 from ..settings import settings_of
 from ..spans import SECOND
-from .parts import Found, Part, Say, lines_of
+from .parts import Asked, Found, Part, lines_of
 from .world import Act, Reading, World, played, rewrite
 
 HOW = (
@@ -77,24 +77,22 @@
     role: str,
     size: str,
     worlds: Sequence[Planned],
-    quick: bool,
-    say: Say,
+    asked: Asked,
     still: dict[str, float],
     how: str = HOW,
-    together: bool = True,
 ) -> Found:
     """All these worlds, side by side or in turn, and the lines through them."""
-    over = stretch(quick)
+    over = stretch(asked.quick)
 
     async def one(planned: Planned) -> tuple[float, Reading]:
         e = ex.experiment_of(planned.told)
         _, reading = await played(e, SEED, over.settled * SECOND, planned.acts(e))
         at = reading.sizes.get(size, planned.size)
         shown = "void: " + reading.void if reading.void else f"core {reading.figures['core_share']:.3%}"
-        say(f"{role}, {size} {at:g}: {shown}")
+        asked.say(f"{role}, {size} {at:g}: {shown}")
         return at, reading
 
-    if together:
+    if asked.together:
         found = list(await asyncio.gather(*(one(planned) for planned in worlds)))
     else:
         found = [await one(planned) for planned in worlds]
@@ -107,14 +105,14 @@
 # ---- The parts ----
 
 
-async def workers_listed(quick: bool, say: Say) -> Found:
-    over = stretch(quick)
+async def workers_listed(asked: Asked) -> Found:
+    over = stretch(asked.quick)
     worlds = [Planned(count, told(over, count)) for count in (100, 300, 980)]
-    return await series("dispatcher", "workers_listed", worlds, quick, say, {})
+    return await series("dispatcher", "workers_listed", worlds, asked, {})
 
 
-async def tasks_running(quick: bool, say: Say) -> Found:
-    over = stretch(quick)
+async def tasks_running(asked: Asked) -> Found:
+    over = stretch(asked.quick)
     found = Found([], [])
     for progress in (1, 0):
         rules = {"progress_every": "1s" if progress else LONG}
@@ -131,21 +129,21 @@
             for count in (8, 24, 48, 96)
         ]
         still = {"progress": float(progress), "workers_listed": float(WORKERS)}
-        one = await series("dispatcher", "tasks_running", worlds, quick, say, still)
+        one = await series("dispatcher", "tasks_running", worlds, asked, still)
         found = Found([*found.lines, *one.lines], [*found.void, *one.void])
     return found
 
 
-async def starts_a_second(quick: bool, say: Say) -> Found:
-    over = stretch(quick)
+async def starts_a_second(asked: Asked) -> Found:
+    over = stretch(asked.quick)
     worlds = [Planned(rate, told(over, rate=rate)) for rate in (1.0, 3.0, 9.0, 27.0)]
     still = {"progress": 0.0, "workers_listed": float(WORKERS)}
-    return await series("dispatcher", "starts_a_second", worlds, quick, say, still)
+    return await series("dispatcher", "starts_a_second", worlds, asked, still)
 
 
-async def list_changes(quick: bool, say: Say) -> Found:
+async def list_changes(asked: Asked) -> Found:
     """Workers drain and come back, each a change when it does: nothing runs there."""
-    over, workers = stretch(quick), 300
+    over, workers = stretch(asked.quick), 300
 
     def drains(a_second: float) -> list[dict[str, Any]]:
         each = 2.0 / a_second
@@ -157,12 +155,12 @@
 
     worlds = [Planned(rate, told(over, workers, troubles=drains(rate))) for rate in (1.0, 4.0, 16.0)]
     return await series(
-        "dispatcher", "list_changes_a_second", worlds, quick, say, {"workers_listed": float(workers)}
+        "dispatcher", "list_changes_a_second", worlds, asked, {"workers_listed": float(workers)}
     )
 
 
-async def reloads(quick: bool, say: Say) -> Found:
-    over = stretch(quick)
+async def reloads(asked: Asked) -> Found:
+    over = stretch(asked.quick)
     found = Found([], [])
     for teams in (1, 170):
         customers = [{"name": f"team-{n}"} for n in range(teams)]
@@ -172,7 +170,7 @@
             for rate in (15, 30, 60, 120)
         ]
         still = {"teams": float(teams), "workers_listed": float(WORKERS)}
-        one = await series("dispatcher", "reloads_a_minute", worlds, quick, say, still)
+        one = await series("dispatcher", "reloads_a_minute", worlds, asked, still)
         found = Found([*found.lines, *one.lines], [*found.void, *one.void])
     return found
 
@@ -199,8 +197,8 @@
     return act
 
 
-async def peers_telling(quick: bool, say: Say) -> Found:
-    over = stretch(quick)
+async def peers_telling(asked: Asked) -> Found:
+    over = stretch(asked.quick)
     worlds = [
         Planned(
             float(count - 1),
@@ -210,7 +208,7 @@
     ]
     still = {"starts_a_second": PEER_STARTS, "workers_listed": float(WORKERS)}
     return await series(
-        "dispatcher", "peers_telling", worlds, quick, say, still, how=PEERS_HOW, together=False
+        "dispatcher", "peers_telling", worlds, asked._replace(together=False), still, how=PEERS_HOW
     )
 
 
--- /dev/null
+++ b/ploverspoke/testbed/capacity/fleet.py
@@ -0,0 +1,165 @@
+"""What all dispatchers together ask of discovery and bring to one worker, seen from there.
+
+Ordinary time, a zone lost and back, and a whole restart, with 980 workers in 7 zones.
+"""
+
+import asyncio
+import random
+from collections.abc import Sequence
+from typing import Any
+
+from .. import experiment as ex
+from ..spans import SECOND
+from .dispatcher import PEER_STARTS, SEED
+from .parts import Asked, Found, Part, lines_of
+from .slopes import Line
+from .world import TRAFFIC, World, played
+
+ZONES, EACH = 7, 140
+WORKERS = ZONES * EACH
+SIZES = (5, 10, 20, 40)  # dispatchers
+SETTLED, ORDINARY = 26, 16  # s; a connection that rests is kept for 21 s
+LOST_AT, LOST_FOR = 44, 8  # s
+NOTICED = 3  # s after a death, by discovery
+RESTARTED_AT, STARTING = 5, 9  # s
+HOW = "streams at the stand-ins, without TCP and IP heads; the dispatchers have the rig's starter"
+
+
+def _told(count: int, lasts: int, **more: Any) -> dict[str, Any]:
+    return {
+        "name": "slopes",
+        "lasts": f"{lasts}s",
+        "grades": [
+            {
+                "name": "task",
+                "expected_time": "30s",
+                "abandon_time": "60s",
+                "work": {"law": "fixed", "mean": "500ms"},
+            }
+        ],
+        "workers": [{"count": EACH, "slots": 4, "zone": f"z{zone}"} for zone in range(ZONES)],
+        "dispatchers": {"count": count},
+        "traffic": [{"rate": PEER_STARTS * count}],
+        **more,
+    }
+
+
+def _zone_lost(quick: bool) -> list[dict[str, Any]]:
+    """Its workers die within a second, and come back."""
+    draw = random.Random(SEED)
+    first = (ZONES - 1) * EACH
+    at = LOST_AT - (SETTLED - 4 if quick else 0)
+    return [
+        {"what": "crash", "at": f"{at + draw.random():.3f}s", "lasts": f"{LOST_FOR}s", "workers": [f"w{n}"]}
+        for n in range(first, first + EACH)
+    ]
+
+
+async def _ordinary(count: int, asked: Asked) -> tuple[World, str]:
+    settled = 4 if asked.quick else SETTLED
+    end = settled + ORDINARY
+    lasts = settled + (LOST_AT - SETTLED) + LOST_FOR + 4
+    e = ex.experiment_of(_told(count, lasts, troubles=_zone_lost(asked.quick)))
+    world, reading = await played(e, SEED, settled * SECOND, ends=end * SECOND)
+    asked.say(f"discovery and workers, {count} dispatchers: {reading.void or 'seen'}")
+    return world, reading.void
+
+
+async def _restart(count: int, asked: Asked) -> tuple[World, str]:
+    """All are killed at one moment and start again a second later, as fast as this machine does it."""
+    trouble = {
+        "what": "dispatcher killed",
+        "at": f"{RESTARTED_AT}s",
+        "lasts": "1s",
+        "dispatchers": list(range(count)),
+    }
+    told = _told(count, RESTARTED_AT + STARTING, troubles=[trouble], traffic=[{"rate": 0.0}])
+    world, reading = await played(ex.experiment_of(told), SEED, 2 * SECOND, ends=(RESTARTED_AT - 1) * SECOND)
+    asked.say(f"discovery, {count} dispatchers all restarted: {reading.void or 'seen'}")
+    return world, reading.void
+
+
+async def dispatchers(asked: Asked) -> Found:
+    sizes = SIZES[:3] if asked.quick else SIZES
+    void: list[str] = []
+    ordinary: list[tuple[float, dict[str, float]]] = []
+    lost: list[tuple[float, dict[str, float]]] = []
+    back: list[tuple[float, dict[str, float]]] = []
+    at_worker: list[tuple[float, dict[str, float]]] = []
+    if asked.together:
+        seen = await asyncio.gather(*(_ordinary(count, asked) for count in sizes))
+    else:
+        seen = [await _ordinary(count, asked) for count in sizes]
+    for count, (world, why) in zip(sizes, seen, strict=True):
+        if why:
+            void.append(f"discovery and worker, dispatchers {count}: {why}")
+            continue
+        ordinary.append((count, _at_discovery(world)))
+        at_worker.append((count, _at_worker(world)))
+        shift = world.settled // SECOND - SETTLED
+        gone, returned = LOST_AT + NOTICED + shift, LOST_AT + LOST_FOR + shift
+        lost.append((count, _worst(world, gone, gone + 4)))
+        back.append((count, _worst(world, returned, returned + 4)))
+    restarted: list[tuple[float, dict[str, float]]] = []
+    for count in sizes:
+        world, why = await _restart(count, asked)
+        if why:
+            void.append(f"discovery, dispatchers {count}, all restarted: {why}")
+        else:
+            figures = _worst(world, RESTARTED_AT, RESTARTED_AT + STARTING)
+            restarted.append((count, figures | _calls(world, RESTARTED_AT, RESTARTED_AT + STARTING)))
+    still = {"workers_listed": float(WORKERS), "starts_a_second": PEER_STARTS}
+    lines: list[Line] = []
+    for role, found, more in (
+        ("discovery", ordinary, {}),
+        ("discovery", lost, {"zone_lost_workers": float(EACH)}),
+        ("discovery", back, {"zone_back_workers": float(EACH)}),
+        ("discovery", restarted, {"all_restarted": 1.0}),
+        ("worker", at_worker, {}),
+    ):
+        lines += lines_of(role, "dispatchers", found, HOW, {**still, **more}, _note(void, role))
+    return Found(lines, void)
+
+
+def _note(void: Sequence[str], role: str) -> str:
+    return "; ".join(f"void: {text}" for text in void if role in text.split(",")[0])
+
+
+TURNED = {"bytes_in": "bytes_out", "bytes_out": "bytes_in"}
+TURNED |= {"messages_in": "messages_out", "messages_out": "messages_in"}
+
+
+def _at_discovery(world: World) -> dict[str, float]:
+    """All dispatchers together; in and out from discovery's side."""
+    begin, end = world.settled, world.ends
+    rates = world.rates("discovery", TRAFFIC, begin, end)
+    found = {TURNED[key]: rate for key, rate in rates.items()}
+    return {**found, "connections": world.mean("discovery", "connections", begin, end)}
+
+
+def _at_worker(world: World) -> dict[str, float]:
+    """One worker's part, on average; in and out from its side."""
+    begin, end = world.settled, world.ends
+    rates = world.rates("workers", (*TRAFFIC, "connected", "probes"), begin, end)
+    made = rates.pop("connected")
+    found = {TURNED.get(key, key): rate / WORKERS for key, rate in rates.items()}
+    open_ = world.mean("workers", "connections", begin, end)
+    return {**found, "connections": open_ / WORKERS, "connections_made": made / WORKERS}
+
+
+def _worst(world: World, begin: int, end: int) -> dict[str, float]:
+    return {
+        f"{TURNED[key]}_worst_second": world.worst("discovery", key, begin * SECOND, end * SECOND)
+        for key in ("messages_out", "bytes_in")
+    }
+
+
+def _calls(world: World, begin: int, end: int) -> dict[str, float]:
+    rates = world.rates("discovery", ("messages_out", "bytes_in"), begin * SECOND, end * SECOND)
+    return {
+        f"{TURNED[key].replace('_in', '').replace('_out', '')}_after_restart": rate * (end - begin)
+        for key, rate in rates.items()
+    }
+
+
+PARTS = [Part(("discovery", "worker"), "dispatchers", dispatchers)]
--- /dev/null
+++ b/ploverspoke/testbed/capacity/kept.py
@@ -0,0 +1,70 @@
+"""What kept state costs one replica: `kept COUNT FOLDER`, a process of its own so that its memory is its own.
+
+Fills a ledger with answered submissions as in service, writes a snapshot, reads it again, says what it took.
+"""
+
+import os
+import sys
+import time
+from pathlib import Path
+
+import msgspec
+
+from ploverspoke.consensus.disk import Disk
+from ploverspoke.store.ledger import ANSWER, INTEND, OUTCOME, TAKE, Ledger
+
+from .process import used
+
+RESULT = "x" * 64
+
+
+def fill(ledger: Ledger, count: int) -> int:
+    """So many submissions taken, handed off once and answered; gives the entries."""
+    at = 0
+    for n in range(count):
+        name, now = f"{n:016x}", n * 1_000_000
+        for command in (
+            [TAKE, name, 1, b"0" * 16, now + 2_000_000_000, now],
+            [INTEND, name, "w1", 0, now],
+            [OUTCOME, name, 0, "satisfied"],
+            [ANSWER, name, "satisfied", RESULT, b"0" * 16, now],
+        ):
+            at += 1
+            ledger.apply(at, command)
+    return at
+
+
+def main() -> None:
+    count, folder = int(sys.argv[1]), Path(sys.argv[2])
+    disk, ledger = Disk(folder), Ledger()
+    disk.open()
+    disk.begin("r0.1", "slopes", {})
+    before = used(os.getpid()).memory
+    at = fill(ledger, count)
+    memory = used(os.getpid()).memory - before
+    kept = len(ledger.answered)
+    began = time.perf_counter()
+    disk.keep_snapshot(at, 1, {}, ledger.dump())
+    written = time.perf_counter() - began
+    size = disk.size()
+    disk.close()
+    began = time.perf_counter()
+    again, loaded = Disk(folder), Ledger()
+    again.open()
+    loaded.load(again.state)
+    read = time.perf_counter() - began
+    again.close()
+    if len(loaded.answered) != kept:
+        sys.exit(f"{kept} were kept, {len(loaded.answered)} were read again")
+    told = {
+        "kept": kept,
+        "memory_bytes": memory,
+        "disk_bytes": size,
+        "snapshot_seconds": written,
+        "load_seconds": read,
+    }
+    print(msgspec.json.encode(told).decode())
+
+
+if __name__ == "__main__":
+    main()
--- a/ploverspoke/testbed/capacity/parts.py
+++ b/ploverspoke/testbed/capacity/parts.py
@@ -14,9 +14,14 @@
     "connections_made": "connections a second",
     "probes": "probes a second",
     "seconds": "seconds",
+    "snapshot_seconds": "seconds",
+    "load_seconds": "seconds",
+    "disk_bytes": "bytes",
     "processor_seconds": "seconds",
     "memory_peak_bytes": "bytes",
     "bytes_sent": "bytes",
+    "messages_after_restart": "messages",
+    "bytes_after_restart": "bytes",
 }
 GROWTH_RESOLUTION = 4096.0  # a page a second
 
@@ -28,10 +33,18 @@
     void: list[str]  # a line each
 
 
+class Asked(NamedTuple):
+    """How a part is to be measured."""
+
+    say: Say
+    quick: bool = False
+    together: bool = True  # small worlds side by side
+
+
 class Part(NamedTuple):
     roles: tuple[str, ...]  # that it gives lines of
     size: str
-    measure: Callable[[bool, Say], Awaitable[Found]]
+    measure: Callable[[Asked], Awaitable[Found]]
 
     def name(self) -> str:
         return f"{self.roles[0]}/{self.size}"
@@ -40,6 +53,8 @@
 def unit_of(figure: str) -> str:
     if figure in UNITS:
         return UNITS[figure]
+    if figure.startswith("follower_"):
+        return unit_of(figure.removeprefix("follower_"))
     return "messages a second" if "messages" in figure else "bytes a second"
 
 
--- a/ploverspoke/testbed/capacity/world.py
+++ b/ploverspoke/testbed/capacity/world.py
@@ -9,13 +9,15 @@
 import sys
 import tempfile
 import time
-from collections.abc import Callable, Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from pathlib import Path
 from typing import Any, NamedTuple
 
 import msgspec
 import numpy as np
 
+from ploverspoke.consensus.frames import BadFrame
+
 from .. import experiment as ex
 from ..processes.child import Child
 from ..processes.rig import Place
@@ -27,13 +29,14 @@
 
 LOOKS_EVERY = 500 * MILLISECOND
 AFTER = 400 * MILLISECOND  # the end of the stretch, until the stand-ins have told of it
+SLACK = 20 * MILLISECOND  # by which four reports may make less than a second
 SOURCE = "127.0.0.1"  # the kernel's own choice for who sends on loopback
 MOST_REFUSED = 0.02  # of the answers; past that the world did something else than was asked for
 KINDS = {"running": "workers", "answers": "clients", "version": "discovery"}  # by a word that only it says
 TAKEN = "new configuration: settings taken"
 TRAFFIC = ("bytes_in", "bytes_out", "messages_in", "messages_out")
 
-Act = Callable[["World"], None]
+Act = Callable[["World"], Awaitable[None] | None]
 
 
 class Reading(NamedTuple):
@@ -53,12 +56,19 @@
 
 class World(Stage):
     def __init__(
-        self, e: ex.Experiment, seed: int, folder: Path, settled: int, acts: Sequence[tuple[int, Act]] = ()
+        self,
+        e: ex.Experiment,
+        seed: int,
+        folder: Path,
+        settled: int,
+        acts: Sequence[tuple[int, Act]] = (),
+        ends: int = 0,
     ) -> None:
-        """`settled` is when the stretch begins, ns from the start; it lasts until the experiment ends."""
+        """The stretch begins at `settled` and ends at `ends`, ns from the start; 0: with the experiment."""
         super().__init__(e, seed, folder, self._hear)
         self.tells_traffic = True
         self.settled = settled
+        self.ends = ends or e.lasts
         self.acts = sorted(acts, key=lambda act: act[0])
         self.bare = e.dispatchers.count == 1
         self.reports: dict[str, list[dict[str, Any]]] = {kind: [] for kind in KINDS.values()}
@@ -97,12 +107,12 @@
         self.looks = [[] for _ in self.programs]
         at = self.settled
         try:
-            while at <= self.e.lasts:
+            while at <= self.ends:
                 await asyncio.sleep(max(0, epoch + at - time.monotonic_ns()) / SECOND)
                 for looks, program in zip(self.looks, self.programs, strict=True):
                     if program.process is not None and program.lives():
                         looks.append((time.monotonic_ns() - epoch, used(program.process.pid)))
-                if self.rig.relays is not None and (at == self.settled or at + LOOKS_EVERY > self.e.lasts):
+                if self.rig.relays is not None and (at == self.settled or at + LOOKS_EVERY > self.ends):
                     await self.rig.ask_relays({})
                     self.relayed.append((time.monotonic_ns() - epoch, self.rig.counts["links"]))
                 at += LOOKS_EVERY
@@ -112,7 +122,12 @@
     async def _act(self, epoch: int) -> None:
         for at, act in self.acts:
             await asyncio.sleep(max(0, epoch + at - time.monotonic_ns()) / SECOND)
-            act(self)
+            try:
+                doing = act(self)
+                if doing is not None:
+                    await doing
+            except (OSError, NotStarted, BadFrame) as error:
+                self.rig.faults.append(f"what was to be done could not be: {error}")
 
     # ---- What it was ----
 
@@ -126,11 +141,26 @@
         took = (told[-1]["counted_at"] - told[0]["counted_at"]) / SECOND
         return {key: (_sum(told[-1], key) - _sum(told[0], key)) / took for key in keys}
 
+    def worst(self, kind: str, key: str, begin: int, end: int) -> float:
+        """The most in any second of that time, over all dispatchers."""
+        told = self.between(kind, begin, end)
+        each = [(one["counted_at"], _sum(one, key)) for one in told]
+        found = 0.0
+        for n, (at, before) in enumerate(each):
+            later = next(((then, now) for then, now in each[n:] if then - at >= SECOND - SLACK), None)
+            if later is not None:
+                found = max(found, (later[1] - before) * SECOND / (later[0] - at))
+        return found
+
+    def mean(self, kind: str, key: str, begin: int, end: int) -> float:
+        """Of what stands at a moment, over all dispatchers."""
+        return float(np.mean([_sum(one, key) for one in self.between(kind, begin, end)]))
+
     def read(self) -> Reading:
         """Raises nothing: a world that cannot be read is void."""
         void = self.void()
         if not void and (
-            any(len(self.between(kind, self.settled, self.e.lasts)) < 2 for kind in self.reports)
+            any(len(self.between(kind, self.settled, self.ends)) < 2 for kind in self.reports)
             or any(len(looks) < 2 for looks in self.looks)
         ):
             void = "too little was seen of the stretch"
@@ -140,7 +170,7 @@
         count = len(self.programs)
         total = dict.fromkeys(TRAFFIC, 0.0)
         for kind in self.reports:
-            for key, rate in self.rates(kind, TRAFFIC, self.settled, self.e.lasts).items():
+            for key, rate in self.rates(kind, TRAFFIC, self.settled, self.ends).items():
                 total[key] += rate / count
                 if key.startswith("bytes"):
                     figures[f"{key}_{kind}"] = rate / count
@@ -165,7 +195,7 @@
         }
 
     def _sizes(self) -> dict[str, float]:
-        begin, end = self.settled, self.e.lasts
+        begin, end = self.settled, self.ends
         count = len(self.programs)
         running = [told["running"] for told in self.between("workers", begin, end)]
         sent, listed = self.between("clients", begin, end), self.between("discovery", begin, end)
@@ -213,11 +243,11 @@
 
 
 async def played(
-    e: ex.Experiment, seed: int, settled: int, acts: Sequence[tuple[int, Act]] = ()
+    e: ex.Experiment, seed: int, settled: int, acts: Sequence[tuple[int, Act]] = (), ends: int = 0
 ) -> tuple[World, Reading]:
     """One world, in real time; one that does not come up is void. Raises NoRoom where it does not fit."""
     with tempfile.TemporaryDirectory(prefix="ploverspoke-slopes-", dir=in_memory()) as name:
-        world = World(e, seed, Path(name), settled, acts)
+        world = World(e, seed, Path(name), settled, acts, ends)
         try:
             await world.play()
         except (NotStarted, TimeoutError) as error:
--- a/ploverspoke/testbed/processes/links.py
+++ b/ploverspoke/testbed/processes/links.py
@@ -144,3 +144,7 @@
         """What passed, was lost, came twice, came late; over all links."""
         kinds = ("passed", "lost", "doubled", "late", "octets")
         return {kind: sum(getattr(link, kind) for link in self.links.values()) for kind in kinds}
+
+    def octets(self) -> dict[str, int]:
+        """What passed on each link, as "origin>target"."""
+        return {f"{origin}>{target}": link.octets for (origin, target), link in self.links.items()}
--- a/ploverspoke/testbed/processes/relay.py
+++ b/ploverspoke/testbed/processes/relay.py
@@ -231,7 +231,9 @@
                     stream.reset()
         for stream in list(self.streams):
             stream.pump()
+        more = {"octets": self.links.octets()} if "by_link" in told else {}
         return {
+            **more,
             "links": self.links.counts(),
             "streams": len(self.streams),
             "taken": self.taken,
--- a/ploverspoke/testbed/processes/rig.py
+++ b/ploverspoke/testbed/processes/rig.py
@@ -211,7 +211,7 @@
                 await self._on_links(step)
                 self.done += 1
             else:
-                await asyncio.gather(*(self._on_process(step, name) for name in step.who))
+                await asyncio.gather(*(self.on_process(step, name) for name in step.who))
         except (NotStarted, RuntimeError) as error:
             self.faults.append(f"{step.told()}: {error}")
 
@@ -228,7 +228,7 @@
             for number in numbers:
                 await self.lift(number)
 
-    async def _on_process(self, step: Step, name: str) -> None:
+    async def on_process(self, step: Step, name: str) -> None:
         process = self.running[name]
         if step.what == "wall jumps":
             process.wall_jumps(int(step.ahead * SECOND))
--- /dev/null
+++ b/tests/test_capacity_slopes.py
@@ -0,0 +1,149 @@
+"""Slopes: the fit, the file, what a later call replaces, and one small world whose counts add up."""
+
+import asyncio
+from pathlib import Path
+
+import pytest
+from click.testing import CliRunner
+
+from ploverspoke.testbed.capacity import command
+from ploverspoke.testbed.capacity.dispatcher import Stretch, reload, told
+from ploverspoke.testbed.capacity.fits import TooFewPoints, fit
+from ploverspoke.testbed.capacity.parts import Asked, Found, Part, lines_of
+from ploverspoke.testbed.capacity.process import used
+from ploverspoke.testbed.capacity.slopes import BadSlopes, Line, Slopes, read_slopes, write_slopes
+from ploverspoke.testbed.capacity.world import played
+from ploverspoke.testbed.experiment import experiment_of
+from ploverspoke.testbed.spans import SECOND
+
+
+def test_a_straight_line_is_found_and_a_bent_one_contradicted() -> None:
+    line = fit([(1, 5.0), (2, 7.0), (10, 23.0)])
+    assert line.intercept == pytest.approx(3) and line.slope == pytest.approx(2)
+    assert line.residual < 1e-9 and not line.contradicted
+    bent = fit([(1, 1.0), (10, 100.0), (100, 10_000.0)])
+    assert bent.contradicted and bent.residual > 0.15
+
+
+def test_a_fit_that_is_just_over_the_limit_is_contradicted() -> None:
+    # Three points at even steps, the middle one off: weights of nearly 1 share it out, a third on each end.
+    assert not fit([(0, 1.0), (1, 1.2), (2, 1.0)]).contradicted
+    assert fit([(0, 1.0), (1, 1.5), (2, 1.0)]).contradicted
+
+
+def test_flat_lines_and_points_at_nothing() -> None:
+    flat = fit([(100, 4.0), (300, 4.0), (980, 4.0)])
+    assert flat.slope == pytest.approx(0, abs=1e-12) and flat.intercept == pytest.approx(4)
+    assert fit([(1, 0.0), (2, 0.0), (3, 0.0)]) == (0.0, 0.0, 0.0, False)
+    assert fit([(0, 0.0), (1, 2.0), (2, 4.0)]).residual < 1e-9
+
+
+def test_what_is_finer_than_can_be_read_contradicts_nothing() -> None:
+    points = [(1.0, 10.0), (2.0, 0.0), (3.0, 10.0)]
+    assert fit(points).contradicted and not fit(points, resolution=10.0).contradicted
+
+
+def test_two_sizes_make_no_fit() -> None:
+    with pytest.raises(TooFewPoints):
+        fit([(1, 1.0), (2, 2.0)])
+    with pytest.raises(TooFewPoints):
+        fit([(1, 1.0), (1, 1.1), (2, 2.0), (2, 2.1)])
+    assert lines_of("r", "s", [(1.0, {"core_share": 1.0}), (2.0, {"core_share": 2.0})], "", {}) == []
+
+
+def lines(role: str, size: str, slope: float) -> list[Line]:
+    return lines_of(role, size, [(x, {"core_share": slope * x}) for x in (1.0, 2.0, 3.0)], "how", {"k": 1.0})
+
+
+def slopes(*found: Line) -> Slopes:
+    return Slopes(format=1, at="2026-12-02", text="abc", machine="8 cores", lines=list(found))
+
+
+def test_the_file_reads_back_and_says_what_is_wrong_with_it(tmp_path: Path) -> None:
+    path = tmp_path / "slopes.json"
+    write_slopes(slopes(*lines("dispatcher", "tasks_running", 2.0)), path)
+    (line,) = read_slopes(path).of("dispatcher", "core_share")
+    assert (line.unit, line.measured_to, line.points[0]) == ("cores", 3.0, (1.0, 2.0))
+    assert line.still == {"k": 1.0} and line.slope == pytest.approx(2.0)
+    path.write_text(path.read_text().replace('"format": 1', '"format": 9'))
+    with pytest.raises(BadSlopes, match="format 9"):
+        read_slopes(path)
+    for text in ("{}", "no json", '{"format": 1, "strange": 2}'):
+        path.write_text(text)
+        with pytest.raises(BadSlopes):
+            read_slopes(path)
+    with pytest.raises(BadSlopes):
+        read_slopes(tmp_path / "none.json")
+
+
+def test_a_later_call_replaces_only_the_sizes_that_it_measured() -> None:
+    old = slopes(*lines("dispatcher", "a", 1.0), *lines("dispatcher", "b", 1.0), *lines("keeper", "a", 1.0))
+    new = command.merged(old, slopes(*lines("dispatcher", "a", 5.0)))
+    found = {(line.role, line.size): round(line.slope) for line in new.lines}
+    assert found == {("dispatcher", "a"): 5, ("dispatcher", "b"): 1, ("keeper", "a"): 1}
+    assert command.merged(None, old) == old
+
+
+async def _found(asked: Asked) -> Found:
+    return Found(lines("dispatcher", "a", 2.0), [])
+
+
+async def _void(asked: Asked) -> Found:
+    return Found([], ["dispatcher, b 3: the rig was late"])
+
+
+def test_the_command_says_what_was_void_and_what_it_does_not_know(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    parts = [Part(("dispatcher",), "a", _found), Part(("dispatcher", "worker"), "b", _void)]
+    monkeypatch.setattr(command, "PARTS", parts)
+    out = tmp_path / "slopes.json"
+    run = CliRunner().invoke
+
+    done = run(command.slopes, ["dispatcher/a", "--out", str(out)])
+    assert done.exit_code == 0 and "core_share" in done.output and len(read_slopes(out).lines) == 1
+    done = run(command.slopes, ["dispatcher", "--out", str(out)])
+    assert done.exit_code == 1 and "void: dispatcher, b 3: the rig was late" in done.output
+    done = run(command.slopes, ["worker", "--json", "--out", str(out)])
+    assert done.exit_code == 1 and '"void": [\n' in done.output and len(read_slopes(out).lines) == 1
+    done = run(command.slopes, ["nobody", "--out", str(out)])
+    assert done.exit_code == 2 and "nobody" in done.output
+    out.write_text("{}")
+    done = run(command.slopes, ["worker", "--out", str(out)])
+    assert done.exit_code == 2 and out.read_text() == "{}"
+
+
+def test_a_world_is_counted_where_its_bytes_pass() -> None:
+    """Eight long tasks run and tell their progress; one reload; nothing else passes in the stretch."""
+    over = Stretch(2, 3)
+    traffic = [{"rate": 8.0, "start": "0s", "end": "1s"}]
+    e = experiment_of(told(over, 5, work="900s", traffic=traffic))
+    acts = [(int(2.2 * SECOND), reload(e, 0))]
+    world, _ = asyncio.run(played(e, 1, over.settled * SECOND, acts))
+    reports = {kind: told_[-1] for kind, told_ in world.reports.items()}
+    (at_workers,), (at_clients,) = reports["workers"]["traffic"], reports["clients"]["traffic"]
+    (at_discovery,) = reports["discovery"]["traffic"]
+    sent, running = reports["clients"]["sent"], reports["workers"]["running"]
+    assert sent == running > 2
+    # Each client's request goes on to one worker, over a connection each; no answer has come back.
+    assert at_clients["messages_in"] == at_clients["connected"] == sent and at_clients["bytes_out"] == 0
+    assert at_workers["messages_out"] - at_workers["probes"] == sent
+    assert at_workers["connections"] >= running
+    # Every worker's first note and then one a second for each, of more bytes than its id and its share.
+    notes = at_workers["messages_in"] - at_workers["probes"]
+    assert 2 * running <= notes <= 6 * running and at_workers["bytes_in"] > 40 * notes
+    assert at_discovery["messages_out"] >= at_discovery["messages_in"] >= 1
+    assert at_discovery["bytes_in"] > 5 * len('{"id":"w0"}')
+    assert world.looks and all(seen.memory > 1 << 20 for _, seen in world.looks[0])
+    processor = [seen.processor for _, seen in world.looks[0]]
+    assert processor == sorted(processor)
+
+
+def test_a_process_that_has_ended_is_not_read_as_idle() -> None:
+    async def ended() -> int:
+        process = await asyncio.create_subprocess_exec("true")
+        await process.wait()
+        return process.pid
+
+    with pytest.raises(OSError):
+        used(asyncio.run(ended()))
