--- a/ploverspoke/testbed/capacity/world.py
+++ b/ploverspoke/testbed/capacity/world.py
@@ -22,7 +22,7 @@
 from ..processes.child import Child
 from ..processes.rig import Place
 from ..processes.room import in_memory
-from ..processes.running import NotStarted
+from ..processes.running import NotStarted, Running
 from ..sockets import Program, Stage
 from ..spans import MILLISECOND, SECOND
 from .process import Used, used
@@ -53,6 +53,13 @@
     def command(self) -> list[str]:
         return [sys.executable, "-m", self.module]
 
+    def watch(self, orders: Path) -> None:
+        """It takes versions of the configuration from those that this file names."""
+        self.words = ["serve", self.environment["RELAY_CONFIG"], "--watch", str(orders)]
+
+    async def start(self, more: Any = ()) -> None:
+        await Running.start(self, more)
+
 
 class World(Stage):
     def __init__(
@@ -63,12 +70,14 @@
         settled: int,
         acts: Sequence[tuple[int, Act]] = (),
         ends: int = 0,
+        watch: Path | None = None,
     ) -> None:
         """The stretch begins at `settled` and ends at `ends`, ns from the start; 0: with the experiment."""
         super().__init__(e, seed, folder, self._hear)
         self.tells_traffic = True
         self.settled = settled
         self.ends = ends or e.lasts
+        self.watch = watch
         self.acts = sorted(acts, key=lambda act: act[0])
         self.bare = e.dispatchers.count == 1
         self.reports: dict[str, list[dict[str, Any]]] = {kind: [] for kind in KINDS.values()}
@@ -84,7 +93,12 @@
 
     def _program(self, place: Place, config: dict[str, Any], store: dict[str, Any] | None) -> Program:
         self.configs.append(config)
-        return (Bare if self.bare else Program)(self.rig, place, config, store)
+        if not self.bare:
+            return Program(self.rig, place, config, store)
+        program = Bare(self.rig, place, config, store)
+        if self.watch is not None:
+            program.watch(self.watch)
+        return program
 
     def _begins(self, epoch: int, workers: Child, discovery: Child) -> None:
         self.tasks.append(asyncio.create_task(self._listen(discovery, discovery)))
@@ -243,11 +257,16 @@
 
 
 async def played(
-    e: ex.Experiment, seed: int, settled: int, acts: Sequence[tuple[int, Act]] = (), ends: int = 0
+    e: ex.Experiment,
+    seed: int,
+    settled: int,
+    acts: Sequence[tuple[int, Act]] = (),
+    ends: int = 0,
+    watch: Path | None = None,
 ) -> tuple[World, Reading]:
     """One world, in real time; one that does not come up is void. Raises NoRoom where it does not fit."""
     with tempfile.TemporaryDirectory(prefix="ploverspoke-slopes-", dir=in_memory()) as name:
-        world = World(e, seed, Path(name), settled, acts, ends)
+        world = World(e, seed, Path(name), settled, acts, ends, watch)
         try:
             await world.play()
         except (NotStarted, TimeoutError) as error:
