--- a/ploverspoke/testbed/capacity/parts.py
+++ b/ploverspoke/testbed/capacity/parts.py
@@ -53,8 +53,9 @@
 def unit_of(figure: str) -> str:
     if figure in UNITS:
         return UNITS[figure]
-    if figure.startswith("follower_"):
-        return unit_of(figure.removeprefix("follower_"))
+    for prefix in ("follower_", "children_"):
+        if figure.startswith(prefix):
+            return unit_of(figure.removeprefix(prefix))
     return "messages a second" if "messages" in figure else "bytes a second"
 
 
