Hollow dispatchers: many in one process on real sockets, and the plays of a fleet file

Cause: plays of some hundred dispatchers need as many processes otherwise; hollow ones hold the program's own Service with a loop of their own each, ended, killed and started one by one. A region may be cut off; workers may be spread over several stand-ins. The test of shipped files reads a fleet's plays, too: it took the fleet file for an experiment and failed.

--- a/ploverspoke/testbed/commands.py
+++ b/ploverspoke/testbed/commands.py
@@ -48,6 +48,7 @@
     "--out", type=click.Path(file_okay=False, path_type=Path), help="Where result, histograms and plots go."
 )
 @click.option("--events/--no-events", default=False, help="Keep every event seen, too, one JSON line each.")
+@click.option("--play", "plays", multiple=True, help="Of a fleet file: only this play; may be repeated.")
 def run(
     experiment: Path,
     sockets: bool,
@@ -55,13 +56,17 @@
     policies: tuple[str, ...],
     out: Path | None,
     events: bool,
+    plays: tuple[str, ...],
 ) -> None:
-    """Run an EXPERIMENT file and judge it. One of kind "leases" is played by real processes.
+    """Run an EXPERIMENT file and judge it. One of kind "leases" is played by real processes, one of kind
+    "fleet" by hollow ones; of that, --out is a JSON file.
 
     Exit 0: all that must hold held. 1: something did not, and is named. 2: the file or the call is wrong.
     """
     if (told := _kind(experiment)).get("kind") == "leases":
         _run_leases(told, seeds, out)
+    if told.get("kind") == "fleet":
+        _run_fleet(experiment, plays, out, events)
     e = _read(experiment, seeds, policies)
     # Neither replicas nor links among dispatchers are played on virtual time.
     sockets = sockets or e.dispatchers.store or e.dispatchers.talk or bool(e.timeline)
@@ -121,6 +126,32 @@
     sys.exit(1 if any(found["void"] or found["failed"] for found in results) else 0)
 
 
+def _run_fleet(path: Path, plays: tuple[str, ...], out: Path | None, events: bool) -> NoReturn:
+    """Many dispatchers in a few processes; a void run is no green one."""
+    from .capacity.size import BadFleet, read_fleet
+    from .hollow.judge import Run
+    from .hollow.run import run_fleet
+
+    def say(row: Run) -> None:
+        print(
+            f"{row.play}: " + "  ".join(f"{key}={value:g}" for key, value in row.figures.items()), flush=True
+        )
+        for what, lines in (
+            ("void", [row.void] * bool(row.void)),
+            ("held", row.held),
+            ("failed", row.failed),
+        ):
+            for line in lines:
+                print(f"  {what}: {line}", flush=True)
+
+    try:
+        keep = out.parent if events and out is not None else None
+        rows = run_fleet(read_fleet(path), plays, out, say, keep)
+    except (BadFleet, BadExperiment) as error:
+        raise click.UsageError(str(error)) from None
+    sys.exit(1 if any(row.void or row.failed for row in rows) else 0)
+
+
 def _say(done: RunScore) -> None:
     broken = f", {done.broken_rules} broken rules" if done.broken_rules else ""
     print(
--- a/ploverspoke/testbed/experiment.py
+++ b/ploverspoke/testbed/experiment.py
@@ -150,6 +150,8 @@
 class Network(Part, frozen=True, kw_only=True):
     near: Span = Span(200_000)  # one way, within a zone
     far: Span = Span(2 * MILLISECOND)  # between zones
+    farther: Span = Span(0)  # between regions, where there are any
+    regions: list[list[str]] = []  # the zones of each; discovery stands in the first
     client: Span = Span(100_000)  # between clients and dispatchers
     connect_time_out: Span = Span(150 * MILLISECOND)
 
@@ -259,6 +261,13 @@
     of_workers = False
 
 
+class RegionCut(Trouble, tag="region cut", frozen=True, kw_only=True):
+    """Nothing passes between that region and the others, nor between it and a discovery in another."""
+
+    of_workers = False
+    region: int = 1  # its place in network.regions
+
+
 class StoreJam(Trouble, tag="store jam", frozen=True, kw_only=True):
     of_workers = False
     factor: float = 10.0
@@ -328,6 +337,7 @@
     | Silences
     | DropsAtRest
     | ZoneCut
+    | RegionCut
     | StoreJam
     | DiscoveryDown
     | DispatcherKilled
@@ -382,6 +392,18 @@
     def zones(self) -> list[str]:
         return list(dict.fromkeys(w.zone for w in self.workers))
 
+    def region(self, zone: int) -> int:
+        """The number of its region; 0 where there are none."""
+        name = self.zones()[zone]
+        return next((n for n, zones in enumerate(self.network.regions) if name in zones), 0)
+
+    def one_way(self, zone: int, other: int) -> int:
+        """How long a message takes between two zones, in ns."""
+        if zone == other:
+            return self.network.near
+        apart = self.region(zone) != self.region(other)
+        return self.network.farther if apart else self.network.far
+
     def kinds(self) -> list[str]:
         return list(dict.fromkeys(w.kind for w in self.workers))
 
@@ -418,7 +440,7 @@
 
 def _span_hook(kind: type, value: Any) -> Any:
     if kind is Span:
-        return read_span(value)
+        return value if isinstance(value, Span) else read_span(value)
     raise NotImplementedError(kind)
 
 
@@ -462,6 +484,10 @@
             f"traffic[{at}]",
             "rate, wave or burst out of range",
         )
+    placed = [zone for region in e.network.regions for zone in region]
+    if placed:
+        must(sorted(placed) == sorted(e.zones()), "network.regions", "each zone has to be in one of them")
+        must(e.network.farther >= e.network.far, "network.farther", "is less than far")
     _check_troubles(e, must)
     try:
         check(e.timeline, [f"d{number}" for number in range(e.dispatchers.count)])
@@ -484,6 +510,12 @@
         must(0 <= t.share <= 1, f"{key}.share", "must lie between 0 and 1")
         if isinstance(t, ZoneCut):
             must(bool(t.zone), f"{key}.zone", "a cut needs the zone that is cut off")
+        if isinstance(t, RegionCut):
+            must(
+                0 <= t.region < len(e.network.regions),
+                f"{key}.region",
+                "network.regions has none of that number",
+            )
         if isinstance(t, SettingsChanged):
             must(set(t.repeat) <= {g.name for g in e.grades}, f"{key}.repeat", "names a grade that is none")
             must(t.most_hand_offs is None or t.most_hand_offs > 0, f"{key}.most_hand_offs", "must be over 0")
--- /dev/null
+++ b/ploverspoke/testbed/hollow/dispatcher.py
@@ -0,0 +1,138 @@
+"""One dispatcher among many in a process: the program's own Service, started, ended, killed, told to read."""
+
+import asyncio
+import signal
+import socket
+import struct
+from collections.abc import Callable, Iterable
+from contextvars import copy_context
+from functools import partial
+from typing import Any, NamedTuple, cast
+
+from ploverspoke.program.briefing import read_briefing
+from ploverspoke.program.checked import BadKey
+from ploverspoke.program.service import Service
+from ploverspoke.transport.connections import Connection
+
+from .loops import OwnLoop
+from .said import WHOSE, Said
+
+RESET = struct.pack("ii", 1, 0)  # SO_LINGER: closed with a reset, whatever was unsent
+
+
+class Place(NamedTuple):
+    """Where one hollow dispatcher is, and where it finds its configuration."""
+
+    number: int
+    name: str
+    address: str
+    config: str  # path
+
+
+class HollowDispatcher:
+    """One life of one dispatcher. `ended` is told of its end, with why; "": it was told to."""
+
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, place: Place, ended: Callable[[int, str], None]
+    ) -> None:
+        self.place = place
+        self.ended = ended
+        self.said = Said(place.name)
+        self.loop = OwnLoop(loop, place.address)
+        self.service: Service | None = None
+        self.serves = False
+        self.on_serving: Callable[[int], None] = lambda number: None
+        context = copy_context()
+        context.run(WHOSE.set, self.said)
+        self.task = loop.create_task(self._run(), context=context)
+
+    async def _run(self) -> None:
+        why = ""
+        try:
+            # Its own configuration, by the program's own reading: nothing of it comes from this process's.
+            read = partial(read_briefing, {"RELAY_CONFIG": self.place.config})
+            self.service = Service(cast(asyncio.AbstractEventLoop, self.loop), read())
+            self.service.read = read
+            self.service.on_ready = self._ready
+            await self.service.run()
+        except (BadKey, OSError) as error:
+            why = str(error)
+        self.serves = False
+        self._drop(reset=False)
+        self.ended(self.place.number, why)
+
+    def _ready(self) -> None:
+        self.serves = True
+        self.on_serving(self.place.number)
+
+    # ---- In place of signals ----
+
+    def signal(self, number: signal.Signals) -> None:
+        handler = self.loop.handlers.get(number)
+        if handler is not None:
+            copy_context_of(self.said).run(handler)
+
+    def kill(self) -> None:
+        """Its sockets are reset and it says nothing more, as when its process is killed."""
+        self.serves = False
+        self.task.cancel()
+        self._drop(reset=True)
+
+    def _drop(self, reset: bool) -> None:
+        self.loop.die()
+        service = self.service
+        if service is None:
+            return
+        if service.deadlines.timer is not None:
+            service.deadlines.timer.cancel()
+        service.deadlines.heap.clear()
+        for door in (service.door, service.operators):
+            door.listener.close()
+            for task in list(door.listener.seating):
+                task.cancel()
+        if service.router.peers is not None:
+            service.router.peers.close()
+        for connection in list(connections_of(service)):
+            drop(connection, reset)
+
+    # ---- What is seen inside; for growth only, nothing is judged by it ----
+
+    def counts(self) -> dict[str, int]:
+        service = self.service
+        if service is None:
+            return {}
+        return {
+            "open": service.router.open_now(),
+            "deadlines": len(service.deadlines.heap),
+            "connections": sum(1 for _ in connections_of(service)),
+            "said": self.said.count,
+        }
+
+
+def copy_context_of(said: Said) -> Any:
+    context = copy_context()
+    context.run(WHOSE.set, said)
+    return context
+
+
+def connections_of(service: Service) -> Iterable[Connection]:
+    tables = (
+        service.pool.connections,
+        service.router.roster.pool.connections,
+        service.door.connections,
+        service.operators.connections,
+    )
+    return (connection for table in tables for connection in table)
+
+
+def drop(connection: Connection, reset: bool) -> None:
+    """Closed now; whoever used it here hears nothing of it."""
+    transport = connection.transport
+    if transport is None or transport.is_closing():
+        return
+    transport.set_protocol(asyncio.Protocol())
+    if reset:
+        # The transport's own socket takes no options; another descriptor of the same one does.
+        with socket.socket(fileno=socket.dup(transport.get_extra_info("socket").fileno())) as same:
+            same.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+    transport.abort()
--- /dev/null
+++ b/ploverspoke/testbed/hollow/run.py
@@ -0,0 +1,297 @@
+"""Plays a fleet file: hollow against real first, then each world, one after the other, in real time."""
+
+import asyncio
+import platform
+import subprocess
+import tempfile
+import time
+from collections.abc import Callable, Sequence
+from os import sched_getaffinity
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from .. import experiment as ex
+from ..audit import SOCKETS_SLACK, audit
+from ..capacity.size import Fleet
+from ..processes.child import Child
+from ..processes.rig import Place
+from ..processes.room import NoRoom, in_memory
+from ..processes.running import NotStarted
+from ..records import merged, read_records, write_records
+from ..scores import score
+from ..settings import settings_of
+from ..spans import SECOND
+from .judge import (
+    BY_NATURE,
+    FORMAT,
+    KINDS,
+    Results,
+    Run,
+    Seen,
+    bounded_by_length,
+    compare,
+    figures_of,
+    healing,
+    judge,
+    marked,
+)
+from .plays import Play, Plays, compared_world, plays_of, shape_of, world_of
+from .programs import MODULE, HollowProgram
+from .stage import FleetStage, HollowStage, RealStage, Shape, total_memory
+
+COMPARED = "hollow and real"
+LENGTHS = "absences of two lengths"
+ADDED = "change"  # grades that changes add: change-1, change-2...
+
+
+class Changing(HollowStage):
+    """With changes of configuration, each a grade more, brought to every dispatcher by an operator's hand."""
+
+    changes = 0
+    begins = 0  # ns of the run
+    lasts = 0
+    child: Child
+    took: list[list[int]]
+
+    async def _before(self, places: list[Place]) -> None:
+        await super()._before(places)
+        self.took = []
+        self.child = await self.rig.child(f"{MODULE}.asker", [])
+        self.child.tell({"doors": [place.at("clients") for place in places]})
+
+    def _begins(self, epoch: int, workers: Child, discovery: Child) -> None:
+        super()._begins(epoch, workers, discovery)
+        self.tasks.append(asyncio.create_task(self._hear_asker()))
+        self.tasks.append(asyncio.create_task(self._change(epoch)))
+
+    async def _hear_asker(self) -> None:
+        while (told := await self.child.hear()) is not None:
+            self.took.append(told["took"])
+
+    async def _change(self, epoch: int) -> None:
+        every = self.lasts // (self.changes + 1)
+        for number in range(1, self.changes + 1):
+            await asyncio.sleep(max(0, epoch + self.begins + number * every - time.monotonic_ns()) / SECOND)
+            self.child.tell({"change": number, "grade": f"{ADDED}-{number}"})
+            await self.bring(number)
+
+    def changed(self, number: int, dispatcher: int) -> dict[str, Any]:
+        """The settings of that dispatcher with so many changes."""
+        like = self.e.grades[-1]
+        more = [
+            msgspec.structs.replace(like, name=f"{ADDED}-{n}", benefit=1.0 + n / 100)
+            for n in range(1, number + 1)
+        ]
+        return settings_of(msgspec.structs.replace(self.e, grades=[*self.e.grades, *more]), dispatcher)
+
+    async def bring(self, number: int) -> None:
+        """A file for each, and a signal for each."""
+        for dispatcher, program in enumerate(self.programs):
+            assert isinstance(program, HollowProgram)
+            program.config = {**program.config, "settings": self.changed(number, dispatcher)}
+            program.write()
+            program.read_again()
+            await asyncio.sleep(0)
+
+
+def stage_of(
+    play: Play, plays: Plays, e: ex.Experiment, folder: Path, hollow: bool, shape: Shape | None = None
+) -> FleetStage:
+    shape = shape_of(plays) if shape is None else shape
+    if not hollow:
+        return RealStage(e, plays.seed, folder, shape._replace(hollow=0))
+    if play.what != "changes":
+        return HollowStage(e, plays.seed, folder, shape)
+    stage = Changing(e, plays.seed, folder, shape)
+    stage.changes, stage.begins, stage.lasts = play.changes, e.counted_from, play.lasts
+    return stage
+
+
+async def _play(stage: FleetStage) -> None:
+    try:
+        await stage.play()
+    finally:
+        await stage.close()
+
+
+def play_one(
+    fleet: Fleet,
+    plays: Plays,
+    play: Play,
+    *,
+    hollow: bool = True,
+    void_kinds: Sequence[str] = (),
+    keep: Path | None = None,
+) -> Run:
+    """Raises nothing that a run can bring: one that does not fit or come up is void, and says why."""
+    e = world_of(fleet, plays, play)
+    count = e.dispatchers.count
+    row = Run(
+        play=play.name,
+        seed=plays.seed,
+        dispatchers=count,
+        processes=plays.hollow_processes if hollow else count,
+        hollow=hollow,
+        void="",
+        figures={},
+    )
+    with tempfile.TemporaryDirectory(prefix="ploverspoke-fleet-", dir=in_memory()) as name:
+        folder = Path(name)
+        stage = stage_of(play, plays, e, folder, hollow)
+        try:
+            asyncio.run(_play(stage))
+        except (NoRoom, NotStarted, TimeoutError) as error:
+            row.void = str(error) or "a process was not ready in time"
+            return row
+        events = merged([stage.seen.events, *(read_records(path) for path in sorted(folder.glob("*.jsonl")))])
+        lines = sum(path.read_bytes().count(b"\n") for path in folder.glob("d*.log"))
+    if keep is not None:
+        write_records(events, keep)
+    row.void = stage.void()
+    found = score(e, "ours", plays.seed, events, audit(e, events, SOCKETS_SLACK), row.void)
+    changes = getattr(stage, "took", [])
+    seen = Seen(e, events, found, stage.samples, changes, lines)
+    figures = figures_of(seen)
+    if play.what == "region cut":
+        figures |= healing(seen, play)
+    verdict = judge(fleet, play, seen, figures, void_kinds)
+    if play.what == "changes" and len(changes) < play.changes:
+        verdict.demand(False, f"{len(changes)} of {play.changes} changes were seen to the end")
+    row.figures = {key: round(value, 6) for key, value in marked(figures, void_kinds).items()}
+    row.held = verdict.held
+    row.failed = [*verdict.failed, *(text.splitlines()[0] for text in found.findings[:5])]
+    if void_kinds:
+        row.note = f"void by kind, since hollow and real differ there: {', '.join(void_kinds)}"
+    return row
+
+
+def compare_both(fleet: Fleet, plays: Plays) -> tuple[list[Run], list[str]]:
+    """The same experiment and seed with hollow and with real dispatchers, and the kinds that are void."""
+    play = compared_world(fleet, plays)
+    processes = max(1, plays.hollow_processes * plays.compared.dispatchers // plays.dispatchers)
+    few = msgspec.structs.replace(plays, hollow_processes=processes)
+    rows = [play_one(fleet, few, play, hollow=hollow) for hollow in (True, False)]
+    both = Run(
+        play=COMPARED,
+        seed=plays.seed,
+        dispatchers=plays.compared.dispatchers,
+        processes=processes,
+        hollow=True,
+        void=next((f"one of the two is void: {row.void}" for row in rows if row.void), ""),
+        figures={},
+        note="hollow figures as parts of the real ones; a kind is void where one is off by over "
+        f"{plays.compared.differ_at_most:.0%}, memory a dispatcher always: it is shared",
+    )
+    rows[0].play, rows[1].play = f"{COMPARED}: hollow", f"{COMPARED}: real"
+    if both.void:
+        return [*rows, both], [BY_NATURE]
+    ratios, void = compare(rows[0].figures, rows[1].figures, plays.compared.differ_at_most)
+    both.figures = {key: round(value, 4) for key, value in ratios.items()}
+    both.held = [kind for kind in KINDS if kind not in void]
+    both.failed = [f"{kind}: hollow figures of it are void" for kind in void]
+    return [*rows, both], [*void, BY_NATURE]
+
+
+def compare_lengths(fleet: Fleet, plays: Plays, rows: Sequence[Run]) -> Run | None:
+    """Two absences of a region that were both played: what grows with their length."""
+    worlds = {play.name: play for play in plays.worlds if play.what == "region cut"}
+    played = sorted((row for row in rows if row.play in worlds), key=lambda row: worlds[row.play].away)
+    if len(played) < 2:
+        return None
+    short, long = played[0], played[-1]
+    times = worlds[long.play].away / worlds[short.play].away
+    verdict = bounded_by_length(short.figures, long.figures, times)
+    return Run(
+        play=LENGTHS,
+        seed=plays.seed,
+        dispatchers=long.dispatchers,
+        processes=long.processes,
+        hollow=True,
+        void=next((f"{row.play} is void: {row.void}" for row in (short, long) if row.void), ""),
+        figures={},
+        held=verdict.held,
+        failed=verdict.failed,
+    )
+
+
+def run_fleet(
+    fleet: Fleet,
+    names: Sequence[str],
+    out: Path | None,
+    told: Callable[[Run], None],
+    keep: Path | None = None,
+) -> list[Run]:
+    """All plays, or those named; each is written to `out` as soon as it is over, beside what is there.
+
+    Raises BadFleet where the table of plays is wrong, BadExperiment where a name is none of them.
+    """
+    plays = plays_of(fleet)
+    known = [COMPARED, *(play.name for play in plays.worlds)]
+    for name in names:
+        if name not in known:
+            raise ex.BadExperiment(f"--play: {name!r} is none of {', '.join(known)}")
+    rows: list[Run] = []
+    results = read_results(out)
+
+    def done(*more: Run) -> None:
+        for row in more:
+            rows.append(row)
+            results.runs.append(row)
+            told(row)
+        if out is not None:
+            out.write_bytes(msgspec.json.format(msgspec.json.encode(results)) + b"\n")
+
+    void_kinds = void_before(results.runs)
+    if not names or COMPARED in names:
+        compared, void_kinds = compare_both(fleet, plays)
+        done(*compared)
+    for play in plays.worlds:
+        if not names or play.name in names:
+            path = None if keep is None else keep / f"events-{play.name.replace(' ', '-')}.jsonl"
+            done(play_one(fleet, plays, play, void_kinds=void_kinds, keep=path))
+    lengths = compare_lengths(fleet, plays, rows)
+    if lengths is not None:
+        done(lengths)
+    return rows
+
+
+def void_before(rows: Sequence[Run]) -> list[str]:
+    """What the last comparison that was no void one has found."""
+    last = next((row for row in reversed(rows) if row.play == COMPARED and not row.void), None)
+    found = [] if last is None else [text.partition(":")[0] for text in last.failed]
+    return [*found, BY_NATURE]
+
+
+def read_results(out: Path | None) -> Results:
+    now = time.strftime("%Y-%m-%d", time.gmtime())
+    fresh = Results(format=FORMAT, at=now, text=commit(), machine=machine())
+    if out is None or not out.exists():
+        return fresh
+    try:
+        fresh.runs = msgspec.json.decode(out.read_bytes(), type=Results).runs
+    except (OSError, msgspec.DecodeError) as error:
+        raise ex.BadExperiment(f"{out}: no results of plays: {error}") from None
+    return fresh
+
+
+def commit() -> str:
+    """The text that is played; unknown outside of a repository."""
+    try:
+        found = subprocess.run(
+            ["git", "rev-parse", "--short", "HEAD"],
+            capture_output=True,
+            text=True,
+            check=True,
+            cwd=Path(__file__).parent,
+        )
+    except (OSError, subprocess.CalledProcessError):
+        return "unknown"
+    return found.stdout.strip()
+
+
+def machine() -> str:
+    return (
+        f"{len(sched_getaffinity(0))} cores, {total_memory() >> 30} GiB, Python {platform.python_version()}"
+    )
--- /dev/null
+++ b/ploverspoke/testbed/hollow/stage.py
@@ -0,0 +1,275 @@
+"""The stage of a fleet: many dispatchers, hollow or each in a process, and what they use and carry."""
+
+import asyncio
+import sys
+import time
+from os import sched_getaffinity
+from pathlib import Path
+from typing import Any, NamedTuple, cast
+
+import msgspec
+
+from .. import experiment as ex
+from ..processes.child import Child
+from ..processes.rig import Place
+from ..processes.room import MEBIBYTE, NoRoom, Want, free_memory
+from ..processes.running import NotStarted
+from ..schedule import schedule
+from ..sockets import MOST_BEHIND, Program, Stage, Told, wants
+from ..spans import SECOND, write_span
+from . import dispatcher
+from .process import Spec
+from .programs import MODULE, HollowChild, HollowProgram
+
+COUNTS_EVERY = 2 * SECOND
+QUIET = 3 * SECOND  # nothing is out for so long: no retry waits any more, and the run is over
+# What is reckoned before a run; the most that was seen, and some more.
+PROCESS_MEMORY, DISPATCHER_MEMORY = 64 * MEBIBYTE, 16 * MEBIBYTE
+CORES_A_TASK = (
+    0.0012  # running, with a progress report a second: its dispatcher's, its worker's, its client's
+)
+CORES_A_START = 0.006
+CORES_A_DISPATCHER = 0.001
+DESCRIPTORS_A_DISPATCHER = 32
+TRAFFIC = ("bytes_in", "bytes_out", "messages_in", "messages_out", "progress_bytes", "probes", "connections")
+
+
+class Shape(NamedTuple):
+    """How a run is spread over processes."""
+
+    hollow: int  # 0: each dispatcher is a process of its own
+    workers: int
+    clients: int
+    cores: float = 0.0  # that may be used; 0: all that we may run on
+
+
+class Used(NamedTuple):
+    """By all dispatchers together."""
+
+    cpu_ns: int
+    resident: int  # bytes
+    descriptors: int  # the most of one process
+    serving: int
+    inside: dict[str, int]
+
+
+class Sample(NamedTuple):
+    at: int  # ns of the run
+    used: Used
+    traffic: dict[str, dict[str, int]]  # by kind of stand-in, over all dispatchers
+    running: int  # tasks, as the workers have it
+
+
+class FleetStage(Stage):
+    """A stage that is counted as it is played, and over once nobody waits for anything."""
+
+    def __init__(
+        self, e: ex.Experiment, seed: int, folder: Path, shape: Shape, told: Told | None = None
+    ) -> None:
+        super().__init__(e, seed, folder, self._noted)
+        self.listener = told
+        self.shape = shape
+        self.worker_processes = shape.workers
+        self.tells_traffic = True
+        self.jobs = len(schedule(e, seed))
+        self.latest: dict[int, dict[str, Any]] = {}  # what each stand-in told last
+        self.samples: list[Sample] = []
+        self.quiet_since = -1
+
+    # ---- Before ----
+
+    def _client_processes(self) -> int:
+        return self.shape.clients
+
+    def _wants(self) -> list[Want]:
+        if self.shape.workers > 1 and (
+            self.e.store is not None
+            or any(g.repeat == "labelled" and g.group == "all" for g in self.e.grades)
+        ):
+            raise ex.BadExperiment("worker processes: what all zones share can't be spread over several")
+        found = [self._dispatchers_want()]
+        for want in wants(self.e):
+            count = {"workers": self.shape.workers, "clients": self.shape.clients}.get(want.what, 1)
+            found.append(want._replace(processes=count, descriptors=want.descriptors // count + 64))
+        self._must_have_cores()
+        half = total_memory() // 2
+        wanted = sum(want.processes * want.memory for want in found)
+        if wanted > half:
+            raise NoRoom(f"{wanted // MEBIBYTE} MiB wanted, {half // MEBIBYTE} are half of the machine's")
+        return found
+
+    def _dispatchers_want(self) -> Want:
+        raise NotImplementedError
+
+    def _must_have_cores(self) -> None:
+        needed, running, starts = cores_for(self.e)
+        has = self.shape.cores or len(sched_getaffinity(0))
+        if needed > has:
+            raise NoRoom(
+                f"{needed:.1f} cores wanted ({running:.0f} tasks running, {starts:.0f} starts a second, "
+                f"{self.e.dispatchers.count} dispatchers), {has:g} are there"
+            )
+
+    async def play(self) -> None:
+        await super().play()
+        self.samples.append(await self.sample())
+
+    # ---- While it runs ----
+
+    def _begins(self, epoch: int, workers: Child, discovery: Child) -> None:
+        self.tasks.append(asyncio.create_task(self._listen(discovery, discovery)))
+        self.tasks.append(asyncio.create_task(self._sample(epoch)))
+
+    def _noted(self, told: dict[str, Any]) -> None:
+        self.latest[told["child"]] = told
+        if self.listener is not None:
+            self.listener(told)
+        if "sent" in told:
+            clients = [one for one in self.latest.values() if "sent" in one]
+            if len(clients) < self.shape.clients or sum(one["sent"] for one in clients) < self.jobs:
+                return
+            if told["at"] < self.e.lasts or any(one["out"] for one in clients):
+                self.quiet_since = -1
+            elif self.quiet_since < 0:
+                self.quiet_since = told["at"]
+            elif told["at"] - self.quiet_since > QUIET:
+                self.rig.all_done.set()
+
+    async def _sample(self, epoch: int) -> None:
+        try:
+            for number in range(1 << 30):
+                await asyncio.sleep(max(0, epoch + number * COUNTS_EVERY - time.monotonic_ns()) / SECOND)
+                self.samples.append(await self.sample())
+        except (NotStarted, OSError) as error:
+            self.rig.faults.append(f"what dispatchers use could not be seen: {error}")
+
+    async def sample(self) -> Sample:
+        used = await self.used()
+        traffic: dict[str, dict[str, int]] = {}
+        for told in self.latest.values():
+            kind = "workers" if "workers" in told else "clients" if "sent" in told else "discovery"
+            if "traffic" not in told:
+                continue
+            there = traffic.setdefault(kind, dict.fromkeys(TRAFFIC, 0))
+            for one in told["traffic"]:
+                for key in TRAFFIC:
+                    there[key] += one[key]
+        running = sum(told["running"] for told in self.latest.values() if "running" in told)
+        return Sample(self.rig.now(), used, traffic, running)
+
+    async def used(self) -> Used:
+        raise NotImplementedError
+
+
+class HollowStage(FleetStage):
+    def __init__(
+        self, e: ex.Experiment, seed: int, folder: Path, shape: Shape, told: Told | None = None
+    ) -> None:
+        super().__init__(e, seed, folder, shape, told)
+        self.children: list[HollowChild] = []
+        self.hollow_late = 0
+
+    def _dispatchers_want(self) -> Want:
+        each = -(-self.e.dispatchers.count // self.shape.hollow)
+        _, running, starts = cores_for(self.e)
+        per = running / self.e.dispatchers.count * 3 + starts / self.e.dispatchers.count * 30
+        descriptors = 64 + int(each * (DESCRIPTORS_A_DISPATCHER + per))
+        return Want(
+            "hollow processes", self.shape.hollow, PROCESS_MEMORY + each * DISPATCHER_MEMORY, descriptors
+        )
+
+    async def _before(self, places: list[Place]) -> None:
+        await super()._before(places)
+        parts: list[list[dispatcher.Place]] = [[] for _ in range(self.shape.hollow)]
+        for number, place in enumerate(places):
+            parts[number % self.shape.hollow].append(self._place(number, place))
+        spec = self.folder / "hollow.json"
+        spec.write_bytes(msgspec.json.encode(Spec(parts)))
+        for part in range(self.shape.hollow):
+            child = await self.rig.child(MODULE, [str(spec), str(part)], log=f"d-hollow-{part}")
+            self.children.append(HollowChild(child))
+        for one in self.children:
+            await one.listen()
+            assert one.listening is not None
+            self.tasks.append(one.listening)
+
+    def _place(self, number: int, place: Place) -> dispatcher.Place:
+        return dispatcher.Place(number, place.name, place.own, str(self.folder / f"{place.name}.json"))
+
+    def _program(self, place: Place, config: dict[str, Any], store: dict[str, Any] | None) -> Program:
+        number = len(self.programs)
+        child = self.children[number % self.shape.hollow]
+        # To the rig it is a process like others: it is started, ended and killed in the same way.
+        return cast(Program, HollowProgram(child, self._place(number, place), config))
+
+    def _begins(self, epoch: int, workers: Child, discovery: Child) -> None:
+        for one in self.children:
+            one.child.tell({"begin": True})
+        super()._begins(epoch, workers, discovery)
+
+    async def used(self) -> Used:
+        told = await asyncio.gather(*(one.counts() for one in self.children))
+        self.hollow_late = max(self.hollow_late, *(one["late"] for one in told))
+        inside: dict[str, int] = {}
+        for one in told:
+            for key, value in one["inside"].items():
+                inside[key] = inside.get(key, 0) + value
+        return Used(
+            sum(one["cpu_ns"] for one in told),
+            sum(one["resident"] for one in told),
+            max(one["descriptors"] for one in told),
+            sum(one["serving"] for one in told),
+            inside,
+        )
+
+    def void(self) -> str:
+        if self.hollow_late > MOST_BEHIND:
+            late = write_span(self.hollow_late)
+            return f"hollow dispatchers held each other up: their loop was late by {late}"
+        return super().void()
+
+
+class Alone(Program):
+    """The program in a process of its own, with nothing of the rig's in it but an address to send from."""
+
+    def command(self) -> list[str]:
+        return [sys.executable, "-m", f"{MODULE}.alone", self.own, self.module]
+
+
+class RealStage(FleetStage):
+    """Each dispatcher a process, as it is in use: what hollow ones are compared with."""
+
+    def _dispatchers_want(self) -> Want:
+        return Want("dispatchers", self.e.dispatchers.count, PROCESS_MEMORY, self.e.dispatchers.sockets)
+
+    def _program(self, place: Place, config: dict[str, Any], store: dict[str, Any] | None) -> Program:
+        return Alone(self.rig, place, config, store)
+
+    async def used(self) -> Used:
+        cpu = resident = most = serving = 0
+        for program in self.programs:
+            if program.process is None or not program.lives():
+                continue
+            proc = Path(f"/proc/{program.process.pid}")
+            cpu += sum(int(path.read_text().split()[0]) for path in proc.glob("task/*/schedstat"))
+            resident += int((proc / "statm").read_text().split()[1]) * 4096
+            most = max(most, sum(1 for _ in (proc / "fd").iterdir()))
+            serving += 1
+        return Used(cpu, resident, most, serving, {})
+
+
+def cores_for(e: ex.Experiment) -> tuple[float, float, float]:
+    """Cores that a run wants, with the tasks running and the starts a second at its peak."""
+    starts = max(max(t.rate, t.to_rate or 0.0) * (1 + t.wave) for t in e.traffic)
+    whole = sum(g.share for g in e.grades)
+    running = starts * sum(g.share / whole * g.work.mean / SECOND for g in e.grades)
+    reports = SECOND / e.worker_rules.progress_every
+    needed = running * reports * CORES_A_TASK + starts * CORES_A_START
+    return needed + e.dispatchers.count * CORES_A_DISPATCHER, running, starts
+
+
+def total_memory() -> int:
+    for line in Path("/proc/meminfo").read_text().splitlines():
+        if line.startswith("MemTotal:"):
+            return int(line.split()[1]) * 1024
+    return free_memory()
--- a/ploverspoke/testbed/processes/child.py
+++ b/ploverspoke/testbed/processes/child.py
@@ -3,7 +3,7 @@
 import asyncio
 import sys
 from collections.abc import Sequence
-from typing import Any
+from typing import IO, Any
 
 import msgspec
 
@@ -15,10 +15,10 @@
         self.process = process
 
     @classmethod
-    async def start(cls, module: str, words: Sequence[str]) -> "Child":
+    async def start(cls, module: str, words: Sequence[str], errors: IO[bytes] | None = None) -> "Child":
         pipe = asyncio.subprocess.PIPE
         process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", module, *words, stdin=pipe, stdout=pipe, limit=1 << 22
+            sys.executable, "-m", module, *words, stdin=pipe, stdout=pipe, stderr=errors, limit=1 << 22
         )
         return cls(process)
 
--- a/ploverspoke/testbed/processes/rig.py
+++ b/ploverspoke/testbed/processes/rig.py
@@ -11,6 +11,7 @@
 """
 
 import asyncio
+import contextlib
 import signal
 from collections.abc import Awaitable, Callable, Iterable, Mapping, Sequence
 from os import sched_getaffinity
@@ -80,6 +81,7 @@
         self.on_up: Callable[[str], None] = lambda name: None
         self.ends_within = STOP_WITHIN  # seconds, of one that is told to
         self.latest = 0  # ns
+        self.all_done = asyncio.Event()  # nothing is left to wait for, though time is
         self.skipped = 0  # steps on a process that was busy
         self.done = 0
         self.epoch = 0
@@ -135,9 +137,13 @@
         if await self.relays.hear() is None:
             raise NotStarted("the relays ended at their start")
 
-    async def child(self, module: str, words: Sequence[str]) -> Child:
-        """A stand-in, ended with the rest."""
-        child = await Child.start(module, words)
+    async def child(self, module: str, words: Sequence[str], log: str = "") -> Child:
+        """A stand-in, ended with the rest. What it says of itself goes to a log of that name, if any."""
+        if log:
+            with (self.folder / f"{log}.log").open("ab") as file:
+                child = await Child.start(module, words, file)
+        else:
+            child = await Child.start(module, words)
         self.children.append(child)
         return child
 
@@ -185,7 +191,8 @@
             await asyncio.sleep(max(0.0, (step.at - self.now()) / SECOND))
             self.latest = max(self.latest, self.now() - step.at)
             self._begin(step)
-        await asyncio.sleep(max(0.0, (lasts - self.now()) / SECOND))
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self.all_done.wait(), max(0.0, (lasts - self.now()) / SECOND))
         watch.cancel()
         for task in list(self.tasks):
             await task
--- a/ploverspoke/testbed/roster.py
+++ b/ploverspoke/testbed/roster.py
@@ -44,6 +44,8 @@
         self.waiting: list[Call] = []
         self.free_at = 0  # when the calls so far are worked through
         self.down: set[int] = set()  # troubles
+        # Whether nothing passes between us and that dispatcher.
+        self.unreached: Callable[[int], bool] = lambda dispatcher: False
 
     def enter(self, entry: Entry) -> None:
         self.entries[entry.worker] = entry
@@ -67,7 +69,7 @@
         """A watch waits for something newer than its version, so long at the most; a look is answered at
         once.
         """
-        if self.down:
+        if self.down or self.unreached(call.dispatcher):
             self._answer(call, None)
         elif call.version == self.version:
             self.waiting.append(call)
@@ -95,7 +97,7 @@
         self.clock.at(self.free_at, self._tell, call)
 
     def _tell(self, call: Call) -> None:
-        if self.down:
+        if self.down or self.unreached(call.dispatcher):
             self._answer(call, None)
             return
         whole = call.version is None
--- a/ploverspoke/testbed/sockets.py
+++ b/ploverspoke/testbed/sockets.py
@@ -124,12 +124,13 @@
         self.programs: list[Program] = []
         self.tasks: list[asyncio.Task[None]] = []
         self.tells_traffic = False
+        self.worker_processes = 1
 
     async def play(self) -> None:
         e, rig = self.e, self.rig
         if any(isinstance(t, ex.DispatcherReplaced | ex.SettingsChanged) for t in e.troubles):
             raise ex.BadExperiment("troubles: replacing and changed settings are played on virtual time only")
-        clients = client_processes(e)
+        clients, parts = self._client_processes(), self.worker_processes
         streams, datagrams = ["peers"] * e.dispatchers.store, ["talk"] * e.dispatchers.talk
         names = [f"d{number}" for number in range(e.dispatchers.count)]
         places = [rig.place(name, streams, datagrams, direct=["clients"]) for name in names]
@@ -142,20 +143,27 @@
             "hosts": self._hosts(places),
             "own_hosts": {"workers": rig.block.stand_in(1), "discovery": rig.block.stand_in(2)},
             "tells_traffic": self.tells_traffic,
+            "worker_processes": parts,
         }
         spec.write_bytes(msgspec.json.encode(told))
-        rig.make_sure(wants(e))
+        rig.make_sure(self._wants())
         await rig.open()
-        workers, discovery, *others = [
+        kinds = {"workers": parts, "discovery": 1, "clients": clients}
+        stand_ins = [
             await rig.child("ploverspoke.testbed.standins", [kind, str(spec), str(part)])
-            for kind, part in [("workers", 0), ("discovery", 0), *(("clients", n) for n in range(clients))]
+            for kind, count in kinds.items()
+            for part in range(count)
         ]
-        worker_addresses = (await self._first(workers))["addresses"]
+        workers, discovery, others = stand_ins[:parts], stand_ins[parts], stand_ins[parts + 1 :]
+        worker_addresses: dict[str, str] = {}
+        for child in workers:
+            worker_addresses |= (await self._first(child))["addresses"]
         discovery_address = (await self._first(discovery))["address"]
         for child in others:
             await self._first(child)
         # Discovery answers dispatchers from their start on, so it hears of the workers before them.
         discovery.tell({"workers": worker_addresses})
+        await self._before(places)
         for number, place in enumerate(places):
             config = self._config(number, places, discovery_address)
             store = self._store(number, places) if e.dispatchers.store else None
@@ -164,10 +172,10 @@
             self.programs.append(program)
         await rig.start()
         epoch = time.monotonic_ns() + LEAD
-        for child in (workers, discovery, *others):
+        for child in stand_ins:
             child.tell({"start": epoch, "dispatchers": [place.at("clients") for place in places]})
-        self.tasks += [asyncio.create_task(self._listen(child, discovery)) for child in (workers, *others)]
-        self._begins(epoch, workers, discovery)
+        self.tasks += [asyncio.create_task(self._listen(child, discovery)) for child in (*workers, *others)]
+        self._begins(epoch, workers[0], discovery)
         await rig.play(outage_steps(e, self.seed), self._end(), epoch)
 
     # ---- What another stage may do in another way ----
@@ -176,6 +184,15 @@
         """The addresses that dispatchers send from."""
         return [place.own for place in places]
 
+    def _client_processes(self) -> int:
+        return client_processes(self.e)
+
+    def _wants(self) -> list[Want]:
+        return wants(self.e)
+
+    async def _before(self, places: list[Place]) -> None:
+        """What dispatchers need to be there before they are."""
+
     def _program(self, place: Place, config: dict[str, Any], store: dict[str, Any] | None) -> Program:
         return Program(self.rig, place, config, store)
 
--- a/ploverspoke/testbed/standins/counters.py
+++ b/ploverspoke/testbed/standins/counters.py
@@ -14,6 +14,7 @@
         "messages_in",
         "messages_out",
         "probes",
+        "progress_bytes",
     )
 
     def __init__(self) -> None:
@@ -21,6 +22,7 @@
         self.messages_in = self.messages_out = 0  # requests, answers, and each note of a run that goes on
         self.connected = 0  # connections made since the start
         self.connections = 0  # that are open now
+        self.progress_bytes = 0  # of bytes_in, what notes of runs that go on took
         self.probes = 0  # requests that asked only for health or load
 
     def told(self) -> dict[str, int]:
--- a/ploverspoke/testbed/standins/discovery.py
+++ b/ploverspoke/testbed/standins/discovery.py
@@ -11,7 +11,7 @@
 from ..fleet import Fleet
 from ..roster import Call, Entry, Roster
 from ..spans import MILLISECOND
-from ..troubles import RosterTroubles
+from ..troubles import Cuts, RosterTroubles
 from .process import Spec, StandIn, say
 from .wire import BadWire, Message, Reader, answer
 
@@ -43,6 +43,8 @@
         self.traffic.connections -= 1
 
     def data_received(self, data: bytes) -> None:
+        if self.discovery.roster.unreached(self.dispatcher):
+            return
         self.traffic.bytes_out += len(data)
         try:
             for message in self.reader.feed(data):
@@ -64,7 +66,7 @@
     def _told(self, told: tuple[int, bool, list[Entry]] | None) -> None:
         if told is None:
             self._write(answer(503, "Service Unavailable", b"", "Connection: close\r\n"))
-            if self.transport is not None:
+            if self.transport is not None and not self.discovery.roster.unreached(self.dispatcher):
                 self.transport.close()
             return
         version, whole, entries = told
@@ -73,7 +75,7 @@
         self._write(answer(200, "OK", body))
 
     def _write(self, data: bytes) -> None:
-        if self.transport is not None:
+        if self.transport is not None and not self.discovery.roster.unreached(self.dispatcher):
             self.traffic.bytes_in += len(data)
             self.traffic.messages_in += 1
             self.transport.write(data)
@@ -111,6 +113,8 @@
 
     def begin(self, told: dict[str, Any]) -> None:
         self.troubles = RosterTroubles(self.e, self.seed, self.clock, self.roster)
+        cuts, zones = Cuts(self.e, self.clock), len(self.e.zones())
+        self.roster.unreached = lambda dispatcher: not cuts.reaches_discovery(dispatcher % zones)
 
     def counts(self) -> dict[str, Any]:
         return {"version": self.roster.version}
--- a/ploverspoke/testbed/standins/process.py
+++ b/ploverspoke/testbed/standins/process.py
@@ -66,6 +66,7 @@
     clients: int  # processes
     hosts: list[str]  # of the dispatchers, each its own
     own_hosts: dict[str, str]  # of stand-ins that listen, by kind
+    worker_processes: int = 1  # among which the zones are dealt out
     tells_traffic: bool = False  # whoever asks for it has to listen to every stand-in
 
 
--- a/ploverspoke/testbed/standins/worker.py
+++ b/ploverspoke/testbed/standins/worker.py
@@ -154,6 +154,8 @@
         if self.run is not run:
             return
         text = msgspec.json.encode({"id": run.submission, "from": self.there.worker.name, **said}) + b"\n"
+        if said["state"] == "running" and not self.silent:
+            self.traffic.progress_bytes += len(chunk(text))
         head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" if first else b""
         self._write(head + chunk(text) + (LAST_CHUNK if last else b""))
 
@@ -194,7 +196,9 @@
     def __init__(self, fleet: "WorkerStandIn", worker: Worker) -> None:
         self.fleet = fleet
         self.worker = worker
-        self.far = max(0, fleet.e.network.far - fleet.e.network.near)
+        zones = range(len(fleet.e.zones()))
+        # Within a zone it is the machine's own.
+        self.more = [max(0, fleet.e.one_way(zone, worker.zone) - fleet.e.network.near) for zone in zones]
         self.connections: set[WorkerConnection] = set()
         self.server: asyncio.Server | None = None
         self.host = fleet.spec.own_hosts["workers"]
@@ -215,19 +219,24 @@
             connection.abort()
 
     def one_way(self, zone: int) -> int:
-        return self.far if zone != self.worker.zone else 0
+        return self.more[zone]
 
     def is_cut(self, zone: int) -> bool:
         return self.fleet.cuts is not None and self.fleet.cuts.between(zone, self.worker.zone)
 
 
 class WorkerStandIn(StandIn):
-    """All workers of a run in one process: racks and the store are shared among them."""
+    """All workers of some zones: racks and the store are shared among those of one process."""
 
     def __init__(self, spec: Spec, part: int) -> None:
         super().__init__(spec, part)
         self.jobs: list[Job] = schedule(self.e, self.seed)
         self.fleet = Fleet(self.e, self.seed, self.clock, self.seen)
+        self.fleet.workers = {
+            name: worker
+            for name, worker in self.fleet.workers.items()
+            if worker.zone % spec.worker_processes == part
+        }
         self.draws = Streams(self.seed).draws("sockets")
         self.connections = Connections()
         self.nobody = Nobody()
--- a/ploverspoke/testbed/troubles.py
+++ b/ploverspoke/testbed/troubles.py
@@ -228,13 +228,27 @@
     """Which zones nothing passes between at the moment."""
 
     def __init__(self, e: ex.Experiment, clock: Clock) -> None:
-        self.cut: dict[int, int] = {}  # zone, by the trouble's number
-        self.was_cut: list[tuple[int, int, int]] = []  # zone, begin, end
+        self.cut: dict[int, frozenset[int]] = {}  # zones on the one side, by the trouble's number
+        self.calls_cut: dict[int, frozenset[int]] = {}  # zones that do not reach discovery
         zones = e.zones()
         for number, t in enumerate(e.troubles):
             if isinstance(t, ex.ZoneCut):
-                clock.at(t.at, self.cut.__setitem__, number, zones.index(t.zone))
-                clock.at(t.at + t.lasts, self.cut.__delitem__, number)
+                self._plan(clock, self.cut, number, t, frozenset([zones.index(t.zone)]))
+            elif isinstance(t, ex.RegionCut):
+                side = frozenset(zones.index(zone) for zone in e.network.regions[t.region])
+                self._plan(clock, self.cut, number, t, side)
+                far = side if t.region else frozenset(range(len(zones))) - side
+                self._plan(clock, self.calls_cut, number, t, far)
+
+    @staticmethod
+    def _plan(
+        clock: Clock, of: dict[int, frozenset[int]], number: int, t: ex.Trouble, side: frozenset[int]
+    ) -> None:
+        clock.at(t.at, of.__setitem__, number, side)
+        clock.at(t.at + t.lasts, of.__delitem__, number)
 
     def between(self, one: int, other: int) -> bool:
-        return bool(self.cut) and one != other and any(z in (one, other) for z in self.cut.values())
+        return bool(self.cut) and any((one in side) != (other in side) for side in self.cut.values())
+
+    def reaches_discovery(self, zone: int) -> bool:
+        return not any(zone in side for side in self.calls_cut.values())
--- a/ploverspoke/testbed/virtual.py
+++ b/ploverspoke/testbed/virtual.py
@@ -410,10 +410,8 @@
         self.first_list = (1, True, list(self.roster.entries.values()))
         self.connections = Connections()
         self.cuts = Cuts(e, self.clock)
-        self.latency = [
-            [e.network.near if a == b else e.network.far for b in range(len(zones))]
-            for a in range(len(zones))
-        ]
+        self.roster.unreached = lambda dispatcher: not self.cuts.reaches_discovery(dispatcher % len(zones))
+        self.latency = [[e.one_way(a, b) for b in range(len(zones))] for a in range(len(zones))]
         self.orders = self._orders_now()
         for t in e.troubles:
             if isinstance(t, ex.SettingsChanged):
--- a/tests/test_testbed_files.py
+++ b/tests/test_testbed_files.py
@@ -11,7 +11,9 @@
 
 from ploverspoke.cli import main
 from ploverspoke.testbed.compare import compare, difference
+from ploverspoke.testbed.capacity.size import read_fleet
 from ploverspoke.testbed.experiment import BadExperiment, experiment_of, read_experiment
+from ploverspoke.testbed.hollow.plays import plays_of, world_of
 from ploverspoke.testbed.processes.lease_run import read_lease_experiment
 from ploverspoke.testbed.processes.timeline import BadTimeline
 from ploverspoke.testbed.runner import read_result, run_experiment
@@ -25,6 +27,11 @@
 @pytest.mark.parametrize("path", SHIPPED, ids=lambda p: p.stem)
 def test_a_shipped_experiment_is_sound_and_named_as_its_file(path: Path) -> None:
     told = tomllib.loads(path.read_text())
+    if told.get("kind") == "fleet":
+        fleet = read_fleet(path)
+        plays = plays_of(fleet)
+        assert fleet.name == path.stem and all(world_of(fleet, plays, play).seeds for play in plays.worlds)
+        return
     read = read_lease_experiment(told) if told.get("kind") == "leases" else read_experiment(path)
     assert read.name == path.stem and read.seeds
 
