--- a/ploverspoke/testbed/hollow/judge.py
+++ b/ploverspoke/testbed/hollow/judge.py
@@ -151,7 +151,8 @@
     }
     if took:
         p50, p99 = np.percentile(took, (50, 99))
-        found["in_force_p50_ms"], found["in_force_p99_ms"] = p50 / MILLISECOND, p99 / MILLISECOND
+        found["in_force_p50_ms"] = float(p50) / MILLISECOND
+        found["in_force_p99_ms"] = float(p99) / MILLISECOND
         found["in_force_at_the_last_ms"] = max(took) / MILLISECOND
     return found
 
--- /dev/null
+++ b/tests/test_hollow.py
@@ -0,0 +1,422 @@
+"""Many dispatchers in one process: real ones, apart from one another; refused, void and judged by counts."""
+
+import asyncio
+import signal
+import time
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+from click.testing import CliRunner
+
+from ploverspoke.cli import main
+from ploverspoke.testbed.audit import SOCKETS_SLACK, VIRTUAL_SLACK, audit
+from ploverspoke.testbed.capacity.size import BadFleet, fleet_of
+from ploverspoke.testbed.experiment import BadExperiment, Experiment
+from ploverspoke.testbed.hollow import stage as stages
+from ploverspoke.testbed.hollow.dispatcher import Place
+from ploverspoke.testbed.hollow.judge import bounded_by_length, compare, marked, urgent_waits
+from ploverspoke.testbed.hollow.plays import plays_of, world_of
+from ploverspoke.testbed.hollow.process import HollowProcess, Spec
+from ploverspoke.testbed.hollow.programs import MODULE, HollowChild, HollowProgram
+from ploverspoke.testbed.hollow.stage import HollowStage, Shape
+from ploverspoke.testbed.processes.addresses import Block
+from ploverspoke.testbed.processes.child import Child
+from ploverspoke.testbed.processes.room import NoRoom
+from ploverspoke.testbed.records import BEGAN, CAME, SENT, Event, merged, read_records
+from ploverspoke.testbed.settings import settings_of
+from ploverspoke.testbed.sockets import MOST_BEHIND
+from ploverspoke.testbed.virtual import play
+
+from .test_testbed_model import SECOND, world
+
+REGIONS = {"far": "1ms", "farther": "5ms", "regions": [["a", "b"], ["c"]]}
+THREE_ZONES = [{"count": 3, "zone": zone} for zone in "abc"]
+
+FLEET: dict[str, Any] = {
+    "kind": "fleet",
+    "name": "small",
+    "size": {
+        "workers": 9,
+        "dispatchers": [4],
+        "jobs_a_day": 100,
+        "task_starts_a_second": 20.0,
+        "tasks_running": 12,
+        "largest_gang": 2,
+        "teams": 2,
+        "urgent_starts_within": "3.4s",
+        "regions": 2,
+        "zones": 3,
+        "configuration_changes_a_day": 10,
+        "configuration_in_force_within": "10s",
+    },
+    "budget": {"core_share": 1.0, "memory_mb": 64, "bytes_a_second": 1e6, "control_machines": 1},
+    "failures": {
+        "machines_a_day": 1,
+        "restarts_a_day": 1,
+        "rack_every_days": 1,
+        "zone_every_days": 1,
+        "regions_apart": "60min",
+    },
+    "play": {
+        "dispatchers": 4,
+        "hollow_processes": 2,
+        "worker_processes": 1,
+        "client_processes": 1,
+        "slots": 8,
+        "racks_a_zone": 1,
+        "regions": [["a", "b"], ["c"]],
+        "near": "200us",
+        "far": "1ms",
+        "farther": "5ms",
+        "urgent_share": 0.2,
+        "urgent_mean": "100ms",
+        "compared": {
+            "dispatchers": 2,
+            "starts_a_second": 10,
+            "tasks_running": 5,
+            "lasts": "2s",
+        },
+        "worlds": [{"name": "few changes", "what": "changes", "changes": 2, "lasts": "3s"}],
+    },
+}
+
+
+def fleet_with(**changes: Any) -> dict[str, Any]:
+    return {**FLEET, "play": {**FLEET["play"], **changes}}
+
+
+# ---- One by one ----
+
+
+class Hollow:
+    """Some dispatchers in one process, and a discovery that notes who calls and says nothing."""
+
+    def __init__(self, child: HollowChild, programs: list[HollowProgram], callers: set[str]) -> None:
+        self.child = child
+        self.programs = programs
+        self.callers = callers
+
+    def door(self, number: int) -> tuple[str, int]:
+        host, _, port = self.programs[number].config["listen"].rpartition(":")
+        return host, int(port)
+
+    async def asks(self, number: int, first: str, more: str = "") -> int:
+        """The status of the answer."""
+        reader, writer = await asyncio.open_connection(*self.door(number))
+        writer.write(f"{first} HTTP/1.1\r\nHost: test\r\nConnection: close\r\n{more}\r\n".encode())
+        status = int((await reader.readline()).split()[1])
+        writer.close()
+        return status
+
+    async def serving(self) -> int:
+        counts = await self.child.counts()
+        return int(counts["serving"])
+
+
+@asynccontextmanager
+async def hollow(folder: Path, count: int) -> AsyncIterator[Hollow]:
+    block, callers = Block(), set[str]()
+
+    async def called(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        callers.add(writer.get_extra_info("peername")[0])
+        await reader.read()
+        writer.close()
+
+    server = await asyncio.start_server(called, block.stand_in(1), 0)
+    discovery = f"{block.stand_in(1)}:{server.sockets[0].getsockname()[1]}"
+    places = [Place(n, f"d{n}", block.own(n), str(folder / f"d{n}.json")) for n in range(count)]
+    spec = folder / "hollow.json"
+    spec.write_bytes(msgspec.json.encode(Spec([places])))
+    with (folder / "log").open("wb") as log:
+        child = HollowChild(await Child.start(MODULE, [str(spec), "0"], log))
+    e = world(dispatchers={"count": count})
+    try:
+        await child.listen()
+        programs = [
+            HollowProgram(
+                child,
+                place,
+                {
+                    "name": place.name,
+                    "listen": f"{place.address}:{block.hold(place.address)}",
+                    "discovery": discovery,
+                    "seed": f"{place.number}",
+                    "settings": settings_of(e, place.number),
+                },
+            )
+            for place in places
+        ]
+        await asyncio.gather(*(program.start() for program in programs))
+        yield Hollow(child, programs, callers)
+    finally:
+        await child.child.stop()
+        server.close()
+        block.close()
+
+
+def run_hollow(folder: Path, count: int, test: Callable[[Hollow], Awaitable[None]]) -> None:
+    async def whole() -> None:
+        async with hollow(folder, count) as there:
+            await asyncio.wait_for(test(there), 30)
+
+    asyncio.run(whole())
+
+
+def test_each_is_killed_ended_and_started_without_touching_the_others(tmp_path: Path) -> None:
+    async def test(there: Hollow) -> None:
+        assert await there.serving() == 3
+        held = [await asyncio.open_connection(*there.door(n)) for n in range(3)]
+        for _, writer in held:
+            writer.write(b"GET /-/ready HTTP/1.1\r\nHost: test\r\n\r\n")
+        for reader, _ in held:
+            assert b" 200 " in await reader.readuntil(b"ready")
+        await there.programs[1].kill()
+        with pytest.raises(ConnectionResetError):
+            await held[1][0].read()
+        with pytest.raises(ConnectionRefusedError):
+            await there.asks(1, "GET /-/ready")
+        assert await there.serving() == 2 and not there.programs[1].crashed()
+        await there.programs[2].end(signal.SIGTERM, 10)
+        assert await held[2][0].read() == b"" and there.programs[2].why == ""
+        held[0][1].write(b"GET /-/ready HTTP/1.1\r\nHost: test\r\n\r\n")
+        assert b" 200 " in await held[0][0].readuntil(b"ready")
+        await asyncio.gather(there.programs[1].start(), there.programs[2].start())
+        assert [await there.asks(n, "GET /-/ready") for n in range(3)] == [200] * 3
+        for _, writer in held:
+            writer.close()
+
+    run_hollow(tmp_path, 3, test)
+
+
+def test_nothing_is_shared_but_the_loop(tmp_path: Path) -> None:
+    async def test(there: Hollow) -> None:
+        # Ids that one has taken are new to the other.
+        same = "Request-Id: one\r\nContent-Length: 0\r\n"
+        first = await there.asks(0, "POST /look", same)
+        assert await there.asks(0, "POST /look", same) == 409 != first
+        assert await there.asks(1, "POST /look", same) == first
+        # A setting that is changed at one binds that one.
+        e = world(dispatchers={"count": 2}, grades=[{"name": name} for name in ("look", "book", "more")])
+        there.programs[0].config["settings"] = settings_of(e, 0)
+        there.programs[0].write()
+        there.programs[0].read_again()
+        while await there.asks(0, "GET /more") == 404:
+            await asyncio.sleep(0.01)
+        assert await there.asks(0, "GET /more") == 405 and await there.asks(1, "GET /more") == 404
+        # A bad one is refused, and said in the name of the one that was told.
+        there.programs[1].config["settings"] = {}
+        there.programs[1].write()
+        there.programs[1].read_again()
+        while "d1: new configuration not taken" not in (tmp_path / "log").read_text():
+            await asyncio.sleep(0.01)
+        assert await there.asks(1, "GET /look") == 405
+        assert there.callers == {program.place.address for program in there.programs}
+
+    run_hollow(tmp_path, 2, test)
+
+
+# ---- Worlds ----
+
+
+def play_hollow(e: Experiment, folder: Path, shape: Shape) -> tuple[HollowStage, list[Event]]:
+    stage = HollowStage(e, 1, folder, shape)
+
+    async def whole() -> None:
+        try:
+            await stage.play()
+        finally:
+            await stage.close()
+
+    asyncio.run(whole())
+    parts = [read_records(path) for path in sorted(folder.glob("*.jsonl"))]
+    return stage, merged([stage.seen.events, *parts])
+
+
+def test_a_world_with_a_zone_lost_and_a_region_cut_keeps_the_rules(tmp_path: Path) -> None:
+    e = world(
+        lasts="5s",
+        dispatchers={"count": 9},
+        workers=THREE_ZONES,
+        network=REGIONS,
+        troubles=[
+            {"what": "crash", "at": "500ms", "lasts": "1s", "zone": "b"},
+            {"what": "region cut", "at": "2500ms", "lasts": "1500ms"},
+            {"what": "dispatcher killed", "at": "1s", "lasts": "500ms", "dispatchers": [0]},
+            {"what": "dispatcher restarted", "at": "2s", "lasts": "2500ms", "dispatchers": [4]},
+        ],
+    )
+    stage, events = play_hollow(e, tmp_path, Shape(hollow=2, workers=2, clients=1))
+    assert stage.rig.faults == []
+    assert audit(e, events, SOCKETS_SLACK) == []
+    assert {event.dispatcher for event in events if event.what == CAME} == set(range(9))
+    sent = {event.job for event in events if event.what == SENT}
+    began = {event.job for event in events if event.what == BEGAN}
+    assert len(sent) == stage.jobs and len(began) > 0.8 * len(sent)
+    last = stage.samples[-1]
+    assert last.used.serving == 9 and last.used.inside["open"] == 0
+    # What the stand-ins counted is what came: an answer to each hand-off at the least.
+    came = sum(event.what == CAME for event in events)
+    assert last.traffic["workers"]["messages_out"] >= came
+    assert last.traffic["discovery"]["bytes_in"] > 9 * len(e.worker_names()) * 50
+
+
+def test_nothing_passes_a_cut_between_regions_on_virtual_time() -> None:
+    begin, end = 2 * SECOND, 4 * SECOND
+    trouble = {"what": "region cut", "at": "2s", "lasts": "2s"}
+    # The second region has less than its dispatchers need, so they send into the first.
+    workers = [{"count": 3, "zone": "a"}, {"count": 3, "zone": "b"}, {"count": 1, "slots": 1, "zone": "c"}]
+    e = world(
+        dispatchers={"count": 6},
+        workers=workers,
+        network=REGIONS,
+        troubles=[trouble],
+        traffic=[{"rate": 200.0}],
+    )
+    events = play(e, 1, "ours")
+    assert audit(e, events, VIRTUAL_SLACK) == []
+    zone_of = {name: number // 3 for number, name in enumerate(e.worker_names())}
+    came = [event for event in events if event.what == CAME]
+    across = [x for x in came if e.region(x.dispatcher % 3) != e.region(zone_of[x.worker])]
+    assert not [x for x in across if begin + 10 * SECOND // 1000 < x.at < end]
+    assert any(x.at < begin for x in across) and any(x.at >= end for x in across)
+    assert (e.one_way(0, 0), e.one_way(0, 1), e.one_way(1, 2)) == (200_000, 1_000_000, 5_000_000)
+
+
+@pytest.mark.parametrize(
+    ("network", "trouble", "key"),
+    [
+        ({**REGIONS, "regions": [["a"], ["c"]]}, [], "network.regions"),
+        ({**REGIONS, "farther": "10us"}, [], "network.farther"),
+        (REGIONS, [{"what": "region cut", "at": "1s", "lasts": "1s", "region": 2}], "troubles[0].region"),
+    ],
+)
+def test_bad_regions_are_named(network: dict[str, Any], trouble: list[Any], key: str) -> None:
+    with pytest.raises(BadExperiment, match=f"^{key.replace('[', '.')}".replace("]", ".")):
+        world(workers=THREE_ZONES, network=network, troubles=trouble)
+
+
+# ---- What does not fit, and what is void ----
+
+
+def test_what_does_not_fit_is_refused_before_anything_starts(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def no_child(*what: Any) -> None:
+        raise AssertionError("something was started")
+
+    monkeypatch.setattr(Child, "start", no_child)
+    e = world(dispatchers={"count": 40}, workers=THREE_ZONES)
+    with pytest.raises(NoRoom, match=r"cores wanted .*40 dispatchers\), 0.01 are there"):
+        play_hollow(e, tmp_path, Shape(2, 1, 1, cores=0.01))
+    monkeypatch.setattr(stages, "total_memory", lambda: 1 << 30)
+    with pytest.raises(NoRoom, match="MiB wanted, 512 are half of the machine's"):
+        play_hollow(e, tmp_path, Shape(2, 1, 1))
+    monkeypatch.undo()
+    shared = world(grades=[{"name": "a", "repeat": "labelled"}], workers=THREE_ZONES)
+    with pytest.raises(BadExperiment, match="worker processes"):
+        play_hollow(shared, tmp_path, Shape(2, 2, 1))
+
+
+def test_a_run_whose_dispatchers_held_each_other_up_is_void(tmp_path: Path) -> None:
+    stage = HollowStage(world(), 1, tmp_path, Shape(1, 1, 1))
+    assert stage.void() == ""
+    stage.hollow_late = MOST_BEHIND + 1
+    assert "held each other up" in stage.void()
+    stage.rig.block.close()
+
+    async def held_up() -> int:
+        process = HollowProcess(asyncio.get_running_loop(), [])
+        process.heard({"begin": True})
+        await asyncio.sleep(0)
+        time.sleep(0.15)
+        await asyncio.sleep(0.05)
+        assert process.watch is not None
+        process.watch.cancel()
+        return process.late
+
+    assert asyncio.run(held_up()) > MOST_BEHIND
+
+
+# ---- The file and its judgement ----
+
+
+@pytest.mark.parametrize(
+    ("changes", "key"),
+    [
+        ({"dispatcherz": 3}, "`play`"),
+        ({"dispatchers": 0}, "play.dispatchers"),
+        ({"near": 3}, "`play.near`"),
+        ({"regions": [["a", "b", "c"]]}, "play.regions"),
+        ({"regions": [["a"], ["b"]]}, "play.regions"),
+        ({"urgent_share": 1.0}, "play.urgent_share"),
+        ({"compared": {**FLEET["play"]["compared"], "dispatchers": 0}}, "play.compared.dispatchers"),
+        ({"worlds": []}, "play.worlds"),
+        ({"worlds": [{"name": "x", "lasts": "1s", "what": "flood"}]}, "`play.worlds[0].what`"),
+        ({"worlds": [{"name": "x", "lasts": "9s", "what": "zone lost", "zone": "z", "away": "1s"}]}, "zone"),
+        ({"worlds": [{"name": "x", "lasts": "9s", "what": "region cut"}]}, "play.worlds[0].away"),
+        ({"worlds": [{"name": "x", "lasts": "9s", "what": "changes"}]}, "play.worlds[0].changes"),
+        ({"worlds": [{"name": "x", "lasts": "9s"}] * 2}, "two have one name"),
+    ],
+)
+def test_what_is_wrong_in_the_plays_is_named(changes: dict[str, Any], key: str) -> None:
+    with pytest.raises(BadFleet) as caught:
+        plays_of(fleet_of(fleet_with(**changes)))
+    assert key in str(caught.value)
+
+
+def test_a_play_has_the_load_that_the_file_states() -> None:
+    fleet = fleet_of(FLEET)
+    plays = plays_of(fleet)
+    e = world_of(fleet, plays, plays.worlds[0])
+    _, running, starts = stages.cores_for(e)
+    assert (round(running, 6), starts) == (12.0, 20.0)
+    assert len(e.worker_names()) == 9 and e.zones() == ["a", "b", "c"] and e.dispatchers.count == 4
+
+
+def test_figures_are_judged_as_they_should_be() -> None:
+    e = world(grades=[{"name": "urgent"}, {"name": "ordinary"}], counted_from="1s")
+    sent = [
+        Event(n * SECOND, SENT, f"{n}-0", n, 0, detail=[0, 0, 9 * SECOND, n * SECOND]) for n in (0, 1, 2, 3)
+    ]
+    sent.append(Event(3 * SECOND, SENT, "4-0", 4, 0, detail=[1, 0, 9 * SECOND, 3 * SECOND]))
+    began = [Event(n * SECOND + n, BEGAN, f"{n}-{again}", n, 0, "w0", 1) for n in (1, 2) for again in (0, 1)]
+    assert urgent_waits(e, merged([sent, began])) == [1, 2, -1]
+    ratios, void = compare(
+        {"core_share": 0.8, "workers_bytes_in": 1.1}, {"core_share": 1.0, "workers_bytes_in": 1.0}, 0.15
+    )
+    assert void == ["processor time"] and ratios == {"workers_bytes_in": 1.1, "core_share": 0.8}
+    assert marked({"core_share": 1.0, "service": 2.0}, void) == {"core_share (void)": 1.0, "service": 2.0}
+    grown = bounded_by_length({"away_open": 10.0, "service": 1.0}, {"away_open": 20.0, "service": 1.0}, 2.0)
+    assert len(grown.failed) == 1 and "away_open 2.00 times" in grown.failed[0] and grown.held == []
+
+
+def in_toml(value: Any) -> str:
+    if isinstance(value, dict):
+        return "{" + ", ".join(f"{key} = {in_toml(one)}" for key, one in value.items()) + "}"
+    if isinstance(value, list):
+        return "[" + ", ".join(map(in_toml, value)) + "]"
+    return msgspec.json.encode(value).decode()
+
+
+def test_a_small_fleet_is_played_by_the_command(tmp_path: Path) -> None:
+    path, out = tmp_path / "small.toml", tmp_path / "plays.json"
+    path.write_text("\n".join(f"{key} = {in_toml(value)}" for key, value in FLEET.items()))
+    runner = CliRunner()
+    wrong = runner.invoke(main, ["testbed", "run", str(path), "--play", "nothing"])
+    assert wrong.exit_code == 2 and "'nothing' is none of" in wrong.output
+    runner.invoke(
+        main,
+        ["testbed", "run", str(path), "--play", "few changes", "--out", str(out)],
+        catch_exceptions=False,
+    )
+    results = msgspec.json.decode(out.read_bytes())
+    (row,) = results["runs"]
+    assert results["format"] == 1 and row["play"] == "few changes" and row["hollow"]
+    figures = row["figures"]
+    assert figures["changes"] == 2 and figures["changes_never_in_force"] == 0
+    assert figures["broken_rules"] == 0 and figures["urgent_never_begun"] == 0
+    assert "resident_mb_a_dispatcher (void)" in figures and figures["serving_fewest"] == 4
--- a/tests/test_testbed_files.py
+++ b/tests/test_testbed_files.py
@@ -10,8 +10,8 @@
 from click.testing import CliRunner
 
 from ploverspoke.cli import main
-from ploverspoke.testbed.compare import compare, difference
 from ploverspoke.testbed.capacity.size import read_fleet
+from ploverspoke.testbed.compare import compare, difference
 from ploverspoke.testbed.experiment import BadExperiment, experiment_of, read_experiment
 from ploverspoke.testbed.hollow.plays import plays_of, world_of
 from ploverspoke.testbed.processes.lease_run import read_lease_experiment
