--- a/ploverspoke/testbed/capacity/loads.py
+++ b/ploverspoke/testbed/capacity/loads.py
@@ -196,12 +196,18 @@
         "config server": {"watchers": watchers, "changes_a_minute": reloads},
         "dispatcher watching configuration": {"changes_a_minute": reloads, "reloads_a_minute": reloads},
         "configuration publisher": {"changes_a_minute": reloads, "commits_a_second": each(reloads, MINUTE)},
-        "fleet summary": {"dispatchers": count},
-        "rolling restart": {"dispatchers": Amount(restarting, ASSUMED), "holders": Amount(1, WORKED_OUT)},
-        "supervisor": {},
+        "fleet summary": {"doors": count},  # of operators, one at each dispatcher
+        "rolling restart": {"keepers": assumed("voters")},
+        "supervisor": {"processes": Amount(1, ASSUMED)},  # of one dispatcher; more are off by default
     }
 
 
 def telling(fleet: Fleet, dispatchers: int) -> Amount:
     """Peers that tell one dispatcher, where a telling has no price: all others of its zone, and two more."""
     return Amount(zone_part(fleet, dispatchers) - 1 + 2, ASSUMED)
+
+
+def aside(fleet: Fleet) -> dict[str, Amount]:
+    """Sizes that no role meets all the time: what a replica has missed that was away as regions are apart."""
+    minutes = fleet.failures.regions_apart / 1e9 / MINUTE
+    return {"missed_entries": Amount(minutes * ASSUMPTIONS["changes_in_trouble"].value, ASSUMED)}
--- a/ploverspoke/testbed/capacity/rows.py
+++ b/ploverspoke/testbed/capacity/rows.py
@@ -32,7 +32,9 @@
 KB = 1_000
 NONE = "none"
 PLAYED, SLOPES, READ, WORKED = "played", "slopes of one process", "read off the code", "worked out"
+BY_SERVERS = "from config servers"  # in the name of the play in which they bring the changes
 BEYOND = "beyond what was played"
+LOAD = {"starts_a_second": "starts a second", "tasks_running": "tasks running"}  # figures of a play
 NEARLY = 0.97  # arrivals are drawn by chance: so much of a rate is that rate
 
 
@@ -93,6 +95,9 @@
     held = sorted({text for run in counted for text in about(run.held)})
     sizes = ", ".join(str(many) for many in sorted({run.dispatchers for run in counted}))
     told = f"{len(counted)} run{'s' if len(counted) > 1 else ''} played with {sizes} dispatchers"
+    for figure, of in LOAD.items():
+        found = [value for run in counted if (value := run.figures.get(figure)) is not None]
+        told += f", {min(found):.3g} {of}" if found else ""
     if failed:
         return FAILS, f"{told}, failed: {'; '.join(failed)}"
     return (HOLDS, f"{told}, held") if held else (NOT_MEASURED, f"{told} say nothing of it")
@@ -274,8 +279,7 @@
     )
     if not facts.distributed:
         return row
-    runs = facts.runs("configuration", "changes")
-    verdict, played = judged(runs)
+    verdict, played = judged(facts.runs(BY_SERVERS), ("in force", "rule"))
     return msgspec.structs.replace(
         row,
         gives=f"config servers agree on versions and tell every dispatcher that watches; {played}",
--- a/ploverspoke/testbed/capacity/table.py
+++ b/ploverspoke/testbed/capacity/table.py
@@ -10,7 +10,7 @@
 
 from .budgets import FIGURES, WATCHING, BudgetRow, budget_rows, figure_of
 from .estimate import Figure, along
-from .loads import PEAK, SITUATIONS, Amount, loads
+from .loads import PEAK, SITUATIONS, Amount, aside, loads
 from .played import Plays
 from .rows import Facts, Row, size_rows
 from .size import Fleet
@@ -123,7 +123,8 @@
             continue
         at = {}
         for dispatchers in fleet.size.dispatchers:
-            amount = loads(fleet, dispatchers, PEAK).get(line.role, {}).get(line.size)
+            met = {**aside(fleet), **loads(fleet, dispatchers, PEAK).get(line.role, {})}
+            amount = met.get(line.size)
             if amount is not None:
                 at[dispatchers] = along(line, amount)
         found.append(
--- a/tests/test_capacity_table.py
+++ b/tests/test_capacity_table.py
@@ -256,8 +256,10 @@
 
 def test_with_the_distribution_measured_the_row_is_shown_before_and_after() -> None:
     server = line("core_share", "watchers", [(10.0, 0.001), (400.0, 0.02)], role="config server")
-    run = Run(play="configuration changes", seed=1, dispatchers=50, held=["in force within 10 s"])
-    played = Plays(format=1, at="2026-12-02", text="abc", machine="made up", runs=[run])
+    held = ["changes in force at the last dispatcher within 10000 ms"]
+    run = Run(play="many changes, from config servers", seed=1, dispatchers=50, held=held)
+    by_hand = Run(play="many changes, by signals", seed=1, dispatchers=50, failed=held)
+    played = Plays(format=1, at="2026-12-02", text="abc", machine="made up", runs=[run, by_hand])
     table = made(slopes(server), played)
     assert [one.row for one in table.missing][0] == "changes"
     assert [one.row for one in table.missing_now][0] == "quotas"
