Distribution of configuration: config servers, watches, `ploverspoke config` (first form)

New package distribution/: ordered versions on the consensus that the store and the keepers use, watches held open to any replica, versions as overlays on each dispatcher's own file, checked like a file. The ordinary path imports none of it.

--- a/ploverspoke/cli.py
+++ b/ploverspoke/cli.py
@@ -16,6 +16,11 @@
         "Experiments with the dispatcher on virtual time or sockets.",
     ),
     "store": ("ploverspoke.store.commands", "store", "Look at a store and change it."),
+    "config": (
+        "ploverspoke.distribution.commands",
+        "config",
+        "Carry a change of configuration to every dispatcher.",
+    ),
     "lease": ("ploverspoke.leases.commands", "lease", "Leases for tasks that belong to the whole fleet."),
     "demo": ("ploverspoke.testbed.demo", "demo", "See it work: workers, dispatchers and load on free ports."),
 }
@@ -75,14 +80,28 @@
 @click.option("--store", type=FILE, help="A replica's file.")
 @click.option("--new", is_flag=True, help="The first start of a new store.")
 @click.option("--join", default="", help="The mark of the running store that it joins.")
-def serve(configuration: Path, processes: int, store: Path | None, new: bool, join: str) -> None:
+@click.option(
+    "--watch", type=FILE, help="Where config servers are, whose versions are laid on CONFIGURATION."
+)
+def serve(
+    configuration: Path, processes: int, store: Path | None, new: bool, join: str, watch: Path | None
+) -> None:
     """Run a dispatcher with this CONFIGURATION (or that of RELAY_CONFIG).
 
     It runs until SIGTERM. SIGHUP reads the configuration again. With --store it is one replica of a daemon
-    that remembers what it took (docs/store.md). Exit 0: told to end. 2: the configuration or the store is of
-    no use, and why is said.
+    that remembers what it took (docs/store.md); with --watch it takes the versions of config servers
+    (docs/operating-distribution.md). Exit 0: told to end. 2: the configuration, the store or the watch's
+    file is of no use, and why is said.
     """
     os.environ["RELAY_CONFIG"] = str(configuration)
+    if watch is not None:
+        if processes > 1 or store is not None:
+            raise click.UsageError("--watch goes neither with --processes nor with --store")
+        try:
+            from ploverspoke.distribution.daemon import main as watching
+        except ModuleNotFoundError as error:
+            raise click.ClickException(f"a watch needs {error.name}: install ploverspoke[daemon]") from None
+        sys.exit(watching(watch))
     if processes > 1:
         if store is not None:
             raise click.UsageError("--processes and --store do not go together: a replica is one process")
--- /dev/null
+++ b/ploverspoke/distribution/asking.py
@@ -0,0 +1,147 @@
+"""What tools ask of config servers: all of them at once, the leader, and who has which version."""
+
+import secrets
+import time
+from concurrent.futures import ThreadPoolExecutor
+from typing import Any, NamedTuple
+
+from ploverspoke.consensus.ask import ask
+from ploverspoke.consensus.frames import BadFrame
+
+from .orders import ConfigServers
+
+AGAIN = 0.1  # seconds, between two looks for a leader
+POLL = 0.2  # seconds, between two looks at the fleet
+
+
+class NoServer(Exception):
+    """None leads, or none answers; says what each did."""
+
+
+class Fleet(NamedTuple):
+    """Dispatchers by what is known of them; a name stands in one list."""
+
+    version: int  # the latest that a server has
+    in_force: list[str]
+    behind: list[str]
+    refused: dict[str, str]  # why
+    away: dict[str, float]  # not connected; seconds since they were heard
+
+    def connected(self) -> int:
+        return len(self.in_force) + len(self.behind) + len(self.refused)
+
+
+def ask_all(servers: ConfigServers, question: dict[str, Any]) -> dict[str, Any]:
+    """Each server's answer by its name; an OSError or a BadFrame where it gave none."""
+
+    def one(where: str) -> Any:
+        try:
+            return ask(where, servers.secret, question)
+        except (OSError, BadFrame) as error:
+            return error
+
+    with ThreadPoolExecutor(len(servers.peers)) as threads:
+        return dict(zip(servers.peers, threads.map(one, servers.peers.values()), strict=True))
+
+
+def answers(servers: ConfigServers, question: dict[str, Any]) -> dict[str, Any]:
+    """Of those that answered. Raises NoServer where none did."""
+    told = ask_all(servers, question)
+    found = {name: answer for name, answer in told.items() if not isinstance(answer, Exception)}
+    if not found:
+        raise NoServer("; ".join(f"{name}: {error}" for name, error in told.items()))
+    return found
+
+
+def versions(servers: ConfigServers) -> list[list[Any]]:
+    """Rows of the server that knows the latest. Raises NoServer."""
+    told = answers(servers, {"ask": "versions"}).values()
+    return max((rows for rows in told if isinstance(rows, list)), key=_last, default=[])
+
+
+def body_of(servers: ConfigServers, number: int = 0) -> dict[str, Any]:
+    """`{n, body, by}` of a version, 0: the latest; n is 0 where none has it. Raises NoServer."""
+    told = answers(servers, {"ask": "version", "n": number}).values()
+    return max(
+        (row for row in told if isinstance(row, dict)), key=lambda row: row.get("n", 0), default={"n": 0}
+    )
+
+
+def publish(servers: ConfigServers, body: str, expect: int | None, by: str, within: float) -> dict[str, Any]:
+    """Ask the leader to commit a body in the place of version `expect` (None: of its latest one).
+
+    The same request is asked again where the answer is lost, under the same id: it is committed once at the
+    most. Gives the answer; where it has "unknown" the request may be committed or not. Raises NoServer.
+    """
+    request = secrets.token_hex(12)
+    until = time.monotonic() + within
+    told: dict[str, Any] = {}
+    while True:
+        leader, why = _leader(servers)
+        if leader:
+            try:
+                if expect is None:
+                    expect = _last(ask(leader, servers.secret, {"ask": "versions"}))
+                question = {"ask": "publish", "body": body, "expect": expect, "by": by, "id": request}
+                told = ask(leader, servers.secret, question)
+                if not told.get("unknown") and "leader" not in told:
+                    return told
+            except (OSError, BadFrame) as error:
+                if expect is not None:
+                    told = {"done": False, "version": 0, "why": f"no answer: {error}", "unknown": True}
+        if time.monotonic() > until:
+            if told.get("unknown"):
+                return told
+            raise NoServer(why or "the leader changes")
+        time.sleep(AGAIN)
+
+
+def _leader(servers: ConfigServers) -> tuple[str, str]:
+    """Where the server is that leads; "" and why where none does."""
+    told = ask_all(servers, {"ask": "status"})
+    for name, answer in told.items():
+        if isinstance(answer, dict) and answer.get("leads"):
+            return servers.peers[name], ""
+    why = [
+        f"{name}: {answer}" if isinstance(answer, Exception) else f"{name} does not lead"
+        for name, answer in told.items()
+    ]
+    return "", "; ".join(why)
+
+
+def fleet(servers: ConfigServers, version: int = 0) -> Fleet:
+    """Who has `version` or a later one in force (0: the latest that a server has). Raises NoServer."""
+    told = answers(servers, {"ask": "watchers"})
+    if not version:
+        version = _last(versions(servers))
+    best: dict[str, list[Any]] = {}
+    for row in (row for rows in told.values() if isinstance(rows, list) for row in rows):
+        known = best.get(row[0])
+        # Connected counts before what was heard last: who changes servers leaves a trace at the old one.
+        if known is None or (not row[5], row[4]) < (not known[5], known[4]):
+            best[row[0]] = row
+    found = Fleet(version, [], [], {}, {})
+    for name, in_force, came, reason, since, connected in sorted(best.values()):
+        if not connected:
+            found.away[name] = since
+        elif in_force >= version:
+            found.in_force.append(name)
+        elif came >= version and reason:
+            found.refused[name] = reason
+        else:
+            found.behind.append(name)
+    return found
+
+
+def wait_for(servers: ConfigServers, version: int, within: float) -> Fleet:
+    """Until all that are connected have it in force or refuse it, or time is over. Raises NoServer."""
+    until = time.monotonic() + within
+    while True:
+        found = fleet(servers, version)
+        if not found.behind or time.monotonic() > until:
+            return found
+        time.sleep(POLL)
+
+
+def _last(rows: Any) -> int:
+    return int(rows[-1][0]) if rows else 0
--- /dev/null
+++ b/ploverspoke/distribution/client.py
@@ -0,0 +1,253 @@
+"""A watcher on sockets: a thin driver of `Watch`, with the cache of the last version that was taken."""
+
+import asyncio
+import json
+import os
+import random
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any, cast
+
+from ploverspoke.consensus.frames import BadFrame, Frames
+from ploverspoke.transport.log_lines import say
+
+from .orders import WatchOrders
+from .overlay import LONGEST_BODY
+from .parcels import Message, greeting
+from .versions import digest_of
+from .watch import NOTHING, Taken, Watch
+
+LONGEST_NAP = 60.0  # seconds
+CACHE_FORMAT = 1
+MOST_UNSENT = 1 << 16  # bytes, towards a server that does not read
+
+Take = Callable[[int, str], str]  # a version and its body; why it is not in force, or ""
+
+
+class ServerConnection(asyncio.Protocol):
+    def __init__(self, client: "WatchClient", link: int) -> None:
+        self.client = client
+        self.link = link
+        self.frames = Frames(client.orders.secret, greeting(client.name, client.orders.cluster))
+        self.transport: asyncio.Transport | None = None
+        self.ready = False
+        self.over = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        if self.over:
+            self.transport.abort()
+        else:
+            self.transport.write(self.frames.hello())
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.transport = None
+        self.client.lost(self)
+
+    def data_received(self, data: bytes) -> None:
+        if self.over:
+            return
+        try:
+            messages = self.frames.feed(data)
+        except (BadFrame, KeyError, TypeError, ValueError) as error:
+            say(f"config: a message is refused: {error}")
+            self.close()
+            return
+        if self.frames.other is not None and not self.ready:
+            self.ready = True
+            self.client.greeted(self)
+        for message in messages:
+            self.client.told(self, message)
+
+    def close(self) -> None:
+        if self.transport is not None:
+            self.transport.abort()
+
+
+class WatchClient:
+    """The host of a `Watch`. `take` puts a body in force, or says why not."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        orders: WatchOrders,
+        name: str,
+        take: Take,
+        taken: Taken = NOTHING,
+        seed: int | None = None,
+    ) -> None:
+        """`taken` is what is in force already. `seed`: of its chance; None: the system's."""
+        self.loop = loop
+        self.orders = orders
+        self.name = name
+        self.take_body = take
+        self.chance = random.Random(int.from_bytes(os.urandom(8), "big") if seed is None else seed)
+        self.watch = Watch(self, orders.cluster, orders.servers, orders.near, taken)
+        self.connections: dict[int, ServerConnection] = {}
+        self.dialling: dict[int, asyncio.Task[None]] = {}
+        self.timer: asyncio.TimerHandle | None = None
+        self.timer_for = 0
+        self.writing = False
+        self.to_write: Taken | None = None
+        self.closed = False
+
+    def begin(self) -> None:
+        self.watch.begin()
+        self._after()
+
+    def close(self) -> None:
+        self.closed = True
+        if self.timer is not None:
+            self.timer.cancel()
+        for link in [*self.connections, *self.dialling]:
+            self.hang_up(link)
+
+    # ---- The watch's host ----
+
+    def now(self) -> int:
+        return time.monotonic_ns()
+
+    def fraction(self) -> float:
+        return self.chance.random()
+
+    def say(self, line: str) -> None:
+        say(line)
+
+    def dial(self, link: int, where: str) -> None:
+        connection = self.connections[link] = ServerConnection(self, link)
+        self.dialling[link] = self.loop.create_task(self._connect(connection, where))
+
+    def hang_up(self, link: int) -> None:
+        task, connection = self.dialling.pop(link, None), self.connections.pop(link, None)
+        if task is not None:
+            task.cancel()
+        if connection is not None:
+            connection.over = True
+            connection.close()
+
+    def send(self, link: int, message: Message) -> None:
+        connection = self.connections.get(link)
+        if connection is None or connection.transport is None or not connection.ready:
+            return
+        if connection.transport.get_write_buffer_size() <= MOST_UNSENT:  # what is left out is said again
+            connection.transport.write(connection.frames.write(message))
+
+    def take(self, number: int, digest: bytes, body: str) -> str:
+        reason = self.take_body(number, body)
+        if not reason:
+            self._keep(Taken(number, digest, body))
+        return reason
+
+    # ---- What happens ----
+
+    def greeted(self, connection: ServerConnection) -> None:
+        self.watch.greeted(connection.link)
+        self._after()
+
+    def told(self, connection: ServerConnection, message: Any) -> None:
+        if not connection.over:
+            self.watch.told(connection.link, message)
+            self._after()
+
+    def lost(self, connection: ServerConnection) -> None:
+        if not connection.over:
+            connection.over = True
+            self.connections.pop(connection.link, None)
+            self.watch.lost(connection.link)
+            self._after()
+
+    async def _connect(self, connection: ServerConnection, where: str) -> None:
+        host, _, port = where.rpartition(":")
+        try:
+            await self.loop.create_connection(lambda: connection, host.strip("[]"), int(port))
+        except OSError:
+            self.lost(connection)
+        finally:
+            self.dialling.pop(connection.link, None)
+
+    def _after(self) -> None:
+        """See when time is wanted next. A timer that rings too early does no harm and is left."""
+        at = self.watch.wake()
+        if self.closed or (self.timer is not None and self.timer_for <= at):
+            return
+        if self.timer is not None:
+            self.timer.cancel()
+        self.timer_for = at
+        left = min(LONGEST_NAP, max(0.0, (at - self.now()) / 1e9))
+        self.timer = self.loop.call_later(left, self._ring)
+
+    def _ring(self) -> None:
+        self.timer = None
+        self.watch.tick()
+        self._after()
+
+    # ---- The cache ----
+
+    def _keep(self, taken: Taken) -> None:
+        """Written by a thread, of several that came meanwhile the latest: a slow disk holds up nothing."""
+        self.to_write = taken
+        if not self.writing and not self.closed:
+            self.writing = True
+            future = self.loop.run_in_executor(None, write_cache, self.orders, taken)
+            future.add_done_callback(lambda f: self._kept(taken, f.exception()))
+
+    def _kept(self, taken: Taken, error: BaseException | None) -> None:
+        self.writing = False
+        if error is not None:
+            say(f"config: the cache cannot be written: {error}")
+        if self.to_write is not None and self.to_write is not taken:
+            self._keep(self.to_write)
+
+    # ---- What operators ask ----
+
+    def figures(self) -> dict[str, int]:
+        watch = self.watch
+        link = watch.link
+        return {
+            "config_version": watch.in_force,
+            "config_offered": watch.came.number,
+            "config_connected": int(watch.connected()),
+            "config_server_version": link.server_has if link is not None else -1,
+            "config_heard_ms": (self.now() - link.heard_at) // 1_000_000 if link is not None else -1,
+            "config_taken": watch.taken_versions,
+            "config_refused": watch.refused_versions,
+            "config_messages_refused": watch.refused_messages,
+            "config_changes_of_server": watch.changes,
+        }
+
+
+def write_cache(orders: WatchOrders, taken: Taken) -> None:
+    """Replaces the file whole. Raises OSError."""
+    told = {
+        "format": CACHE_FORMAT,
+        "cluster": orders.cluster,
+        "version": taken.number,
+        "digest": taken.digest.hex(),
+        "body": taken.body,
+    }
+    new = orders.cache.with_name(f".{orders.cache.name}.{os.getpid()}.new")
+    orders.cache.parent.mkdir(parents=True, exist_ok=True)
+    new.write_text(json.dumps(told), encoding="utf-8")
+    os.replace(new, orders.cache)
+
+
+def read_cache(orders: WatchOrders) -> tuple[Taken, str]:
+    """The last version that was taken, and why there is none where it is of no use."""
+    path: Path = orders.cache
+    try:
+        if path.stat().st_size > 8 * LONGEST_BODY:
+            return NOTHING, "it is too long"
+        told = json.loads(path.read_text(encoding="utf-8"))
+        number, body = told["version"], told["body"]
+        if told["format"] != CACHE_FORMAT:
+            return NOTHING, f"format {told['format']!r}, this release reads {CACHE_FORMAT}"
+        if told["cluster"] != orders.cluster:
+            return NOTHING, f"it is of cluster {told['cluster']!r}"
+        if not isinstance(number, int) or number < 1 or digest_of(body).hex() != told["digest"]:
+            return NOTHING, "its digest is wrong"
+    except FileNotFoundError:
+        return NOTHING, ""
+    except (OSError, ValueError, KeyError, TypeError, AttributeError, RecursionError) as error:
+        return NOTHING, f"{type(error).__name__}: {error}"
+    return Taken(number, bytes.fromhex(told["digest"]), body), ""
--- /dev/null
+++ b/ploverspoke/distribution/node.py
@@ -0,0 +1,169 @@
+"""A config server on a disk and on sockets: a thin driver of `Feed` on a replica that keeps `Versions`."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any, cast
+
+from ploverspoke.consensus.disk import Disk
+from ploverspoke.consensus.members import PEERS
+from ploverspoke.consensus.node import Node, Reply
+from ploverspoke.program.checked import BadKey
+from ploverspoke.transport.log_lines import say
+
+from .feed import NEVER, Feed
+from .orders import ConfigServerOrders
+from .overlay import canonical, read_body
+from .parcels import Message, is_number
+from .versions import Version, Versions, digest_of, publish_command
+
+COMMITTED = "committed version"  # on this replica's disk, beside the log
+FRESH_ELECTIONS = 4  # without a word of a leader for so many election time-outs a replica says so
+LEAST_FRESH = 800_000_000  # ns
+LONGEST_TEXT = 200  # of who publishes, and of a request's id
+
+
+class ConfigServerNode(Node):
+    def __init__(self, orders: ConfigServerOrders, disk: Disk | None = None) -> None:
+        self.versions = Versions()
+        super().__init__(orders.replica, self.versions, disk)
+        replica = orders.replica
+        self.feed = Feed(self, replica.cluster, orders.most_watchers, orders.bytes_a_second)
+        self.send_watcher: Callable[[str, Message], int] = lambda name, message: 0
+        self.drop_watcher: Callable[[str, str], None] = lambda name, why: None
+        self.fresh_for = max(LEAST_FRESH, FRESH_ELECTIONS * replica.election)
+        self.feeding: asyncio.TimerHandle | None = None
+        self.feeding_at = NEVER
+        self.kept_number = 0
+
+    def opened(self) -> None:
+        """A log says only from a leader on what of it is committed; what was known to be still is."""
+        self.versions.on_version = self._committed
+        kept = self.disk.kept(COMMITTED)
+        if kept is not None:
+            version = Version(*kept)
+            self.kept_number = version.number
+            self.feed.offer(version)
+            self.feed_again()
+
+    def _committed(self, version: Version) -> None:
+        self.feed.offer(version)
+        if version.number > self.kept_number:
+            self.kept_number = version.number
+            v = version
+            self.keep(COMMITTED, [v.number, v.body, v.digest, v.canonical, v.by, v.id])
+            say(f"config: version {version.number} is committed ({version.says()})")
+        self.feed_again()
+
+    # ---- The feed's host ----
+
+    def now(self) -> int:
+        return self.clock.monotonic()
+
+    def is_fresh(self) -> bool:
+        replica = self.replica
+        if replica is None:
+            return False
+        if replica.raft.role == "leader":
+            return replica.leads()
+        return bool(replica.raft.leader) and self.now() - replica.raft.heard_leader_at < self.fresh_for
+
+    def send(self, name: str, message: Message) -> int:
+        return self.send_watcher(name, message)
+
+    def drop(self, name: str, why: str) -> None:
+        self.drop_watcher(name, why)
+
+    def feed_again(self) -> None:
+        """See when the feed wants time next."""
+        at = self.feed.next_wake
+        if self.closed or at >= self.feeding_at:
+            return
+        if self.feeding is not None:
+            self.feeding.cancel()
+        self.feeding_at = at
+        self.feeding = self.loop.call_later(max(0, at - self.now()) / 1e9, self._feed)
+
+    def _feed(self) -> None:
+        self.feeding, self.feeding_at = None, NEVER
+        if not self.closed:
+            self.feed.tick()
+            self.feed_again()
+
+    # ---- What tools ask ----
+
+    def status_of_state(self) -> dict[str, Any]:
+        feed = self.feed
+        return {
+            "version": feed.latest.number if feed.latest is not None else 0,
+            "fresh": self.is_fresh(),
+            "watchers": len(feed.watchers),
+            "watchers_behind": len(feed.behind),
+            "pushes": feed.pushes,
+            "whole_pushes": feed.whole_pushes,
+            "pushed_bytes": feed.pushed_bytes,
+            "silent": feed.silent,
+            "sent_elsewhere": feed.sent_elsewhere,
+        }
+
+    def asked_of_state(self, question: dict[str, Any], reply: Reply) -> bool:
+        verb = question.get("ask")
+        if verb == "publish":
+            self._publish(question, reply)
+        elif verb == "versions":
+            reply(self.versions.rows())
+        elif verb == "version":
+            found = self.versions.get(question["n"]) if question.get("n") else self.versions.latest()
+            reply({"n": found.number, "body": found.body, "by": found.by} if found is not None else {"n": 0})
+        elif verb == "watchers":
+            reply(self.feed.rows())
+        else:
+            return False
+        return True
+
+    def _publish(self, question: dict[str, Any], reply: Reply) -> None:
+        """Only a leader's answer with `version` counts; "unknown" where it may or may not be committed."""
+        if not self.leads():
+            reply({"done": False, "version": 0, "why": "this server does not lead", "leader": self._leader()})
+            return
+        try:
+            body, expect, by, request = checked_request(question)
+            same = digest_of(canonical(read_body(body)))
+        except BadKey as error:
+            refusal = {"done": False, "version": self.versions.number(), "why": str(error), "bad": True}
+            reply(refusal)
+            return
+
+        def told(yes: bool) -> None:
+            answer = self.versions.answers.get(request)
+            if answer is not None:
+                reply({"done": answer.done, "version": answer.version, "why": answer.why})
+            else:
+                why = "it is not known whether this was committed; ask again with the same id"
+                reply({"done": False, "version": 0, "why": why, "unknown": True})
+
+        command = publish_command(body, same, expect, by, request)
+        self.propose(cast(list[Any], command), told)  # bytes, so that consensus bounds its messages by them
+
+    def _leader(self) -> str:
+        raft = self.replica.raft if self.replica is not None else None
+        told = raft.members().get(raft.leader) if raft is not None else None
+        return str(told[PEERS]) if told is not None and raft is not None and raft.leader != self.me else ""
+
+    async def close(self) -> None:
+        if self.feeding is not None:
+            self.feeding.cancel()
+        await super().close()
+
+
+def checked_request(question: dict[str, Any]) -> tuple[str, int, str, str]:
+    """Body, expected version, by whom, and id of a publish request. Raises BadKey."""
+    body, expect = question.get("body"), question.get("expect")
+    by, request = question.get("by"), question.get("id")
+    if not isinstance(body, str):
+        raise BadKey("body: expected a text")
+    if not is_number(expect):
+        raise BadKey("expect: expected the number of the version that is to be replaced, 0 for none")
+    for key, value in (("by", by), ("id", request)):
+        if not isinstance(value, str) or not 0 < len(value) <= LONGEST_TEXT:
+            raise BadKey(f"{key}: expected a text of 1 to {LONGEST_TEXT} characters")
+    return body, expect, str(by), str(request)
--- /dev/null
+++ b/ploverspoke/distribution/parcels.py
@@ -0,0 +1,149 @@
+"""What config servers and watchers send one another, read and checked. Without I/O.
+
+A parcel carries one version: as a delta, zlib with the body that the watcher has as its dictionary, or whole
+where that is not known. Nothing of it is believed before the digest of the unpacked body is right.
+"""
+
+import zlib
+from collections.abc import Mapping
+from typing import Any, NamedTuple, TypeGuard
+
+from .overlay import LONGEST_BODY
+from .versions import DIGEST, Version, digest_of
+
+FORMAT = 1  # of parcels and of what is said around them
+LONGEST_NAME = 128
+LONGEST_REASON = 300
+MOST_NUMBER = 1 << 53
+WINDOW = 15  # zlib's largest: of a longer dictionary the last 32 KiB serve
+
+Message = dict[str, Any]
+
+
+class Refused(ValueError):
+    """A message that is not taken; says why."""
+
+
+class Have(NamedTuple):
+    """What a watcher says of itself."""
+
+    number: int  # the latest version that came to it unharmed; 0: none
+    digest: bytes
+    in_force: int
+    reason: str  # why `number` is not in force; "" where it is
+    whole: bool  # it wants no delta
+
+    def message(self) -> Message:
+        return {"k": "have", "n": self.number, "d": self.digest, "f": self.in_force, "w": self.reason} | (
+            {"all": True} if self.whole else {}
+        )
+
+
+class Beat(NamedTuple):
+    """What a server says once a second: its latest version, and whether it has heard of a leader lately."""
+
+    number: int
+    fresh: bool
+
+    def message(self) -> Message:
+        return {"k": "beat", "n": self.number, "l": self.fresh}
+
+
+# ---- Parcels ----
+
+
+def pack(cluster: str, version: Version, base: str | None) -> Message:
+    """`base` is the body that the watcher has; None: send it whole."""
+    packer = (
+        zlib.compressobj(6, zlib.DEFLATED, WINDOW)
+        if base is None
+        else zlib.compressobj(6, zlib.DEFLATED, WINDOW, zdict=base.encode())
+    )
+    data = packer.compress(version.body.encode()) + packer.flush()
+    return {
+        "k": "push",
+        "v": FORMAT,
+        "c": cluster,
+        "n": version.number,
+        "d": version.digest,
+        "b": None if base is None else digest_of(base),
+        "z": data,
+    }
+
+
+def unpack(message: Message, cluster: str, base: str) -> tuple[int, bytes, str]:
+    """Number, digest and body of a parcel; `base` is the body that we have. Raises Refused."""
+    if message.get("v") != FORMAT:
+        raise Refused(f"format version {message.get('v')!r}, this release reads {FORMAT}"[:LONGEST_REASON])
+    if message.get("c") != cluster:
+        raise Refused(f"it is of cluster {message.get('c')!r}, not of {cluster!r}"[:LONGEST_REASON])
+    number, digest, data = message.get("n"), message.get("d"), message.get("z")
+    if not is_number(number) or not number or not _is_digest(digest) or not isinstance(data, bytes):
+        raise Refused("a parcel that is none")
+    wants = message.get("b")
+    if wants is not None and wants != digest_of(base):
+        raise Refused(f"version {number} rests on a body that is not ours")
+    unpacker = (
+        zlib.decompressobj(WINDOW) if wants is None else zlib.decompressobj(WINDOW, zdict=base.encode())
+    )
+    try:
+        told = unpacker.decompress(data, LONGEST_BODY + 1)
+        body = told.decode()
+    except (zlib.error, UnicodeDecodeError) as error:
+        raise Refused(f"version {number} cannot be unpacked: {error}"[:LONGEST_REASON]) from None
+    if len(told) > LONGEST_BODY:
+        raise Refused(f"version {number} is over {LONGEST_BODY} bytes")
+    if not unpacker.eof or unpacker.unused_data:
+        raise Refused(f"version {number} is cut off, or has something behind it")
+    if digest_of(body) != digest:
+        raise Refused(f"version {number} has the wrong digest")
+    return number, digest, body
+
+
+# ---- Checks ----
+
+
+def is_number(value: Any) -> TypeGuard[int]:
+    return isinstance(value, int) and not isinstance(value, bool) and 0 <= value < MOST_NUMBER
+
+
+def _is_digest(value: Any) -> TypeGuard[bytes]:
+    return isinstance(value, bytes) and len(value) == DIGEST
+
+
+def read_have(message: Any) -> Have:
+    """Raises Refused."""
+    if not isinstance(message, dict) or message.get("k") != "have":
+        raise Refused("not what a watcher says")
+    number, digest, in_force = message.get("n"), message.get("d"), message.get("f")
+    reason, whole = message.get("w"), message.get("all", False)
+    if not is_number(number) or not is_number(in_force) or not isinstance(reason, str):
+        raise Refused("what a watcher has is no number, or its reason no text")
+    if not isinstance(digest, bytes) or len(digest) not in (0, DIGEST):
+        raise Refused("a digest that is none")
+    return Have(number, digest, in_force, reason[:LONGEST_REASON], whole is True)
+
+
+def read_beat(message: Message) -> Beat:
+    """Raises Refused."""
+    number, fresh = message.get("n"), message.get("l")
+    if not is_number(number) or not isinstance(fresh, bool):
+        raise Refused("a heartbeat that is none")
+    return Beat(number, fresh)
+
+
+def greeting(name: str, cluster: str) -> Message:
+    """A watcher's, beside what all frames greet with."""
+    return {"id": name, "store": "", "watch": FORMAT, "cluster": cluster}
+
+
+def read_greeting(other: Mapping[str, Any], cluster: str) -> str:
+    """The name of who watches. Raises Refused."""
+    name, told = other.get("id"), other.get("watch")
+    if not isinstance(name, str) or not 0 < len(name) <= LONGEST_NAME:
+        raise Refused("a greeting without a name")
+    if told != FORMAT:
+        raise Refused(f"{name} speaks format version {told!r}, this release {FORMAT}"[:LONGEST_REASON])
+    if other.get("cluster") != cluster:
+        raise Refused(f"{name} watches cluster {other.get('cluster')!r}, not {cluster!r}"[:LONGEST_REASON])
+    return name
