--- a/ploverspoke/distribution/asking.py
+++ b/ploverspoke/distribution/asking.py
@@ -26,6 +26,7 @@
     behind: list[str]
     refused: dict[str, str]  # why
     away: dict[str, float]  # not connected; seconds since they were heard
+    unheard: list[str]  # servers that gave no answer: who watches them is not known
 
     def connected(self) -> int:
         return len(self.in_force) + len(self.behind) + len(self.refused)
@@ -77,7 +78,9 @@
     until = time.monotonic() + within
     told: dict[str, Any] = {}
     while True:
-        leader, why = _leader(servers)
+        leader, why, any_answers = _leader(servers)
+        if not any_answers and not told:
+            raise NoServer(why)
         if leader:
             try:
                 if expect is None:
@@ -96,22 +99,23 @@
         time.sleep(AGAIN)
 
 
-def _leader(servers: ConfigServers) -> tuple[str, str]:
-    """Where the server is that leads; "" and why where none does."""
+def _leader(servers: ConfigServers) -> tuple[str, str, bool]:
+    """Where the server is that leads; "" and why where none does, and whether any answers."""
     told = ask_all(servers, {"ask": "status"})
     for name, answer in told.items():
         if isinstance(answer, dict) and answer.get("leads"):
-            return servers.peers[name], ""
+            return servers.peers[name], "", True
     why = [
         f"{name}: {answer}" if isinstance(answer, Exception) else f"{name} does not lead"
         for name, answer in told.items()
     ]
-    return "", "; ".join(why)
+    return "", "; ".join(why), not all(isinstance(answer, Exception) for answer in told.values())
 
 
 def fleet(servers: ConfigServers, version: int = 0) -> Fleet:
     """Who has `version` or a later one in force (0: the latest that a server has). Raises NoServer."""
     told = answers(servers, {"ask": "watchers"})
+    unheard = [name for name in servers.peers if name not in told]
     if not version:
         version = _last(versions(servers))
     best: dict[str, list[Any]] = {}
@@ -120,7 +124,7 @@
         # Connected counts before what was heard last: who changes servers leaves a trace at the old one.
         if known is None or (not row[5], row[4]) < (not known[5], known[4]):
             best[row[0]] = row
-    found = Fleet(version, [], [], {}, {})
+    found = Fleet(version, [], [], {}, {}, unheard)
     for name, in_force, came, reason, since, connected in sorted(best.values()):
         if not connected:
             found.away[name] = since
--- a/ploverspoke/distribution/client.py
+++ b/ploverspoke/distribution/client.py
@@ -14,7 +14,7 @@
 
 from .orders import WatchOrders
 from .overlay import LONGEST_BODY
-from .parcels import Message, greeting
+from .parcels import Message, greeting, is_number
 from .versions import digest_of
 from .watch import NOTHING, Taken, Watch
 
@@ -244,7 +244,9 @@
             return NOTHING, f"format {told['format']!r}, this release reads {CACHE_FORMAT}"
         if told["cluster"] != orders.cluster:
             return NOTHING, f"it is of cluster {told['cluster']!r}"
-        if not isinstance(number, int) or number < 1 or digest_of(body).hex() != told["digest"]:
+        if not is_number(number) or not number:
+            return NOTHING, f"version {number!r:.20} is none"
+        if digest_of(body).hex() != told["digest"]:
             return NOTHING, "its digest is wrong"
     except FileNotFoundError:
         return NOTHING, ""
--- a/ploverspoke/distribution/commands.py
+++ b/ploverspoke/distribution/commands.py
@@ -210,6 +210,8 @@
 
 def _say_fleet(found: Fleet) -> None:
     click.echo(f"version {found.version}: in force at {len(found.in_force)} of {found.connected()} connected")
+    if found.unheard:
+        click.echo(f"no answer from {', '.join(found.unheard)}: who watches there is not known")
     if found.behind:
         click.echo(f"behind: {_some(found.behind)}")
     for name, why in sorted(found.refused.items())[:MOST_NAMES]:
--- a/ploverspoke/distribution/daemon.py
+++ b/ploverspoke/distribution/daemon.py
@@ -27,6 +27,7 @@
 from .client import WatchClient, read_cache
 from .orders import WatchOrders, read_watch_orders
 from .overlay import lay_on, read_body
+from .parcels import LONGEST_NAME, is_name
 from .watch import NOTHING, Taken
 
 
@@ -104,6 +105,10 @@
     `read_own` gives its configuration anew at SIGHUP; by default it stays what it was. `seed` is of the
     watch's chance.
     """
+    if not is_name(service.briefing.name):
+        raise BadKey(
+            f"name is {service.briefing.name!r}: config servers expect 1 to {LONGEST_NAME} characters"
+        )
     read = read_own if read_own is not None else lambda: own
     laying = Laying(service, own, read, taken, environment if environment is not None else {})
     client = WatchClient(service.loop, orders, service.briefing.name, laying.take, taken, seed)
@@ -118,8 +123,7 @@
     """To `config` at the operators' door."""
     watch = client.watch
     if watch.reason:
-        said = f"version {watch.came.number} refused: {watch.reason}"
-        return operators.said_no(said.encode("ascii", "backslashreplace").decode().replace("\n", " "))
+        return operators.said_no(f"version {watch.came.number} refused: {watch.reason}")
     lines = [operators.figure(key, value) for key, value in client.figures().items()]
     return operators.said_yes(f"version {watch.in_force} in force") + operators.figures(lines)[len("+OK\n") :]
 
--- a/ploverspoke/distribution/node.py
+++ b/ploverspoke/distribution/node.py
@@ -47,7 +47,7 @@
 
     def _committed(self, version: Version) -> None:
         self.feed.offer(version)
-        if version.number > self.kept_number:
+        if version.number > self.kept_number and version is self.versions.latest():
             self.kept_number = version.number
             v = version
             self.keep(COMMITTED, [v.number, v.body, v.digest, v.canonical, v.by, v.id])
--- a/ploverspoke/distribution/parcels.py
+++ b/ploverspoke/distribution/parcels.py
@@ -74,9 +74,9 @@
 def unpack(message: Message, cluster: str, base: str) -> tuple[int, bytes, str]:
     """Number, digest and body of a parcel; `base` is the body that we have. Raises Refused."""
     if message.get("v") != FORMAT:
-        raise Refused(f"format version {message.get('v')!r}, this release reads {FORMAT}"[:LONGEST_REASON])
+        raise Refused(f"format version {message.get('v')!r:.20}, this release reads {FORMAT}")
     if message.get("c") != cluster:
-        raise Refused(f"it is of cluster {message.get('c')!r}, not of {cluster!r}"[:LONGEST_REASON])
+        raise Refused(f"it is of cluster {message.get('c')!r:.60}, not of {cluster!r}")
     number, digest, data = message.get("n"), message.get("d"), message.get("z")
     if not is_number(number) or not number or not _is_digest(digest) or not isinstance(data, bytes):
         raise Refused("a parcel that is none")
@@ -88,11 +88,11 @@
     )
     try:
         told = unpacker.decompress(data, LONGEST_BODY + 1)
+        if len(told) > LONGEST_BODY:
+            raise Refused(f"version {number} is over {LONGEST_BODY} bytes")
         body = told.decode()
     except (zlib.error, UnicodeDecodeError) as error:
         raise Refused(f"version {number} cannot be unpacked: {error}"[:LONGEST_REASON]) from None
-    if len(told) > LONGEST_BODY:
-        raise Refused(f"version {number} is over {LONGEST_BODY} bytes")
     if not unpacker.eof or unpacker.unused_data:
         raise Refused(f"version {number} is cut off, or has something behind it")
     if digest_of(body) != digest:
@@ -111,6 +111,16 @@
     return isinstance(value, bytes) and len(value) == DIGEST
 
 
+def printable(text: str) -> str:
+    """For a log line or an operators' answer, whatever came."""
+    return text.encode("unicode_escape").decode("ascii")[:LONGEST_REASON]
+
+
+def is_name(value: Any) -> TypeGuard[str]:
+    """Whether a dispatcher may be called so."""
+    return isinstance(value, str) and 0 < len(value) <= LONGEST_NAME and value.isprintable()
+
+
 def read_have(message: Any) -> Have:
     """Raises Refused."""
     if not isinstance(message, dict) or message.get("k") != "have":
@@ -121,7 +131,7 @@
         raise Refused("what a watcher has is no number, or its reason no text")
     if not isinstance(digest, bytes) or len(digest) not in (0, DIGEST):
         raise Refused("a digest that is none")
-    return Have(number, digest, in_force, reason[:LONGEST_REASON], whole is True)
+    return Have(number, digest, in_force, printable(reason), whole is True)
 
 
 def read_beat(message: Message) -> Beat:
@@ -140,7 +150,7 @@
 def read_greeting(other: Mapping[str, Any], cluster: str) -> str:
     """The name of who watches. Raises Refused."""
     name, told = other.get("id"), other.get("watch")
-    if not isinstance(name, str) or not 0 < len(name) <= LONGEST_NAME:
+    if not is_name(name):
         raise Refused("a greeting without a name")
     if told != FORMAT:
         raise Refused(f"{name} speaks format version {told!r}, this release {FORMAT}"[:LONGEST_REASON])
--- a/ploverspoke/distribution/watch.py
+++ b/ploverspoke/distribution/watch.py
@@ -8,7 +8,7 @@
 from typing import Any, NamedTuple, Protocol
 
 from .overlay import read_body
-from .parcels import Have, Message, Refused, read_beat, unpack
+from .parcels import Have, Message, Refused, printable, read_beat, unpack
 
 MILLISECOND = 1_000_000
 SECOND = 1000 * MILLISECOND
@@ -17,9 +17,10 @@
 SAY_EVERY = 4 * SECOND
 STALE_FOR = 2 * SECOND  # a server without a leader is borne for an election
 FIRST_DELAY = 250 * MILLISECOND  # the most, by chance: where a server dies all that watched it go elsewhere
-NEXT_DELAY = 100 * MILLISECOND  # the most, to the next one of a round
-ROUND_DELAY = 500 * MILLISECOND  # the most, when all were tried; twice as much after each round
-LONGEST_DELAY = 4 * SECOND
+NEXT_DELAY = 100 * MILLISECOND  # the most, to the next one of the first round
+LATER_DELAY = 400 * MILLISECOND  # and of a later one: all servers were away, and all watchers look for them
+ROUND_DELAY = SECOND  # the most, when all were tried; twice as much after each round
+LONGEST_DELAY = 3 * SECOND
 LIVED = 5 * SECOND  # a connection that lasted so long was none of the failures
 TRIAL_DELAY = 500 * MILLISECOND  # between two trials of another server; twice as much after each
 LONGEST_TRIAL_DELAY = 16 * SECOND
@@ -142,7 +143,7 @@
             elif kind == "elsewhere":
                 self._leave(link, now)
             elif kind == "refused":
-                raise Refused(f"the server refuses us: {str(message.get('w'))[:200]}")
+                raise Refused(printable(f"the server refuses us: {message.get('w')}"))
             else:
                 raise Refused("not what a server says")
         except Refused as error:
@@ -206,6 +207,10 @@
             reason = self.host.take(*found)
         except ValueError as error:
             reason = str(error)
+        except Exception as error:
+            # Whatever a check stumbles over: the one in force goes on, and it is said.
+            reason = f"{type(error).__name__}: {error}"
+        reason = printable(reason)
         self.came, self.reason = found, reason
         if reason:
             self.refused_versions += 1
@@ -303,7 +308,7 @@
             self.round = [where for where in self._new_round() if where != link.where] + [link.where]
             delay = self._part_of(FIRST_DELAY)
         elif self.round:
-            delay = self._part_of(NEXT_DELAY)
+            delay = self._part_of(LATER_DELAY if self.rounds else NEXT_DELAY)
         else:
             self.rounds += 1
             delay = self._jittered(min(LONGEST_DELAY, ROUND_DELAY << min(self.rounds - 1, 10)))
@@ -318,8 +323,8 @@
         return int(self.host.fraction() * span)
 
     def _jittered(self, span: int) -> int:
-        """From half of it to the whole."""
-        return span // 2 + self._part_of(span // 2)
+        """From a quarter of it to the whole."""
+        return span // 4 + self._part_of(span * 3 // 4)
 
     def _shuffled(self, servers: list[str]) -> list[str]:
         found = list(servers)
