--- a/ploverspoke/testbed/capacity/command.py
+++ b/ploverspoke/testbed/capacity/command.py
@@ -14,11 +14,18 @@
 
 from ..processes.room import NoRoom
 from ..tables import console
-from . import dispatcher, fleet, keeper, store_replica, tools
+from . import config_server, dispatcher, fleet, keeper, store_replica, tools
 from .parts import Asked, Found, Part
 from .slopes import FORMAT, BadSlopes, Line, Slopes, read_slopes, write_slopes
 
-PARTS: list[Part] = [*dispatcher.PARTS, *fleet.PARTS, *keeper.PARTS, *store_replica.PARTS, *tools.PARTS]
+PARTS: list[Part] = [
+    *dispatcher.PARTS,
+    *fleet.PARTS,
+    *keeper.PARTS,
+    *store_replica.PARTS,
+    *config_server.PARTS,
+    *tools.PARTS,
+]
 
 
 def chosen(words: Sequence[str], parts: Sequence[Part]) -> list[Part]:
--- a/ploverspoke/testbed/capacity/tools.py
+++ b/ploverspoke/testbed/capacity/tools.py
@@ -35,7 +35,7 @@
 SERVERS = 20  # listed, in a dispatcher's own file
 
 
-def _run(words: Sequence[str]) -> dict[str, float]:
+def run_command(words: Sequence[str]) -> dict[str, float]:
     """Raises NotStarted where the command does not give 0."""
     began = time.monotonic()
     process = subprocess.Popen(
@@ -110,7 +110,7 @@
             else:
                 words = ["lease", "restart", str(leases.file), "team-restart", "--ready", admins[0]]
                 words += ["--", "true"]
-            figures = await asyncio.wait_for(asyncio.to_thread(_run, words), RUN_WITHIN)
+            figures = await asyncio.wait_for(asyncio.to_thread(run_command, words), RUN_WITHIN)
             if role == "fleet summary":
                 answered = msgspec.json.decode(path.read_bytes())["answered"]
                 if answered != doors:
