--- a/ploverspoke/testbed/hollow/run.py
+++ b/ploverspoke/testbed/hollow/run.py
@@ -141,7 +141,8 @@
 def compare_lengths(fleet: Fleet, plays: Plays, rows: Sequence[Run]) -> Run | None:
     """Two absences of a region that were both played: what grows with their length."""
     worlds = {play.name: play for play in plays.worlds if play.what == "region cut"}
-    played = sorted((row for row in rows if row.play in worlds), key=lambda row: worlds[row.play].away)
+    latest = {row.play: row for row in rows if row.play in worlds}  # one that was played again counts once
+    played = sorted(latest.values(), key=lambda row: worlds[row.play].away)
     if len(played) < 2:
         return None
     short, long = played[0], played[-1]
@@ -195,7 +196,12 @@
         if not names or play.name in names:
             path = None if keep is None else keep / f"events-{play.name.replace(' ', '-')}.jsonl"
             done(play_one(fleet, plays, play, void_kinds=void_kinds, keep=path))
-    lengths = compare_lengths(fleet, plays, rows)
+    cuts = [
+        row
+        for row in rows
+        if any(play.name == row.play and play.what == "region cut" for play in plays.worlds)
+    ]
+    lengths = compare_lengths(fleet, plays, results.runs) if cuts else None
     if lengths is not None:
         done(lengths)
     return rows
