Capacity: what a watch of the configuration adds to a dispatcher, and what was measured with fewer voters

The slopes have a whole dispatcher that watches; what counts is what it adds to the same one without.

--- a/ploverspoke/testbed/capacity/budgets.py
+++ b/ploverspoke/testbed/capacity/budgets.py
@@ -21,7 +21,8 @@
 STARTS = "and starts and ends of tasks, without progress reports"
 PROGRESS = "and progress reports, one a second of each task"
 TELLINGS = "control alone, and tellings of all dispatchers of a zone"
-COUNTED = (CONTROL, STARTS, PROGRESS, TELLINGS)
+WATCHED = "control alone, and configuration watched at config servers"
+COUNTED = (CONTROL, STARTS, PROGRESS, TELLINGS, WATCHED)
 
 
 class BudgetRow(msgspec.Struct, frozen=True, kw_only=True):
@@ -43,13 +44,39 @@
 
 def counted_sizes(fleet: Fleet, dispatchers: int, situation: str, counted: str) -> dict[str, Amount]:
     sizes = dict(loads(fleet, dispatchers, situation)[DISPATCHER])
-    if counted in (CONTROL, TELLINGS):
+    if counted in (CONTROL, TELLINGS, WATCHED):
         sizes["tasks_running"] = sizes["starts_a_second"] = Amount(0, WORKED_OUT)
     if counted == TELLINGS:
         sizes["peers_telling"] = telling(fleet, dispatchers)
     return sizes
 
 
+def watching(slopes: Slopes, kind: str, changes: Amount) -> Figure:
+    """What a watch adds to a dispatcher: one that has it, less the same one that has none."""
+    whole = figure_of(slopes, WATCHING, kind, {"changes_a_minute": changes})
+    listed = {line.still.get("workers_listed", 0.0) for line in slopes.lines if line.role == WATCHING}
+    idle = figure_of(slopes, DISPATCHER, kind, {"workers_listed": Amount(max(listed, default=0.0), STATED)})
+    if whole.value is None or idle.value is None:
+        return Figure(value=None, origin=NOT_MEASURED)
+    more = {"value": max(0.0, whole.value - idle.value), "origin": "worked out"}
+    return msgspec.structs.replace(total([whole, idle]), **more)
+
+
+def figures_of(fleet: Fleet, slopes: Slopes, dispatchers: int, situation: str, counted: str) -> list[Figure]:
+    """Share of a core, memory, bytes."""
+    sizes = counted_sizes(fleet, dispatchers, situation, counted)
+    kinds = ("core", "memory", "bytes")
+    if counted != WATCHED:
+        return [figure_of(slopes, DISPATCHER, kind, sizes, counted == PROGRESS) for kind in kinds]
+    changes, sizes["reloads_a_minute"] = sizes["reloads_a_minute"], Amount(0, WORKED_OUT)
+    found = []
+    for kind in kinds:
+        parts = [figure_of(slopes, DISPATCHER, kind, sizes), watching(slopes, kind, changes)]
+        unknown = any(part.value is None for part in parts)
+        found.append(Figure(value=None, origin=NOT_MEASURED) if unknown else total(parts))
+    return found
+
+
 def within(budget: Budget, core: Figure, memory: Figure, octets: Figure) -> str:
     """Over where any figure is, else it holds where all were measured along all that it meets."""
     pairs = (
@@ -68,11 +95,7 @@
     for counted in COUNTED:
         for dispatchers in fleet.size.dispatchers:
             for situation in (ORDINARY, PEAK):
-                sizes = counted_sizes(fleet, dispatchers, situation, counted)
-                core, memory, octets = (
-                    figure_of(slopes, DISPATCHER, kind, sizes, counted == PROGRESS)
-                    for kind in ("core", "memory", "bytes")
-                )
+                core, memory, octets = figures_of(fleet, slopes, dispatchers, situation, counted)
                 found.append(
                     BudgetRow(
                         counted=counted,
--- a/ploverspoke/testbed/capacity/estimate.py
+++ b/ploverspoke/testbed/capacity/estimate.py
@@ -12,10 +12,11 @@
 
 import msgspec
 
-from .loads import ASSUMED, Amount
+from .loads import ASSUMED, ASSUMPTIONS, Amount
 from .slopes import Line, Slopes
 
 PROGRESS = "progress"  # in `still` of a line: whether the tasks told their progress
+VOTERS = ("keepers", "servers", "replicas")  # and how many of them there were
 NOT_MEASURED = "not measured"
 MOST_STRETCH = 10.0  # times the largest measured size; a stop further away is not told
 COUNTS = 0.05  # an assumed size that makes up less than this of a figure does not make it assumed
@@ -99,6 +100,9 @@
         assumed += slope[line.size].each * amount.value * (amount.origin == ASSUMED)
         if amount.value > line.measured_to:
             stretched.append(f"{line.size}: measured to {line.measured_to:g}, used at {amount.value:.4g}")
+        for name in VOTERS:
+            if (there := line.still.get(name)) is not None and there < ASSUMPTIONS["voters"].value:
+                stretched.append(f"{name}: measured to {there:g}, used at {ASSUMPTIONS['voters'].value:g}")
         known = known or any(at == amount.value for at, _ in line.points)
     unknown = [size for size, amount in sizes.items() if amount.value > 0 and size not in slope]
     unknown += [f"{line.size}, which this table does not know" for line in lines if line.size not in sizes]
@@ -108,7 +112,13 @@
         value = next(v for at, v in counted[0].points if at == sizes[counted[0].size].value)
     origin = "assumed" if value and assumed > COUNTS * value else "measured" if straight else "worked out"
     contradicted = [told for line in counted if (told := slope[line.size].contradicted)]
-    return Figure(value=value, origin=origin, stretched=stretched, contradicted=contradicted, without=without)
+    return Figure(
+        value=value,
+        origin=origin,
+        stretched=list(dict.fromkeys(stretched)),
+        contradicted=contradicted,
+        without=without,
+    )
 
 
 def stops_at(
--- a/ploverspoke/testbed/capacity/loads.py
+++ b/ploverspoke/testbed/capacity/loads.py
@@ -62,6 +62,7 @@
             "leases of the fleet (publisher, summary) that each control machine waits for",
             "Which tasks of the fleet run under a lease?",
         ),
+        Assumption("body_bytes", 16_384, "bytes of a configuration's shared part", "How large is it?"),
         Assumption("voters", 5, "voters of each kind (keepers, replicas, config servers), in five zones", ""),
     )
 }
@@ -194,8 +195,8 @@
             "kept_state": Amount(0, WORKED_OUT),  # submissions are kept by daemons alone
         },
         "config server": {"watchers": watchers, "changes_a_minute": reloads},
-        "dispatcher watching configuration": {"changes_a_minute": reloads, "reloads_a_minute": reloads},
-        "configuration publisher": {"changes_a_minute": reloads, "commits_a_second": each(reloads, MINUTE)},
+        "dispatcher watching configuration": {"changes_a_minute": reloads},
+        "configuration publisher": {"body_bytes": assumed("body_bytes")},
         "fleet summary": {"doors": count},  # of operators, one at each dispatcher
         "rolling restart": {"keepers": assumed("voters")},
         "supervisor": {"processes": Amount(1, ASSUMED)},  # of one dispatcher; more are off by default
--- a/ploverspoke/testbed/capacity/rows.py
+++ b/ploverspoke/testbed/capacity/rows.py
@@ -10,7 +10,8 @@
 
 import msgspec
 
-from .budgets import PROGRESS, STARTS, BudgetRow, core_with, stop_of
+from .budgets import PROGRESS, STARTS, WATCHED, BudgetRow, core_with, figures_of, stop_of, within
+from .estimate import Figure
 from .loads import (
     DAY,
     PEAK,
@@ -26,7 +27,7 @@
 from .played import Plays, Run
 from .size import Fleet
 from .slopes import Slopes
-from .verdicts import FAILS, HOLDS, MISSING, NOT_MEASURED, worst
+from .verdicts import FAILS, HOLDS, MISSING, NOT_MEASURED, OVER, worst
 
 SECOND = 1_000_000_000
 KB = 1_000
@@ -280,9 +281,10 @@
     if not facts.distributed:
         return row
     verdict, played = judged(facts.runs(BY_SERVERS), ("in force", "rule"))
+    verdict, costs = watched(facts, verdict)
     return msgspec.structs.replace(
         row,
-        gives=f"config servers agree on versions and tell every dispatcher that watches; {played}",
+        gives=f"config servers agree on versions and tell every dispatcher that watches; {played}; {costs}",
         mechanism="`distribution/`, `docs/distribution.md`",
         verdict=verdict,
         basis=PLAYED,
@@ -290,6 +292,21 @@
     )
 
 
+def watched(facts: Facts, verdict: str) -> tuple[str, str]:
+    """With what the watch costs a dispatcher: over its budget it does not hold, however soon it is."""
+    core, memory, octets = figures_of(
+        facts.fleet, facts.slopes, max(facts.fleet.size.dispatchers), PEAK, WATCHED
+    )
+    share, kilobytes = scaled(core, 100), scaled(octets, 1 / KB)
+    costs = f"control with a watch {number(share, '% of a core')}, {number(kilobytes, ' KB/s')}"
+    over = within(facts.fleet.budget, core, memory, octets) == OVER
+    return (OVER if over and verdict != FAILS else verdict), costs
+
+
+def scaled(figure: Figure, times: float) -> float | None:
+    return None if figure.value is None else figure.value * times
+
+
 def zones_row(facts: Facts) -> Row:
     size = facts.fleet.size
     verdict, played = judged(facts.runs("peak"), ("rule",))
--- a/ploverspoke/testbed/capacity/table.py
+++ b/ploverspoke/testbed/capacity/table.py
@@ -21,13 +21,13 @@
 # Who carries each role: module and page.
 ROLES = {
     "dispatcher": "`routing/`, `decisions/` (`docs/architecture.md`)",
-    WATCHING: "`distribution/` (`docs/distribution.md`)",
+    WATCHING: "`distribution/watch.py` (`docs/distribution.md`); a whole one, idle",
     "discovery": "the platform's; `routing/roster.py` asks it (`docs/architecture.md`)",
     "worker": "the platform's; `routing/errands.py` asks it (`docs/architecture.md`)",
     "keeper": "`leases/keeper.py` (`docs/leases.md`)",
     "store replica": "`store/node.py` (`docs/store.md`)",
-    SERVER: "`distribution/` (`docs/distribution.md`)",
-    "configuration publisher": "`leases/tasks.py`, `publish` (`docs/operating-leases.md`)",
+    SERVER: "`distribution/feed.py` (`docs/distribution.md`)",
+    "configuration publisher": "`distribution/commands.py` (`docs/distribution.md`), `leases/tasks.py`",
     "fleet summary": "`leases/tasks.py`, `summarise` (`docs/operating-leases.md`)",
     "rolling restart": "`leases/commands.py`, `restart` (`docs/operating-leases.md`)",
     "supervisor": "`supervisor/watch.py` (`docs/processes.md`)",
--- a/tests/test_capacity_table.py
+++ b/tests/test_capacity_table.py
@@ -9,7 +9,7 @@
 from click.testing import CliRunner
 
 from ploverspoke.cli import main
-from ploverspoke.testbed.capacity.budgets import CONTROL, PROGRESS, STARTS
+from ploverspoke.testbed.capacity.budgets import CONTROL, PROGRESS, STARTS, WATCHED
 from ploverspoke.testbed.capacity.estimate import estimate, stops_at
 from ploverspoke.testbed.capacity.loads import APART, ORDINARY, PEAK, ZONE, Amount, loads
 from ploverspoke.testbed.capacity.machines import layout, losses, splits, third_site
@@ -120,6 +120,27 @@
         assert estimate(both, "keeper", "core_share", sizes(holders=100)).value == 0.03
 
 
+def test_what_was_measured_with_fewer_voters_is_stretched() -> None:
+    three = line(
+        "core_share", "watchers", [(0.0, 0.0), (9.0, 0.9)], role="config server", still={"servers": 3}
+    )
+    found = estimate(slopes(three), "config server", "core_share", sizes(watchers=9))
+    assert found.stretched == ["servers: measured to 3, used at 5"]
+
+
+def test_what_a_watch_adds_is_a_dispatcher_with_it_less_the_same_without() -> None:
+    by_list = line("core_share", "workers_listed", [(100.0, 0.001), (980.0, 0.0098)])
+    watch = line(
+        "core_share", "changes_a_minute", [(0.0, 0.002), (60.0, 0.008)],
+        role="dispatcher watching configuration", still={"workers_listed": 100},
+    )  # fmt: skip
+    table = made(slopes(by_list, watch))
+    at_peak = next(row for row in table.budget if (row.counted, row.situation) == (WATCHED, PEAK))
+    # A quarter of 680 changes in an hour; the list at 980, and 0.001 that a watch takes by itself.
+    assert at_peak.core.value == pytest.approx(0.0098 + 0.001 + 680 / 4 / 60 * 0.0001)
+    assert "control with a watch 1.11% of a core" in table.row("changes").gives
+
+
 def test_what_is_not_there_adds_nothing_neither_does_the_world_of_its_line() -> None:
     telling = line("core_share", "peers_telling", [(3.0, 0.02), (31.0, 0.03)])
     found = estimate(
