Two tests hold their ports instead of finding free ones and letting them go

The operators' port of a replaced process and the port of a started program were found free and closed: between that and the start another process could get them, the more so with several tests at once. They are held_ports now, as elsewhere.

--- a/tests/test_tellings.py
+++ b/tests/test_tellings.py
@@ -12,6 +12,7 @@
 from ploverspoke.protocol.heads import Garbled
 from ploverspoke.protocol.tellings import MOST_BYTES, Reader, mark_of, marks_of, write_telling
 from ploverspoke.routing.peers import Peers
+from ploverspoke.testbed.processes.addresses import held_ports
 
 from .stage import MS, SECOND, SETTINGS, Stage, listing, random_run
 
@@ -182,12 +183,7 @@
         limits = {**SETTINGS["Limits"], "Peers": True}
         told: dict[str, Any] = {"discovery": "127.0.0.1:9"}
         told["settings"] = {**SETTINGS, "PeersTotal": 2, "Limits": limits}
-        free = [socket.socket() for _ in range(2)]
-        for each in free:
-            each.bind(("127.0.0.1", 0))
-        ports = [each.getsockname()[1] for each in free]
-        for each in free:
-            each.close()
+        ports = held_ports(2)
         told["listen"] = f"127.0.0.1:{ports[0]}"
         peers = [f"127.0.0.1:{ports[1]}", f"127.0.0.1:{other.getsockname()[1]}"]
         service = Service(loop, briefing_of({**told, "peers": peers}, {}))
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -17,6 +17,7 @@
 from ploverspoke.program.checked import BadKey
 from ploverspoke.program.neighbours import Neighbours
 from ploverspoke.program.passed import passed_socket
+from ploverspoke.testbed.processes.addresses import held_ports
 from ploverspoke.transport.shares import share_out
 from ploverspoke.transport.units import MEBIBYTE
 
@@ -76,9 +77,7 @@
         (folder / "config.json").write_text(json.dumps({**told, "settings": SETTINGS}))
 
     def spawn(self) -> subprocess.Popen[bytes]:
-        with socket.socket() as free:
-            free.bind(("127.0.0.1", 0))
-            self.world.admin_port = free.getsockname()[1]
+        [self.world.admin_port] = held_ports(1)
         number = str(self.listening.fileno())
         environment = {
             **os.environ,
