Runs of config servers and dispatchers as processes, with publishers and probers from outside

Two regions with relays between, a drawn timeline (kills, pauses, cuts, silences, old and empty folders), a server whose folder is lost for a start. Octets are counted on links.

--- /dev/null
+++ b/ploverspoke/testbed/processes/distribution_run.py
@@ -0,0 +1,456 @@
+"""A run of config servers and dispatchers that watch them, in two regions, under a drawn timeline: `play`
+starts, troubles, ends and judges them.
+"""
+
+import asyncio
+import os
+import shutil
+import tempfile
+from collections.abc import Mapping, Sequence
+from pathlib import Path
+from random import Random
+from typing import Any, NamedTuple
+
+import msgspec
+
+from ..spans import MILLISECOND, SECOND, Span, read_span, write_span
+from .child import Child
+from .distribution_check import FEWEST_TROUBLES, FEWEST_VERSIONS, Verdict, judge
+from .distribution_clients import Spec, grades_of
+from .history import Happened, true_now
+from .rig import Place, Rig, listens
+from .room import in_memory
+from .running import NotStarted, Running
+from .timeline import BadTimeline, Step, Weight, check, drawn
+
+MODULE = "ploverspoke.testbed.processes"
+SECRET = "a secret of the testbed's own"
+REGIONS = ("a", "b")
+QUIET = 2 * SECOND  # at the end, beyond `within`
+COPIED_AT = 1500 * MILLISECOND  # folders of dispatchers, for a later start with an older one
+FIRST = 2 * SECOND  # of what is done to dispatchers, then
+MOST_LATE = 400 * MILLISECOND  # of publishers and probers
+Instead = Mapping[str, Sequence[str]]  # modules and their first words, by process: for planted faults
+
+
+class Plan(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """What is played. Times of troubles are means; 0: none of that kind."""
+
+    servers: int = 3
+    dispatchers: int = 6
+    lasts: Span = Span(25 * SECOND)
+    within: Span = Span(10 * SECOND)  # of the promise
+    publishers: int = 3
+    every: Span = Span(SECOND)  # between two publications of one publisher
+    probe: Span = Span(150 * MILLISECOND)  # between two rounds at one dispatcher
+    election: Span = Span(200 * MILLISECOND)
+    snapshot_every: int = 100
+    far: Span = Span(20 * MILLISECOND)  # from one region to the other
+    kills: Span = Span(3 * SECOND)
+    pauses: Span = Span(3 * SECOND)
+    cuts: Span = Span(2 * SECOND)
+    rough: Span = Span(3 * SECOND)
+    emptied: Span = Span(8 * SECOND)  # a server's folder is lost, and found again
+    hushes: Span = Span(0)  # nothing is published behind one that is refused, for `within` and a second
+    apart_at: Span = Span(0)  # the regions lose each other then
+    apart: Span = Span(0)  # for so long
+    seen_every: Span = Span(0)  # memory, log and bytes are looked at
+
+    def region(self, number: int) -> str:
+        return REGIONS[number % len(REGIONS)]
+
+    def server_names(self) -> list[str]:
+        return [f"{self.region(n)}-s{n}" for n in range(self.servers)]
+
+    def dispatcher_names(self) -> list[str]:
+        return [f"{self.region(n)}-d{n}" for n in range(self.dispatchers)]
+
+    def calm(self) -> int:
+        """How much of the end is without troubles and publications."""
+        return self.within + QUIET
+
+
+class MustHold(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    versions: int = FEWEST_VERSIONS  # seen in force; with fewer a run is void
+    troubles: int = FEWEST_TROUBLES
+    calm: Span = Span(0)  # the longest from the acknowledgement until in force, where nothing is wrong
+
+
+class DistributionExperiment(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """A file with `kind = "distribution"`."""
+
+    kind: str
+    name: str
+    about: str = ""
+    seeds: list[int]
+    calm: bool = False  # nothing is done to anybody
+    plan: Plan = Plan()
+    must_hold: MustHold = MustHold()
+
+
+class Looked(NamedTuple):
+    """What the processes of one kind hold, together."""
+
+    at: int  # ns from the start
+    servers: int  # bytes of memory
+    dispatchers: int
+    folders: int  # bytes that servers keep on disk
+    carried: int  # bytes through the relays so far
+
+
+class Outcome(NamedTuple):
+    verdict: Verdict
+    void: str
+    faults: list[str]  # what went wrong by itself
+    shown: list[str]  # findings, each with what happened round it
+    events: list[Happened]
+    steps: list[Step]
+    links: dict[str, int]
+    looked: list[Looked]
+
+
+def timeline(plan: Plan, seed: int) -> list[Step]:
+    """The troubles of a run, by its seed."""
+    servers, dispatchers = plan.server_names(), plan.dispatcher_names()
+    everyone = [*servers, *dispatchers]
+    short = [Span(100 * MILLISECOND), Span(3 * SECOND)]
+    longer = [Span(100 * MILLISECOND), Span(6 * SECOND)]
+    once = [Span(0), Span(0)]
+    weights = [
+        ("kill", dispatchers, plan.kills, short),
+        ("kill", servers, plan.kills * 2, short),
+        ("restart", everyone, plan.kills * 3, once),
+        ("empty", dispatchers, plan.kills * 3, short),
+        ("older", dispatchers, plan.kills * 3, short),
+        ("pause", dispatchers, plan.pauses, longer),
+        ("pause", servers, plan.pauses * 2, short),
+        ("cut", everyone, plan.cuts, longer),
+        ("cut", servers, plan.cuts * 3, short),
+        ("silent", dispatchers, plan.cuts * 3, short),
+        ("rough", everyone, plan.rough, longer),
+        ("reset", dispatchers, plan.rough * 2, once),
+    ]
+    steps = drawn(
+        [
+            Weight(what=what, who=who, every=Span(every), lasts=lasts)
+            for what, who, every, lasts in weights
+            if every
+        ],
+        plan.lasts,
+        seed,
+        calm=plan.calm(),
+    )
+    if any(step.what == "older" for step in steps):
+        # Folders are copied first: then there is an older one to start with.
+        steps = [step for step in steps if step.at >= FIRST or not set(step.who) & set(dispatchers)]
+        steps += [Step(at=Span(COPIED_AT), what="copy", who=[name]) for name in dispatchers]
+    return [*steps, *regions(plan)]
+
+
+def regions(plan: Plan) -> list[Step]:
+    """How far they are from one another, and when they are apart."""
+    names = [*plan.server_names(), *plan.dispatcher_names()]
+    one, other = ([name for name in names if name.startswith(region)] for region in REGIONS)
+    steps = []
+    if plan.far:
+        jitter = Span(plan.far // 4)
+        steps.append(
+            Step(at=Span(0), what="delay", who=one, to=other, both=True, delay=plan.far, jitter=jitter)
+        )
+    if plan.apart:
+        steps.append(Step(at=plan.apart_at, what="cut", who=one, to=other, both=True, lasts=plan.apart))
+    return steps
+
+
+class Distribution:
+    """The processes of one run on a rig."""
+
+    def __init__(self, rig: Rig, plan: Plan, instead: Instead) -> None:
+        self.rig, self.plan, self.instead = rig, plan, instead
+        self.servers: list[Place] = []
+        self.dispatchers: list[Place] = []
+        self.clients: Child | None = None
+        self.looked: list[Looked] = []
+        self.late = 0
+
+    def add(self, place: Place, words: list[str]) -> Running:
+        module, *first = self.instead.get(place.name, ["ploverspoke"])
+        return self.rig.add(place, module, [*first, *words])
+
+    async def start(self) -> None:
+        rig, plan = self.rig, self.plan
+        rig.history.add("roles", {"servers": plan.server_names(), "dispatchers": plan.dispatcher_names()})
+        (rig.folder / "secret").write_text(SECRET)
+        self.servers = [rig.place(name, ["peers", "clients"]) for name in plan.server_names()]
+        replicas = {
+            p.name: {"peers": p.through("peers"), "clients": p.through("clients")} for p in self.servers
+        }
+        for place in self.servers:
+            told = {
+                "cluster": "testbed",
+                "name": place.name,
+                "folder": place.name,
+                "secret_file": "secret",
+                "replicas": replicas,
+                "election_ms": plan.election // MILLISECOND,
+                "snapshot_every": plan.snapshot_every,
+            }
+            path = rig.folder / f"{place.name}.json"
+            path.write_bytes(msgspec.json.encode(told))
+            server = self.add(place, ["config", "serve", str(path)])
+            server.ready = listens(place.own, place.ports["clients"])
+        self.dispatchers = [
+            rig.place(name, direct=["submissions", "operators"]) for name in plan.dispatcher_names()
+        ]
+        await rig.open()
+        discovery = await self.start_clients()
+        for number, place in enumerate(self.dispatchers):
+            self.add_dispatcher(number, place, discovery)
+        await rig.start([place.name for place in self.servers], ["--new"])
+        await rig.start([place.name for place in self.dispatchers])
+
+    def add_dispatcher(self, number: int, place: Place, discovery: str) -> None:
+        folder, region = self.rig.folder, self.plan.region(number)
+        clients = {server.name: server.through("clients") for server in self.servers}
+        watch = {
+            "cluster": "testbed",
+            "servers": list(clients.values()),
+            "near": [where for name, where in clients.items() if name.startswith(region)],
+            "secret_file": "secret",
+            "cache": f"{place.name}/cache.json",
+        }
+        own = {
+            "name": place.name,
+            "listen": place.at("submissions"),
+            "admin_addr": place.at("operators"),
+            "discovery": discovery,
+            "settings": {
+                "Discovery": "push",
+                "Localities": list(REGIONS),
+                "HostTypes": ["plain"],
+                "Zone": number % len(REGIONS),
+                "SlotNo": number,
+                "PeersTotal": self.plan.dispatchers,
+                "RoundUs": 2000,
+                "Limits": {"MaxHandOffs": 2},
+                "Invariants": {
+                    "ColdShare": 0.3,
+                    "WarmWithinUs": 1_000_000,
+                    "TipMultiple": 3.0,
+                    "FallUs": 2_000_000,
+                },
+                "ServiceGrades": grades_of(0),
+            },
+        }
+        files = {"watch": watch, "own": own}
+        for name, told in files.items():
+            (folder / f"{place.name}.{name}.json").write_bytes(msgspec.json.encode(told))
+        paths = {name: str(folder / f"{place.name}.{name}.json") for name in files}
+        dispatcher = self.add(place, ["serve", paths["own"], "--watch", paths["watch"]])
+        dispatcher.ready = listens(place.own, place.ports["submissions"])
+
+    async def start_clients(self) -> str:
+        """Gives the address of discovery."""
+        rig, plan = self.rig, self.plan
+        spec = Spec(
+            rig.seed,
+            str(rig.folder / "clients.history"),
+            SECRET,
+            {place.name: place.at("peers") for place in self.servers},
+            {place.through("peers"): place.name for place in self.servers},
+            {place.name: [place.at("submissions"), place.at("operators")] for place in self.dispatchers},
+            rig.block.stand_in(0),
+            plan.publishers,
+            int(plan.every),
+            int(plan.probe),
+            int(plan.hushes),
+            plan.within + SECOND,
+        )
+        path = rig.folder / "clients.json"
+        path.write_bytes(msgspec.json.encode(spec))
+        self.clients = await rig.child(f"{MODULE}.distribution_clients", [str(path)])
+        told = await self.clients.hear()
+        if told is None:
+            raise NotStarted("publishers and probers ended at their start")
+        return str(told["discovery"])
+
+    async def tell(self, word: str) -> None:
+        assert self.clients is not None
+        self.clients.tell({word: True})
+        told = await self.clients.hear()
+        if told is None:
+            raise NotStarted(f"publishers and probers ended before {word!r} was done")
+        self.late = max(self.late, told.get("late", 0))
+
+    # ---- While it is played ----
+
+    async def empty_servers(self) -> None:
+        """A server's folder is gone at its start, and it is told of no new set: it must not serve. Then the
+        folder is found again.
+        """
+        chance = Random(f"{self.rig.seed} emptied")
+        while self.rig.now() < self.plan.lasts - self.plan.calm() - self.plan.emptied // 2:
+            await asyncio.sleep(self.plan.emptied * (0.5 + chance.random()) / SECOND / 1.5)
+            running = self.rig.running[chance.choice(self.servers).name]
+            if running.name not in self.rig.busy and running.lives():
+                self.rig.busy.add(running.name)
+                try:
+                    await self.empty(running)
+                finally:
+                    self.rig.busy.discard(running.name)
+
+    async def empty(self, running: Running) -> None:
+        history, aside = self.rig.history, running.folder.with_suffix(".aside")
+        history.add("empty", running.name)
+        await running.kill()
+        running.folder.rename(aside)
+        running.folder.mkdir()
+        try:
+            await running.start()
+            history.add("serves empty", running.name)
+        except NotStarted:
+            history.add("refuses", running.name)
+        await running.kill()
+        shutil.rmtree(running.folder)
+        aside.rename(running.folder)
+        await running.start()
+        history.add("empty is over", running.name)
+
+    async def look(self) -> None:
+        while True:
+            await self.rig.ask_relays({})
+            self.looked.append(
+                Looked(
+                    self.rig.now(),
+                    sum(memory(self.rig.running[place.name]) for place in self.servers),
+                    sum(memory(self.rig.running[place.name]) for place in self.dispatchers),
+                    sum(size(self.rig.running[place.name].folder) for place in self.servers),
+                    self.rig.counts["links"]["octets"],
+                )
+            )
+            await asyncio.sleep(self.plan.seen_every / SECOND)
+
+    async def finish(self) -> None:
+        """Publishers rest in time for what they did to be judged."""
+        await asyncio.sleep(max(0.0, (self.plan.lasts - self.plan.calm() - self.rig.now()) / SECOND))
+        await self.tell("last")
+
+
+def memory(running: Running) -> int:
+    """Bytes that are resident; 0 where it does not live."""
+    try:
+        assert running.process is not None
+        pages = Path(f"/proc/{running.process.pid}/statm").read_text().split()[1]
+    except OSError:
+        return 0
+    return int(pages) * os.sysconf("SC_PAGE_SIZE")
+
+
+def size(folder: Path) -> int:
+    found = 0
+    for path in folder.rglob("*"):
+        try:
+            found += path.stat().st_size
+        except OSError:
+            continue  # it was replaced meanwhile
+    return found
+
+
+async def _play(plan: Plan, seed: int, folder: Path, steps: list[Step] | None, instead: Instead) -> Outcome:
+    async with Rig(folder, seed) as rig:
+        run = Distribution(rig, plan, instead)
+        await run.start()
+        played = check(timeline(plan, seed) if steps is None else steps, list(rig.places))
+        await run.tell("go")
+        begins = true_now()
+        rig.epoch = begins
+        meanwhile = [asyncio.create_task(run.finish())]
+        others = []
+        if plan.emptied and steps is None:
+            meanwhile.append(asyncio.create_task(run.empty_servers()))
+        if plan.seen_every:
+            others.append(asyncio.create_task(run.look()))
+        try:
+            await rig.play(played, plan.lasts, begins)
+            for task in meanwhile:
+                await task
+        finally:
+            for task in [*meanwhile, *others]:
+                task.cancel()
+        await run.tell("read")
+        events = rig.happened()
+        shown_by = rig.shown
+        verdict = judge(events, plan.within)
+        shown = [shown_by(what, at) for what, at in verdict.findings[:3]]
+    void = rig.void()
+    if not void and run.late > MOST_LATE:
+        void = f"the machine was too slow: publishers and probers were late by {write_span(run.late)}"
+    links = rig.counts.get("links", {})
+    return Outcome(verdict, void, rig.faults, shown, events, played, links, run.looked)
+
+
+def play(plan: Plan, seed: int, steps: list[Step] | None = None, instead: Instead | None = None) -> Outcome:
+    """One run, in real time; `steps` in place of the timeline that the seed draws."""
+    with tempfile.TemporaryDirectory(prefix="ploverspoke-distribution-", dir=in_memory()) as name:
+        return asyncio.run(_play(plan, seed, Path(name), steps, instead or {}))
+
+
+# ---- Experiments ----
+
+
+def read_distribution_experiment(told: dict[str, Any]) -> DistributionExperiment:
+    """Raises BadTimeline, naming the key."""
+    try:
+        found = msgspec.convert(told, DistributionExperiment, dec_hook=lambda kind, value: read_span(value))
+    except msgspec.ValidationError as error:
+        raise BadTimeline(str(error)) from None
+    except ValueError as error:
+        raise BadTimeline(f"plan: {error}") from None
+    plan = found.plan
+    if plan.servers not in (3, 5):
+        raise BadTimeline("plan.servers: expected 3 or 5")
+    if not 1 <= plan.dispatchers <= 64 or not 1 <= plan.publishers <= 16:
+        raise BadTimeline("plan.dispatchers: expected 1 to 64, and plan.publishers 1 to 16")
+    for key in ("every", "probe", "election", "within"):
+        if getattr(plan, key) <= 0:
+            raise BadTimeline(f"plan.{key}: expected more than 0")
+    if plan.lasts < 2 * plan.calm():
+        raise BadTimeline(
+            f"plan.lasts: expected at least {write_span(2 * plan.calm())}, twice plan.within and more"
+        )
+    if plan.apart and plan.apart_at + plan.apart + plan.calm() > plan.lasts:
+        raise BadTimeline("plan.apart: expected an end that leaves plan.within of plan.lasts")
+    return found
+
+
+def percentile(sorted_: Sequence[float], share: float) -> float:
+    return round(sorted_[min(len(sorted_) - 1, int(len(sorted_) * share))], 3) if sorted_ else 0.0
+
+
+def run_distribution(e: DistributionExperiment, seed: int) -> dict[str, Any]:
+    """One seed: figures, `void`, what `failed`, and findings with what happened round them."""
+    steps = regions(e.plan) if e.calm else None
+    outcome = play(e.plan, seed, steps)
+    verdict, must = outcome.verdict, e.must_hold
+    void = outcome.void or verdict.void(must.versions, must.troubles)
+    failed = [*(what for what, _ in verdict.findings), *outcome.faults]
+    if must.calm and verdict.calm and verdict.calm[-1] * SECOND > must.calm:
+        failed.append(f"in force after {verdict.calm[-1]:.2f} s where nothing was wrong")
+    figures: dict[str, Any] = {
+        "seed": seed,
+        "acknowledged": verdict.acknowledged,
+        "versions": verdict.versions,
+        "judged": verdict.judged,
+        "refusals": verdict.refusals,
+        "troubles": verdict.troubles,
+        "steps": len(outcome.steps),
+    }
+    for name, row in (("calm", verdict.calm), ("troubled", verdict.troubled)):
+        figures |= {
+            f"{name}_count": len(row),
+            f"{name}_p50_s": percentile(row, 0.5),
+            f"{name}_p99_s": percentile(row, 0.99),
+            f"{name}_most_s": round(row[-1], 3) if row else 0.0,
+        }
+    looked = [one._asdict() for one in outcome.looked]
+    return {**figures, "void": void, "failed": failed, "shown": outcome.shown, "looked": looked}
--- a/ploverspoke/testbed/processes/links.py
+++ b/ploverspoke/testbed/processes/links.py
@@ -42,7 +42,7 @@
         self.faults: dict[int, Fault] = {}
         self.now = Fault()  # all of them together
         self.free_at = 0  # when a slow link has sent what it was given so far
-        self.passed = self.lost = self.doubled = self.late = 0
+        self.passed = self.lost = self.doubled = self.late = self.octets = 0
 
     def lay(self, number: int, fault: Fault) -> None:
         self.faults[number] = fault
@@ -90,6 +90,7 @@
             self.late += 1
             at += f.delay + f.jitter + MILLISECOND
         self.passed += 1
+        self.octets += size
         if self._happens(f.double):
             self.doubled += 1
             return [at, at + int(self.fraction() * f.double_late)]
@@ -104,6 +105,7 @@
             self.late += 1
             at, again = at + again, 2 * again
         self.passed += 1
+        self.octets += size
         return at
 
 
@@ -140,5 +142,5 @@
 
     def counts(self) -> dict[str, Any]:
         """What passed, was lost, came twice, came late; over all links."""
-        kinds = ("passed", "lost", "doubled", "late")
+        kinds = ("passed", "lost", "doubled", "late", "octets")
         return {kind: sum(getattr(link, kind) for link in self.links.values()) for kind in kinds}
