--- a/ploverspoke/testbed/commands.py
+++ b/ploverspoke/testbed/commands.py
@@ -2,6 +2,7 @@
 
 import sys
 import tomllib
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any, NoReturn
 
@@ -55,12 +56,12 @@
     out: Path | None,
     events: bool,
 ) -> None:
-    """Run an EXPERIMENT file and judge it. One of kind "leases" is played by real processes.
+    """Run an EXPERIMENT file and judge it. Kinds "leases" and "distribution" are played by real processes.
 
     Exit 0: all that must hold held. 1: something did not, and is named. 2: the file or the call is wrong.
     """
-    if (told := _kind(experiment)).get("kind") == "leases":
-        _run_leases(told, seeds, out)
+    if (told := _kind(experiment)).get("kind") in ("leases", "distribution"):
+        _run_processes(told, seeds, out)
     e = _read(experiment, seeds, policies)
     # Neither replicas nor links among dispatchers are played on virtual time.
     sockets = sockets or e.dispatchers.store or e.dispatchers.talk or bool(e.timeline)
@@ -95,21 +96,31 @@
         return {}
 
 
-def _run_leases(told: dict[str, Any], seeds: tuple[int, ...], out: Path | None) -> NoReturn:
-    """Keepers and contenders, real processes, in real time; a void run is no green one."""
+def _run_processes(told: dict[str, Any], seeds: tuple[int, ...], out: Path | None) -> NoReturn:
+    """Keepers and contenders, or config servers and dispatchers, in real time; a void run is no green one."""
+    from .processes.distribution_run import read_distribution_experiment, run_distribution
     from .processes.lease_run import read_lease_experiment, run_leases
     from .processes.timeline import BadTimeline
 
+    e: Any
+    play: Callable[[Any, int], dict[str, Any]]
     try:
-        e = read_lease_experiment(told)
+        if told["kind"] == "leases":
+            e, play = read_lease_experiment(told), run_leases
+        else:
+            e, play = read_distribution_experiment(told), run_distribution
     except BadTimeline as error:
         raise click.UsageError(str(error)) from None
     results = []
     for seed in seeds or e.seeds:
-        found = run_leases(e, seed)
+        found = play(e, seed)
         results.append(found)
-        figures = {key: value for key, value in found.items() if key not in ("void", "failed", "shown")}
+        figures = {
+            key: value for key, value in found.items() if key not in ("void", "failed", "shown", "looked")
+        }
         print(f"{e.name}: " + "  ".join(f"{key}={value}" for key, value in figures.items()), flush=True)
+        for row in found.get("looked", ()):
+            print("  " + "  ".join(f"{key}={value}" for key, value in row.items()), flush=True)
         for line in found["shown"] or found["failed"]:
             print(line, flush=True)
         if found["void"]:
--- a/ploverspoke/testbed/processes/distribution_check.py
+++ b/ploverspoke/testbed/processes/distribution_check.py
@@ -219,7 +219,7 @@
         self.version |= {w.tag: of_id[w.id] for w in self.wanted.values() if w.id in of_id}
         self.version[0] = 0
         self.by_tag = {w.tag: w for w in self.wanted.values()}
-        reaches = self.world.reaches(self.within)
+        reaches, shorter = self.world.reaches(self.within), self.world.reaches(SECOND)
         in_force: set[int] = set()
         for dispatcher in self.world.dispatchers:
             rounds = sorted(self.seen[dispatcher])
@@ -227,7 +227,7 @@
             shown = [(one, self._shown(one)) for one in rounds]
             in_force |= {version for _, version in shown if version > 0}
             self._forward(dispatcher, shown, reaches[dispatcher])
-            self._in_time(dispatcher, shown, reaches[dispatcher])
+            self._in_time(dispatcher, shown, reaches[dispatcher], shorter[dispatcher])
             self._reported(dispatcher, reaches[dispatcher])
             self._answers(dispatcher, rounds)
             self._doors(dispatcher, shown)
@@ -413,7 +413,9 @@
 
     # ---- 3 and 4: in time ----
 
-    def _in_time(self, dispatcher: str, shown: list[tuple[Seen, int]], reaches: list[Span]) -> None:
+    def _in_time(
+        self, dispatcher: str, shown: list[tuple[Seen, int]], reaches: list[Span], shorter: list[Span]
+    ) -> None:
         good = sorted(
             (at, version) for one, (at, version) in self.acknowledged.items() if self.wanted[one].kind == GOOD
         )
@@ -431,21 +433,18 @@
                 late = write_span(one.asked - acknowledged)
                 text = f"{dispatcher} is at version {version} {late} after {must} was acknowledged"
                 self.finding("late", dispatcher, f"{text}, and could reach it", one.asked)
-        self._delays(good, shown, reaches)
+        self._delays(good, shown, shorter)
 
     def _delays(self, good: list[Span], shown: list[tuple[Seen, int]], reaches: list[Span]) -> None:
-        """How long it took, wherever it could be reached then, from the end of what was wrong."""
+        """How long it took where it could be reached then, from the end of what was wrong before."""
         for at, version in good:
             first = next((one for one, v in shown if v >= version and one.answered >= at), None)
-            if first is None:
-                continue
-            span = next((s for s in reaches if s[0] <= first.asked <= s[1]), None)
-            if span is None:
+            span = next((s for s in reaches if first is not None and s[0] <= first.asked <= s[1]), None)
+            if first is None or span is None:
                 continue
             took = max(0, first.answered - max(at, span[0])) / SECOND
-            (
-                self.calm if span[0] + self.within <= at or span[0] == self.world.whole[0] else self.troubled
-            ).append(took)
+            is_calm = span[0] + self.within <= at or span[0] == self.world.whole[0]
+            (self.calm if is_calm else self.troubled).append(took)
 
     # ---- 6: what is refused is told ----
 
--- a/ploverspoke/testbed/processes/distribution_clients.py
+++ b/ploverspoke/testbed/processes/distribution_clients.py
@@ -31,6 +31,7 @@
 
 ANSWERS_WITHIN = 1.0  # seconds, a dispatcher
 TRIES_FOR = 8 * SECOND  # under one id
+ASKED_FOR = 0.7  # seconds, a server
 AGAIN = 0.1  # seconds, before the next try
 WIDE_EVERY, WIDE = 8, 10  # rounds; tags that are asked for then
 DOOR_EVERY = 5  # rounds
@@ -103,6 +104,8 @@
         self.in_force = dict.fromkeys(spec.dispatchers, 0)  # tag, as last seen
         self.resting = asyncio.Event()
         self.resting.set()  # cleared while nobody publishes
+        self.over: asyncio.Future[None] = asyncio.get_running_loop().create_future()  # for publishers
+        self.hurried = False  # what has no answer by now is not tried again
         self.discoveries: list[str] = []
         self.late = 0
         self.tasks: set[asyncio.Task[None]] = set()
@@ -119,11 +122,12 @@
         say({"discovery": self.discoveries[0]})
 
     def go(self) -> None:
-        self.publishers = asyncio.gather(*(self.publish_on(n) for n in range(self.spec.publishers)))
+        work = [self.publish_on(number) for number in range(self.spec.publishers)]
+        if self.spec.hush_every:
+            work.append(self.hush_on())
+        self.publishers = asyncio.gather(*work)
         for name in self.spec.dispatchers:
             self.begin(self.probe_on(name))
-        if self.spec.hush_every:
-            self.begin(self.hush_on())
         self.begin(self.watch())
 
     async def watch(self) -> None:
@@ -135,18 +139,24 @@
     # ---- Publishing ----
 
     async def ask(self, server: str, question: dict[str, Any]) -> Any:
-        """None where nobody answers."""
+        """None where nobody answers in time. The thread goes on: what it asked for may yet be done."""
+        work = asyncio.to_thread(ask, self.spec.servers[server], self.secret, question)
         try:
-            return await asyncio.to_thread(ask, self.spec.servers[server], self.secret, question)
-        except (OSError, BadFrame, msgspec.MsgspecError):
+            return await asyncio.wait_for(work, ASKED_FOR)
+        except (OSError, TimeoutError, BadFrame, msgspec.MsgspecError):
             return None
 
+    def leave(self, server: str) -> None:
+        """It does not answer, or does not lead and does not know who does."""
+        if self.leader == server:
+            self.leader = self.chance.choice([name for name in self.spec.servers if name != server])
+
     async def latest(self) -> int:
         """The number of the latest version, from whoever is believed to lead; -1 where it does not answer."""
         server = self.leader
         rows = await self.ask(server, {"ask": "versions"})
         if not isinstance(rows, list):
-            self.leader = self.chance.choice(list(self.spec.servers))
+            self.leave(server)
             return -1
         self.history.add("versions", [server, rows[-ROWS:], False])
         return rows[-1][0] if rows else 0
@@ -176,19 +186,20 @@
             "by": "testbed",
             "id": made.id,
         }
-        while true_now() < until:
+        while true_now() < until and not self.hurried:
             server = self.leader
             self.history.add("sends", [made.id, server])
             told = await self.ask(server, question)
             if not isinstance(told, dict):
-                self.leader = self.chance.choice([name for name in self.spec.servers if name != server])
+                self.leave(server)
                 if not stubborn:
                     return False
             elif "leader" in told:
                 known = self.spec.names.get(told["leader"])
-                self.leader = known or self.chance.choice(list(self.spec.servers))
                 if known:
+                    self.leader = known
                     continue
+                self.leave(server)
             else:
                 sure = not told.get("unknown")
                 done, version, why = told["done"], told["version"], told["why"]
@@ -198,10 +209,14 @@
             await asyncio.sleep(AGAIN)
         return False
 
+    async def goes_on(self, span: float) -> bool:
+        """After so many ns, or at once when all is over."""
+        await asyncio.wait([self.over], timeout=span / SECOND)
+        return not self.over.done()
+
     async def publish_on(self, number: int) -> None:
         chance = random.Random(f"{self.spec.seed} publisher {number}")
-        while True:
-            await asyncio.sleep(chance.expovariate(1.0) * self.spec.every / SECOND)
+        while await self.goes_on(chance.expovariate(1.0) * self.spec.every):
             await self.resting.wait()
             expect = await self.latest()
             if expect < 0:
@@ -216,28 +231,28 @@
     async def one(self, kind: str) -> None:
         """Until one of that kind is acknowledged."""
         until = true_now() + TRIES_FOR
-        while true_now() < until:
+        while true_now() < until and not self.hurried:
             expect = await self.latest()
             if expect >= 0 and await self.publish(self.publication(kind, expect), True):
                 return
             await asyncio.sleep(AGAIN)
 
     async def last(self) -> None:
-        self.publishers.cancel()
-        # A thread that asks cannot be called off: what it commits, and when, is not known. It counts as no
-        # answer, and what is published here comes behind it.
-        with contextlib.suppress(asyncio.CancelledError):
-            await self.publishers
+        # Whoever publishes ends by itself: what is published here then comes behind it.
+        self.over.set_result(None)
+        self.resting.set()
+        self.hurried = True
+        await self.publishers
+        self.hurried = False
         await self.one(GOOD)
         await self.one(REFUSABLE)
         say({"last": self.tags, "late": self.late})
 
     async def hush_on(self) -> None:
-        while True:
-            await asyncio.sleep(self.spec.hush_every / SECOND)
+        while await self.goes_on(self.spec.hush_every):
             self.resting.clear()
             await self.one(REFUSABLE)
-            await asyncio.sleep(self.spec.hush / SECOND)
+            await self.goes_on(self.spec.hush)
             self.resting.set()
 
     async def read(self) -> None:
--- a/ploverspoke/testbed/processes/distribution_run.py
+++ b/ploverspoke/testbed/processes/distribution_run.py
@@ -17,7 +17,7 @@
 from .child import Child
 from .distribution_check import FEWEST_TROUBLES, FEWEST_VERSIONS, Verdict, judge
 from .distribution_clients import Spec, grades_of
-from .history import Happened, true_now
+from .history import Happened, around, true_now
 from .rig import Place, Rig, listens
 from .room import in_memory
 from .running import NotStarted, Running
@@ -29,6 +29,8 @@
 QUIET = 2 * SECOND  # at the end, beyond `within`
 COPIED_AT = 1500 * MILLISECOND  # folders of dispatchers, for a later start with an older one
 FIRST = 2 * SECOND  # of what is done to dispatchers, then
+SETTLED = 10 * SECOND  # after the regions lose each other, or find each other
+SHOWN = 60  # events round a finding
 MOST_LATE = 400 * MILLISECOND  # of publishers and probers
 Instead = Mapping[str, Sequence[str]]  # modules and their first words, by process: for planted faults
 
@@ -89,13 +91,15 @@
 
 
 class Looked(NamedTuple):
-    """What the processes of one kind hold, together."""
+    """What there is at one time; memory is of all of one kind in one region together, in bytes."""
 
     at: int  # ns from the start
-    servers: int  # bytes of memory
-    dispatchers: int
+    servers_a: int
+    servers_b: int
+    dispatchers_a: int
+    dispatchers_b: int
     folders: int  # bytes that servers keep on disk
-    carried: int  # bytes through the relays so far
+    octets: int  # that went through the relays so far
 
 
 class Outcome(NamedTuple):
@@ -319,13 +323,25 @@
     async def look(self) -> None:
         while True:
             await self.rig.ask_relays({})
+            running = self.rig.running
+            held = {
+                (kind, region): sum(
+                    memory(running[place.name]) for place in places if place.name.startswith(region)
+                )
+                for kind, places in (("s", self.servers), ("d", self.dispatchers))
+                for region in REGIONS
+            }
+            folders = sum(size(running[place.name].folder) for place in self.servers)
+            octets = self.rig.counts["links"]["octets"]
             self.looked.append(
                 Looked(
                     self.rig.now(),
-                    sum(memory(self.rig.running[place.name]) for place in self.servers),
-                    sum(memory(self.rig.running[place.name]) for place in self.dispatchers),
-                    sum(size(self.rig.running[place.name].folder) for place in self.servers),
-                    self.rig.counts["links"]["octets"],
+                    held["s", "a"],
+                    held["s", "b"],
+                    held["d", "a"],
+                    held["d", "b"],
+                    folders,
+                    octets,
                 )
             )
             await asyncio.sleep(self.plan.seen_every / SECOND)
@@ -356,6 +372,13 @@
     return found
 
 
+def shown_with(finding: str, at: int, seed: int, steps: list[Step], events: list[Happened]) -> str:
+    """A finding with what it takes to look into it; of the many probes, those that it speaks of."""
+    near = [e for e in events if e.what not in ("probe", "door") or e.detail[0] in finding]
+    rows = [f"seed {seed}; timeline:", *(f"  {step.told()}" for step in steps), "what happened round it:"]
+    return "\n".join([finding, *rows, *(f"  {row}" for row in around(near, at, SHOWN))])
+
+
 async def _play(plan: Plan, seed: int, folder: Path, steps: list[Step] | None, instead: Instead) -> Outcome:
     async with Rig(folder, seed) as rig:
         run = Distribution(rig, plan, instead)
@@ -366,7 +389,7 @@
         rig.epoch = begins
         meanwhile = [asyncio.create_task(run.finish())]
         others = []
-        if plan.emptied and steps is None:
+        if plan.emptied:
             meanwhile.append(asyncio.create_task(run.empty_servers()))
         if plan.seen_every:
             others.append(asyncio.create_task(run.look()))
@@ -379,9 +402,8 @@
                 task.cancel()
         await run.tell("read")
         events = rig.happened()
-        shown_by = rig.shown
         verdict = judge(events, plan.within)
-        shown = [shown_by(what, at) for what, at in verdict.findings[:3]]
+        shown = [shown_with(what, at, seed, played, events) for what, at in verdict.findings[:3]]
     void = rig.void()
     if not void and run.late > MOST_LATE:
         void = f"the machine was too slow: publishers and probers were late by {write_span(run.late)}"
@@ -427,10 +449,32 @@
     return round(sorted_[min(len(sorted_) - 1, int(len(sorted_) * share))], 3) if sorted_ else 0.0
 
 
+def grown(plan: Plan, looked: list[Looked]) -> dict[str, Any]:
+    """While the regions are apart, and when they are together again; nothing where they never are."""
+    if not plan.apart or len(looked) < 2:
+        return {}
+    heals = plan.apart_at + plan.apart
+
+    def at(when: int) -> Looked:
+        return min(looked, key=lambda one: abs(one.at - when))
+
+    begins, ends = at(plan.apart_at + SETTLED), at(heals - SETTLED // 2)
+    parts = {
+        f"apart_{key}_grow_bytes": getattr(ends, key) - getattr(begins, key)
+        for key in ("servers_a", "servers_b", "dispatchers_a", "dispatchers_b", "folders")
+    }
+    for name, when in (("before", plan.apart_at - SETTLED), ("apart", heals - SETTLED), ("healing", heals)):
+        one, other = at(when), at(when + SETTLED)
+        parts[f"{name}_octets_a_second"] = round(
+            (other.octets - one.octets) * SECOND / max(1, other.at - one.at)
+        )
+    return parts
+
+
 def run_distribution(e: DistributionExperiment, seed: int) -> dict[str, Any]:
     """One seed: figures, `void`, what `failed`, and findings with what happened round them."""
-    steps = regions(e.plan) if e.calm else None
-    outcome = play(e.plan, seed, steps)
+    calm = msgspec.structs.replace(e.plan, emptied=Span(0))
+    outcome = play(calm, seed, regions(calm)) if e.calm else play(e.plan, seed)
     verdict, must = outcome.verdict, e.must_hold
     void = outcome.void or verdict.void(must.versions, must.troubles)
     failed = [*(what for what, _ in verdict.findings), *outcome.faults]
@@ -452,5 +496,6 @@
             f"{name}_p99_s": percentile(row, 0.99),
             f"{name}_most_s": round(row[-1], 3) if row else 0.0,
         }
+    figures |= grown(e.plan, outcome.looked)
     looked = [one._asdict() for one in outcome.looked]
     return {**figures, "void": void, "failed": failed, "shown": outcome.shown, "looked": looked}
--- /dev/null
+++ b/tests/test_distribution_processes.py
@@ -0,0 +1,123 @@
+"""Config servers and dispatchers as real processes, judged from outside; planted faults are found."""
+
+import pytest
+
+from ploverspoke.testbed.processes.distribution_run import (
+    Outcome,
+    Plan,
+    play,
+    read_distribution_experiment,
+    regions,
+    timeline,
+)
+from ploverspoke.testbed.processes.timeline import BadTimeline, Step
+from ploverspoke.testbed.spans import MILLISECOND, SECOND, Span
+
+MS = MILLISECOND
+PLANTED = "tests.planted_distribution"
+
+
+def found(outcome: Outcome) -> list[str]:
+    assert outcome.void == ""
+    return [what for what, _ in outcome.verdict.findings]
+
+
+def test_every_acknowledged_version_is_in_force_in_time_through_kills_pauses_cuts_and_lost_folders() -> None:
+    plan = Plan()
+    played = play(plan, 1)
+    assert played.shown == [], "\n".join(played.shown)
+    assert (played.void, played.faults, played.verdict.void()) == ("", [], "")
+    assert played.verdict.refusals == plan.dispatchers
+    done = {event.what for event in played.events if event.who == "rig"}
+    expected = {"kill", "pause", "restart", "empty", "older"}
+    assert done >= {"lay", "lift", "reset", "refuses", *(f"{what} is over" for what in expected)}
+    kinds = {event.detail[2] for event in played.events if event.what == "wants"}
+    assert kinds == {"good", "refusable", "unacceptable"}
+
+
+def test_watchers_that_break_a_rule_are_found_each_by_its_own() -> None:
+    instead = {
+        "a-d0": [PLANTED, "older"],
+        "b-d1": [PLANTED, "half"],
+        "a-d2": [PLANTED, "unchecked"],
+        "b-d3": [PLANTED, "patient"],
+    }
+    plan = Plan(
+        dispatchers=5, within=Span(4 * SECOND), lasts=Span(13 * SECOND), every=Span(500 * MS), emptied=Span(0)
+    )
+    # The one near server of b-d3 hears and says nothing for most of the run.
+    paused = Step(at=Span(2 * SECOND), what="pause", who=["b-s1"], lasts=Span(10 * SECOND))
+    told = found(play(plan, 2, [*regions(plan), paused], instead))
+    for expected in (
+        "a-d0 went back from version",
+        "b-d1 has half of tag",
+        "which has to be refused",
+        "b-d3 is at version",
+    ):
+        assert [one for one in told if expected in one], told
+    assert not [one for one in told if "a-d4" in one], told
+
+
+def test_a_server_that_gives_out_what_it_has_not_committed_is_found() -> None:
+    plan = Plan(
+        dispatchers=3, within=Span(3 * SECOND), lasts=Span(11 * SECOND), every=Span(200 * MS), emptied=Span(0)
+    )
+    servers = plan.server_names()
+    # Each in turn is cut off from the others, and not from those that publish and watch.
+    steps = [
+        Step(
+            at=Span(500 * MS + n * 900 * MS),
+            what="cut",
+            who=[servers[n % 3]],
+            to=[name for name in servers if name != servers[n % 3]],
+            both=True,
+            lasts=Span(700 * MS),
+        )
+        for n in range(6)
+    ]
+    told = found(play(plan, 3, [*regions(plan), *steps], dict.fromkeys(servers, [PLANTED, "eager"])))
+    assert [one for one in told if "which was not committed" in one], told
+
+
+def test_servers_that_compare_nothing_and_begin_anew_when_emptied_are_found() -> None:
+    plan = Plan(
+        dispatchers=2,
+        within=Span(2 * SECOND),
+        lasts=Span(9 * SECOND),
+        every=Span(300 * MS),
+        emptied=Span(3 * SECOND),
+    )
+    instead = dict.fromkeys(plan.server_names(), [PLANTED, "swaps,forgets"])
+    told = found(play(plan, 4, regions(plan), instead))
+    for expected in ("won", "and came behind", "serves with an empty folder"):
+        assert [one for one in told if expected in one], told
+
+
+def test_a_seed_draws_the_same_troubles_and_leaves_the_end_calm() -> None:
+    plan = Plan(lasts=Span(60 * SECOND))
+    steps = timeline(plan, 7)
+    assert steps == timeline(plan, 7) != timeline(plan, 8)
+    assert all(step.at + step.lasts <= plan.lasts - plan.calm() for step in steps)
+    copied = {step.who[0] for step in steps if step.what == "copy"}
+    assert copied == set(plan.dispatcher_names())
+    assert min(step.at for step in steps if step.what == "older") >= 2 * SECOND
+
+
+@pytest.mark.parametrize(
+    ("wrong", "key"),
+    [
+        ({"servers": 4}, "plan.servers"),
+        ({"dispatchers": 0}, "plan.dispatchers"),
+        ({"publishers": 99}, "plan.publishers"),
+        ({"every": "0s"}, "plan.every"),
+        ({"lasts": "20s"}, "plan.lasts"),
+        ({"lasts": 20}, "plan"),
+        ({"apart": "20s", "apart_at": "5s", "lasts": "30s"}, "plan.apart"),
+        ({"unknown": 1}, "unknown"),
+    ],
+)
+def test_a_file_that_cannot_be_played_is_refused_with_its_key(wrong: dict[str, object], key: str) -> None:
+    told = {"kind": "distribution", "name": "n", "seeds": [1], "plan": wrong}
+    with pytest.raises(BadTimeline, match=key):
+        read_distribution_experiment(told)
+    assert read_distribution_experiment({**told, "plan": {}}).plan == Plan()
--- a/tests/test_testbed_files.py
+++ b/tests/test_testbed_files.py
@@ -12,6 +12,7 @@
 from ploverspoke.cli import main
 from ploverspoke.testbed.compare import compare, difference
 from ploverspoke.testbed.experiment import BadExperiment, experiment_of, read_experiment
+from ploverspoke.testbed.processes.distribution_run import read_distribution_experiment
 from ploverspoke.testbed.processes.lease_run import read_lease_experiment
 from ploverspoke.testbed.processes.timeline import BadTimeline
 from ploverspoke.testbed.runner import read_result, run_experiment
@@ -25,7 +26,9 @@
 @pytest.mark.parametrize("path", SHIPPED, ids=lambda p: p.stem)
 def test_a_shipped_experiment_is_sound_and_named_as_its_file(path: Path) -> None:
     told = tomllib.loads(path.read_text())
-    read = read_lease_experiment(told) if told.get("kind") == "leases" else read_experiment(path)
+    readers = {"leases": read_lease_experiment, "distribution": read_distribution_experiment}
+    reader = readers.get(told.get("kind", ""))
+    read = read_experiment(path) if reader is None else reader(told)
     assert read.name == path.stem and read.seeds
 
 
