--- a/ploverspoke/distribution/client.py
+++ b/ploverspoke/distribution/client.py
@@ -19,6 +19,7 @@
 from .watch import NOTHING, Taken, Watch
 
 LONGEST_NAP = 60.0  # seconds
+CACHE_AFTER = 1.0  # seconds, on the average
 CACHE_FORMAT = 1
 MOST_UNSENT = 1 << 16  # bytes, towards a server that does not read
 
@@ -88,7 +89,7 @@
         self.dialling: dict[int, asyncio.Task[None]] = {}
         self.timer: asyncio.TimerHandle | None = None
         self.timer_for = 0
-        self.writing = False
+        self.writing: asyncio.TimerHandle | None = None  # from the first that is to be kept to its end
         self.to_write: Taken | None = None
         self.closed = False
 
@@ -102,6 +103,13 @@
             self.timer.cancel()
         for link in [*self.connections, *self.dialling]:
             self.hang_up(link)
+        if self.writing is not None:
+            self.writing.cancel()
+        if self.to_write is not None:
+            try:
+                write_cache(self.orders, self.to_write)
+            except OSError as error:
+                say(f"config: the cache cannot be written: {error}")
 
     # ---- The watch's host ----
 
@@ -185,18 +193,24 @@
     # ---- The cache ----
 
     def _keep(self, taken: Taken) -> None:
-        """Written by a thread, of several that came meanwhile the latest: a slow disk holds up nothing."""
+        """Written a moment later, of several that came meanwhile the latest: a burst writes once."""
         self.to_write = taken
-        if not self.writing and not self.closed:
-            self.writing = True
-            future = self.loop.run_in_executor(None, write_cache, self.orders, taken)
-            future.add_done_callback(lambda f: self._kept(taken, f.exception()))
-
-    def _kept(self, taken: Taken, error: BaseException | None) -> None:
-        self.writing = False
+        if self.writing is None and not self.closed:
+            after = CACHE_AFTER * (0.5 + self.fraction())
+            self.writing = self.loop.call_later(after, self._write)
+
+    def _write(self) -> None:
+        """By a thread: a slow disk holds up nothing."""
+        assert self.to_write is not None
+        taken, self.to_write = self.to_write, None
+        future = self.loop.run_in_executor(None, write_cache, self.orders, taken)
+        future.add_done_callback(lambda f: self._written(f.exception()))
+
+    def _written(self, error: BaseException | None) -> None:
+        self.writing = None
         if error is not None:
             say(f"config: the cache cannot be written: {error}")
-        if self.to_write is not None and self.to_write is not taken:
+        if self.to_write is not None:
             self._keep(self.to_write)
 
     # ---- What operators ask ----
--- a/ploverspoke/distribution/node.py
+++ b/ploverspoke/distribution/node.py
@@ -17,7 +17,7 @@
 from .versions import Version, Versions, digest_of, publish_command
 
 COMMITTED = "committed version"  # on this replica's disk, beside the log
-FRESH_ELECTIONS = 4  # without a word of a leader for so many election time-outs a replica says so
+FRESH_ELECTIONS = 3  # without a word of a leader for so many election time-outs a replica says so
 LEAST_FRESH = 800_000_000  # ns
 LONGEST_TEXT = 200  # of who publishes, and of a request's id
 
