--- a/ploverspoke/distribution/node.py
+++ b/ploverspoke/distribution/node.py
@@ -17,7 +17,7 @@
 from .versions import Version, Versions, digest_of, publish_command
 
 COMMITTED = "committed version"  # on this replica's disk, beside the log
-FRESH_ELECTIONS = 4  # without a word of a leader for so many election time-outs a replica says so
+FRESH_ELECTIONS = 3  # without a word of a leader for so many election time-outs a replica says so
 LEAST_FRESH = 800_000_000  # ns
 LONGEST_TEXT = 200  # of who publishes, and of a request's id
 
@@ -47,7 +47,7 @@
 
     def _committed(self, version: Version) -> None:
         self.feed.offer(version)
-        if version.number > self.kept_number:
+        if version.number > self.kept_number and version is self.versions.latest():
             self.kept_number = version.number
             v = version
             self.keep(COMMITTED, [v.number, v.body, v.digest, v.canonical, v.by, v.id])
