--- a/ploverspoke/testbed/capacity/fleet.py
+++ b/ploverspoke/testbed/capacity/fleet.py
@@ -155,11 +155,9 @@
 
 
 def _calls(world: World, begin: int, end: int) -> dict[str, float]:
-    rates = world.rates("discovery", ("messages_out", "bytes_in"), begin * SECOND, end * SECOND)
-    return {
-        f"{TURNED[key].replace('_in', '').replace('_out', '')}_after_restart": rate * (end - begin)
-        for key, rate in rates.items()
-    }
+    names = {"messages_out": "messages_after_restart", "bytes_in": "bytes_after_restart"}
+    span = begin * SECOND, end * SECOND
+    return {name: world.gained("discovery", key, *span) for key, name in names.items()}
 
 
 PARTS = [Part(("discovery", "worker"), "dispatchers", dispatchers)]
--- a/ploverspoke/testbed/capacity/world.py
+++ b/ploverspoke/testbed/capacity/world.py
@@ -155,6 +155,11 @@
         took = (told[-1]["counted_at"] - told[0]["counted_at"]) / SECOND
         return {key: (_sum(told[-1], key) - _sum(told[0], key)) / took for key in keys}
 
+    def gained(self, kind: str, key: str, begin: int, end: int) -> float:
+        """In that time, over all dispatchers."""
+        told = self.between(kind, begin, end)
+        return _sum(told[-1], key) - _sum(told[0], key)
+
     def worst(self, kind: str, key: str, begin: int, end: int) -> float:
         """The most in any second of that time, over all dispatchers."""
         told = self.between(kind, begin, end)
