--- a/ploverspoke/testbed/commands.py
+++ b/ploverspoke/testbed/commands.py
@@ -60,8 +60,8 @@
     events: bool,
     plays: tuple[str, ...],
 ) -> None:
-    """Run an EXPERIMENT file and judge it. Kinds "leases" and "distribution" are played by real processes, one
-    of kind "fleet" by hollow ones; of that, --out is a JSON file.
+    """Run an EXPERIMENT file and judge it. Kinds "leases" and "distribution" are played by real processes,
+    one of kind "fleet" by hollow ones; of that, --out is a JSON file.
 
     Exit 0: all that must hold held. 1: something did not, and is named. 2: the file or the call is wrong.
     """
