--- a/tests/test_hollow.py
+++ b/tests/test_hollow.py
@@ -6,7 +6,7 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from pathlib import Path
-from typing import Any
+from typing import Any, cast
 
 import msgspec
 import pytest
@@ -18,17 +18,19 @@
 from ploverspoke.testbed.experiment import BadExperiment, Experiment
 from ploverspoke.testbed.hollow import stage as stages
 from ploverspoke.testbed.hollow.dispatcher import Place
-from ploverspoke.testbed.hollow.judge import bounded_by_length, compare, marked, urgent_waits
-from ploverspoke.testbed.hollow.plays import plays_of, world_of
+from ploverspoke.testbed.hollow.judge import Seen, bounded_by_length, compare, healing, marked, urgent_waits
+from ploverspoke.testbed.hollow.plays import Play, plays_of, world_of
 from ploverspoke.testbed.hollow.process import HollowProcess, Spec
 from ploverspoke.testbed.hollow.programs import MODULE, HollowChild, HollowProgram
-from ploverspoke.testbed.hollow.stage import HollowStage, Shape
+from ploverspoke.testbed.hollow.stage import HollowStage, Sample, Shape, Used
 from ploverspoke.testbed.processes.addresses import Block
 from ploverspoke.testbed.processes.child import Child
 from ploverspoke.testbed.processes.room import NoRoom
 from ploverspoke.testbed.records import BEGAN, CAME, SENT, Event, merged, read_records
+from ploverspoke.testbed.scores import RunScore
 from ploverspoke.testbed.settings import settings_of
 from ploverspoke.testbed.sockets import MOST_BEHIND
+from ploverspoke.testbed.spans import Span
 from ploverspoke.testbed.virtual import play
 
 from .test_testbed_model import SECOND, world
@@ -394,6 +396,37 @@
     assert len(grown.failed) == 1 and "away_open 2.00 times" in grown.failed[0] and grown.held == []
 
 
+def test_what_an_absence_gathers_is_read_from_its_own_time() -> None:
+    e = world(grades=[{"name": "urgent"}], lasts="30s", counted_from="2s")
+    cut = Play(
+        name="cut", what="region cut", lasts=Span(28 * SECOND), at=Span(4 * SECOND), away=Span(10 * SECOND)
+    )
+
+    def sample(second: int) -> Sample:
+        away = 6 < second <= 16
+        used = Used(
+            0,
+            7_000_000 if away else 5_000_000,
+            60 if away else 40,
+            2,
+            {"open": 8 if away else 2, "said": second},
+        )
+        octets = {"bytes_in": 100 * second, "bytes_out": 0}
+        return Sample(second * SECOND, used, {"workers": octets, "discovery": octets}, 0)
+
+    seen = Seen(e, [], cast(RunScore, None), [sample(second) for second in range(0, 30, 2)], [], 0)
+    assert healing(seen, cut) == {
+        "away_resident_mb": 7.0,
+        "away_descriptors": 60,
+        "away_log_lines_a_second": 1.0,
+        "away_open": 4.0,
+        "away_deadlines": 0.0,
+        "away_connections": 0.0,
+        "healing_bytes_a_second": 100.0,
+    }
+    assert healing(seen._replace(samples=seen.samples[:5]), cut) == {}
+
+
 def in_toml(value: Any) -> str:
     if isinstance(value, dict):
         return "{" + ", ".join(f"{key} = {in_toml(one)}" for key, one in value.items()) + "}"
