--- a/ploverspoke/testbed/capacity/table.py
+++ b/ploverspoke/testbed/capacity/table.py
@@ -10,7 +10,7 @@
 
 from .budgets import FIGURES, WATCHING, BudgetRow, budget_rows, figure_of
 from .estimate import Figure, along
-from .loads import PEAK, SITUATIONS, Amount, loads
+from .loads import PEAK, SITUATIONS, Amount, aside, loads
 from .played import Plays
 from .rows import Facts, Row, size_rows
 from .size import Fleet
@@ -21,13 +21,13 @@
 # Who carries each role: module and page.
 ROLES = {
     "dispatcher": "`routing/`, `decisions/` (`docs/architecture.md`)",
-    WATCHING: "`distribution/` (`docs/distribution.md`)",
+    WATCHING: "`distribution/watch.py` (`docs/distribution.md`); a whole one, idle",
     "discovery": "the platform's; `routing/roster.py` asks it (`docs/architecture.md`)",
     "worker": "the platform's; `routing/errands.py` asks it (`docs/architecture.md`)",
     "keeper": "`leases/keeper.py` (`docs/leases.md`)",
     "store replica": "`store/node.py` (`docs/store.md`)",
-    SERVER: "`distribution/` (`docs/distribution.md`)",
-    "configuration publisher": "`leases/tasks.py`, `publish` (`docs/operating-leases.md`)",
+    SERVER: "`distribution/feed.py` (`docs/distribution.md`)",
+    "configuration publisher": "`distribution/commands.py` (`docs/distribution.md`), `leases/tasks.py`",
     "fleet summary": "`leases/tasks.py`, `summarise` (`docs/operating-leases.md`)",
     "rolling restart": "`leases/commands.py`, `restart` (`docs/operating-leases.md`)",
     "supervisor": "`supervisor/watch.py` (`docs/processes.md`)",
@@ -123,7 +123,8 @@
             continue
         at = {}
         for dispatchers in fleet.size.dispatchers:
-            amount = loads(fleet, dispatchers, PEAK).get(line.role, {}).get(line.size)
+            met = {**aside(fleet), **loads(fleet, dispatchers, PEAK).get(line.role, {})}
+            amount = met.get(line.size)
             if amount is not None:
                 at[dispatchers] = along(line, amount)
         found.append(
