--- a/tests/test_distribution_commands.py
+++ b/tests/test_distribution_commands.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import os
+import signal
 import socket
 import subprocess
 import sys
@@ -93,6 +94,11 @@
         told = await asyncio.to_thread(CliRunner().invoke, command_line, call)
         return told.exit_code, told.output
 
+    async def is_watched(self) -> None:
+        """The servers know of the dispatcher: `--wait` is for those that are connected."""
+        while "in force at 1 of 1 connected" not in (await self.config("status"))[1]:
+            await asyncio.sleep(0.05)
+
     async def publish(self, body: str, *words: str) -> tuple[int, str]:
         path = self.folder / "body.json"
         path.write_text(body)
@@ -143,11 +149,19 @@
         await fleet.said("n0", "config: no version in force, the file alone")
         await fleet.said("n0", "n0 serves at")
         assert not await fleet.knows("g01")
+        await fleet.is_watched()
         code, out = await fleet.publish(with_grades("g01"), "--wait", "20", "--against", str(fleet.own))
         assert (code, out.splitlines()[0]) == (0, "version 1"), out
         assert await fleet.knows("g01")
         assert (await fleet.door()).startswith("+OK version 1 in force\ndispatcher_config_version 1\n")
 
+        # The file is read again, and the version stays laid on it.
+        told = json.loads(fleet.own.read_text())
+        fleet.own.write_text(json.dumps({**told, "discovery": "127.0.0.1:2"}))
+        fleet.processes["n0"].send_signal(signal.SIGHUP)
+        await fleet.said("n0", "new configuration: discovery is at 127.0.0.1:2 now")
+        assert await fleet.knows("g01")
+
         # Somebody else's version is never written over unseen, and the same one is none.
         code, out = await fleet.publish(with_grades("g02"), "--expect", "0")
         assert (code, out) == (1, "not done: version 1 is in force, and 0 was expected\n")
