--- a/ploverspoke/testbed/processes/distribution_clients.py
+++ b/ploverspoke/testbed/processes/distribution_clients.py
@@ -189,6 +189,8 @@
         while true_now() < until and not self.hurried:
             server = self.leader
             self.history.add("sends", [made.id, server])
+            if self.chance.random() < 0.2:  # it comes twice, one behind the other or not
+                self.begin(self.again(made, server, question))
             told = await self.ask(server, question)
             if not isinstance(told, dict):
                 self.leave(server)
@@ -201,14 +203,24 @@
                     continue
                 self.leave(server)
             else:
-                sure = not told.get("unknown")
-                done, version, why = told["done"], told["version"], told["why"]
-                self.history.add("answer", [made.id, server, done, version, why, sure])
+                sure = self.answered(made, server, told)
                 if sure or not stubborn:
-                    return bool(done)
+                    return bool(told["done"])
             await asyncio.sleep(AGAIN)
         return False
 
+    def answered(self, made: Publication, server: str, told: dict[str, Any]) -> bool:
+        """Whether that answer is the last word on it."""
+        sure = not told.get("unknown")
+        done, version, why = told["done"], told["version"], told["why"]
+        self.history.add("answer", [made.id, server, done, version, why, sure])
+        return sure
+
+    async def again(self, made: Publication, server: str, question: dict[str, Any]) -> None:
+        told = await self.ask(server, question)
+        if isinstance(told, dict) and "leader" not in told:
+            self.answered(made, server, told)
+
     async def goes_on(self, span: float) -> bool:
         """After so many ns, or at once when all is over."""
         await asyncio.wait([self.over], timeout=span / SECOND)
