--- a/ploverspoke/testbed/capacity/estimate.py
+++ b/ploverspoke/testbed/capacity/estimate.py
@@ -41,9 +41,9 @@
 def used(line: Line) -> Slope:
     """The fit; where its points contradict it, the larger of the fit and the worst measured ratio.
 
-    A fit that falls, of a figure that cannot, is noise: then the highest point counts at every size.
+    A fit that falls, of a figure that does not, is noise: then the highest point counts at every size.
     """
-    if line.slope < 0:
+    if not line.contradicted and line.slope < 0:
         return Slope(max([line.intercept, *(value for _, value in line.points)]), 0.0, "")
     if not line.contradicted:
         return Slope(line.intercept, line.slope, "")
--- a/ploverspoke/testbed/capacity/loads.py
+++ b/ploverspoke/testbed/capacity/loads.py
@@ -177,7 +177,6 @@
             "list_changes_a_second": changes,
             "reloads_a_minute": reloads,
             "peers_telling": Amount(0, WORKED_OUT),  # off by default; a row of its own says what it costs
-            "dispatchers": count,
         },
         "discovery": {"dispatchers": count, "workers_listed": listed, "list_changes_a_second": changes},
         "worker": {
--- a/ploverspoke/testbed/capacity/render.py
+++ b/ploverspoke/testbed/capacity/render.py
@@ -15,6 +15,23 @@
 WIDTH = 128
 BEGIN, END = "<!-- capacity: begin -->", "<!-- capacity: end -->"
 MARKS = {"measured": "m", "worked out": "w", "assumed": "a"}
+# Figures of plays that the page leaves to the file.
+IN_THE_FILE = (
+    "inside_",
+    "workers_",
+    "clients_",
+    "discovery_",
+    "jobs_",
+    "nacks_",
+    "abandoned_",
+    "broken_",
+    "descriptors",
+    "fell_over",
+    "log_lines",
+    "service_of_",
+    "serving_",
+    "urgent_jobs",
+)
 LEGEND = (
     "Marks: **m** measured, **w** worked out from measured slopes, **a** rests on an assumption, too; `*` a "
     "slope was used beyond\nthe sizes that were measured; `!` the points contradict the fit, and the larger "
--- a/ploverspoke/testbed/capacity/rows.py
+++ b/ploverspoke/testbed/capacity/rows.py
@@ -151,7 +151,7 @@
         key="workers",
         line=f"{workers} workers",
         demand=f"each dispatcher knows and may use all {workers}",
-        gives=f"the whole list at each; one dispatcher measured to {to:g} listed; {played}",
+        gives=f"the whole list at each; one dispatcher measured to {to:.3g} listed; {played}",
         mechanism="`routing/roster.py`, `docs/architecture.md`",
         verdict=verdict,
         basis=basis,
@@ -174,7 +174,7 @@
         line=f"{size.jobs_a_day:,} jobs a day, {size.task_starts_a_second:g} starts a second at the peak",
         demand=f"{size.jobs_a_day / DAY:.2g} jobs a second; {each:.2g} starts a second at one of "
         f"{facts.fewest} dispatchers",
-        gives=f"each hands out its own; one dispatcher measured to {to:g} a second; {played}",
+        gives=f"each hands out its own; one dispatcher measured to {to:.3g} a second; {played}",
         mechanism="`decisions/dispatcher.py`, `docs/design.md`",
         verdict=verdict,
         basis=basis,
@@ -194,7 +194,7 @@
         line=f"{size.tasks_running:,} tasks running",
         demand=f"{each:.3g} at one of {facts.fewest} dispatchers, {slots:.2g} at a worker; each runs for "
         f"{running_time(facts.fleet):.3g} s, where the peak lasts",
-        gives=f"one errand and one connection for each; one dispatcher measured to {to:g}; {played}",
+        gives=f"one errand and one connection for each; one dispatcher measured to {to:.3g}; {played}",
         mechanism="`routing/errands.py`, `docs/architecture.md`",
         verdict=verdict,
         basis=basis,
@@ -397,9 +397,9 @@
         (
             "machine",
             f"{failures.machines_a_day:g} machines fail a day",
-            "set aside by its errors, then gone from discovery's list",
+            "set aside by its errors, then gone from discovery's list; by the play of a rack",
             "`decisions/dispatcher.py`, `docs/on-call.md`",
-            "machine",
+            "rack",  # as much as one machine, and more
         ),
         (
             "restarts",
--- a/ploverspoke/testbed/capacity/table.py
+++ b/ploverspoke/testbed/capacity/table.py
@@ -18,6 +18,7 @@
 from .verdicts import HOLDS, UNMET
 
 SERVER = "config server"
+MOVES = 0.05  # a figure that changes by no more than this over all that was measured does not go by that size
 # Who carries each role: module and page.
 ROLES = {
     "dispatcher": "`routing/`, `decisions/` (`docs/architecture.md`)",
@@ -119,7 +120,8 @@
     common = {name for names in FIGURES.values() for name in names}
     found = []
     for line in slopes.lines:
-        if line.figure in common or not any(value for _, value in line.points):
+        most = max(abs(value) for _, value in line.points)
+        if line.figure in common or abs(line.slope * line.measured_to) <= MOVES * most:
             continue
         at = {}
         for dispatchers in fleet.size.dispatchers:
