--- a/ploverspoke/testbed/capacity/render.py
+++ b/ploverspoke/testbed/capacity/render.py
@@ -267,9 +267,12 @@
     rows = []
     for run in plays.runs:
         figures = ", ".join(
-            f"{name} {digits(value)}" for name, value in run.figures.items() if value is not None
+            f"{name.replace('_', ' ')} {digits(value)}"
+            for name, value in run.figures.items()
+            if value is not None and not name.startswith(IN_THE_FILE)
         )
-        found = f"void: {run.void}" if run.void else "; ".join(run.failed) or "all held"
+        found = "; ".join(run.failed) or (f"all of {len(run.held)} held" if run.held else "nothing judged")
+        found = f"void: {run.void}" if run.void else found
         rows.append(
             (
                 run.play,
