--- a/ploverspoke/testbed/capacity/render.py
+++ b/ploverspoke/testbed/capacity/render.py
@@ -15,6 +15,23 @@
 WIDTH = 128
 BEGIN, END = "<!-- capacity: begin -->", "<!-- capacity: end -->"
 MARKS = {"measured": "m", "worked out": "w", "assumed": "a"}
+# Figures of plays that the page leaves to the file.
+IN_THE_FILE = (
+    "inside_",
+    "workers_",
+    "clients_",
+    "discovery_",
+    "jobs_",
+    "nacks_",
+    "abandoned_",
+    "broken_",
+    "descriptors",
+    "fell_over",
+    "log_lines",
+    "service_of_",
+    "serving_",
+    "urgent_jobs",
+)
 LEGEND = (
     "Marks: **m** measured, **w** worked out from measured slopes, **a** rests on an assumption, too; `*` a "
     "slope was used beyond\nthe sizes that were measured; `!` the points contradict the fit, and the larger "
@@ -250,9 +267,12 @@
     rows = []
     for run in plays.runs:
         figures = ", ".join(
-            f"{name} {digits(value)}" for name, value in run.figures.items() if value is not None
+            f"{name.replace('_', ' ')} {digits(value)}"
+            for name, value in run.figures.items()
+            if value is not None and not name.startswith(IN_THE_FILE)
         )
-        found = f"void: {run.void}" if run.void else "; ".join(run.failed) or "all held"
+        found = "; ".join(run.failed) or (f"all of {len(run.held)} held" if run.held else "nothing judged")
+        found = f"void: {run.void}" if run.void else found
         rows.append(
             (
                 run.play,
