--- a/ploverspoke/distribution/asking.py
+++ b/ploverspoke/distribution/asking.py
@@ -69,32 +69,38 @@
 
 
 def publish(servers: ConfigServers, body: str, expect: int | None, by: str, within: float) -> dict[str, Any]:
-    """Ask the leader to commit a body in the place of version `expect` (None: of its latest one).
+    """Ask the leader to commit a body in the place of version `expect` (None: of whichever is the latest).
 
     The same request is asked again where the answer is lost, under the same id: it is committed once at the
     most. Gives the answer; where it has "unknown" the request may be committed or not. Raises NoServer.
     """
-    request = secrets.token_hex(12)
+    request, any_version = secrets.token_hex(12), expect is None
     until = time.monotonic() + within
-    told: dict[str, Any] = {}
+    unknown: dict[str, Any] = {}  # an answer that left it open
     while True:
         leader, why, any_answers = _leader(servers)
-        if not any_answers and not told:
+        if not any_answers and not unknown:
             raise NoServer(why)
         if leader:
             try:
                 if expect is None:
                     expect = _last(ask(leader, servers.secret, {"ask": "versions"}))
                 question = {"ask": "publish", "body": body, "expect": expect, "by": by, "id": request}
-                told = ask(leader, servers.secret, question)
-                if not told.get("unknown") and "leader" not in told:
-                    return told
+                told: dict[str, Any] = ask(leader, servers.secret, question)
+                if told.get("unknown"):
+                    unknown = told
+                elif "leader" not in told:
+                    if told["done"] or told.get("bad") or not any_version or time.monotonic() > until:
+                        return told
+                    # Another came between the look and the request: it is known not to be committed.
+                    expect, request, unknown = None, secrets.token_hex(12), {}
+                    continue
             except (OSError, BadFrame) as error:
                 if expect is not None:
-                    told = {"done": False, "version": 0, "why": f"no answer: {error}", "unknown": True}
+                    unknown = {"done": False, "version": 0, "why": f"no answer: {error}", "unknown": True}
         if time.monotonic() > until:
-            if told.get("unknown"):
-                return told
+            if unknown:
+                return unknown
             raise NoServer(why or "the leader changes")
         time.sleep(AGAIN)
 
--- a/ploverspoke/distribution/feed.py
+++ b/ploverspoke/distribution/feed.py
@@ -9,7 +9,7 @@
 from typing import Any, Protocol
 
 from .parcels import Beat, Have, Message, pack
-from .versions import KEPT, Version
+from .versions import Version, surplus
 
 MILLISECOND = 1_000_000
 SECOND = 1000 * MILLISECOND
@@ -67,7 +67,7 @@
         self.cluster = cluster
         self.most_watchers = most_watchers
         self.bytes_a_second = bytes_a_second
-        self.known: dict[int, Version] = {}  # the latest KEPT, oldest first
+        self.known: dict[int, Version] = {}  # as many of the latest as are kept
         self.latest: Version | None = None
         self.packed: dict[int, Message] = {}  # the latest one, by the base that it rests on (0: whole)
         self.watchers: dict[str, Watcher] = {}
@@ -86,8 +86,9 @@
         if version.number in self.known:
             return
         self.known[version.number] = version
-        while len(self.known) > KEPT:
-            del self.known[min(self.known)]
+        kept = sorted(self.known.values(), key=lambda one: one.number)
+        for old in kept[: surplus(kept)]:
+            del self.known[old.number]
         if self.latest is not None and version.number < self.latest.number:
             return
         self.latest = version
--- a/ploverspoke/distribution/versions.py
+++ b/ploverspoke/distribution/versions.py
@@ -4,7 +4,7 @@
 fails, and what no longer fits changes nothing but is answered so.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from hashlib import blake2b
 from typing import Any
 
@@ -50,6 +50,15 @@
     answers: dict[str, Answer]
 
 
+def surplus(versions: Sequence[Version]) -> int:
+    """How many of the oldest are over what is kept; the latest and the one before it never are."""
+    count, size = 0, sum(len(version.body) for version in versions[:-1])
+    while len(versions) - count > 2 and (len(versions) - count > KEPT or size > KEPT_BYTES):
+        size -= len(versions[count].body)
+        count += 1
+    return count
+
+
 def publish_command(body: str, same: bytes, expect: int, by: str, request: str) -> bytes:
     return msgspec.msgpack.encode([PUBLISH, body, same, expect, by, request])
 
@@ -107,16 +116,9 @@
         else:
             version = Version(present + 1, body, digest_of(body), same, by, request)
             self.kept.append(version)
-            self._forget()
+            del self.kept[: surplus(self.kept)]
             answer = Answer(True, version.number, "")
             self.on_version(version)
         self.answers[request] = answer
         while len(self.answers) > ANSWERS_KEPT:
             del self.answers[next(iter(self.answers))]
-
-    def _forget(self) -> None:
-        """Old versions go; the latest and the one before it never do."""
-        size = sum(len(version.body) for version in self.kept[:-1])
-        while len(self.kept) > 2 and (len(self.kept) > KEPT or size > KEPT_BYTES):
-            size -= len(self.kept[0].body)
-            del self.kept[0]
