--- a/ploverspoke/distribution/client.py
+++ b/ploverspoke/distribution/client.py
@@ -19,7 +19,7 @@
 from .watch import NOTHING, Taken, Watch
 
 LONGEST_NAP = 60.0  # seconds
-CACHE_AFTER = 1.0  # seconds, on the average
+CACHE_EVERY = 1.0  # seconds, at the most so often
 CACHE_FORMAT = 1
 MOST_UNSENT = 1 << 16  # bytes, towards a server that does not read
 
@@ -90,6 +90,7 @@
         self.timer: asyncio.TimerHandle | None = None
         self.timer_for = 0
         self.writing: asyncio.TimerHandle | None = None  # from the first that is to be kept to its end
+        self.write_after = 0.0  # by the loop's clock
         self.to_write: Taken | None = None
         self.closed = False
 
@@ -193,16 +194,16 @@
     # ---- The cache ----
 
     def _keep(self, taken: Taken) -> None:
-        """Written a moment later, of several that came meanwhile the latest: a burst writes once."""
+        """Written at once, but in a burst the latest alone each second."""
         self.to_write = taken
         if self.writing is None and not self.closed:
-            after = CACHE_AFTER * (0.5 + self.fraction())
-            self.writing = self.loop.call_later(after, self._write)
+            self.writing = self.loop.call_at(max(self.loop.time(), self.write_after), self._write)
 
     def _write(self) -> None:
         """By a thread: a slow disk holds up nothing."""
         assert self.to_write is not None
         taken, self.to_write = self.to_write, None
+        self.write_after = self.loop.time() + CACHE_EVERY
         future = self.loop.run_in_executor(None, write_cache, self.orders, taken)
         future.add_done_callback(lambda f: self._written(f.exception()))
 
