--- a/ploverspoke/distribution/watch.py
+++ b/ploverspoke/distribution/watch.py
@@ -7,7 +7,6 @@
 
 from typing import Any, NamedTuple, Protocol
 
-from .overlay import read_body
 from .parcels import Have, Message, Refused, printable, read_beat, unpack
 
 MILLISECOND = 1_000_000
@@ -44,7 +43,7 @@
     def send(self, link: int, message: Message) -> None: ...
 
     def take(self, number: int, digest: bytes, body: str) -> str:
-        """Put a version in force; why not, or "" where it is."""
+        """Check a version and put it in force; why not, or "" where it is. A ValueError is a reason, too."""
 
     def say(self, line: str) -> None:
         """For whoever reads the log."""
@@ -203,7 +202,6 @@
             raise
         self.wants_whole = False
         try:
-            read_body(found.body)
             reason = self.host.take(*found)
         except ValueError as error:
             reason = str(error)
