--- a/ploverspoke/testbed/commands.py
+++ b/ploverspoke/testbed/commands.py
@@ -2,6 +2,7 @@
 
 import sys
 import tomllib
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any, NoReturn
 
@@ -9,6 +10,8 @@
 import msgspec
 from rich.progress import Progress
 
+from .capacity.capacity_command import capacity
+from .capacity.command import slopes
 from .compare import compare
 from .experiment import BadExperiment, Experiment, read_experiment
 from .runner import Driver, Result, read_result, run_experiment
@@ -47,6 +50,7 @@
     "--out", type=click.Path(file_okay=False, path_type=Path), help="Where result, histograms and plots go."
 )
 @click.option("--events/--no-events", default=False, help="Keep every event seen, too, one JSON line each.")
+@click.option("--play", "plays", multiple=True, help="Of a fleet file: only this play; may be repeated.")
 def run(
     experiment: Path,
     sockets: bool,
@@ -54,13 +58,17 @@
     policies: tuple[str, ...],
     out: Path | None,
     events: bool,
+    plays: tuple[str, ...],
 ) -> None:
-    """Run an EXPERIMENT file and judge it. One of kind "leases" is played by real processes.
+    """Run an EXPERIMENT file and judge it. Kinds "leases" and "distribution" are played by real processes,
+    one of kind "fleet" by hollow ones; of that, --out is a JSON file.
 
     Exit 0: all that must hold held. 1: something did not, and is named. 2: the file or the call is wrong.
     """
-    if (told := _kind(experiment)).get("kind") == "leases":
-        _run_leases(told, seeds, out)
+    if (told := _kind(experiment)).get("kind") in ("leases", "distribution"):
+        _run_processes(told, seeds, out)
+    if told.get("kind") == "fleet":
+        _run_fleet(experiment, plays, out, events)
     e = _read(experiment, seeds, policies)
     # Neither replicas nor links among dispatchers are played on virtual time.
     sockets = sockets or e.dispatchers.store or e.dispatchers.talk or bool(e.timeline)
@@ -95,21 +103,31 @@
         return {}
 
 
-def _run_leases(told: dict[str, Any], seeds: tuple[int, ...], out: Path | None) -> NoReturn:
-    """Keepers and contenders, real processes, in real time; a void run is no green one."""
+def _run_processes(told: dict[str, Any], seeds: tuple[int, ...], out: Path | None) -> NoReturn:
+    """Keepers and contenders, or config servers and dispatchers, in real time; a void run is no green one."""
+    from .processes.distribution_run import read_distribution_experiment, run_distribution
     from .processes.lease_run import read_lease_experiment, run_leases
     from .processes.timeline import BadTimeline
 
+    e: Any
+    play: Callable[[Any, int], dict[str, Any]]
     try:
-        e = read_lease_experiment(told)
+        if told["kind"] == "leases":
+            e, play = read_lease_experiment(told), run_leases
+        else:
+            e, play = read_distribution_experiment(told), run_distribution
     except BadTimeline as error:
         raise click.UsageError(str(error)) from None
     results = []
     for seed in seeds or e.seeds:
-        found = run_leases(e, seed)
+        found = play(e, seed)
         results.append(found)
-        figures = {key: value for key, value in found.items() if key not in ("void", "failed", "shown")}
+        figures = {
+            key: value for key, value in found.items() if key not in ("void", "failed", "shown", "looked")
+        }
         print(f"{e.name}: " + "  ".join(f"{key}={value}" for key, value in figures.items()), flush=True)
+        for row in found.get("looked", ()):
+            print("  " + "  ".join(f"{key}={value}" for key, value in row.items()), flush=True)
         for line in found["shown"] or found["failed"]:
             print(line, flush=True)
         if found["void"]:
@@ -120,6 +138,32 @@
     sys.exit(1 if any(found["void"] or found["failed"] for found in results) else 0)
 
 
+def _run_fleet(path: Path, plays: tuple[str, ...], out: Path | None, events: bool) -> NoReturn:
+    """Many dispatchers in a few processes; a void run is no green one."""
+    from .capacity.size import BadFleet, read_fleet
+    from .hollow.judge import Run
+    from .hollow.run import run_fleet
+
+    def say(row: Run) -> None:
+        print(
+            f"{row.play}: " + "  ".join(f"{key}={value:g}" for key, value in row.figures.items()), flush=True
+        )
+        for what, lines in (
+            ("void", [row.void] * bool(row.void)),
+            ("held", row.held),
+            ("failed", row.failed),
+        ):
+            for line in lines:
+                print(f"  {what}: {line}", flush=True)
+
+    try:
+        keep = out.parent if events and out is not None else None
+        rows = run_fleet(read_fleet(path), plays, out, say, keep)
+    except (BadFleet, BadExperiment) as error:
+        raise click.UsageError(str(error)) from None
+    sys.exit(1 if any(row.void or row.failed for row in rows) else 0)
+
+
 def _say(done: RunScore) -> None:
     broken = f", {done.broken_rules} broken rules" if done.broken_rules else ""
     print(
@@ -156,6 +200,9 @@
     console().print(differences_table(rows, (f"{one} {policies[0]}", f"{other} {policies[1]}")))
 
 
+testbed.add_command(slopes)
+
+
 @testbed.command()
 @click.option("--quick", is_flag=True, help="Shorter, and fewer steps.")
 @click.option("--out", type=click.Path(dir_okay=False, path_type=Path), help="A JSON file for the figures.")
@@ -187,3 +234,6 @@
         show.print(table)
     if out is not None:
         out.write_bytes(msgspec.json.format(msgspec.json.encode(figures)))
+
+
+testbed.add_command(capacity)
--- a/ploverspoke/testbed/standins/worker.py
+++ b/ploverspoke/testbed/standins/worker.py
@@ -35,6 +35,7 @@
         self.run: Run | None = None
         self.requests = 0
         self.silent = False  # whatever is written is swallowed
+        self.traffic = there.fleet.counters.of(-1)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
@@ -45,10 +46,15 @@
             return
         self.zone = self.dispatcher % len(self.fleet.e.zones())
         self.there.connections.add(self)
+        self.traffic = self.fleet.counters.of(self.dispatcher)
+        self.traffic.connected += 1
+        self.traffic.connections += 1
 
     def data_received(self, data: bytes) -> None:
+        self.traffic.bytes_out += len(data)
         try:
             for message in self.reader.feed(data):
+                self.traffic.messages_out += 1
                 delay = self.there.one_way(self.zone)
                 if self.there.is_cut(self.zone):
                     self.silent = True
@@ -63,6 +69,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.there.connections.discard(self)
+        self.traffic.connections -= 1
         self.transport = None
         run = self.run
         if run is not None and not run.over:
@@ -112,6 +119,7 @@
             self.abort()
 
     def _probe(self, path: str) -> None:
+        self.traffic.probes += 1
         worker = self.there.worker
         if worker.frozen:
             worker.while_frozen.append((self._probe, path))
@@ -146,6 +154,8 @@
         if self.run is not run:
             return
         text = msgspec.json.encode({"id": run.submission, "from": self.there.worker.name, **said}) + b"\n"
+        if said["state"] == "running" and not self.silent:
+            self.traffic.progress_bytes += len(chunk(text))
         head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" if first else b""
         self._write(head + chunk(text) + (LAST_CHUNK if last else b""))
 
@@ -159,12 +169,18 @@
         if delay:
             self.fleet.clock.at(self.fleet.clock.now() + delay, self._write_now, data)
         else:
+            self._count(data)
             self.transport.write(data)
 
     def _write_now(self, data: bytes) -> None:
         if self.transport is not None and not self.silent:
+            self._count(data)
             self.transport.write(data)
 
+    def _count(self, data: bytes) -> None:
+        self.traffic.bytes_in += len(data)
+        self.traffic.messages_in += 1
+
     def _note_closed(self, run: Run) -> None:
         there, now = self.there, self.fleet.clock.now()
         if run.serial:
@@ -180,7 +196,9 @@
     def __init__(self, fleet: "WorkerStandIn", worker: Worker) -> None:
         self.fleet = fleet
         self.worker = worker
-        self.far = max(0, fleet.e.network.far - fleet.e.network.near)
+        zones = range(len(fleet.e.zones()))
+        # Within a zone it is the machine's own.
+        self.more = [max(0, fleet.e.one_way(zone, worker.zone) - fleet.e.network.near) for zone in zones]
         self.connections: set[WorkerConnection] = set()
         self.server: asyncio.Server | None = None
         self.host = fleet.spec.own_hosts["workers"]
@@ -201,19 +219,24 @@
             connection.abort()
 
     def one_way(self, zone: int) -> int:
-        return self.far if zone != self.worker.zone else 0
+        return self.more[zone]
 
     def is_cut(self, zone: int) -> bool:
         return self.fleet.cuts is not None and self.fleet.cuts.between(zone, self.worker.zone)
 
 
 class WorkerStandIn(StandIn):
-    """All workers of a run in one process: racks and the store are shared among them."""
+    """All workers of some zones: racks and the store are shared among those of one process."""
 
     def __init__(self, spec: Spec, part: int) -> None:
         super().__init__(spec, part)
         self.jobs: list[Job] = schedule(self.e, self.seed)
         self.fleet = Fleet(self.e, self.seed, self.clock, self.seen)
+        self.fleet.workers = {
+            name: worker
+            for name, worker in self.fleet.workers.items()
+            if worker.zone % spec.worker_processes == part
+        }
         self.draws = Streams(self.seed).draws("sockets")
         self.connections = Connections()
         self.nobody = Nobody()
@@ -245,10 +268,11 @@
 
     def counts(self) -> dict[str, Any]:
         return {
+            "running": sum(len(worker.running) for worker in self.fleet.workers.values()),
             "workers": {
                 name: [_state(worker), worker.load(), worker.serial]
                 for name, worker in self.fleet.workers.items()
-            }
+            },
         }
 
     def job(self, submission: str) -> Job | None:
