What a watcher skipped for a version that it refuses is given to it

Versions 24 (good) and 25 (refused) within a quarter of a second: dispatchers that were given 25 alone stayed at 23 for good, others had 24. A watcher says the lowest version that it has refused, and the server goes down from there to what it has in force.

--- a/ploverspoke/distribution/feed.py
+++ b/ploverspoke/distribution/feed.py
@@ -2,7 +2,9 @@
 
 Every replica does this from what is committed, whether it leads or not. A watcher that is behind gets the
 latest version alone, one parcel at a time: the next one goes when it has said what it has, or has said
-nothing for a while. Many that are behind are served a few at a turn, so that a change holds up nothing else.
+nothing for a while. Where it refuses the latest one it gets what it was not given for it, the later ones
+first: what is in force at a dispatcher is not to depend on how fast versions came. Many that are behind are
+served a few at a turn, so that a change holds up nothing else.
 """
 
 from collections import deque
@@ -69,7 +71,9 @@
         self.bytes_a_second = bytes_a_second
         self.known: dict[int, Version] = {}  # as many of the latest as are kept
         self.latest: Version | None = None
-        self.packed: dict[int, Message] = {}  # the latest one, by the base that it rests on (0: whole)
+        self.packed: dict[
+            tuple[int, int], Message
+        ] = {}  # by version and the base that it rests on (0: whole)
         self.watchers: dict[str, Watcher] = {}
         self.behind: dict[str, Watcher] = {}
         self.beats: deque[tuple[int, Watcher]] = deque()  # when each is due, in that order
@@ -161,8 +165,17 @@
 
     # ---- Inside ----
 
+    def _wanted(self, have: Have) -> Version | None:
+        """What a watcher is to be given; None where it has all that it can have."""
+        if self.latest is None or have.number > self.latest.number:
+            return None
+        if have.number < self.latest.number:
+            return self.latest
+        number = max((n for n in self.known if have.in_force < n < have.refused), default=0)
+        return self.known.get(number)
+
     def _look(self, watcher: Watcher) -> None:
-        if self.latest is not None and watcher.have.number < self.latest.number:
+        if self._wanted(watcher.have) is not None:
             self.behind[watcher.name] = watcher
             self._wake_by(self.host.now())
         else:
@@ -189,15 +202,16 @@
                 self._wake_by(watcher.sent_at + PUSH_AGAIN)
 
     def _push(self, watcher: Watcher, now: int) -> None:
-        assert self.latest is not None
+        version = self._wanted(watcher.have)
+        assert version is not None
         if watcher.sent_at:
             watcher.sent_again = True
         base = self.known.get(watcher.have.number)
         if watcher.sent_again or watcher.have.whole or (base and base.digest != watcher.have.digest):
             base = None
-        key = base.number if base is not None else 0
+        key = version.number, base.number if base is not None else 0
         if key not in self.packed:
-            self.packed[key] = pack(self.cluster, self.latest, base.body if base is not None else None)
+            self.packed[key] = pack(self.cluster, version, base.body if base is not None else None)
         size = self.host.send(watcher.name, self.packed[key])
         watcher.sent_at = now
         watcher.next_push = now + max(PUSH_EVERY, min(LONGEST_PACE, size * SECOND // WATCHER_BYTES))
--- a/ploverspoke/distribution/parcels.py
+++ b/ploverspoke/distribution/parcels.py
@@ -32,11 +32,12 @@
     in_force: int
     reason: str  # why `number` is not in force; "" where it is
     whole: bool  # it wants no delta
+    refused: int = 0  # the lowest version that it has refused since it had `in_force`; 0: none
 
     def message(self) -> Message:
-        return {"k": "have", "n": self.number, "d": self.digest, "f": self.in_force, "w": self.reason} | (
-            {"all": True} if self.whole else {}
-        )
+        told: Message = {"k": "have", "n": self.number, "d": self.digest, "f": self.in_force}
+        told |= {"w": self.reason, "r": self.refused}
+        return told | {"all": True} if self.whole else told
 
 
 class Beat(NamedTuple):
@@ -126,12 +127,14 @@
     if not isinstance(message, dict) or message.get("k") != "have":
         raise Refused("not what a watcher says")
     number, digest, in_force = message.get("n"), message.get("d"), message.get("f")
-    reason, whole = message.get("w"), message.get("all", False)
-    if not is_number(number) or not is_number(in_force) or not isinstance(reason, str):
-        raise Refused("what a watcher has is no number, or its reason no text")
+    reason, refused, whole = message.get("w"), message.get("r"), message.get("all", False)
+    if not is_number(number) or not is_number(in_force) or not is_number(refused):
+        raise Refused("what a watcher has is no number")
+    if not isinstance(reason, str):
+        raise Refused("a reason that is none")
     if not isinstance(digest, bytes) or len(digest) not in (0, DIGEST):
         raise Refused("a digest that is none")
-    return Have(number, digest, in_force, printable(reason), whole is True)
+    return Have(number, digest, in_force, printable(reason), whole is True, refused)
 
 
 def read_beat(message: Message) -> Beat:
--- a/ploverspoke/distribution/watch.py
+++ b/ploverspoke/distribution/watch.py
@@ -94,6 +94,7 @@
         self.came = taken  # the latest that came unharmed
         self.in_force = taken.number
         self.reason = ""  # why what came is not in force
+        self.refused = 0  # the lowest that was refused since; the server gives what is between, if any
         self.wants_whole = False
         self.link: Link | None = None
         self.trial: Link | None = None
@@ -187,12 +188,12 @@
     # ---- Versions ----
 
     def _push(self, message: Message, now: int) -> None:
-        came = self.came
-        number = message.get("n")
-        if isinstance(number, int) and message.get("v") and 0 < number <= came.number:
-            if number < came.number:
+        came, number = self.came, message.get("n")
+        skipped = isinstance(number, int) and self.in_force < number < self.refused
+        if isinstance(number, int) and message.get("v") and 0 < number <= came.number and not skipped:
+            if number < self.in_force:
                 self.refused_messages += 1
-                self.host.say(f"config: a message is refused: version {number} is older than {came.number}")
+                self.host.say(f"config: a message is refused: version {number} is older than {self.in_force}")
             self._say(now)
             return
         try:
@@ -201,6 +202,17 @@
             self.wants_whole = True
             raise
         self.wants_whole = False
+        reason = self._take(found)
+        if found.number > came.number:
+            self.came, self.reason = found, reason
+        if not reason:
+            self.refused = 0
+        elif not self.refused or found.number != came.number + 1:
+            self.refused = found.number  # else it goes on with a row of refused ones
+        self._say(now)
+
+    def _take(self, found: Taken) -> str:
+        """Why it is not in force, or "" """
         try:
             reason = self.host.take(*found)
         except ValueError as error:
@@ -209,7 +221,6 @@
             # Whatever a check stumbles over: the one in force goes on, and it is said.
             reason = f"{type(error).__name__}: {error}"
         reason = printable(reason)
-        self.came, self.reason = found, reason
         if reason:
             self.refused_versions += 1
             self.host.say(f"config: version {found.number} refused: {reason}")
@@ -217,12 +228,13 @@
             self.taken_versions += 1
             self.in_force = found.number
             self.host.say(f"config: version {found.number} in force ({found.digest.hex()[:16]})")
-        self._say(now)
+        return reason
 
     def _say(self, now: int) -> None:
         assert self.link is not None
         self.next_say = now + SAY_EVERY
-        have = Have(self.came.number, self.came.digest, self.in_force, self.reason, self.wants_whole)
+        came = self.came
+        have = Have(came.number, came.digest, self.in_force, self.reason, self.wants_whole, self.refused)
         self.host.send(self.link.number, have.message())
 
     # ---- Servers ----
--- a/tests/test_distribution_parts.py
+++ b/tests/test_distribution_parts.py
@@ -618,6 +618,26 @@
     assert world.servers["s0"].feed.whole_pushes == 1  # the very first
 
 
+def test_what_was_skipped_for_a_version_that_is_refused_is_given_the_latest_good_one_first() -> None:
+    world, watcher, _ = one_watcher()
+    watcher.refuses = {4, 5, 7}
+    for number in (2, 3, 4, 5):
+        world.offer(number)  # all at once: 5 is what goes out
+    world.run(2 * S)
+    assert watcher.taken == [1, 3] and watcher.watch.in_force == 3
+    (row,) = world.servers["s0"].feed.rows()
+    assert row[:4] == ["n0", 3, 5, "settings.Number is 5"]
+    assert not world.servers["s0"].feed.behind
+    for number in (6, 7):
+        world.offer(number)
+    world.run(2 * S)
+    assert watcher.taken == [1, 3, 6] and watcher.watch.reason == "settings.Number is 7"
+    world.offer(8)
+    world.run(S)
+    assert watcher.watch.in_force == 8 and watcher.watch.reason == ""
+    assert sum(server.feed.whole_pushes for server in world.servers.values()) == 1
+
+
 def test_an_older_version_after_a_newer_one_changes_nothing_and_is_said() -> None:
     world, watcher, link = one_watcher()
     world.offer(3)
