--- a/ploverspoke/distribution/commands.py
+++ b/ploverspoke/distribution/commands.py
@@ -106,13 +106,11 @@
     try:
         text = body.read_text(encoding="utf-8")
         if against is not None:
-            _check_against(servers, text, against)
+            _check_against(text, against)
         else:
             read_body(text)
     except (OSError, ValueError) as error:
         raise click.UsageError(f"{body}: {error}") from None
-    except NoServer as error:
-        _end(error, as_json)
     _publish(servers, text, expect, by, wait, as_json)
 
 
@@ -131,19 +129,16 @@
     _publish(servers, _body(servers, version, as_json), expect, by, wait, as_json)
 
 
-def _check_against(servers: ConfigServers, text: str, against: Path) -> None:
-    """As that dispatcher will, with the version that is in force now. Raises BadKey or NoServer."""
+def _check_against(text: str, against: Path) -> None:
+    """As that dispatcher will. Raises BadKey."""
     try:
         own = json.loads(against.read_text(encoding="utf-8"))
     except (OSError, ValueError) as error:
         raise BadKey(f"{against}: {error}") from None
     briefing = briefing_of(lay_on(own, read_body(text)), os.environ)
-    before = body_of(servers)
-    if before["n"]:
-        old = lay_on(own, read_body(before["body"]))
-        missing = first_missing({key: value for key, value in old.items() if key != "known"}, briefing.told)
-        if missing is not None:
-            raise BadKey(f"{missing} is missing: version {before['n']} has it")
+    missing = first_missing({key: value for key, value in own.items() if key != "known"}, briefing.told)
+    if missing is not None:
+        raise BadKey(f"{missing} is missing: {against} has it")
 
 
 def _publish(
--- a/ploverspoke/distribution/daemon.py
+++ b/ploverspoke/distribution/daemon.py
@@ -36,6 +36,11 @@
     return briefing_of(lay_on(own, read_body(body)) if body else own, environment)
 
 
+def without_list(own: Mapping[str, Any]) -> dict[str, Any]:
+    """A configuration without the list of workers, as a briefing keeps it."""
+    return {key: value for key, value in own.items() if key != "known"}
+
+
 def first_briefing(own: Any, orders: WatchOrders, environment: Mapping[str, str]) -> tuple[Briefing, Taken]:
     """At start: the file with the version of the cache, or the file alone, and it is said. Raises BadKey."""
     alone = put_together(own, "", environment)
@@ -69,11 +74,22 @@
         self.environment = environment
 
     def take(self, number: int, body: str) -> str:
-        """Why it is not in force, or "": then it is. A refused one changes nothing."""
+        """Why it is not in force, or "": then it is. A refused one changes nothing.
+
+        What the file has may not be missing. What only an earlier version has brought may: else none could
+        be rolled back that has added a key.
+        """
+        service, before = self.service, self.service.briefing
         try:
-            self.service.take_configuration(put_together(self.own, body, self.environment))
-        except ValueError as error:
-            return str(error)
+            new = put_together(self.own, body, self.environment)
+            service.briefing = before._replace(told=without_list(self.own))
+            service.take_configuration(new)
+        except Exception as error:
+            service.briefing = before
+            if isinstance(error, ValueError):
+                return str(error)
+            raise
+        service.briefing = service.briefing._replace(told=new.told)
         self.body = body
         return ""
 
