--- a/tests/test_testbed_files.py
+++ b/tests/test_testbed_files.py
@@ -10,8 +10,10 @@
 from click.testing import CliRunner
 
 from ploverspoke.cli import main
+from ploverspoke.testbed.capacity.size import read_fleet
 from ploverspoke.testbed.compare import compare, difference
 from ploverspoke.testbed.experiment import BadExperiment, experiment_of, read_experiment
+from ploverspoke.testbed.hollow.plays import plays_of, world_of
 from ploverspoke.testbed.processes.distribution_run import read_distribution_experiment
 from ploverspoke.testbed.processes.lease_run import read_lease_experiment
 from ploverspoke.testbed.processes.timeline import BadTimeline
@@ -26,6 +28,11 @@
 @pytest.mark.parametrize("path", SHIPPED, ids=lambda p: p.stem)
 def test_a_shipped_experiment_is_sound_and_named_as_its_file(path: Path) -> None:
     told = tomllib.loads(path.read_text())
+    if told.get("kind") == "fleet":
+        fleet = read_fleet(path)
+        plays = plays_of(fleet)
+        assert fleet.name == path.stem and all(world_of(fleet, plays, play).seeds for play in plays.worlds)
+        return
     readers = {"leases": read_lease_experiment, "distribution": read_distribution_experiment}
     reader = readers.get(told.get("kind", ""))
     read = read_experiment(path) if reader is None else reader(told)
