--- a/ploverspoke/testbed/commands.py
+++ b/ploverspoke/testbed/commands.py
@@ -45,7 +45,9 @@
 )
 @click.option("--policy", "policies", multiple=True, help="In place of the file's policies; may be repeated.")
 @click.option(
-    "--out", type=click.Path(file_okay=False, path_type=Path), help="Where result, histograms and plots go."
+    "--out",
+    type=click.Path(path_type=Path),
+    help="The folder where result, histograms and plots go; of a fleet file, the JSON file of its plays.",
 )
 @click.option("--events/--no-events", default=False, help="Keep every event seen, too, one JSON line each.")
 @click.option("--play", "plays", multiple=True, help="Of a fleet file: only this play; may be repeated.")
@@ -63,10 +65,13 @@
 
     Exit 0: all that must hold held. 1: something did not, and is named. 2: the file or the call is wrong.
     """
-    if (told := _kind(experiment)).get("kind") == "leases":
-        _run_leases(told, seeds, out)
+    told = _kind(experiment)
     if told.get("kind") == "fleet":
         _run_fleet(experiment, plays, out, events)
+    if out is not None and out.is_file():
+        raise click.UsageError(f"--out: {out} is a file, a folder is wanted")
+    if told.get("kind") == "leases":
+        _run_leases(told, seeds, out)
     e = _read(experiment, seeds, policies)
     # Neither replicas nor links among dispatchers are played on virtual time.
     sockets = sockets or e.dispatchers.store or e.dispatchers.talk or bool(e.timeline)
@@ -144,6 +149,8 @@
             for line in lines:
                 print(f"  {what}: {line}", flush=True)
 
+    if out is not None and out.is_dir():
+        raise click.UsageError(f"--out: {out} is a folder, a file is wanted")
     try:
         keep = out.parent if events and out is not None else None
         rows = run_fleet(read_fleet(path), plays, out, say, keep)
--- a/ploverspoke/testbed/hollow/run.py
+++ b/ploverspoke/testbed/hollow/run.py
@@ -107,7 +107,7 @@
     row.held = verdict.held
     row.failed = [*verdict.failed, *(text.splitlines()[0] for text in found.findings[:5])]
     if void_kinds:
-        row.note = f"void by kind, since hollow and real differ there: {', '.join(void_kinds)}"
+        row.note = note_of(void_kinds)
     return row
 
 
@@ -191,6 +191,8 @@
     void_kinds = void_before(results.runs)
     if not names or COMPARED in names:
         compared, void_kinds = compare_both(fleet, plays)
+        for row in results.runs:
+            call_void(row, void_kinds)  # what was played before binds as well
         done(*compared)
     for play in plays.worlds:
         if not names or play.name in names:
@@ -207,6 +209,22 @@
     return rows
 
 
+def call_void(row: Run, void_kinds: Sequence[str]) -> None:
+    """Of a hollow play's row, what a comparison has taken the ground from: figures are marked, judgements go."""
+    if not row.hollow or row.play.startswith(COMPARED) or row.play == LENGTHS:
+        return
+    row.figures = marked(row.figures, void_kinds)
+    openings = tuple(kind for kind in void_kinds if kind != BY_NATURE)
+    if openings:
+        row.held = [text for text in row.held if not text.startswith(openings)]
+        row.failed = [text for text in row.failed if not text.startswith(openings)]
+        row.note = note_of(void_kinds)
+
+
+def note_of(void_kinds: Sequence[str]) -> str:
+    return f"void by kind, since hollow and real differ there: {', '.join(void_kinds)}"
+
+
 def void_before(rows: Sequence[Run]) -> list[str]:
     """What the last comparison that was no void one has found."""
     last = next((row for row in reversed(rows) if row.play == COMPARED and not row.void), None)
--- a/ploverspoke/testbed/hollow/stage.py
+++ b/ploverspoke/testbed/hollow/stage.py
@@ -75,6 +75,7 @@
         self.latest: dict[int, dict[str, Any]] = {}  # what each stand-in told last
         self.samples: list[Sample] = []
         self.quiet_since = -1
+        self.late_first = ""  # which stand-in first was too late, and when
 
     # ---- Before ----
 
@@ -122,6 +123,8 @@
 
     def _noted(self, told: dict[str, Any]) -> None:
         self.latest[told["child"]] = told
+        if told.get("late", 0) > MOST_BEHIND and not self.late_first:
+            self.late_first = f"{kind_of(told)} by {told['at'] / SECOND:.1f} s"
         if self.listener is not None:
             self.listener(told)
         if "sent" in told:
@@ -147,7 +150,7 @@
         used = await self.used()
         traffic: dict[str, dict[str, int]] = {}
         for told in self.latest.values():
-            kind = "workers" if "workers" in told else "clients" if "sent" in told else "discovery"
+            kind = kind_of(told)
             if "traffic" not in told:
                 continue
             there = traffic.setdefault(kind, dict.fromkeys(TRAFFIC, 0))
@@ -160,6 +163,10 @@
     async def used(self) -> Used:
         raise NotImplementedError
 
+    def void(self) -> str:
+        found = super().void()
+        return f"{found} (first {self.late_first})" if found and self.late_first else found
+
 
 class HollowStage(FleetStage):
     def __init__(
@@ -258,6 +265,11 @@
         return Used(cpu, resident, most, serving, {})
 
 
+def kind_of(told: dict[str, Any]) -> str:
+    """Which stand-in has told that: each has a word that only it says."""
+    return "workers" if "workers" in told else "clients" if "sent" in told else "discovery"
+
+
 def cores_for(e: ex.Experiment) -> tuple[float, float, float]:
     """Cores that a run wants, with the tasks running and the starts a second at its peak."""
     starts = max(max(t.rate, t.to_rate or 0.0) * (1 + t.wave) for t in e.traffic)
