--- a/ploverspoke/testbed/hollow/run.py
+++ b/ploverspoke/testbed/hollow/run.py
@@ -210,7 +210,7 @@
 
 
 def call_void(row: Run, void_kinds: Sequence[str]) -> None:
-    """Of a hollow play's row, what a comparison has taken the ground from: figures are marked, judgements go."""
+    """What a comparison takes from a hollow play's row: figures are marked, judgements by them go."""
     if not row.hollow or row.play.startswith(COMPARED) or row.play == LENGTHS:
         return
     row.figures = marked(row.figures, void_kinds)
