--- a/ploverspoke/testbed/capacity/command.py
+++ b/ploverspoke/testbed/capacity/command.py
@@ -56,11 +56,15 @@
     lines: list[Line] = []
     void: list[str] = []
     for part in parts:
+        load = f"load of the machine at the start {os.getloadavg()[0]:.1f}"
+        asked.say(f"{part.name()}: {load}")
         try:
             found = await part.measure(asked)
         except NoRoom as error:
             found = Found([], [f"{part.name()}: {error}"])
-        lines += found.lines
+        for line in found.lines:
+            note = "; ".join(text for text in (line.note, load) if text)
+            lines.append(msgspec.structs.replace(line, note=note))
         void += found.void
     return Found(lines, void)
 
@@ -99,6 +103,11 @@
     return found
 
 
+def _read(out: Path) -> Slopes | None:
+    """Raises BadSlopes."""
+    return read_slopes(out) if out.exists() else None
+
+
 def _say(text: str) -> None:
     click.echo(text, err=True)
 
@@ -124,13 +133,14 @@
         known = ", ".join(dict.fromkeys(role for part in PARTS for role in part.roles))
         raise click.UsageError(f"{error.args[0]!r} is no role; there are {known}") from None
     try:
-        old = read_slopes(out) if out.exists() else None
+        _read(out)
     except BadSlopes as error:
         raise click.UsageError(str(error)) from None
     found = asyncio.run(measure(parts, Asked(_say, quick, not in_turn)))
     fresh = slopes_of(found.lines)
     if found.lines:
-        write_slopes(merged(old, fresh), out)
+        # Read again: another call may have measured another role meanwhile.
+        write_slopes(merged(_read(out), fresh), out)
     against = [
         f"{line.role}, {line.figure} against {line.size}: residual {line.residual:.0%}"
         for line in found.lines
--- a/ploverspoke/testbed/capacity/tools.py
+++ b/ploverspoke/testbed/capacity/tools.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import os
+import signal
 import subprocess
 import sys
 import tempfile
@@ -158,6 +159,9 @@
                     seen.append((float(count), figures, ""))
                 except (NotStarted, OSError) as error:
                     seen.append((float(count), {}, str(error)))
+                finally:
+                    # Its children would outlive it where it is killed.
+                    await running.end(signal.SIGTERM, RUN_WITHIN)
         asked.say(f"supervisor, processes {count}: {seen[-1][2] or 'seen'}")
     return _found("supervisor", "processes", seen, STANDING_HOW, {"workers_listed": float(SERVERS)})
 
