Tests: the two new long files are begun among the first

test_distribution_processes.py took 75 s and test_hollow.py 33 s in a whole run and were begun last, by their place in the alphabet.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -20,12 +20,14 @@
 LONG = (
     "test_leases_explored.py",
     "test_leases_processes.py",
+    "test_distribution_processes.py",
     "test_service.py",
     "test_leases_commands.py",
     "test_leases_tasks.py",
     "test_store_consensus.py",
     "test_store_router.py",
     "test_processes_rig.py",
+    "test_hollow.py",
 )
 
 
