--- a/ploverspoke/testbed/processes/distribution_run.py
+++ b/ploverspoke/testbed/processes/distribution_run.py
@@ -43,7 +43,7 @@
     lasts: Span = Span(25 * SECOND)
     within: Span = Span(10 * SECOND)  # of the promise
     publishers: int = 3
-    every: Span = Span(SECOND)  # between two publications of one publisher
+    every: Span = Span(600 * MILLISECOND)  # between two publications of one publisher
     probe: Span = Span(150 * MILLISECOND)  # between two rounds at one dispatcher
     election: Span = Span(200 * MILLISECOND)
     snapshot_every: int = 100
