--- a/ploverspoke/testbed/capacity/rows.py
+++ b/ploverspoke/testbed/capacity/rows.py
@@ -229,8 +229,8 @@
         key="quotas",
         line=f"{teams} teams with quotas",
         demand="over all dispatchers a team has no more than its quota, and its quota when it asks",
-        gives="submissions name no team; `MaxOpen` bounds one dispatcher, whoever asks; nothing is counted "
-        "over two of them",
+        gives="a request may name its tenant, and settings may list their shares; the dispatcher reads "
+        "neither. `MaxOpen` bounds one dispatcher, whoever asks; nothing is counted over two of them",
         mechanism=NONE,
         verdict=MISSING,
         basis=READ,
@@ -248,7 +248,7 @@
         line=f"urgent work starts within {size.urgent_starts_within / SECOND:g} s",
         demand="at the peak, and in trouble",
         gives="grades with expected times of their own; a queue is first come, first served within a slot "
-        f"count and machine kind, and nothing that runs makes way; {played}",
+        f"count and machine kind, but for those that are too late; nothing that runs makes way; {played}",
         mechanism="`decisions/dispatcher.py` (patience, benefits), `docs/design.md`",
         verdict=verdict,
         basis=PLAYED,
