--- a/tests/test_testbed_files.py
+++ b/tests/test_testbed_files.py
@@ -14,6 +14,7 @@
 from ploverspoke.testbed.compare import compare, difference
 from ploverspoke.testbed.experiment import BadExperiment, experiment_of, read_experiment
 from ploverspoke.testbed.hollow.plays import plays_of, world_of
+from ploverspoke.testbed.processes.distribution_run import read_distribution_experiment
 from ploverspoke.testbed.processes.lease_run import read_lease_experiment
 from ploverspoke.testbed.processes.timeline import BadTimeline
 from ploverspoke.testbed.runner import read_result, run_experiment
@@ -32,7 +33,9 @@
         plays = plays_of(fleet)
         assert fleet.name == path.stem and all(world_of(fleet, plays, play).seeds for play in plays.worlds)
         return
-    read = read_lease_experiment(told) if told.get("kind") == "leases" else read_experiment(path)
+    readers = {"leases": read_lease_experiment, "distribution": read_distribution_experiment}
+    reader = readers.get(told.get("kind", ""))
+    read = read_experiment(path) if reader is None else reader(told)
     assert read.name == path.stem and read.seeds
 
 
