Between two calls of the roster no more than 3 s are waited, where the calls of all allow it

A change of the roster counts as told 6 s after it could be heard, whatever call failed, was refused or given up before. On sockets, with the program's clock moved by hand and the longest draw of chance, a drain in the moment in which discovery was well again was not heeded by then: after 503 or 429 from the third in a row on with 5 dispatchers and MustAskIn 10 s (a pause of 10 s), after six failures of any kind with MustAskIn 60 s (12 s). At fault: Dispatcher.roster_lost, whose pause grew to 2/3 of MustAskIn, and by half more by chance. Ruled out: calls that fall silent or break half-way, which were heeded in all orders tried.

The pause is 3 s at the most (4.5 s by chance, and 1.5 s are left for connection and answer) but where the calls of all take longer: from 25 dispatchers on that is still their 125 ms each, and up to half of MustAskIn; shorter ones would jam discovery (docs/incidents/larger-fleet.md). So the term is not held by 25 and more dispatchers that are all turned away.

--- a/ploverspoke/decisions/dispatcher.py
+++ b/ploverspoke/decisions/dispatcher.py
@@ -49,7 +49,7 @@
 FRESH = 300 * MILLISECOND  # a report that arrived since then need not be asked for again
 REPORT_AGE = SECOND  # a report may be so old: what we sent since may not be in it
 TICKS_IN_EXPECTED = 4  # the clock's least rate: so many ticks in the shortest expected time
-ROSTER_CALL = 125 * MILLISECOND  # of the roster's time for each dispatcher that calls it
+ROSTER_CALL, LONGEST_PAUSE = 125 * MILLISECOND, 3 * SECOND  # the roster's time for a call; ours between two
 MOST_REFUSED = 0.9  # chance of a refusal on arrival
 LATENESS_BORNE = 0.3  # the mean wait of starts, in parts of what can be borne, up to which none is refused
 LATE_STARTS = 16  # of which that mean is taken
@@ -370,10 +370,10 @@
         """Watch again, after a wait that grows; turned away, one that leaves it time for the calls of all."""
         self.roster_failures += 1
         self._say(f"roster lost, {self.roster_failures} in a row; asking again")
-        failures, longest = min(self.roster_failures, 5), self.orders["roster_ask_within"]
-        wait = min(250 * MILLISECOND << failures, longest // 4)
-        if turned_away:
-            wait = max(wait, min(self._calls_of_all() << (failures - 1), longest * 2 // 3))
+        lost, longest = min(self.roster_failures, 5), self.orders["roster_ask_within"]
+        all_in = self._calls_of_all() if turned_away else 0
+        wait = max(min(250 * MILLISECOND << lost, longest // 4), min(all_in << lost - 1, longest * 2 // 3))
+        wait = max(all_in, min(wait, LONGEST_PAUSE))
         self._wake("watch", self.host.now() + int(wait * (0.5 + self.chance.fraction())))
 
     def _calls_of_all(self) -> int:
