--- a/tests/test_distribution_commands.py
+++ b/tests/test_distribution_commands.py
@@ -18,11 +18,12 @@
 from ploverspoke.consensus.ask import ask
 from ploverspoke.consensus.frames import Frames
 from ploverspoke.distribution.client import read_cache, write_cache
-from ploverspoke.distribution.daemon import first_briefing
+from ploverspoke.distribution.daemon import Laying, first_briefing, put_together
 from ploverspoke.distribution.orders import read_config_server_orders, read_config_servers, read_watch_orders
-from ploverspoke.distribution.parcels import greeting
+from ploverspoke.distribution.parcels import Have, greeting
 from ploverspoke.distribution.versions import digest_of
 from ploverspoke.distribution.watch import NOTHING, Taken
+from ploverspoke.program.briefing import Briefing
 from ploverspoke.program.checked import BadKey
 from ploverspoke.testbed.processes.addresses import held_ports
 
@@ -48,6 +49,31 @@
     return json.dumps({"settings": {"ServiceGrades": [GRADE, *({**GRADE, "Name": name} for name in names)]}})
 
 
+class Stranger:
+    """A watcher's connection, frame by frame."""
+
+    def __init__(self, where: str, name: str) -> None:
+        host, port = where.split(":")
+        self.frames = Frames(SECRET, greeting(name, "fleet"))
+        self.unread: list[Any] = []
+        self.socket = socket.create_connection((host, int(port)), 10)
+        self.socket.sendall(self.frames.hello())
+        assert self.hears()["k"] == "beat"
+        self.socket.sendall(self.frames.write(Have(0, b"", 0, "", False).message()))
+
+    def hears(self) -> Any:
+        """The next message, heartbeats among them; None where the connection is over."""
+        while not self.unread:
+            try:
+                data = self.socket.recv(65536)
+            except ConnectionResetError:
+                return None
+            if not data:
+                return None
+            self.unread += self.frames.feed(data)
+        return self.unread.pop(0)
+
+
 class Fleet:
     """Three config servers and a dispatcher that watches them, as processes."""
 
@@ -58,7 +84,7 @@
         self.peers = {name: f"127.0.0.1:{ports[at]}" for at, name in enumerate(SERVERS)}
         self.clients = {name: f"127.0.0.1:{ports[3 + at]}" for at, name in enumerate(SERVERS)}
         replicas = {name: {"peers": self.peers[name], "clients": self.clients[name]} for name in SERVERS}
-        common = {"cluster": "fleet", "secret_file": "secret", "replicas": replicas}
+        common = {"cluster": "fleet", "secret_file": "secret", "replicas": replicas, "most_watchers": 2}
         for name in SERVERS:
             self.write(f"{name}.json", {**common, "name": name, "folder": name})
         self.file = self.write("tools.json", {"replicas": replicas, "secret_file": "secret"})
@@ -263,6 +289,13 @@
                     pass
         await fleet.said("c1", "config: a message is refused:", times=4)
         assert all(row[0] != "n9" for row in ask(fleet.peers["c1"], SECRET, {"ask": "watchers"}))
+        # The same name again takes the place of the first, and who is too many is sent on.
+        first, other = Stranger(fleet.clients["c2"], "n8"), Stranger(fleet.clients["c2"], "n9")
+        assert (first.hears()["n"], other.hears()["n"]) == (2, 2)
+        again, more = Stranger(fleet.clients["c2"], "n8"), Stranger(fleet.clients["c2"], "n10")
+        assert again.hears()["n"] == 2 and more.hears() == {"k": "elsewhere"} and more.hears() is None
+        while first.hears() is not None:
+            pass
         for name in SERVERS:
             assert await fleet.end(name) == 0
         # The versions are there again, also without --new.
@@ -338,6 +371,24 @@
     assert "version 8: settings.RoundUs is -4" in capsys.readouterr().err
 
 
+def test_a_refused_version_leaves_the_briefing_as_it_was(tmp_path: Path) -> None:
+    own = json.loads(own_file(tmp_path, [1, 2]).read_text())
+
+    class Serving:
+        briefing = put_together(own, "", {})
+
+        def take_configuration(self, new: Briefing) -> None:
+            if new.orders["round"] == 4_000_000:
+                raise BadKey("settings.RoundUs")
+            self.briefing = new
+
+    service: Any = Serving()
+    before, laying = service.briefing, Laying(service, own, lambda: own, NOTHING, {})
+    assert laying.take(1, '{"settings": {"RoundUs": 4000}}') == "settings.RoundUs"
+    assert service.briefing is before and laying.body == ""
+    assert laying.take(2, with_grades("g02")) == "" and service.briefing.names["grades"][1] == "g02"
+
+
 def test_who_serves_without_a_watch_imports_none_of_it(tmp_path: Path) -> None:
     program = "import sys, ploverspoke.cli, ploverspoke.program.service; print(*sys.modules)"
     out = subprocess.run([sys.executable, "-c", program], capture_output=True, check=True).stdout.decode()
--- a/tests/test_distribution_parts.py
+++ b/tests/test_distribution_parts.py
@@ -271,12 +271,14 @@
 
 def test_a_base_that_the_server_does_not_have_gets_the_whole() -> None:
     host = FeedHost()
+    host.feed.offer(version(3))
     host.feed.offer(version(5))
+    host.feed.said("n0", Have(3, digest_of("another"), 3, "", False))
     host.feed.said("n1", Have(4, version(4).digest, 4, "", False))
     host.feed.said("n2", Have(5, digest_of("another"), 5, "", False))
     host.feed.said("n3", Have(9, digest_of("later"), 9, "", False))
     host.feed.said("n4", Have(2, b"", 0, "", True))
-    assert [(name, m["b"]) for name, m in host.pushes(100 * MS)] == [("n1", None), ("n4", None)]
+    assert [(name, m["b"]) for name, m in host.pushes(100 * MS)] == [("n0", None), ("n1", None), ("n4", None)]
     told = {row[0]: row[3] for row in host.feed.rows()}
     assert "another version 5" in told["n2"] and not told["n3"]
 
@@ -671,6 +673,9 @@
     world.offer(2)
     world.run(3 * S)
     assert watcher.watch.in_force == 2
+    # After a parcel that could not be read it wants the whole, whatever it has.
+    harmed = isinstance(message, dict) and message["k"] == "push"
+    assert sum(server.feed.whole_pushes for server in world.servers.values()) == 1 + harmed
 
 
 def test_what_a_check_stumbles_over_is_a_reason_and_no_end() -> None:
