--- a/ploverspoke/testbed/capacity/rows.py
+++ b/ploverspoke/testbed/capacity/rows.py
@@ -151,7 +151,7 @@
         key="workers",
         line=f"{workers} workers",
         demand=f"each dispatcher knows and may use all {workers}",
-        gives=f"the whole list at each; one dispatcher measured to {to:g} listed; {played}",
+        gives=f"the whole list at each; one dispatcher measured to {to:.3g} listed; {played}",
         mechanism="`routing/roster.py`, `docs/architecture.md`",
         verdict=verdict,
         basis=basis,
@@ -174,7 +174,7 @@
         line=f"{size.jobs_a_day:,} jobs a day, {size.task_starts_a_second:g} starts a second at the peak",
         demand=f"{size.jobs_a_day / DAY:.2g} jobs a second; {each:.2g} starts a second at one of "
         f"{facts.fewest} dispatchers",
-        gives=f"each hands out its own; one dispatcher measured to {to:g} a second; {played}",
+        gives=f"each hands out its own; one dispatcher measured to {to:.3g} a second; {played}",
         mechanism="`decisions/dispatcher.py`, `docs/design.md`",
         verdict=verdict,
         basis=basis,
@@ -194,7 +194,7 @@
         line=f"{size.tasks_running:,} tasks running",
         demand=f"{each:.3g} at one of {facts.fewest} dispatchers, {slots:.2g} at a worker; each runs for "
         f"{running_time(facts.fleet):.3g} s, where the peak lasts",
-        gives=f"one errand and one connection for each; one dispatcher measured to {to:g}; {played}",
+        gives=f"one errand and one connection for each; one dispatcher measured to {to:.3g}; {played}",
         mechanism="`routing/errands.py`, `docs/architecture.md`",
         verdict=verdict,
         basis=basis,
@@ -229,8 +229,8 @@
         key="quotas",
         line=f"{teams} teams with quotas",
         demand="over all dispatchers a team has no more than its quota, and its quota when it asks",
-        gives="submissions name no team; `MaxOpen` bounds one dispatcher, whoever asks; nothing is counted "
-        "over two of them",
+        gives="a request may name its tenant, and settings may list their shares; the dispatcher reads "
+        "neither. `MaxOpen` bounds one dispatcher, whoever asks; nothing is counted over two of them",
         mechanism=NONE,
         verdict=MISSING,
         basis=READ,
@@ -248,7 +248,7 @@
         line=f"urgent work starts within {size.urgent_starts_within / SECOND:g} s",
         demand="at the peak, and in trouble",
         gives="grades with expected times of their own; a queue is first come, first served within a slot "
-        f"count and machine kind, and nothing that runs makes way; {played}",
+        f"count and machine kind, but for those that are too late; nothing that runs makes way; {played}",
         mechanism="`decisions/dispatcher.py` (patience, benefits), `docs/design.md`",
         verdict=verdict,
         basis=PLAYED,
@@ -397,9 +397,9 @@
         (
             "machine",
             f"{failures.machines_a_day:g} machines fail a day",
-            "set aside by its errors, then gone from discovery's list",
+            "set aside by its errors, then gone from discovery's list; by the play of a rack",
             "`decisions/dispatcher.py`, `docs/on-call.md`",
-            "machine",
+            "rack",  # as much as one machine, and more
         ),
         (
             "restarts",
