--- a/ploverspoke/testbed/hollow/stage.py
+++ b/ploverspoke/testbed/hollow/stage.py
@@ -174,7 +174,7 @@
     ) -> None:
         super().__init__(e, seed, folder, shape, told)
         self.children: list[HollowChild] = []
-        self.hollow_late = 0
+        self.hollow_late = self.hollow_late_at = 0  # ns; when it was first seen to be too much
 
     def _dispatchers_want(self) -> Want:
         each = -(-self.e.dispatchers.count // self.shape.hollow)
@@ -216,7 +216,10 @@
 
     async def used(self) -> Used:
         told = await asyncio.gather(*(one.counts() for one in self.children))
-        self.hollow_late = max(self.hollow_late, *(one["late"] for one in told))
+        late = max(one["late"] for one in told)
+        if late > MOST_BEHIND >= self.hollow_late:
+            self.hollow_late_at = self.rig.now()
+        self.hollow_late = max(self.hollow_late, late)
         inside: dict[str, int] = {}
         for one in told:
             for key, value in one["inside"].items():
@@ -232,7 +235,8 @@
     def void(self) -> str:
         if self.hollow_late > MOST_BEHIND:
             late = write_span(self.hollow_late)
-            return f"hollow dispatchers held each other up: their loop was late by {late}"
+            first = f"first by {self.hollow_late_at / SECOND:.0f} s"
+            return f"hollow dispatchers held each other up: their loop was late by {late} ({first})"
         return super().void()
 
 
