--- a/ploverspoke/testbed/hollow/dispatcher.py
+++ b/ploverspoke/testbed/hollow/dispatcher.py
@@ -122,6 +122,9 @@
 
     # ---- What is seen inside; for growth only, nothing is judged by it ----
 
+    def is_listed(self) -> bool:
+        return self.service is not None and self.service.router.lists_told > 0
+
     def counts(self) -> dict[str, int]:
         service = self.service
         if service is None:
--- a/ploverspoke/testbed/hollow/process.py
+++ b/ploverspoke/testbed/hollow/process.py
@@ -91,6 +91,7 @@
             "resident": int(Path("/proc/self/statm").read_text().split()[1]) * PAGE,
             "descriptors": len(os.listdir("/proc/self/fd")),
             "serving": sum(dispatcher.serves for dispatcher in self.living.values()),
+            "listed": sum(dispatcher.is_listed() for dispatcher in self.living.values()),
             "late": self.late,
             "inside": inside,
         }
--- a/ploverspoke/testbed/hollow/stage.py
+++ b/ploverspoke/testbed/hollow/stage.py
@@ -21,6 +21,7 @@
 from .process import Spec
 from .programs import MODULE, HollowChild, HollowProgram
 
+LISTS_WITHIN, LOOKS_EVERY = 30.0, 0.1  # seconds
 COUNTS_EVERY = 2 * SECOND
 QUIET = 3 * SECOND  # nothing is out for so long: no retry waits any more, and the run is over
 # What is reckoned before a run; the most that was seen, and some more.
@@ -115,6 +116,21 @@
         await super().play()
         self.samples.append(await self.sample())
 
+    async def _started(self, discovery: Child) -> None:
+        """All have the list: at no other time so many take it in at once, and that held them up."""
+        count = self.e.dispatchers.count
+        async with asyncio.timeout(LISTS_WITHIN):
+            while True:
+                discovery.tell({"who was told": True})
+                told = (await self._first(discovery)).get("told", 0)
+                if told >= count and await self._listed() >= count:
+                    return
+                await asyncio.sleep(LOOKS_EVERY)
+
+    async def _listed(self) -> int:
+        """How many have taken the list in, where that can be seen."""
+        return self.e.dispatchers.count
+
     # ---- While it runs ----
 
     def _begins(self, epoch: int, workers: Child, discovery: Child) -> None:
@@ -209,6 +225,10 @@
         # To the rig it is a process like others: it is started, ended and killed in the same way.
         return cast(Program, HollowProgram(child, self._place(number, place), config))
 
+    async def _listed(self) -> int:
+        told = await asyncio.gather(*(one.counts() for one in self.children))
+        return sum(one["listed"] for one in told)
+
     def _begins(self, epoch: int, workers: Child, discovery: Child) -> None:
         for one in self.children:
             one.child.tell({"begin": True})
--- a/ploverspoke/testbed/sockets.py
+++ b/ploverspoke/testbed/sockets.py
@@ -171,6 +171,7 @@
             rig.running[place.name] = program
             self.programs.append(program)
         await rig.start()
+        await self._started(discovery)
         epoch = time.monotonic_ns() + LEAD
         for child in stand_ins:
             child.tell({"start": epoch, "dispatchers": [place.at("clients") for place in places]})
@@ -193,6 +194,9 @@
     async def _before(self, places: list[Place]) -> None:
         """What dispatchers need to be there before they are."""
 
+    async def _started(self, discovery: Child) -> None:
+        """All dispatchers serve, and the run is about to begin."""
+
     def _program(self, place: Place, config: dict[str, Any], store: dict[str, Any] | None) -> Program:
         return Program(self.rig, place, config, store)
 
--- a/ploverspoke/testbed/standins/discovery.py
+++ b/ploverspoke/testbed/standins/discovery.py
@@ -106,6 +106,8 @@
     def heard(self, told: dict[str, Any]) -> None:
         if "workers" in told:  # dispatchers ask before the run begins
             self.addresses = told["workers"]
+        elif "who was told" in told:
+            say({"told": sum(one.bytes_in > 0 for one in self.counters.traffic)})
         elif "fell" in told:
             self.troubles.fell(told["fell"])
         elif "back" in told:
