--- a/ploverspoke/testbed/standins/discovery.py
+++ b/ploverspoke/testbed/standins/discovery.py
@@ -90,6 +90,7 @@
         for name, worker in fleet.workers.items():
             self.roster.enter(Entry(name, worker.zone, worker.kind, fleet.rack_of[name], "ready", 0))
         self.addresses: dict[str, str] = {}
+        self.zones, self.kinds = self.e.zones(), self.e.kinds()
         self.dispatchers = {host: number for number, host in enumerate(spec.hosts)}
 
     async def prepare(self) -> dict[str, Any]:
@@ -115,7 +116,7 @@
 
     def begin(self, told: dict[str, Any]) -> None:
         self.troubles = RosterTroubles(self.e, self.seed, self.clock, self.roster)
-        cuts, zones = Cuts(self.e, self.clock), len(self.e.zones())
+        cuts, zones = Cuts(self.e, self.clock), len(self.zones)
         self.roster.unreached = lambda dispatcher: not cuts.reaches_discovery(dispatcher % zones)
 
     def counts(self) -> dict[str, Any]:
@@ -127,8 +128,8 @@
         return {
             "id": entry.worker,
             "addr": self.addresses[entry.worker],
-            "zone": self.e.zones()[entry.zone],
-            "kind": self.e.kinds()[entry.kind],
+            "zone": self.zones[entry.zone],
+            "kind": self.kinds[entry.kind],
             "cell": entry.rack,
             "state": STATES[entry.condition],
             "weight": 1.0,
