--- a/ploverspoke/testbed/hollow/stage.py
+++ b/ploverspoke/testbed/hollow/stage.py
@@ -25,7 +25,7 @@
 COUNTS_EVERY = 2 * SECOND
 QUIET = 3 * SECOND  # nothing is out for so long: no retry waits any more, and the run is over
 # What is reckoned before a run; the most that was seen, and some more.
-PROCESS_MEMORY, DISPATCHER_MEMORY = 64 * MEBIBYTE, 16 * MEBIBYTE
+PROCESS_MEMORY, DISPATCHER_MEMORY = 48 * MEBIBYTE, 10 * MEBIBYTE
 CORES_A_TASK = (
     0.0012  # running, with a progress report a second: its dispatcher's, its worker's, its client's
 )
