Capacity: the row of changes before and after the distribution of configuration, which is in the tree

The page said that nothing carries changes, which was true when the mechanism was chosen and is not any more; not measured yet.

--- a/ploverspoke/testbed/capacity/render.py
+++ b/ploverspoke/testbed/capacity/render.py
@@ -108,15 +108,12 @@
         f"- **Not measured**: {not_measured}.",
         "",
     ]
-    if table.rows != table.before:
-        first = table.missing[0]
-        needed = f"; needed by {', '.join(first.needed_by)}" if first.needed_by else ""
-        lines.append(
-            f"Missing first was: {table.row(first.row).line} ({first.letter}{needed}). It is built; now: "
-            f"{table.row(first.row).verdict}. Missing since then, in the order in which to mend it:"
-        )
-    else:
-        lines.append("What is missing, in the order in which to mend it:")
+    first = table.missing[0]
+    needed = f"; needed by {', '.join(first.needed_by)}" if first.needed_by else ""
+    lines.append(
+        f"Missing first was: {table.row(first.row).line} ({first.letter}{needed}). It is built; now: "
+        f"{table.row(first.row).verdict}. Missing since then, in the order in which to mend it:"
+    )
     lines += ["", *choice_lines(table, table.missing_now)[:5]]
     return [part for line in lines for part in wrapped(line)]
 
@@ -142,10 +139,9 @@
         for row in table.rows
     ]
     lines = rows_of(heading, rows)
-    if table.rows != table.before:
-        for old in table.before:
-            if old not in table.rows:
-                lines += ["", f"Before, {old.line}: {old.verdict}, {old.mechanism}; {old.gives}."]
+    for old in table.before:
+        if old.mechanism != table.row(old.key).mechanism:
+            lines += ["", f"Before, {old.line}: {old.verdict}, carried by {old.mechanism}; {old.gives}."]
     return lines
 
 
@@ -206,6 +202,8 @@
     many = table.fleet.size.dispatchers
     rows = []
     for row in table.further:
+        if not any(at.value for at in row.at.values()):
+            continue
         still = ", ".join(f"{value:g} {name}" for name, value in row.still.items()).replace("_", " ")
         figures = [
             f"{digits(at.value)} {MARKS[at.origin]}{'*' * bool(at.stretched)}{'!' * bool(at.contradicted)}"
@@ -238,6 +236,8 @@
         )  # fmt: skip
     lines = rows_of(("machine", "region", "zone", "roles", "core at the peak", "memory"), rows)
     lines += [
+        "",
+        "Core and memory of a voter are those of the one that leads; any of them may.",
         "",
         *rows_of(
             ("lost", "voters left of 5", "majority", "machines left for single tasks", ""),
@@ -303,7 +303,7 @@
                     stretched[name] = at
             contradicted.update(figure.contradicted)
             for text in figure.without:
-                without.setdefault(row.role, set()).add(text)
+                without.setdefault(row.role, set()).add(f"along {text.partition(' by ')[2]}")
         for kind, figure in row.figures.items():
             if figure.value is None:
                 without.setdefault(row.role, set()).add(kind)
--- a/ploverspoke/testbed/capacity/rows.py
+++ b/ploverspoke/testbed/capacity/rows.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable, Sequence
+from math import ceil
 from typing import NamedTuple
 
 import msgspec
@@ -364,6 +365,7 @@
     _, played = judged(facts.runs("peak"), ("processor time", "bytes a second"))
     core = facts.stop("core_share", "tasks_running", budget.core_share, PROGRESS)
     octets = facts.stop("bytes_in", "tasks_running", budget.bytes_a_second, PROGRESS)
+    fewest = "" if core is None else f" ({ceil(facts.fleet.size.tasks_running / core)} dispatchers)"
     return Row(
         key="progress",
         line="a dispatcher within that, progress reports counted",
@@ -373,7 +375,7 @@
         verdict=verdict,
         basis=SLOPES,
         letter="b",
-        stops=f"{stop_text(core, 'tasks running at one dispatcher')}, by its share of a core; "
+        stops=f"{stop_text(core, 'tasks running at one dispatcher')}{fewest}, by its share of a core; "
         f"{stop_text(octets, 'tasks')}, by the bytes that come in",
         needs=[Need("changes", "workers and all dispatchers change the interval in step")],
     )
@@ -476,13 +478,13 @@
 def apart_row(facts: Facts) -> Row:
     verdict, played = judged(facts.runs("region", "absence"))
     played += f"; {worst_minute(facts, APART)}"
+    by = "a version can name another for the zones of a region" if facts.distributed else "all go by hand"
     return Row(
         key="apart",
         line=f"regions apart for {facts.fleet.failures.regions_apart / SECOND / 60:g} minutes",
         demand="each goes on with its own workers; nothing grows without bound; one fleet again afterwards",
         gives="dispatchers keep the last list and set aside what they cannot reach; a configuration names "
-        "one discovery, and the region that is cut off from it is changed by hand; the side with fewer "
-        f"voters gets no lease and commits nothing; {played}",
+        f"one discovery, and {by}; the side with fewer voters gets no lease and commits nothing; {played}",
         mechanism="`routing/roster.py`, `leases/keeper.py`, `docs/leases.md`",
         verdict=verdict,
         basis=PLAYED,
--- a/ploverspoke/testbed/capacity/table.py
+++ b/ploverspoke/testbed/capacity/table.py
@@ -1,7 +1,7 @@
 """The whole table: rows of the size, budgets, what each role costs, and which mechanism is missing first.
 
-Without I/O. The rows are worked out twice where the distribution of configuration was measured: as they were
-without it, by which it was chosen, and as they are with it.
+Without I/O. The rows are worked out twice: as they were without the distribution of configuration, by which
+it was chosen, and as they are with it.
 """
 
 from collections.abc import Sequence
@@ -139,9 +139,8 @@
 
 def make_table(fleet: Fleet, slopes: Slopes, plays: Plays) -> Table:
     budget = budget_rows(fleet, slopes)
-    distributed = any(line.role in (SERVER, WATCHING) for line in slopes.lines)
     before = size_rows(Facts(fleet, slopes, plays, budget, False))
-    rows = size_rows(Facts(fleet, slopes, plays, budget, True)) if distributed else before
+    rows = size_rows(Facts(fleet, slopes, plays, budget, True))
     return Table(
         fleet=fleet,
         before=before,
--- a/tests/test_capacity_table.py
+++ b/tests/test_capacity_table.py
@@ -299,6 +299,10 @@
     by_hand = Run(play="many changes, by signals", seed=1, dispatchers=50, failed=held)
     played = Plays(format=1, at="2026-12-02", text="abc", machine="made up", runs=[run, by_hand])
     table = made(slopes(server), played)
+    text = markdown(table, slopes(server), played)
+    assert (
+        "Before, 680 changes of configuration a day, in force within 10 s: missing, carried by none" in text
+    )
     assert [one.row for one in table.missing][0] == "changes"
     assert [one.row for one in table.missing_now][0] == "quotas"
     assert table.row("changes").verdict == "holds"
