--- a/ploverspoke/testbed/capacity/rows.py
+++ b/ploverspoke/testbed/capacity/rows.py
@@ -91,7 +91,7 @@
     counted = [run for run in runs if not run.void]
     if not counted:
         voids = sorted({run.void for run in runs})
-        return NOT_MEASURED, f"not played{' (void: ' + '; '.join(voids) + ')' if voids else ''}"
+        return NOT_MEASURED, f"every play of it is void ({'; '.join(voids)})" if voids else "not played"
 
     def about(texts: list[str]) -> list[str]:
         return [text for text in texts if not words or any(word in text.lower() for word in words)]
