--- a/ploverspoke/testbed/capacity/rows.py
+++ b/ploverspoke/testbed/capacity/rows.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable, Sequence
+from math import ceil
 from typing import NamedTuple
 
 import msgspec
@@ -13,9 +14,12 @@
 from .budgets import PROGRESS, STARTS, WATCHED, BudgetRow, core_with, figures_of, stop_of, within
 from .estimate import Figure
 from .loads import (
+    APART,
     DAY,
+    MACHINE,
     PEAK,
     RACK,
+    RESTART,
     ZONE,
     configuration_changes,
     larger_region,
@@ -30,7 +34,7 @@
 from .verdicts import FAILS, HOLDS, MISSING, NOT_MEASURED, OVER, worst
 
 SECOND = 1_000_000_000
-KB = 1_000
+KB, MB = 1_000, 1_000_000
 NONE = "none"
 PLAYED, SLOPES, READ, WORKED = "played", "slopes of one process", "read off the code", "worked out"
 BY_SERVERS = "from config servers"  # in the name of the play in which they bring the changes
@@ -87,7 +91,7 @@
     counted = [run for run in runs if not run.void]
     if not counted:
         voids = sorted({run.void for run in runs})
-        return NOT_MEASURED, f"not played{' (void: ' + '; '.join(voids) + ')' if voids else ''}"
+        return NOT_MEASURED, f"every play of it is void ({'; '.join(voids)})" if voids else "not played"
 
     def about(texts: list[str]) -> list[str]:
         return [text for text in texts if not words or any(word in text.lower() for word in words)]
@@ -123,10 +127,20 @@
     for dispatchers in facts.fleet.size.dispatchers:
         rows = [row for row in facts.budget if (row.counted, row.dispatchers) == (counted, dispatchers)]
         found[dispatchers] = worst([row.verdict for row in rows])
-    told = ", ".join(f"{verdict} with {many}" for many, verdict in found.items())
+    peak = {
+        row.dispatchers: shares(row)
+        for row in facts.budget
+        if (row.counted, row.situation) == (counted, PEAK)
+    }
+    told = "; ".join(f"{verdict} with {many} ({peak[many]} at the peak)" for many, verdict in found.items())
     return worst(list(found.values())), told
 
 
+def shares(row: BudgetRow) -> str:
+    core, memory, octets = scaled(row.core, 100), scaled(row.memory, 1 / MB), scaled(row.bytes, 1 / KB)
+    return f"{number(core, '%')}, {number(memory, ' MB')}, {number(octets, ' KB/s')}"
+
+
 def measured_or_played(verdict: str, measured_to: float, demand: float) -> tuple[str, str]:
     """Where nothing was played, one dispatcher that bore its part on its own counts: verdict and basis."""
     if verdict == NOT_MEASURED and measured_to >= demand:
@@ -351,6 +365,7 @@
     _, played = judged(facts.runs("peak"), ("processor time", "bytes a second"))
     core = facts.stop("core_share", "tasks_running", budget.core_share, PROGRESS)
     octets = facts.stop("bytes_in", "tasks_running", budget.bytes_a_second, PROGRESS)
+    fewest = "" if core is None else f" ({ceil(facts.fleet.size.tasks_running / core)} dispatchers)"
     return Row(
         key="progress",
         line="a dispatcher within that, progress reports counted",
@@ -360,7 +375,7 @@
         verdict=verdict,
         basis=SLOPES,
         letter="b",
-        stops=f"{stop_text(core, 'tasks running at one dispatcher')}, by its share of a core; "
+        stops=f"{stop_text(core, 'tasks running at one dispatcher')}{fewest}, by its share of a core; "
         f"{stop_text(octets, 'tasks')}, by the bytes that come in",
         needs=[Need("changes", "workers and all dispatchers change the interval in step")],
     )
@@ -389,6 +404,21 @@
 # ---- Failures ----
 
 
+WORST_MINUTES = {"machine": MACHINE, "restarts": RESTART, "rack": RACK, "zone": ZONE}
+
+
+def worst_minute(facts: Facts, situation: str) -> str:
+    """By slopes, with as few dispatchers as there may be."""
+    cores = [
+        scaled(figures_of(facts.fleet, facts.slopes, facts.fewest, situation, counted)[0], 100)
+        for counted in (STARTS, PROGRESS)
+    ]
+    without, counted_in = (number(core, "%") for core in cores)
+    return (
+        f"by slopes {without} of a core with {facts.fewest} dispatchers, {counted_in} with progress reports"
+    )
+
+
 def failing_rows(facts: Facts) -> list[Row]:
     fleet = facts.fleet
     failures = fleet.failures
@@ -428,6 +458,7 @@
     rows = []
     for key, line, gives, mechanism, play in told:
         verdict, played = judged(facts.runs(play))
+        played += f"; {worst_minute(facts, WORST_MINUTES[key])}"
         rows.append(
             Row(
                 key=key,
@@ -446,13 +477,14 @@
 
 def apart_row(facts: Facts) -> Row:
     verdict, played = judged(facts.runs("region", "absence"))
+    played += f"; {worst_minute(facts, APART)}"
+    by = "a version can name another for the zones of a region" if facts.distributed else "all go by hand"
     return Row(
         key="apart",
         line=f"regions apart for {facts.fleet.failures.regions_apart / SECOND / 60:g} minutes",
         demand="each goes on with its own workers; nothing grows without bound; one fleet again afterwards",
         gives="dispatchers keep the last list and set aside what they cannot reach; a configuration names "
-        "one discovery, and the region that is cut off from it is changed by hand; the side with fewer "
-        f"voters gets no lease and commits nothing; {played}",
+        f"one discovery, and {by}; the side with fewer voters gets no lease and commits nothing; {played}",
         mechanism="`routing/roster.py`, `leases/keeper.py`, `docs/leases.md`",
         verdict=verdict,
         basis=PLAYED,
--- a/ploverspoke/testbed/capacity/table.py
+++ b/ploverspoke/testbed/capacity/table.py
@@ -1,7 +1,7 @@
 """The whole table: rows of the size, budgets, what each role costs, and which mechanism is missing first.
 
-Without I/O. The rows are worked out twice where the distribution of configuration was measured: as they were
-without it, by which it was chosen, and as they are with it.
+Without I/O. The rows are worked out twice: as they were without the distribution of configuration, by which
+it was chosen, and as they are with it.
 """
 
 from collections.abc import Sequence
@@ -89,7 +89,7 @@
 
 
 def role_rows(fleet: Fleet, slopes: Slopes) -> list[RoleRow]:
-    """Situations and numbers of dispatchers in which a role meets the same sizes share a row."""
+    """Situations in which a role meets the same sizes share a row; sizes that were measured, at least."""
     found = []
     for role in ROLES:
         for dispatchers in fleet.size.dispatchers:
@@ -97,9 +97,9 @@
             sizes: dict[str, dict[str, Amount]] = {}
             for situation in SITUATIONS:
                 met = loads(fleet, dispatchers, situation)[role]
-                state = ", ".join(
-                    f"{amount.value:.4g} {name}" for name, amount in met.items() if amount.value
-                )
+                known = {line.size for line in slopes.lines if line.role == role}
+                told = (f"{of.value:.4g} {name}" for name, of in met.items() if of.value and name in known)
+                state = ", ".join(told)
                 situations.setdefault(state, []).append(situation)
                 sizes[state] = met
             found += [
@@ -139,9 +139,8 @@
 
 def make_table(fleet: Fleet, slopes: Slopes, plays: Plays) -> Table:
     budget = budget_rows(fleet, slopes)
-    distributed = any(line.role in (SERVER, WATCHING) for line in slopes.lines)
     before = size_rows(Facts(fleet, slopes, plays, budget, False))
-    rows = size_rows(Facts(fleet, slopes, plays, budget, True)) if distributed else before
+    rows = size_rows(Facts(fleet, slopes, plays, budget, True))
     return Table(
         fleet=fleet,
         before=before,
