A link between replicas on which nothing goes out for 2 s is given up and dialled again

Two regions of five config servers were apart for 120 s: the leading side's three servers grew by 13.6 MB, and at the healing 50 MB went over the relays in 10 s for some 160 small versions. Cause: the leader writes entries again with each heartbeat into a connection that nobody closes, up to MOST_UNSENT (8 MiB) a replica, and all of it goes out before anything new (consensus/links.py, Outbound.write). On a narrow line that would take longer than the 10 s in which a change has to be in force. Now what waits on a link that makes no progress goes with it.

--- a/ploverspoke/consensus/links.py
+++ b/ploverspoke/consensus/links.py
@@ -14,6 +14,7 @@
 
 DIAL_AGAIN = 0.1  # seconds
 MOST_UNSENT = 8 * 1024 * 1024  # towards one that does not read
+STUCK_FOR = 2.0  # seconds; then what waits unsent is stale, and would go out before anything new
 
 Heard = Callable[[str, Any], None]
 
@@ -79,10 +80,14 @@
         self.transport: asyncio.Transport | None = None
         self.ready = False
         self.over = asyncio.Event()
+        self.written = 0  # bytes
+        self.gone_out = 0  # of them, when that last grew
+        self.gone_out_at = 0.0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
-        self.transport.write(self.frames.hello())
+        self.gone_out_at = asyncio.get_running_loop().time()
+        self._write(self.frames.hello())
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.transport = None
@@ -110,11 +115,25 @@
             self.transport.abort()
 
     def write(self, message: Any) -> None:
-        if self.ready and self.transport is not None:
-            if self.transport.get_write_buffer_size() > MOST_UNSENT:
-                self.links.dropped += 1
-                return
-            self.transport.write(self.frames.write(message))
+        if not self.ready or self.transport is None:
+            return
+        unsent = self.transport.get_write_buffer_size()
+        now = asyncio.get_running_loop().time()
+        if not unsent or self.written - unsent > self.gone_out:
+            self.gone_out, self.gone_out_at = self.written - unsent, now
+        elif now - self.gone_out_at > STUCK_FOR:
+            self.links.stuck += 1
+            self.transport.abort()
+            return
+        if unsent > MOST_UNSENT:
+            self.links.dropped += 1
+            return
+        self._write(self.frames.write(message))
+
+    def _write(self, data: bytes) -> None:
+        assert self.transport is not None
+        self.written += len(data)
+        self.transport.write(data)
 
 
 class Links:
@@ -136,6 +155,7 @@
         self.server: asyncio.Server | None = None
         self.refused = 0
         self.dropped = 0
+        self.stuck = 0  # connections that were given up, since nothing went out on them
 
     async def open(self, host: str, port: int) -> None:
         loop = asyncio.get_running_loop()
--- a/tests/test_store_node.py
+++ b/tests/test_store_node.py
@@ -14,7 +14,9 @@
 from click.testing import CliRunner
 
 from ploverspoke.cli import main
+from ploverspoke.consensus import links
 from ploverspoke.consensus.disk import WrongStore
+from ploverspoke.consensus.frames import Frames
 from ploverspoke.consensus.members import Members
 from ploverspoke.consensus.orders import read_replica_orders
 from ploverspoke.program.checked import BadKey
@@ -329,3 +331,42 @@
     assert run.invoke(main, ["store", "restore", str(fresh), str(copy)]).exit_code == 0
     assert run.invoke(main, ["store", "restore", str(fresh), str(copy)]).exit_code == 2
     assert run.invoke(main, ["store", "status", str(fresh)]).exit_code == 1
+
+
+def test_a_connection_on_which_nothing_goes_out_is_given_up_and_dialled_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A replica that is cut off: what waits for it is stale, and must not go out before anything new."""
+    monkeypatch.setattr(links, "STUCK_FOR", 0.2)
+    secret, greeting = b"a secret of the test", {"id": "b.1", "store": "s"}
+    dialled: list[asyncio.Transport] = []
+
+    class Deaf(asyncio.Protocol):
+        def connection_made(self, transport: Any) -> None:
+            transport.write(Frames(secret, greeting).hello())
+            asyncio.get_running_loop().call_soon(transport.pause_reading)
+            dialled.append(transport)
+
+    async def scene() -> None:
+        loop = asyncio.get_running_loop()
+        server = await loop.create_server(Deaf, "127.0.0.1", 0)
+        told = links.Links(secret, {"id": "a.1", "store": "s"}, lambda *_: None, lambda *_: None)
+        told.set_peers({"b.1": f"127.0.0.1:{server.sockets[0].getsockname()[1]}"})
+        await until(lambda: "b.1" in told.outbound and told.outbound["b.1"].ready)
+        first = told.outbound["b.1"]
+
+        def is_stuck() -> bool:
+            told.send("b.1", ["x" * 65536])
+            return told.stuck > 0
+
+        await until(is_stuck)
+        assert (
+            first.transport is None or first.transport.get_write_buffer_size() <= links.MOST_UNSENT + 70_000
+        )
+        await until(lambda: len(dialled) > 1 and told.outbound["b.1"] is not first)
+        told.close()
+        server.close()
+        for transport in dialled:
+            transport.abort()
+
+    uvloop.run(asyncio.wait_for(scene(), 20))
