--- a/ploverspoke/testbed/capacity/render.py
+++ b/ploverspoke/testbed/capacity/render.py
@@ -321,6 +321,16 @@
     return lines
 
 
+def note_lines(slopes: Slopes) -> list[str]:
+    """What the file says of its lines, once for each role and what it was measured along."""
+    sizes: dict[tuple[str, str], set[str]] = {}
+    for line in slopes.lines:
+        if line.note:
+            sizes.setdefault((line.role, line.note), set()).add(line.size)
+    told = [f"- {role} along {', '.join(sorted(along))}: {note}" for (role, note), along in sizes.items()]
+    return ["What the slopes file says of its lines:", "", *(told or ["- nothing"]), ""]
+
+
 def assumption_table() -> list[str]:
     return rows_of(
         ("assumed", "value", "what would replace it"),
@@ -341,7 +351,7 @@
         "## The scale tests", "", *plays_table(plays), "",
         "## How far it was stretched, and what was assumed", "",
         f"Slopes measured at {slopes.text}, {slopes.at}, on {slopes.machine}.", "",
-        *stretch_lines(table), *assumption_table(),
+        *stretch_lines(table), *note_lines(slopes), *assumption_table(),
     ]  # fmt: skip
     return "\n".join(lines) + "\n"
 
