--- a/ploverspoke/testbed/capacity/render.py
+++ b/ploverspoke/testbed/capacity/render.py
@@ -10,7 +10,7 @@
 from .played import Plays
 from .slopes import Slopes
 from .table import ROLES, Choice, Table
-from .verdicts import FAILS, HOLDS, MISSING, NEAR, NOT_MEASURED, OVER
+from .verdicts import FAILS, HOLDS, LESSER, MISSING, NEAR, NOT_MEASURED, OVER
 
 WIDTH = 128
 BEGIN, END = "<!-- capacity: begin -->", "<!-- capacity: end -->"
@@ -102,6 +102,7 @@
     not_measured = "; ".join(row.line for row in table.rows if row.verdict == NOT_MEASURED) or "nothing"
     lines = [
         f"- **Holds**: {named(table, (HOLDS,))}.",
+        f"- **Holds at a lesser load**: {named(table, (LESSER,))}.",
         f"- **Does not hold**: {named(table, (FAILS, OVER))}.",
         f"- **Too close to call**: {named(table, (NEAR,))}.",
         f"- **Missing**: {named(table, (MISSING,))}.",
--- a/ploverspoke/testbed/capacity/rows.py
+++ b/ploverspoke/testbed/capacity/rows.py
@@ -42,7 +42,7 @@
 from .played import Plays, Run
 from .size import Fleet
 from .slopes import Slopes
-from .verdicts import FAILS, HOLDS, MISSING, NOT_MEASURED, OVER, worst
+from .verdicts import FAILS, HOLDS, LESSER, MISSING, NOT_MEASURED, OVER, worst
 
 SECOND = 1_000_000_000
 KB, MB = 1_000, 1_000_000
@@ -50,6 +50,7 @@
 PLAYED, SLOPES, READ, WORKED = "played", "slopes of one process", "read off the code", "worked out"
 BY_SERVERS = "from config servers"  # in the name of the play in which they bring the changes
 BEYOND = "beyond what was played"
+HALF = "half"  # in the name of a play that has less load than the peak on purpose
 LOAD = {"starts_a_second": "starts a second", "tasks_running": "tasks running"}  # figures of a play
 NEARLY = 0.97  # arrivals are drawn by chance: so much of a rate is that rate
 
@@ -97,8 +98,11 @@
         return stop_of(self.fleet, self.slopes, figure, size, limit, counted)
 
 
-def judged(runs: list[Run], words: Sequence[str] = ()) -> tuple[str, str]:
-    """The verdict of the runs that count, and what they say; only of lines with one of the words, if any."""
+def judged(facts: Facts, runs: list[Run], words: Sequence[str] = ()) -> tuple[str, str]:
+    """The verdict of the runs that count, and what they say; only of lines with one of the words, if any.
+
+    What held in runs that all had less than the peak's load is called so.
+    """
     counted = [run for run in runs if not run.void]
     if not counted:
         voids = sorted({run.void for run in runs})
@@ -116,16 +120,31 @@
         told += f", {min(found):.3g} {of}" if found else ""
     if failed:
         return FAILS, f"{told}, failed: {'; '.join(failed)}"
-    return (HOLDS, f"{told}, held") if held else (NOT_MEASURED, f"{told} say nothing of it")
+    if not held:
+        return NOT_MEASURED, f"{told} say nothing of it"
+    return (HOLDS if any(at_peak(facts, run) for run in counted) else LESSER), f"{told}, held"
+
 
+def at_peak(facts: Facts, run: Run) -> bool:
+    """Whether it had the load of the peak, and as many dispatchers as there are at the least."""
+    size, found = facts.fleet.size, run.figures
+    starts, running = found.get("starts_a_second") or 0.0, found.get("tasks_running") or 0.0
+    enough = starts >= NEARLY * size.task_starts_a_second and running >= NEARLY * size.tasks_running
+    return enough and run.dispatchers >= facts.fewest
 
-def reached(runs: list[Run], figure: str, demand: float, of: str) -> tuple[str, str]:
-    """The verdict of the runs that count by one of their figures: its least, against what is asked."""
-    found = [value for run in runs if not run.void and (value := run.figures.get(figure)) is not None]
-    if not found:
-        return NOT_MEASURED, judged([run for run in runs if run.void])[1]
-    verdict = HOLDS if min(found) >= NEARLY * demand else FAILS
-    return verdict, f"played: {min(found):.4g} {of}"
+
+def reached(facts: Facts, figure: str, demand: float, of: str) -> tuple[str, str]:
+    """The verdict of the peak's runs by one of their figures against what is asked; half of the peak that
+    was played on purpose is no failure.
+    """
+    runs = facts.runs("peak")
+    counted = [run for run in runs if not run.void and run.figures.get(figure) is not None]
+    if not counted:
+        return NOT_MEASURED, judged(facts, [run for run in runs if run.void])[1]
+    most = max(run.figures[figure] or 0.0 for run in counted)
+    whole = any(HALF not in run.play for run in counted)
+    verdict = HOLDS if most >= NEARLY * demand else FAILS if whole else LESSER
+    return verdict, f"played: {most:.4g} {of}"
 
 
 def number(value: float | None, unit: str = "") -> str:
@@ -154,7 +173,7 @@
 
 def measured_or_played(verdict: str, measured_to: float, demand: float) -> tuple[str, str]:
     """Where nothing was played, one dispatcher that bore its part on its own counts: verdict and basis."""
-    if verdict == NOT_MEASURED and measured_to >= demand:
+    if verdict in (NOT_MEASURED, LESSER) and measured_to >= demand:
         return HOLDS, SLOPES
     return verdict, PLAYED
 
@@ -170,7 +189,7 @@
     workers = facts.fleet.size.workers
     to = facts.measured_to("workers_listed")
     stop = facts.stop("core_share", "workers_listed", facts.fleet.budget.core_share, STARTS)
-    verdict, played = judged(facts.runs("peak"), ("rule",))
+    verdict, played = judged(facts, facts.runs("peak"), ("rule",))
     verdict, basis = measured_or_played(verdict, to, workers)
     return Row(
         key="workers",
@@ -190,9 +209,7 @@
     each = size.task_starts_a_second / facts.fewest
     to = facts.measured_to("starts_a_second")
     stop = facts.stop("core_share", "starts_a_second", facts.fleet.budget.core_share, STARTS)
-    verdict, played = reached(
-        facts.runs("peak"), "starts_a_second", size.task_starts_a_second, "starts a second"
-    )
+    verdict, played = reached(facts, "starts_a_second", size.task_starts_a_second, "starts a second")
     verdict, basis = measured_or_played(verdict, to, each)
     return Row(
         key="starts",
@@ -212,7 +229,7 @@
     size = facts.fleet.size
     each, slots = size.tasks_running / facts.fewest, size.tasks_running / size.workers
     to = facts.measured_to("tasks_running")
-    verdict, played = reached(facts.runs("peak"), "tasks_running", size.tasks_running, "tasks running")
+    verdict, played = reached(facts, "tasks_running", size.tasks_running, "tasks running")
     verdict, basis = measured_or_played(verdict, to, each)
     return Row(
         key="tasks",
@@ -267,7 +284,7 @@
 
 def urgent_row(facts: Facts) -> Row:
     size = facts.fleet.size
-    verdict, played = judged(facts.runs("peak"), ("urgent",))
+    verdict, played = judged(facts, facts.runs("peak"), ("urgent",))
     return Row(
         key="urgent",
         line=f"urgent work starts within {size.urgent_starts_within / SECOND:g} s",
@@ -305,7 +322,7 @@
     )
     if not facts.distributed:
         return row
-    verdict, played = judged(facts.runs(BY_SERVERS), ("in force", "rule"))
+    verdict, played = judged(facts, facts.runs(BY_SERVERS), ("in force", "rule"))
     verdict, costs = watched(facts, verdict)
     return msgspec.structs.replace(
         row,
@@ -334,7 +351,7 @@
 
 def zones_row(facts: Facts) -> Row:
     size = facts.fleet.size
-    verdict, played = judged(facts.runs("peak"), ("rule",))
+    verdict, played = judged(facts, facts.runs("peak"), ("rule",))
     return Row(
         key="zones",
         line=f"{size.regions} regions with {size.zones} zones",
@@ -374,7 +391,7 @@
     budget = facts.fleet.budget
     watches = facts.distributed and any(line.role == WATCHING for line in facts.slopes.lines)
     verdict, told = at_each(facts, EVERYTHING if watches else PROGRESS)
-    _, played = judged(facts.runs("peak"), ("processor time", "bytes a second"))
+    _, played = judged(facts, facts.runs("peak"), ("processor time", "bytes a second"))
     core = facts.stop("core_share", "tasks_running", budget.core_share, PROGRESS)
     octets = facts.stop("bytes_in", "tasks_running", budget.bytes_a_second, PROGRESS)
     fewest = "" if core is None else f" ({ceil(facts.fleet.size.tasks_running / core)} dispatchers)"
@@ -469,7 +486,7 @@
     ]
     rows = []
     for key, line, gives, mechanism, play in told:
-        verdict, played = judged(facts.runs(play))
+        verdict, played = judged(facts, facts.runs(play))
         played += f"; {worst_minute(facts, WORST_MINUTES[key])}"
         rows.append(
             Row(
@@ -488,7 +505,7 @@
 
 
 def apart_row(facts: Facts) -> Row:
-    verdict, played = judged(facts.runs("region", "absence"))
+    verdict, played = judged(facts, facts.runs("region", "absence"))
     played += f"; {worst_minute(facts, APART)}"
     by = "a version can name another for the zones of a region" if facts.distributed else "all go by hand"
     return Row(
--- a/ploverspoke/testbed/capacity/verdicts.py
+++ b/ploverspoke/testbed/capacity/verdicts.py
@@ -6,10 +6,11 @@
 HOLDS: Final = "holds"
 OVER: Final = "over budget"
 FAILS: Final = "fails"
+LESSER: Final = "holds at a lesser load"  # than the peak: as much as was played
 NEAR: Final = "too close to call"  # within, but for what its lines miss their points by
 MISSING: Final = "missing"
 NOT_MEASURED: Final = "not measured"
-WORST_FIRST = (MISSING, FAILS, OVER, NEAR, NOT_MEASURED, HOLDS)
+WORST_FIRST = (MISSING, FAILS, OVER, NEAR, NOT_MEASURED, LESSER, HOLDS)
 UNMET = (MISSING, FAILS, OVER)
 
 
--- a/tests/test_capacity_table.py
+++ b/tests/test_capacity_table.py
@@ -5,6 +5,7 @@
 from pathlib import Path
 from typing import Any
 
+import msgspec
 import pytest
 from click.testing import CliRunner
 
@@ -305,7 +306,11 @@
     )
     assert [one.row for one in table.missing][0] == "changes"
     assert [one.row for one in table.missing_now][0] == "quotas"
-    assert table.row("changes").verdict == "holds"
+    assert table.row("changes").verdict == "holds at a lesser load"
+    full = {"starts_a_second": 118.0, "tasks_running": 4800.0}
+    whole = msgspec.structs.replace(run, dispatchers=200, figures=full)
+    at_peak = msgspec.structs.replace(played, runs=[whole])
+    assert made(slopes(server), at_peak).row("changes").verdict == "holds"
     assert made(slopes(server)).row("changes").verdict == "not measured"
 
 
@@ -319,6 +324,21 @@
     assert "zone" in [one.row for one in table.missing]
 
 
+def test_half_of_the_peak_is_no_failure_and_no_proof() -> None:
+    figures = {"starts_a_second": 60.0, "tasks_running": 2400.0}
+    half = Run(
+        play="peak minute, half of it", seed=1, dispatchers=100, figures=figures,
+        held=["urgent work begun within 3400 ms", "no broken rule (0 found)"],
+    )  # fmt: skip
+    played = Plays(format=1, at="2026-12-02", text="abc", machine="made up", runs=[half])
+    table = made(slopes(), played)
+    for key in ("workers", "starts", "tasks", "urgent", "zones"):
+        assert table.row(key).verdict == "holds at a lesser load", key
+    whole = msgspec.structs.replace(half, play="peak minute")
+    table = made(slopes(), msgspec.structs.replace(played, runs=[half, whole]))
+    assert table.row("starts").verdict == "fails" and "60" in table.row("starts").gives
+
+
 def test_rows_name_modules_and_pages_that_there_are() -> None:
     for one in made(slopes()).rows:
         for name in re.findall(r"`([a-z_]+/[a-z_./-]*|docs/[\w.-]+)`", one.mechanism + one.gives):
