--- a/ploverspoke/testbed/capacity/render.py
+++ b/ploverspoke/testbed/capacity/render.py
@@ -13,6 +13,7 @@
 from .verdicts import FAILS, HOLDS, LESSER, MISSING, NEAR, NOT_MEASURED, OVER
 
 WIDTH = 128
+NOTHING = "nothing"
 BEGIN, END = "<!-- capacity: begin -->", "<!-- capacity: end -->"
 MARKS = {"measured": "m", "worked out": "w", "assumed": "a"}
 # Figures of plays that the page leaves to the file.
@@ -79,7 +80,7 @@
     for row in table.rows:
         if row.verdict in verdicts:
             by_basis.setdefault(row.basis, []).append(row.line)
-    return "; ".join(f"{'; '.join(lines)} ({basis})" for basis, lines in by_basis.items()) or "nothing"
+    return "; ".join(f"{'; '.join(lines)} ({basis})" for basis, lines in by_basis.items()) or NOTHING
 
 
 LETTERS = {
@@ -99,16 +100,18 @@
 
 
 def answer(table: Table) -> list[str]:
-    not_measured = "; ".join(row.line for row in table.rows if row.verdict == NOT_MEASURED) or "nothing"
-    lines = [
-        f"- **Holds**: {named(table, (HOLDS,))}.",
-        f"- **Holds at a lesser load**: {named(table, (LESSER,))}.",
-        f"- **Does not hold**: {named(table, (FAILS, OVER))}.",
-        f"- **Too close to call**: {named(table, (NEAR,))}.",
-        f"- **Missing**: {named(table, (MISSING,))}.",
-        f"- **Not measured**: {not_measured}.",
-        "",
-    ]
+    not_measured = "; ".join(row.line for row in table.rows if row.verdict == NOT_MEASURED) or NOTHING
+    bullets = {
+        "Holds": named(table, (HOLDS,)),
+        "Holds at a lesser load": named(table, (LESSER,)),
+        "Does not hold": named(table, (FAILS, OVER)),
+        "Too close to call": named(table, (NEAR,)),
+        "Missing": named(table, (MISSING,)),
+        "Not measured": not_measured,
+    }
+    always = ("Holds", "Does not hold", "Missing")
+    lines = [f"- **{name}**: {text}." for name, text in bullets.items() if text != NOTHING or name in always]
+    lines.append("")
     first = table.missing[0]
     needed = f"; needed by {', '.join(first.needed_by)}" if first.needed_by else ""
     lines.append(
--- a/ploverspoke/testbed/capacity/rows.py
+++ b/ploverspoke/testbed/capacity/rows.py
@@ -326,7 +326,8 @@
     verdict, costs = watched(facts, verdict)
     return msgspec.structs.replace(
         row,
-        gives=f"config servers agree on versions and tell every dispatcher that watches; {played}; {costs}",
+        gives="config servers agree on versions and tell every dispatcher that watches; with fewer of them it "
+        f"was measured (`docs/distribution.md`); {played}; {costs}",
         mechanism="`distribution/`, `docs/distribution.md`",
         verdict=verdict,
         basis=PLAYED,
@@ -513,7 +514,8 @@
         line=f"regions apart for {facts.fleet.failures.regions_apart / SECOND / 60:g} minutes",
         demand="each goes on with its own workers; nothing grows without bound; one fleet again afterwards",
         gives="dispatchers keep the last list and set aside what they cannot reach; a configuration names "
-        f"one discovery, and {by}; the side with fewer voters gets no lease and commits nothing; {played}",
+        f"one discovery, and {by}; the side with fewer voters gets no lease and commits nothing; "
+        f"what config servers hold for one that is silent: `docs/distribution.md`; {played}",
         mechanism="`routing/roster.py`, `leases/keeper.py`, `docs/leases.md`",
         verdict=verdict,
         basis=PLAYED,
