--- a/ploverspoke/testbed/capacity/render.py
+++ b/ploverspoke/testbed/capacity/render.py
@@ -10,9 +10,10 @@
 from .played import Plays
 from .slopes import Slopes
 from .table import ROLES, Choice, Table
-from .verdicts import FAILS, HOLDS, MISSING, NEAR, NOT_MEASURED, OVER
+from .verdicts import FAILS, HOLDS, LESSER, MISSING, NEAR, NOT_MEASURED, OVER
 
 WIDTH = 128
+NOTHING = "nothing"
 BEGIN, END = "<!-- capacity: begin -->", "<!-- capacity: end -->"
 MARKS = {"measured": "m", "worked out": "w", "assumed": "a"}
 # Figures of plays that the page leaves to the file.
@@ -79,7 +80,7 @@
     for row in table.rows:
         if row.verdict in verdicts:
             by_basis.setdefault(row.basis, []).append(row.line)
-    return "; ".join(f"{'; '.join(lines)} ({basis})" for basis, lines in by_basis.items()) or "nothing"
+    return "; ".join(f"{'; '.join(lines)} ({basis})" for basis, lines in by_basis.items()) or NOTHING
 
 
 LETTERS = {
@@ -99,15 +100,18 @@
 
 
 def answer(table: Table) -> list[str]:
-    not_measured = "; ".join(row.line for row in table.rows if row.verdict == NOT_MEASURED) or "nothing"
-    lines = [
-        f"- **Holds**: {named(table, (HOLDS,))}.",
-        f"- **Does not hold**: {named(table, (FAILS, OVER))}.",
-        f"- **Too close to call**: {named(table, (NEAR,))}.",
-        f"- **Missing**: {named(table, (MISSING,))}.",
-        f"- **Not measured**: {not_measured}.",
-        "",
-    ]
+    not_measured = "; ".join(row.line for row in table.rows if row.verdict == NOT_MEASURED) or NOTHING
+    bullets = {
+        "Holds": named(table, (HOLDS,)),
+        "Holds at a lesser load": named(table, (LESSER,)),
+        "Does not hold": named(table, (FAILS, OVER)),
+        "Too close to call": named(table, (NEAR,)),
+        "Missing": named(table, (MISSING,)),
+        "Not measured": not_measured,
+    }
+    always = ("Holds", "Does not hold", "Missing")
+    lines = [f"- **{name}**: {text}." for name, text in bullets.items() if text != NOTHING or name in always]
+    lines.append("")
     first = table.missing[0]
     needed = f"; needed by {', '.join(first.needed_by)}" if first.needed_by else ""
     lines.append(
@@ -321,6 +325,16 @@
     return lines
 
 
+def note_lines(slopes: Slopes) -> list[str]:
+    """What the file says of its lines, once for each role and what it was measured along."""
+    sizes: dict[tuple[str, str], set[str]] = {}
+    for line in slopes.lines:
+        if line.note:
+            sizes.setdefault((line.role, line.note), set()).add(line.size)
+    told = [f"- {role} along {', '.join(sorted(along))}: {note}" for (role, note), along in sizes.items()]
+    return ["What the slopes file says of its lines:", "", *(told or ["- nothing"]), ""]
+
+
 def assumption_table() -> list[str]:
     return rows_of(
         ("assumed", "value", "what would replace it"),
@@ -341,7 +355,7 @@
         "## The scale tests", "", *plays_table(plays), "",
         "## How far it was stretched, and what was assumed", "",
         f"Slopes measured at {slopes.text}, {slopes.at}, on {slopes.machine}.", "",
-        *stretch_lines(table), *assumption_table(),
+        *stretch_lines(table), *note_lines(slopes), *assumption_table(),
     ]  # fmt: skip
     return "\n".join(lines) + "\n"
 
