--- a/ploverspoke/testbed/capacity/rows.py
+++ b/ploverspoke/testbed/capacity/rows.py
@@ -326,8 +326,8 @@
     verdict, costs = watched(facts, verdict)
     return msgspec.structs.replace(
         row,
-        gives="config servers agree on versions and tell every dispatcher that watches; with fewer of them it "
-        f"was measured (`docs/distribution.md`); {played}; {costs}",
+        gives="config servers agree on versions and tell every dispatcher that watches; with fewer of them "
+        f"it was measured (`docs/distribution.md`); {played}; {costs}",
         mechanism="`distribution/`, `docs/distribution.md`",
         verdict=verdict,
         basis=PLAYED,
