--- a/ploverspoke/testbed/capacity/render.py
+++ b/ploverspoke/testbed/capacity/render.py
@@ -103,7 +103,7 @@
     not_measured = "; ".join(row.line for row in table.rows if row.verdict == NOT_MEASURED) or NOTHING
     bullets = {
         "Holds": named(table, (HOLDS,)),
-        "Holds at a lesser load": named(table, (LESSER,)),
+        "Holds for less than asked": named(table, (LESSER,)),
         "Does not hold": named(table, (FAILS, OVER)),
         "Too close to call": named(table, (NEAR,)),
         "Missing": named(table, (MISSING,)),
--- a/ploverspoke/testbed/capacity/rows.py
+++ b/ploverspoke/testbed/capacity/rows.py
@@ -506,7 +506,10 @@
 
 
 def apart_row(facts: Facts) -> Row:
-    verdict, played = judged(facts, facts.runs("region", "absence"))
+    runs = facts.runs("region", "absence")
+    verdict, played = judged(facts, runs)
+    if names := sorted({run.play for run in runs if not run.void}):
+        played += f" ({'; '.join(names)})"
     played += f"; {worst_minute(facts, APART)}"
     by = "a version can name another for the zones of a region" if facts.distributed else "all go by hand"
     return Row(
--- a/ploverspoke/testbed/capacity/verdicts.py
+++ b/ploverspoke/testbed/capacity/verdicts.py
@@ -6,7 +6,7 @@
 HOLDS: Final = "holds"
 OVER: Final = "over budget"
 FAILS: Final = "fails"
-LESSER: Final = "holds at a lesser load"  # than the peak: as much as was played
+LESSER: Final = "holds for less than asked"  # a lesser load than the peak's, or a shorter time
 NEAR: Final = "too close to call"  # within, but for what its lines miss their points by
 MISSING: Final = "missing"
 NOT_MEASURED: Final = "not measured"
--- a/tests/test_capacity_table.py
+++ b/tests/test_capacity_table.py
@@ -306,7 +306,7 @@
     )
     assert [one.row for one in table.missing][0] == "changes"
     assert [one.row for one in table.missing_now][0] == "quotas"
-    assert table.row("changes").verdict == "holds at a lesser load"
+    assert table.row("changes").verdict == "holds for less than asked"
     full = {"starts_a_second": 118.0, "tasks_running": 4800.0}
     whole = msgspec.structs.replace(run, dispatchers=200, figures=full)
     at_peak = msgspec.structs.replace(played, runs=[whole])
@@ -333,7 +333,7 @@
     played = Plays(format=1, at="2026-12-02", text="abc", machine="made up", runs=[half])
     table = made(slopes(), played)
     for key in ("workers", "starts", "tasks", "urgent", "zones"):
-        assert table.row(key).verdict == "holds at a lesser load", key
+        assert table.row(key).verdict == "holds for less than asked", key
     whole = msgspec.structs.replace(half, play="peak minute")
     table = made(slopes(), msgspec.structs.replace(played, runs=[half, whole]))
     assert table.row("starts").verdict == "fails" and "60" in table.row("starts").gives
