--- a/ploverspoke/consensus/links.py
+++ b/ploverspoke/consensus/links.py
@@ -123,6 +123,7 @@
             self.gone_out, self.gone_out_at = self.written - unsent, now
         elif now - self.gone_out_at > STUCK_FOR:
             self.links.stuck += 1
+            self.ready = False  # its end is told a turn later: until then nothing more is written, or counted
             self.transport.abort()
             return
         if unsent > MOST_UNSENT:
--- a/ploverspoke/consensus/node.py
+++ b/ploverspoke/consensus/node.py
@@ -158,6 +158,7 @@
             "batches": self.batches,
             "entries_written": self.written,
             "refused": self.links.refused,
+            "stuck": self.links.stuck,
             **self.status_of_state(),
         }
         if raft is not None and self.replica is not None:
