Calls to discovery, ends of attempts and reasons of rejections are logged and counted

Cause: from the log of the incident nobody could tell which call to discovery failed, at which address, when the next would come and why then, how old the endpoint list was, or why attempts ended and the request was rejected.

Change: each call to discovery has a number, a reason, a version and an end; those that are no ordinary one are logged with the age of the list. The decisions log when the next call comes and why. Ends of attempts and unsuccessful ends of requests are logged with the request's id, at a rate of their own, and counted; `vars` shows all counts and the list's age. A rejection now has a reason (EndReason).

--- a/ploverspoke/decisions/admission.py
+++ b/ploverspoke/decisions/admission.py
@@ -6,6 +6,7 @@
 from .attempts import Retries
 from .context import Context
 from .gossip import GossipExchange
+from .interface import EndReason
 from .observations import Observations
 from .state import MILLISECOND, NO_WORKER, Request, RequestQueue
 
@@ -73,11 +74,12 @@
             answered_at = request.queue.probed_until + MILLISECOND
             self.context.timers.start(request, min(answered_at, request.last_send_at))
         elif now >= request.last_send_at or self.is_exhausted(request, now):
-            self.give_up(request)
+            self.give_up(request, now)
         else:
             self.context.timers.start(request, request.last_send_at)
 
-    def give_up(self, request: Request) -> None:
+    def give_up(self, request: Request, now: int) -> None:
         """End the wait of a request without success."""
         request.queue.waiting.remove(request)
-        self.retries.give_up(request)
+        is_too_late = now >= request.last_send_at
+        self.retries.give_up(request, EndReason.TOO_LATE if is_too_late else EndReason.QUEUEING_BUDGET_USED)
--- a/ploverspoke/decisions/attempts.py
+++ b/ploverspoke/decisions/attempts.py
@@ -6,7 +6,7 @@
 from .capacity import CapacityEstimates, SlowStart
 from .context import SAVED_REQUESTS, Context
 from .gossip import GossipExchange
-from .interface import CONNECTION_FAILURES, AttemptOutcome
+from .interface import CONNECTION_FAILURES, AttemptOutcome, EndReason
 from .observations import Observations
 from .outlier_ejection import OutlierEjection
 from .settings import Idempotency
@@ -57,14 +57,14 @@
         window = 0 if group == NO_WORKER else request.rules.retry_window
         request.last_send_at = min(request.last_send_at, sent_at + window)
 
-    def give_up(self, request: Request) -> None:
+    def give_up(self, request: Request, reason: EndReason) -> None:
         """Final answer without success: rejected where a retry is harmless, else failed."""
         del self.open_requests[request.id]
         idempotent = request.rules.idempotency is Idempotency.IDEMPOTENT
         if idempotent or request.retry_group is None or request.retry_group == ALL_WORKERS:
-            self.context.actions.reject(request.id, self.context.retry_after)
+            self.context.actions.reject(request.id, self.context.retry_after, reason)
         else:
-            self.context.actions.fail(request.id)
+            self.context.actions.fail(request.id, reason)
 
 
 @dataclass(eq=False)
--- a/ploverspoke/decisions/endpoints.py
+++ b/ploverspoke/decisions/endpoints.py
@@ -65,11 +65,15 @@
     def watch_failed(self, is_rejected: bool, now: int) -> None:
         """Watch again after a backoff; after a rejection it leaves time for the calls of all."""
         self.failures += 1
-        self.context.log.write(f"endpoint watch failed, {self.failures} in a row; asking again")
         doublings, longest = min(self.failures, MOST_DOUBLINGS), self.context.settings.discovery_poll_interval
         for_all = self.context.time_for_all_calls if is_rejected else 0
         own, shared = FIRST_BACKOFF_NS << doublings, for_all << doublings - 1
         backoff = max(min(own, longest // 4), min(shared, longest * 2 // 3))
         backoff = max(for_all, min(backoff, LONGEST_BACKOFF_NS))
         delay = int(backoff * (0.5 + self.context.random.fraction()))
+        reason = "leaves time for the calls of all dispatchers" if is_rejected else "grows with each failure"
+        self.context.log.write(
+            f"endpoint watch failed, {self.failures} in a row; "
+            f"next call in {delay / SECOND:.2f} s: a backoff that {reason}"
+        )
         self.context.timers.start(PeriodicTimer.WATCH_ENDPOINTS, now + delay)
--- a/ploverspoke/decisions/interface.py
+++ b/ploverspoke/decisions/interface.py
@@ -43,6 +43,18 @@
     GONE = "gone"
 
 
+class EndReason(Enum):
+    """Why a request ends without success; for logs and counters."""
+
+    NOT_STATED = "not_stated"
+    TOO_LATE = "too_late"  # no attempt that begins now could be answered in time
+    REFUSED_AT_RANDOM = "refused_at_random"  # starts come late, and no load is reported
+    QUEUEING_BUDGET_USED = "queueing_budget_used"
+    NO_ROOM = "no_room"  # more requests, connections or bytes than the limits allow
+    NO_DECISION = "no_decision"  # after a fault of the decisions, or at the end of a shutdown
+    NO_FURTHER_ATTEMPT = "no_further_attempt"  # after one that failed: no time, no attempts or no group left
+
+
 class Endpoint(NamedTuple):
     """One worker as service discovery shows it."""
 
@@ -86,10 +98,10 @@
     def cancel_attempt(self, request_id: int, attempt: int) -> None:
         """Stop waiting for one attempt, counted from 0; its end is still reported, once."""
 
-    def reject(self, request_id: int, retry_after: int) -> None:
+    def reject(self, request_id: int, retry_after: int, reason: EndReason = EndReason.NOT_STATED) -> None:
         """Final answer: not done, and a retry is harmless, after so many ns; 0 gives no advice on when."""
 
-    def fail(self, request_id: int) -> None:
+    def fail(self, request_id: int, reason: EndReason = EndReason.NOT_STATED) -> None:
         """Final answer: not done as far as is known, with no promise about its effect."""
 
     def wake_at(self, token: int, when: int) -> None:
--- a/ploverspoke/decisions/request_path.py
+++ b/ploverspoke/decisions/request_path.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from .interface import ANSWERS, AttemptOutcome, AttemptResult
+from .interface import ANSWERS, AttemptOutcome, AttemptResult, EndReason
 from .parts import Parts
 from .state import Request, Worker
 
@@ -25,8 +25,11 @@
         parts.admission.set_deadlines(request, deadline, work_hint)
         parts.open_requests[request.id] = request
         parts.retries.resume(request)
-        if now >= request.last_send_at or parts.admission.refuses(request, now):
-            parts.retries.give_up(request)
+        if now >= request.last_send_at:
+            parts.retries.give_up(request, EndReason.TOO_LATE)
+            return
+        if parts.admission.refuses(request, now):
+            parts.retries.give_up(request, EndReason.REFUSED_AT_RANDOM)
             return
         # A placeholder of its queue gives up its place; a queue where nothing waits takes a tick at once.
         drawn = parts.choice.worker_with_placeholder(queue, now)
@@ -41,7 +44,7 @@
         if needs_probes:
             parts.probes.send(request, drawn, now)
         elif parts.admission.is_exhausted(request, now):
-            parts.admission.give_up(request)
+            parts.admission.give_up(request, now)
             return
         parts.admission.start_timer(request, now)
         parts.clock.run(now)
@@ -89,7 +92,7 @@
 
     def _retry(self, request: Request, worker: Worker, outcome: AttemptOutcome, now: int) -> None:
         if not self.parts.retries.may_retry(request, worker, outcome, now):
-            self.parts.retries.give_up(request)
+            self.parts.retries.give_up(request, EndReason.NO_FURTHER_ATTEMPT)
             return
         request.failed_on = worker
         request.queue.waiting.appendleft(request)
--- a/ploverspoke/protocol/admin.py
+++ b/ploverspoke/protocol/admin.py
@@ -1,6 +1,6 @@
 """The admin protocol: one line with a command, one reply that begins with +OK or -ERR."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 from .errors import AdminCommandError
 
@@ -48,7 +48,13 @@
 
 def operations_line(request_class: str, status: str, count: int) -> str:
     """Return the line for the requests of one class that ended with one status."""
-    return f'dispatcher_operations{{priority="{escape_label(request_class)}",status="{status}"}} {count}'
+    return labelled_line("operations", {"priority": request_class, "status": status}, count)
+
+
+def labelled_line(name: str, labels: Mapping[str, str], value: int) -> str:
+    """Return the line for one counter that is kept by labels."""
+    shown = ",".join(f'{label}="{escape_label(text)}"' for label, text in labels.items())
+    return f"dispatcher_{name}{{{shown}}} {value}"
 
 
 def counter_line(name: str, value: int) -> str:
--- a/ploverspoke/routing/admin_server.py
+++ b/ploverspoke/routing/admin_server.py
@@ -77,6 +77,8 @@
         yield admin.counter_line("out_of_rotation", out_of_rotation)
         yield admin.counter_line("cfg_accepted", counters.configs_accepted)
         yield admin.counter_line("cfg_invalid", counters.configs_invalid)
+        yield from self.router.endpoints.journal.lines()
+        yield from self.router.request_journal.lines()
 
     # ---- Room for connections ----
 
--- a/ploverspoke/routing/attempts.py
+++ b/ploverspoke/routing/attempts.py
@@ -86,6 +86,7 @@
         self.requests = context.requests
         self.dispatcher = context.dispatcher
         self.events = context.events
+        self.journal = context.request_journal
         self.endpoints = endpoints
         self.completion = completion
         self.recorder = recorder
@@ -181,6 +182,8 @@
             # Sent to one worker after the other it would make the decisions eject each of them.
             self.completion.answer(request, FinalAnswer.INVALID_REQUEST)
         elapsed = self.deadlines.now() - call.decided_at
+        list_age = self.endpoints.journal.list_age()
+        self.journal.attempt_ended(request, call.worker, call.index, outcome, elapsed, list_age)
         attempt_result = AttemptResult(call.worker, OUTCOMES[outcome], elapsed, request.client is None, load)
         event = partial(self.dispatcher.attempt_ended, request.number, call.index, attempt_result)
         self.events.emit(event, request.number)
--- a/ploverspoke/routing/completion.py
+++ b/ploverspoke/routing/completion.py
@@ -2,6 +2,7 @@
 
 from functools import partial
 
+from ploverspoke.decisions.interface import EndReason
 from ploverspoke.decisions.settings import Idempotency
 from ploverspoke.transport.rate_limited_log import log_line
 
@@ -23,6 +24,7 @@
         self.requests = context.requests
         self.dispatcher = context.dispatcher
         self.events = context.events
+        self.journal = context.request_journal
         self.recorder = recorder
 
     def answer(
@@ -95,6 +97,7 @@
         """After a fault, or at shutdown: reject what cannot have run or is idempotent, fail the others."""
         if request is None or request.client is None:
             return
+        self.journal.request_ended(request, "answered", EndReason.NO_DECISION)
         idempotency = self.settings.idempotency(request.class_number)
         if request.attempts and idempotency is not Idempotency.IDEMPOTENT:
             self.answer(request, FinalAnswer.FAILED)
--- a/ploverspoke/routing/context.py
+++ b/ploverspoke/routing/context.py
@@ -9,6 +9,7 @@
 from .active_settings import ActiveSettings
 from .counters import Counters
 from .event_queue import EventQueue
+from .request_journal import RequestJournal
 from .request_table import RequestTable
 
 
@@ -23,3 +24,4 @@
     requests: RequestTable
     dispatcher: Dispatcher
     events: EventQueue
+    request_journal: RequestJournal
--- a/ploverspoke/routing/endpoint_watch.py
+++ b/ploverspoke/routing/endpoint_watch.py
@@ -1,6 +1,6 @@
 """The watch on one address of discovery: one request after the other, until one fails."""
 
-from collections.abc import Callable
+from typing import Protocol
 
 from ploverspoke.protocol import discovery
 from ploverspoke.protocol.discovery import EndpointList
@@ -9,9 +9,10 @@
 from ploverspoke.transport.connections import Connection
 from ploverspoke.transport.deadlines import Deadline, Deadlines
 from ploverspoke.transport.outcomes import ExchangeOutcome
-from ploverspoke.transport.rate_limited_log import log_line
 from ploverspoke.transport.units import MILLISECOND, SECOND
 
+from .watch_journal import CallOutcome, CallReason, WatchJournal
+
 MAX_CONNECTIONS = 2  # the next request may need one before the last one's is closed completely
 CONNECT_TIMEOUT = 2 * SECOND
 # What a silent request keeps from the dispatcher binds it, as if received, 2 s after the wait that it was
@@ -24,13 +25,24 @@
 MIN_IMMEDIATE_RETRY_INTERVAL = SECOND  # a broken watch is no more often restarted without a backoff
 
 
+class WatchListener(Protocol):
+    """Whoever is told of lists and failures."""
+
+    def receive_list(self, body: bytes) -> EndpointList:
+        """Take the body of a list. Raises EndpointListError."""
+
+    def watch_failed(self, is_rejected: bool) -> None:
+        """The watch has ended; `is_rejected`: discovery has too many requests."""
+
+
 class WatchRequest:
     """One request, from its connection to its end; it reports nothing once the watch has another one."""
 
-    def __init__(self, watch: "EndpointWatch") -> None:
+    def __init__(self, watch: "EndpointWatch", reason: CallReason) -> None:
         """Ask for what is newer than the version that the watch has."""
         self.watch = watch
         self.version = watch.version
+        self.call = watch.journal.begin(reason, watch.address, watch.version)
         self.connection: Connection | None = None
         self.pending_connection: PendingConnection | None = None
         self.deadline: Deadline | None = None
@@ -76,28 +88,33 @@
     def on_connect_failed(self, outcome: ExchangeOutcome) -> None:
         """Fail."""
         self.pending_connection = None
-        self.watch.on_failed(self, is_rejected=False)
+        is_refused = outcome is ExchangeOutcome.CONNECTION_REFUSED
+        ended = CallOutcome.REFUSED if is_refused else CallOutcome.NOT_CONNECTED
+        self.watch.on_failed(self, outcome=ended, detail=outcome.name.lower())
 
     def on_data_available(self) -> None:
         """Read the response; a complete list is taken, whatever comes behind it."""
         if self.connection is None:
             return
-        failure: HttpSyntaxError | None = None
+        outcome, detail = CallOutcome.ANSWERED, ""
         try:
             self.connection.feed(self.reader)
+        except WatchRejectedError as error:
+            outcome, detail = CallOutcome.REJECTED, error.reason
         except HttpSyntaxError as error:
-            log_line(f"discovery: {error}")
-            failure = error
-        was_taken = self.body is None or self.watch.take_list(self.body, self.version)
-        if failure is not None or not was_taken:
-            self.watch.on_failed(self, is_rejected=isinstance(failure, WatchRejectedError))
+            outcome, detail = CallOutcome.INVALID, error.reason
+        problem = "" if self.body is None else self.watch.take_list(self.body, self.version)
+        if problem and outcome is CallOutcome.ANSWERED:
+            outcome, detail = CallOutcome.INVALID, problem
+        if outcome is not CallOutcome.ANSWERED:
+            self.watch.on_failed(self, outcome=outcome, detail=detail)
         elif self.body is not None:
             self.watch.on_answered(self)
 
     def on_disconnected(self) -> None:
         """Fail."""
         self.connection = None
-        self.watch.on_failed(self, is_rejected=False)
+        self.watch.on_failed(self, outcome=CallOutcome.BROKEN)
 
     def on_write_drained(self) -> None:
         """Do nothing: a request is written at once."""
@@ -125,22 +142,21 @@
         self,
         deadlines: Deadlines,
         address: str,
-        on_list: Callable[[bytes], EndpointList],
-        on_failure: Callable[[bool], None],
+        listener: WatchListener,
+        journal: WatchJournal,
         max_wait: int,
         is_pushed: bool = False,
     ) -> None:
-        """`on_list` is given the body of each list, and may raise EndpointListError.
+        """Discovery may wait `max_wait` ns for a change.
 
-        `on_failure` is given whether discovery has too many requests; the watch has ended then. Discovery
-        may wait `max_wait` ns for a change. With `is_pushed` changes bind the dispatcher
-        whether or not a watch is open, since an agent beside it without other callers delivers them: a watch
-        that breaks is restarted without the backoff that spreads requests.
+        With `is_pushed` changes bind the dispatcher whether or not a watch is open, since an agent beside it
+        without other callers delivers them: a watch that breaks is restarted without the backoff that
+        spreads requests.
         """
         self.deadlines = deadlines
         self.address = address
-        self.on_list = on_list
-        self.on_failure = on_failure
+        self.listener = listener
+        self.journal = journal
         self.max_wait = max_wait
         self.is_pushed = is_pushed
         self.immediate_retry_at = -MIN_IMMEDIATE_RETRY_INTERVAL  # when the last one was
@@ -149,13 +165,12 @@
             deadlines.loop, deadlines, MAX_CONNECTIONS, CONNECT_TIMEOUT, CONNECT_TIMEOUT
         )
         self.request: WatchRequest | None = None  # None: nobody watches
-        self.consecutive_timeouts = 0
         self.is_stopped = False
 
-    def start(self) -> None:
+    def start(self, reason: CallReason = CallReason.DUE) -> None:
         """Begin to watch, if that is not done already."""
         if self.request is None and not self.is_stopped:
-            self.request = WatchRequest(self)
+            self.request = WatchRequest(self, reason)
             self.deadlines.loop.call_soon(self.request.begin)  # never from inside the call that asked for it
 
     def stop(self) -> None:
@@ -164,30 +179,30 @@
         request, self.request = self.request, None
         if request is not None:
             request.abort()
+            self.journal.end(request.call, CallOutcome.ABANDONED)
 
     # ---- Called by requests, by each of them at most once ----
 
-    def take_list(self, body: bytes, requested_version: int | None) -> bool:
-        """Report a list; false if it could not be taken."""
+    def take_list(self, body: bytes, requested_version: int | None) -> str:
+        """Report a list; returns why it could not be taken, "" where it was."""
         try:
-            received = self.on_list(body)
+            received = self.listener.receive_list(body)
         except Exception as error:
             # Whatever a list holds, it must not end the watch for good.
-            log_line(f"discovery: {type(error).__name__}: {error}")
-            return False
+            return f"{type(error).__name__}: {error}"
         # Versions that went back are those of a restarted discovery: it would not report what it changed
         # before it reaches the version that is known here.
         went_back = requested_version is not None and received.version < requested_version
         self.version = None if went_back and not received.is_complete else received.version
-        self.consecutive_timeouts = 0
-        return True
+        return ""
 
     def on_answered(self, request: WatchRequest) -> None:
         """Send the next request at once, over the same connection if possible."""
         if self.request is not request:
             return  # the list that was reported has ended the watch
         connection = request.release()
-        self.request = WatchRequest(self)
+        self.journal.end(request.call, CallOutcome.ANSWERED)
+        self.request = WatchRequest(self, CallReason.ANSWERED)
         if connection is not None and request.is_reusable:
             self.request.on_connected(connection)
         else:
@@ -197,24 +212,24 @@
 
     def on_silent(self, request: WatchRequest) -> None:
         """Send the next request at once: it may be this connection alone, and the wait was backoff enough."""
-        self.consecutive_timeouts += 1
-        if self.consecutive_timeouts == 1:
-            log_line("discovery: a watch request timed out; sending the next one")
         request.abort()
         if self.request is request:
-            self.request = WatchRequest(self)
+            self.journal.end(request.call, CallOutcome.TIMED_OUT)
+            self.request = WatchRequest(self, CallReason.TIMED_OUT)
             self.request.begin()
 
-    def on_failed(self, request: WatchRequest, is_rejected: bool) -> None:
+    def on_failed(self, request: WatchRequest, outcome: CallOutcome, detail: str = "") -> None:
         """End the watch and report it; a pushed one is first restarted once."""
         request.abort()
         if self.request is not request:
             return
         self.request = None
+        self.journal.end(request.call, outcome, detail)
+        is_rejected = outcome is CallOutcome.REJECTED
         now = self.deadlines.now()
         may_retry = now - self.immediate_retry_at >= MIN_IMMEDIATE_RETRY_INTERVAL
         if self.is_pushed and not is_rejected and may_retry:
             self.immediate_retry_at = now
-            self.start()
+            self.start(CallReason.BROKEN_PUSH)
         else:
-            self.on_failure(is_rejected)
+            self.listener.watch_failed(is_rejected)
--- a/ploverspoke/routing/endpoints.py
+++ b/ploverspoke/routing/endpoints.py
@@ -16,6 +16,7 @@
 
 from .context import RoutingContext
 from .endpoint_watch import EndpointWatch
+from .watch_journal import CallReason, WatchJournal
 
 
 class EndpointDirectory:
@@ -34,6 +35,7 @@
         # Discovery gives starts in Unix time. One difference, taken once, converts them all, so that the
         # same start always has the same time.
         self.wall_clock_offset = time.time_ns() - time.monotonic_ns()
+        self.journal = WatchJournal(context.deadlines.now)
         self.watch = self._make_watch(discovery_address)
 
     def load_known(self, known: EndpointList, resume: bool) -> None:
@@ -67,7 +69,7 @@
         """Watch at another address, from the whole list on: its versions are its own."""
         self.watch.stop()
         self.watch = self._make_watch(address)
-        self.watch.start()
+        self.watch.start(CallReason.ADDRESS_CHANGED)
 
     def apply_settings(self) -> None:
         """Let the watch follow the current settings."""
@@ -78,13 +80,14 @@
         return EndpointWatch(
             self.deadlines,
             address,
-            self.receive_list,
-            self._on_watch_failed,
+            self,
+            self.journal,
             self.settings.max_watch_wait(),
             self.settings.is_pushed(),
         )
 
-    def _on_watch_failed(self, is_rejected: bool) -> None:
+    def watch_failed(self, is_rejected: bool) -> None:
+        """Leave it to the decisions when to watch again."""
         self.events.emit(partial(self.dispatcher.endpoint_watch_failed, is_rejected))
 
     def _report(self, received: EndpointList, is_complete: bool) -> None:
--- /dev/null
+++ b/ploverspoke/routing/request_journal.py
@@ -0,0 +1,56 @@
+"""A record of what became of requests: ends of attempts, and why a request was rejected or failed."""
+
+from collections import Counter
+from collections.abc import Iterator
+
+from ploverspoke.decisions.interface import EndReason
+from ploverspoke.protocol import admin
+from ploverspoke.transport.outcomes import ExchangeOutcome
+from ploverspoke.transport.rate_limited_log import RateLimitedLog
+from ploverspoke.transport.units import MILLISECOND, SECOND
+
+from .requests import Request
+
+BURST_LINES = 20
+LINES_PER_SECOND = 1.0  # beside all other lines, which these must not crowd out
+
+
+class RequestJournal:
+    """Counts every end, and logs as many as a rate of its own allows."""
+
+    def __init__(self) -> None:
+        """Begin with nothing counted."""
+        self.log = RateLimitedLog(BURST_LINES, LINES_PER_SECOND)
+        self.attempt_ends: Counter[ExchangeOutcome] = Counter()
+        self.request_ends: Counter[EndReason] = Counter()
+
+    def attempt_ended(
+        self, request: Request, worker: str, index: int, outcome: ExchangeOutcome, elapsed: int, list_age: int
+    ) -> None:
+        """Count the end of an attempt; one without success is logged. Times are in ns."""
+        self.attempt_ends[outcome] += 1
+        if outcome is not ExchangeOutcome.SUCCEEDED:
+            self.log.write(
+                f"request {request.request_id}: attempt {index + 1} at {worker} ended: "
+                f"{outcome.name.lower()} after {elapsed // MILLISECOND} ms; "
+                f"endpoint list {list_age / SECOND:.2f} s old"
+            )
+
+    def request_ended(self, request: Request | None, answer: str, reason: EndReason) -> None:
+        """Count and log a request that ends without success; None: it has ended already."""
+        if request is None or request.client is None:
+            return
+        self.request_ends[reason] += 1
+        self.log.write(
+            f"request {request.request_id} {answer}: {reason.value}, {len(request.attempts)} attempts made"
+        )
+
+    def lines(self) -> Iterator[str]:
+        """The counters that operators fetch."""
+        for outcome in ExchangeOutcome:
+            labels = {"outcome": outcome.name.lower()}
+            yield admin.labelled_line("attempt_ends", labels, self.attempt_ends[outcome])
+        for reason in EndReason:
+            yield admin.labelled_line(
+                "unsuccessful_ends", {"reason": reason.value}, self.request_ends[reason]
+            )
--- a/ploverspoke/routing/router.py
+++ b/ploverspoke/routing/router.py
@@ -4,7 +4,7 @@
 from functools import partial
 
 from ploverspoke.decisions.dispatcher import Dispatcher
-from ploverspoke.decisions.interface import LoadGossip
+from ploverspoke.decisions.interface import EndReason, LoadGossip
 from ploverspoke.decisions.settings import DeploymentNames, Settings
 from ploverspoke.protocol.discovery import EndpointList
 from ploverspoke.transport.connection_pool import ConnectionPool
@@ -22,6 +22,7 @@
 from .event_queue import EventQueue
 from .health_checks import HealthChecks
 from .load_gossip import GossipSocket
+from .request_journal import RequestJournal
 from .request_log import RequestLog
 from .request_recorder import RequestRecorder
 from .request_table import RequestTable
@@ -49,11 +50,19 @@
         self.counters = Counters()
         self.counters.show(settings.classes.numbers)
         self.requests = RequestTable()
+        self.request_journal = RequestJournal()
         self.events = EventQueue(self._on_decision_failed)
         self.dispatcher = Dispatcher(self, seed, settings.current)
         self.load_gossip: GossipSocket | None = None
         context = RoutingContext(
-            deadlines, pool, settings, self.counters, self.requests, self.dispatcher, self.events
+            deadlines,
+            pool,
+            settings,
+            self.counters,
+            self.requests,
+            self.dispatcher,
+            self.events,
+            self.request_journal,
         )
         self.recorder = None if request_log is None else RequestRecorder(context, request_log)
         self.completion = RequestCompletion(context, self.recorder)
@@ -116,13 +125,17 @@
         """Stop waiting for one attempt, counted from 0."""
         self.attempts.cancel(request_id, attempt)
 
-    def reject(self, request_id: int, retry_after: int) -> None:
+    def reject(self, request_id: int, retry_after: int, reason: EndReason = EndReason.NOT_STATED) -> None:
         """Give the final answer that a retry is harmless, after so many ns; 0 gives no advice on when."""
-        self.completion.answer(self.requests.get(request_id), FinalAnswer.REJECTED, "", retry_after)
+        request = self.requests.get(request_id)
+        self.request_journal.request_ended(request, "rejected", reason)
+        self.completion.answer(request, FinalAnswer.REJECTED, "", retry_after)
 
-    def fail(self, request_id: int) -> None:
+    def fail(self, request_id: int, reason: EndReason = EndReason.NOT_STATED) -> None:
         """Give the final answer that promises nothing about the effect."""
-        self.completion.answer(self.requests.get(request_id), FinalAnswer.FAILED)
+        request = self.requests.get(request_id)
+        self.request_journal.request_ended(request, "failed", reason)
+        self.completion.answer(request, FinalAnswer.FAILED)
 
     def wake_at(self, token: int, when: int) -> None:
         """Call `timer_fired(token)` at that time or as soon as possible after it."""
--- /dev/null
+++ b/ploverspoke/routing/watch_journal.py
@@ -0,0 +1,91 @@
+"""A record of the calls to discovery: ids, why each was made, how it ended, and how old the list was then."""
+
+from collections import Counter
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from enum import Enum
+
+from ploverspoke.protocol import admin
+from ploverspoke.transport.rate_limited_log import log_line
+from ploverspoke.transport.units import MILLISECOND, SECOND
+
+
+class CallReason(Enum):
+    """Why a call was made at the time at which it was made."""
+
+    DUE = "due"  # the first one, or the one after a backoff
+    ADDRESS_CHANGED = "address changed"
+    ANSWERED = "last call answered"
+    TIMED_OUT = "last call timed out"
+    BROKEN_PUSH = "pushed watch broke"
+
+
+class CallOutcome(Enum):
+    """How a call ended."""
+
+    ANSWERED = "answered"
+    REJECTED = "rejected"  # discovery has too many calls, or is down
+    REFUSED = "refused"  # the connection: nobody listens there
+    NOT_CONNECTED = "not_connected"
+    BROKEN = "broken"  # the connection ended before the answer
+    INVALID = "invalid"  # no list, or no HTTP
+    TIMED_OUT = "timed_out"
+    ABANDONED = "abandoned"  # another address is watched now
+
+
+@dataclass(frozen=True, slots=True)
+class WatchCall:
+    """One call, as the log names it."""
+
+    number: int
+    reason: CallReason
+    address: str
+    version: int | None  # that it asks for changes of; None: the whole list
+    began_at: int
+
+
+class WatchJournal:
+    """Numbers the calls, counts their ends and logs all but an ordinary one that follows another."""
+
+    def __init__(self, now: Callable[[], int]) -> None:
+        """`now` is the monotonic clock, in ns."""
+        self.now = now
+        self.calls_begun = 0
+        self.outcomes: Counter[CallOutcome] = Counter()
+        self.list_confirmed_at = now()  # of the last answer, or of the start
+        self.is_in_order = False  # the last call was answered; only a change of that is logged
+
+    def begin(self, reason: CallReason, address: str, version: int | None) -> WatchCall:
+        """Number a call that begins."""
+        self.calls_begun += 1
+        return WatchCall(self.calls_begun, reason, address, version, self.now())
+
+    def end(self, call: WatchCall, outcome: CallOutcome, detail: str = "") -> None:
+        """Count the end of a call, and log it where it is no ordinary one; `detail` says more."""
+        self.outcomes[outcome] += 1
+        is_answered = outcome is CallOutcome.ANSWERED
+        if not (is_answered and self.is_in_order):
+            self._log(call, outcome, detail)
+        if outcome is not CallOutcome.ABANDONED:
+            self.is_in_order = is_answered
+        if is_answered:
+            self.list_confirmed_at = self.now()
+
+    def list_age(self) -> int:
+        """The time (ns) since the last answer of discovery, or since the start."""
+        return self.now() - self.list_confirmed_at
+
+    def lines(self) -> Iterator[str]:
+        """The counters that operators fetch."""
+        for outcome in CallOutcome:
+            yield admin.labelled_line("watch_calls", {"outcome": outcome.value}, self.outcomes[outcome])
+        yield admin.counter_line("endpoint_list_age_ms", self.list_age() // MILLISECOND)
+
+    def _log(self, call: WatchCall, outcome: CallOutcome, detail: str) -> None:
+        elapsed = (self.now() - call.began_at) / MILLISECOND
+        version = "the whole list" if call.version is None else f"changes of version {call.version}"
+        log_line(
+            f"discovery: call {call.number} to {call.address} for {version} ({call.reason.value}): "
+            f"{outcome.value}{detail and f', {detail}'}, after {elapsed:.0f} ms; "
+            f"last answer {self.list_age() / SECOND:.2f} s ago"
+        )
--- a/ploverspoke/simulator/dispatcher_instance.py
+++ b/ploverspoke/simulator/dispatcher_instance.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable
 
 from ploverspoke.decisions.dispatcher import Dispatcher
-from ploverspoke.decisions.interface import Endpoint, LoadGossip
+from ploverspoke.decisions.interface import Endpoint, EndReason, LoadGossip
 from ploverspoke.protocol.gossip_messages import GossipMessage, GossipReader, encode_gossip
 from ploverspoke.service.config_reader import ConfigError
 from ploverspoke.service.settings import parse_settings
@@ -59,11 +59,11 @@
         """Stop waiting for an attempt."""
         self._reply(wire.CANCEL_ATTEMPT, {wire.REQUEST: request_id, wire.ATTEMPT: attempt})
 
-    def reject(self, request_id: int, retry_after: int) -> None:
+    def reject(self, request_id: int, retry_after: int, reason: EndReason = EndReason.NOT_STATED) -> None:
         """Give the final answer that a request did not run."""
         self._reply(wire.REJECT, {wire.REQUEST: request_id, wire.RETRY_AFTER: retry_after // MICROSECOND})
 
-    def fail(self, request_id: int) -> None:
+    def fail(self, request_id: int, reason: EndReason = EndReason.NOT_STATED) -> None:
         """Give the final answer that a request failed."""
         self._reply(wire.FAIL, {wire.REQUEST: request_id})
 
--- a/ploverspoke/testbed/virtual.py
+++ b/ploverspoke/testbed/virtual.py
@@ -4,7 +4,13 @@
 from functools import partial, wraps
 from typing import Any
 
-from ploverspoke.decisions.interface import AttemptOutcome, AttemptResult, Endpoint, EndpointCondition
+from ploverspoke.decisions.interface import (
+    AttemptOutcome,
+    AttemptResult,
+    Endpoint,
+    EndpointCondition,
+    EndReason,
+)
 from ploverspoke.decisions.settings import Settings
 from ploverspoke.routing.request_classes import RequestClassTable
 from ploverspoke.service.settings import parse_settings
@@ -217,10 +223,12 @@
             self._close(out)
             self.clock.at(self.clock.time, self._tell_end, out, "recalled" if out.reached else "not_sent")
 
-    def reject(self, submission_id: int, come_back_after: int) -> None:
+    def reject(
+        self, submission_id: int, come_back_after: int, reason: EndReason = EndReason.NOT_STATED
+    ) -> None:
         self._answer(submission_id, "nacked", come_back_after)
 
-    def fail(self, submission_id: int) -> None:
+    def fail(self, submission_id: int, reason: EndReason = EndReason.NOT_STATED) -> None:
         self._answer(submission_id, "abandoned")
 
     def wake_at(self, token: int, when: int) -> None:
--- a/ploverspoke/transport/rate_limited_log.py
+++ b/ploverspoke/transport/rate_limited_log.py
@@ -10,16 +10,18 @@
 class RateLimitedLog:
     """A token bucket in front of standard error; suppressed lines are counted and reported."""
 
-    def __init__(self) -> None:
-        """Begin with a full bucket."""
-        self.tokens = float(BURST_LINES)
+    def __init__(self, burst: int = BURST_LINES, lines_per_second: float = LINES_PER_SECOND) -> None:
+        """Begin with a full bucket of `burst` lines."""
+        self.burst = burst
+        self.lines_per_second = lines_per_second
+        self.tokens = float(burst)
         self.refilled_at = time.monotonic()  # seconds
         self.suppressed = 0  # lines since the last one that was written
 
     def write(self, line: str) -> None:
         """Write one line, or count it as suppressed where the rate is exceeded."""
         now = time.monotonic()
-        self.tokens = min(BURST_LINES, self.tokens + (now - self.refilled_at) * LINES_PER_SECOND)
+        self.tokens = min(self.burst, self.tokens + (now - self.refilled_at) * self.lines_per_second)
         self.refilled_at = now
         if self.tokens < 1:
             self.suppressed += 1
--- a/tests/decisions/harness.py
+++ b/tests/decisions/harness.py
@@ -13,6 +13,7 @@
     AttemptResult,
     Endpoint,
     EndpointCondition,
+    EndReason,
     LoadGossip,
 )
 from ploverspoke.decisions.settings import (
@@ -209,12 +210,12 @@
         self.attempts[request_id][attempt].times_out_at = self.clock
         self.attempts[request_id][attempt].cancelled = True
 
-    def reject(self, request_id: int, retry_after: int) -> None:
+    def reject(self, request_id: int, retry_after: int, reason: EndReason = EndReason.NOT_STATED) -> None:
         if self.settings.classes[self.class_of[request_id]].idempotency is not Idempotency.IDEMPOTENT:
             assert not any(self.may_have_run(each) for each in self.attempts[request_id])
         self._answer(request_id, Answer.REJECTED)
 
-    def fail(self, request_id: int) -> None:
+    def fail(self, request_id: int, reason: EndReason = EndReason.NOT_STATED) -> None:
         self._answer(request_id, Answer.FAILED)
 
     def _answer(self, request_id: int, answer: Answer) -> None:
--- a/tests/routing/test_endpoint_watch.py
+++ b/tests/routing/test_endpoint_watch.py
@@ -9,6 +9,7 @@
 from ploverspoke.protocol.discovery import EndpointList, read_endpoint_list
 from ploverspoke.protocol.errors import EndpointListError
 from ploverspoke.routing.endpoint_watch import EndpointWatch
+from ploverspoke.routing.watch_journal import WatchJournal
 from ploverspoke.service.settings import parse_names, parse_settings
 from ploverspoke.transport.deadlines import Deadlines
 from tests.decisions.harness import SETTINGS
@@ -39,10 +40,13 @@
         self.discovery, deadlines = HeldWorker(), Deadlines(loop)
         self.clock, self.lists, self.lost = Clock(deadlines), list[int](), list[bool]()
         self.clock.hold()
-        address, lost = f"127.0.0.1:{self.discovery.port}", self.lost.append
-        self.watch = EndpointWatch(deadlines, address, self.take_list, lost, 10 * SECOND, pushed)
+        address, journal = f"127.0.0.1:{self.discovery.port}", WatchJournal(deadlines.now)
+        self.watch = EndpointWatch(deadlines, address, self, journal, 10 * SECOND, pushed)
 
-    def take_list(self, body: bytes) -> EndpointList:
+    def watch_failed(self, is_rejected: bool) -> None:
+        self.lost.append(is_rejected)
+
+    def receive_list(self, body: bytes) -> EndpointList:
         received = read_endpoint_list(body)
         self.lists.append(received.version)
         return received
