--- /dev/null
+++ b/ploverspoke/testbed/list_age/discovery.py
@@ -0,0 +1,194 @@
+"""A discovery on loopback that fails as it is told to, and notes who called and what was written when."""
+
+import asyncio
+import contextlib
+import json
+import socket
+import struct
+from collections import deque
+from collections.abc import Iterable
+from enum import Enum
+from typing import Any, NamedTuple
+from urllib.parse import parse_qs, urlsplit
+
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+class Failure(Enum):
+    """How a call fails."""
+
+    REJECTED = "503"
+    RESET = "reset"
+    SILENT = "silent"
+    INVALID = "invalid"
+
+
+class CallSeen(NamedTuple):
+    """One call as discovery saw it."""
+
+    at: float  # of the event loop's clock
+    dispatcher: int
+    version: int | None  # None: the whole list was asked for
+
+
+class Turns(NamedTuple):
+    """Calls are worked through one after the other."""
+
+    call_time: float  # seconds that each takes
+    most_waiting: int  # further ones are rejected
+    rejections_take_a_turn: bool = False
+
+
+class ScriptedDiscovery:
+    """One discovery with an address for each dispatcher, by which it knows who calls."""
+
+    def __init__(self, entries: Iterable[dict[str, Any]], turns: Turns | None = None) -> None:
+        """`entries` are those of the list; without `turns` each call is answered at once."""
+        self.entries = list(entries)
+        self.version = 1
+        self.turns = turns
+        self.next_failures: deque[Failure] = deque()  # one for each of the next calls
+        self.outage: Failure | None = None  # how every call fails
+        self.is_refusing = False
+        self.calls: list[CallSeen] = []
+        self.written: dict[int, dict[int, float]] = {}  # by dispatcher and version: when first written
+        self.changed = asyncio.Event()
+        self.servers: dict[int, asyncio.Server] = {}
+        self.ports: dict[int, int] = {}
+        self.writers: set[asyncio.StreamWriter] = set()
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.waiting = 0
+        self.free_at = 0.0
+
+    # ---- What a test does with it ----
+
+    async def address_for(self, dispatcher: int) -> str:
+        """The address of this discovery for one dispatcher, where it listens from now on."""
+        await self._listen(dispatcher)
+        return f"127.0.0.1:{self.ports[dispatcher]}"
+
+    def change(self, worker: str, state: str) -> int:
+        """Change a worker's state; returns the version from which on the list shows it."""
+        self.version += 1
+        self.entries = [{**each, "state": state} if each["id"] == worker else each for each in self.entries]
+        self.changed.set()
+        self.changed = asyncio.Event()
+        return self.version
+
+    def reset_all(self) -> None:
+        """Reset every connection."""
+        for writer in list(self.writers):
+            _reset(writer)
+
+    async def refuse(self) -> None:
+        """Reset every connection and listen no more."""
+        self.is_refusing = True
+        for server in self.servers.values():
+            server.close()
+        self.servers.clear()
+        self.reset_all()
+
+    async def listen_again(self) -> None:
+        """Accept connections at all addresses again."""
+        self.is_refusing = False
+        for dispatcher in self.ports:
+            await self._listen(dispatcher)
+
+    def written_at(self, dispatcher: int, version: int) -> float | None:
+        """When a list of that version or a later one was first written to the dispatcher."""
+        times = [at for number, at in self.written.get(dispatcher, {}).items() if number >= version]
+        return min(times, default=None)
+
+    def close(self) -> None:
+        """End for good."""
+        for server in self.servers.values():
+            server.close()
+        self.reset_all()
+        for task in self.tasks:
+            task.cancel()
+
+    # ---- Calls ----
+
+    async def _listen(self, dispatcher: int) -> None:
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            task = asyncio.current_task()
+            assert task is not None
+            self.tasks.add(task)
+            self.writers.add(writer)
+            try:
+                with contextlib.suppress(
+                    ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError
+                ):
+                    while await self._serve_call(dispatcher, reader, writer):
+                        pass
+            finally:
+                self.tasks.discard(task)
+                self.writers.discard(writer)
+                writer.close()
+
+        listening = socket.socket()
+        listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listening.bind(("127.0.0.1", self.ports.get(dispatcher, 0)))
+        self.ports[dispatcher] = listening.getsockname()[1]
+        self.servers[dispatcher] = await asyncio.start_server(serve, sock=listening)
+
+    async def _serve_call(
+        self, dispatcher: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> bool:
+        """Answer one call; false where its connection ends."""
+        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+        query = parse_qs(urlsplit(head.split(" ")[1]).query)
+        version = int(query["from"][0]) if "from" in query else None
+        self.calls.append(CallSeen(asyncio.get_running_loop().time(), dispatcher, version))
+        failure = self.outage or (self.next_failures.popleft() if self.next_failures else None)
+        if failure is None and version == self.version:
+            # Waits take no turn, and are not rejected.
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(int(query["hold_ms"][0]) / 1000):
+                    await self.changed.wait()
+            failure = self.outage
+        elif failure is None and not await self._take_turn():
+            failure = Failure.REJECTED
+        if failure is Failure.RESET:
+            _reset(writer)
+            return False
+        if failure is Failure.SILENT:
+            await asyncio.Event().wait()
+        if failure is Failure.REJECTED:
+            writer.write(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
+            return True
+        body = b'{"version":"soon"}' if failure is Failure.INVALID else self._list(dispatcher, version)
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+        return True
+
+    async def _take_turn(self) -> bool:
+        """Wait until the calls before this one are worked through; false where too many wait."""
+        if self.turns is None:
+            return True
+        loop = asyncio.get_running_loop()
+        if self.waiting >= self.turns.most_waiting:
+            if self.turns.rejections_take_a_turn:
+                self.free_at = max(loop.time(), self.free_at) + self.turns.call_time
+            return False
+        self.waiting += 1
+        self.free_at = max(loop.time(), self.free_at) + self.turns.call_time
+        try:
+            await asyncio.sleep(self.free_at - loop.time())
+        finally:
+            self.waiting -= 1
+        return True
+
+    def _list(self, dispatcher: int, version: int | None) -> bytes:
+        is_newer = version is None or version < self.version
+        now = asyncio.get_running_loop().time()
+        self.written.setdefault(dispatcher, {}).setdefault(self.version, now)
+        entries = self.entries if is_newer else []
+        return json.dumps({"version": self.version, "full": is_newer, "servers": entries}).encode()
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    end = writer.get_extra_info("socket")
+    if end is not None and end.fileno() >= 0:
+        with contextlib.suppress(OSError):
+            end.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    writer.transport.abort()
--- /dev/null
+++ b/ploverspoke/testbed/list_age/processes.py
@@ -0,0 +1,82 @@
+"""Dispatchers as processes of their own, each with a configuration and a log in a folder."""
+
+import asyncio
+import json
+import os
+import signal
+import sys
+from pathlib import Path
+from typing import Any
+
+from ..processes.addresses import held_ports
+
+SETTINGS: dict[str, Any] = {
+    "Discovery": "ask",
+    "Domain": {"ProgressUs": 1_000_000, "TellsStart": True, "ReportX0": "free slots"},
+    "HostTypes": ["plain"],
+    "Invariants": {
+        "ColdShare": 0.3,
+        "FallUs": 2_000_000,
+        "MustAskInUs": 10_000_000,
+        "StopSendingWithinUs": 500_000,
+        "TipMultiple": 3.0,
+        "WarmWithinUs": 1_000_000,
+    },
+    "Limits": {"Cancel": True, "ConnectTimeoutUs": 150_000, "MaxHandOffs": 6, "Probing": True},
+    "Localities": ["a"],
+    "Report": {"Fields": ["backlog", "x0"], "Via": "on_probe"},
+    "RoundUs": 2000,
+    "ServiceGrades": [
+        {"Name": "look", "Repeat": "free", "ExpectedTimeUs": 500_000, "AbandonTimeUs": 900_000},
+        {"Name": "book", "Repeat": "single_shot", "ExpectedTimeUs": 500_000, "AbandonTimeUs": 900_000},
+    ],
+    "Tenants": [{"Name": "acme"}],
+}
+
+
+class DispatcherProcess:
+    """One dispatcher: the program itself, as an operator starts it."""
+
+    def __init__(self, folder: Path, number: int, discovery: str, seed: int, **settings: Any) -> None:
+        """Prepare its configuration; `settings` replace those above."""
+        self.port = held_ports(1)[0]
+        self.path = folder / f"dispatcher-{number}.json"
+        self.log = self.path.with_suffix(".log")
+        self.document: dict[str, Any] = {
+            "name": f"dispatcher-{number}",
+            "listen": f"127.0.0.1:{self.port}",
+            "discovery": discovery,
+            "seed": f"{seed:x}",
+            "settings": {**SETTINGS, **settings},
+        }
+        self.process: asyncio.subprocess.Process | None = None
+
+    async def start(self) -> None:
+        """Start the program; returns when it serves."""
+        self.path.write_text(json.dumps(self.document))
+        with self.log.open("wb") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                *(sys.executable, "-m", "ploverspoke"),
+                env={**os.environ, "RELAY_CONFIG": str(self.path)},
+                stderr=log,
+            )
+        async with asyncio.timeout(60):
+            while " serves at " not in self.log.read_text():
+                await asyncio.sleep(0.01)
+
+    def move_discovery(self, address: str) -> None:
+        """Replace its configuration by one that names another discovery, and say so."""
+        self.document = {**self.document, "discovery": address}
+        self.path.write_text(json.dumps(self.document))
+        self.send(signal.SIGHUP)
+
+    def send(self, number: signal.Signals) -> None:
+        """Send it a signal."""
+        assert self.process is not None
+        self.process.send_signal(number)
+
+    async def kill(self) -> None:
+        """End it at once."""
+        if self.process is not None and self.process.returncode is None:
+            self.process.kill()
+            await self.process.wait()
--- a/tests/decisions/harness.py
+++ b/tests/decisions/harness.py
@@ -24,6 +24,7 @@
     Settings,
 )
 from ploverspoke.decisions.state import MILLISECOND, SECOND
+from ploverspoke.testbed.list_age.processes import SETTINGS as SETTINGS
 
 MS = MILLISECOND
 DECISION_SETTINGS = Settings(
@@ -107,31 +108,6 @@
     return replace(DECISION_SETTINGS, classes=classes, **overrides)
 
 
-# Settings of a deployment, as the service reads them.
-SETTINGS: dict[str, Any] = {
-    "Discovery": "ask",
-    "Domain": {"ProgressUs": 1_000_000, "TellsStart": True, "ReportX0": "free slots"},
-    "HostTypes": ["plain"],
-    "Invariants": {
-        "ColdShare": 0.3,
-        "FallUs": 2_000_000,
-        "MustAskInUs": 10_000_000,
-        "StopSendingWithinUs": 500_000,
-        "TipMultiple": 3.0,
-        "WarmWithinUs": 1_000_000,
-    },
-    "Limits": {"Cancel": True, "ConnectTimeoutUs": 150_000, "MaxHandOffs": 6, "Probing": True},
-    "Localities": ["a"],
-    "Report": {"Fields": ["backlog", "x0"], "Via": "on_probe"},
-    "RoundUs": 2000,
-    "ServiceGrades": [
-        {"Name": "look", "Repeat": "free", "ExpectedTimeUs": 500_000, "AbandonTimeUs": 900_000},
-        {"Name": "book", "Repeat": "single_shot", "ExpectedTimeUs": 500_000, "AbandonTimeUs": 900_000},
-    ],
-    "Tenants": [{"Name": "acme"}],
-}
-
-
 def endpoint(
     name: str,
     condition: EndpointCondition = EndpointCondition.READY,
