--- a/ploverspoke/decisions/attempts.py
+++ b/ploverspoke/decisions/attempts.py
@@ -139,6 +139,14 @@
         else:
             self.ejection.record_probe(worker, outcome, now)
 
+    def confirmation_ended(self, worker: Worker, outcome: AttemptOutcome, now: int) -> None:
+        """A check of a worker that the list no longer covered has ended."""
+        if outcome is AttemptOutcome.WORKER_ERROR:
+            # It says itself that it fails or drains.
+            self.ejection.eject(worker, now)
+        elif outcome is not AttemptOutcome.NOT_SENT:
+            self.health_checked(worker, outcome, now)
+
     def _may_cancel(self, request: Request) -> bool:
         return (
             self.context.settings.cancel_allowed
--- a/ploverspoke/decisions/context.py
+++ b/ploverspoke/decisions/context.py
@@ -16,6 +16,12 @@
 DISCOVERY_CALL_NS = 125 * MILLISECOND  # of service discovery's time
 
 
+def time_for_all_calls(settings: Settings) -> int:
+    """Time in ns that service discovery takes for one call from each dispatcher, as far as is known."""
+    all_calls = settings.dispatcher_count * DISCOVERY_CALL_NS
+    return int(min(all_calls, settings.discovery_poll_interval // 2))
+
+
 class Context:
     """Shared by the parts of one dispatcher."""
 
@@ -45,5 +51,4 @@
         self.probes_per_request = min(MOST_PROBES, PROBE_BUDGET / max(1e-9, settings.probe_cost))
         self.cancels_per_request = CANCEL_BUDGET / max(1e-9, settings.waste_cost)
         self.silence_limit = settings.progress_interval * SILENT_HALF_INTERVALS // 2
-        all_calls, longest = settings.dispatcher_count * DISCOVERY_CALL_NS, settings.discovery_poll_interval
-        self.time_for_all_calls = int(min(all_calls, longest // 2))
+        self.time_for_all_calls = time_for_all_calls(settings)
--- a/ploverspoke/decisions/dispatcher.py
+++ b/ploverspoke/decisions/dispatcher.py
@@ -113,13 +113,29 @@
     def endpoints_changed(self, endpoints: Iterable[Endpoint]) -> None:
         """Changes of the list, in order."""
         now = self.actions.now()
-        self.parts.polling.failures = 0
+        self.parts.polling.answered()
         for endpoint in endpoints:
             self.parts.endpoints.update(endpoint, now)
 
-    def endpoint_watch_failed(self, is_rejected: bool = False) -> None:
-        """The watch of the list has ended without an answer, or service discovery was too busy for it."""
-        self.parts.polling.watch_failed(is_rejected, self.actions.now())
+    def endpoint_list_confirmed(self, as_of: int) -> None:
+        """Service discovery has answered: all that it had at `as_of` was reported before this event.
+
+        The first such event begins the list's validity. Who never reports any has changes reported
+        unasked, or asks in another way.
+        """
+        self.parts.polling.answered()
+        self.parts.validity.confirm(as_of, self.actions.now())
+
+    def endpoint_watch_failed(self, is_rejected: bool = False, is_unreachable: bool = False) -> None:
+        """The watch of the list has ended without an answer, or service discovery was too busy for it.
+
+        `is_unreachable`: it has certainly nothing to tell, as nobody listens there.
+        """
+        self.parts.polling.watch_failed(is_rejected, is_unreachable, self.actions.now())
+
+    def discovery_moved(self) -> None:
+        """Service discovery has another address; the list is asked for there by `watch_endpoints`."""
+        self.parts.polling.moved(self.actions.now())
 
     def probe_completed(
         self, worker_name: str, outcome: AttemptOutcome, elapsed: int, load: LoadReport | None
@@ -127,6 +143,9 @@
         """A probe has ended, whatever it was sent for."""
         parts, worker, now = self.parts, self.workers[worker_name], self.actions.now()
         purpose, worker.probe = worker.probe, None
+        parts.confirmation.completed(worker)
+        if outcome is AttemptOutcome.SUCCEEDED:
+            worker.healthy_at = now - elapsed
         if outcome is AttemptOutcome.SUCCEEDED and load:
             parts.reports.record(worker, load, now)
         elif outcome is AttemptOutcome.SUCCEEDED:
@@ -136,6 +155,9 @@
             parts.service.probe_answered(worker, now)
         elif purpose is ProbePurpose.HEALTH:
             parts.attempts.health_checked(worker, outcome, now)
+        elif purpose is ProbePurpose.CONFIRMATION:
+            parts.attempts.confirmation_ended(worker, outcome, now)
+            parts.service.worker_confirmed(now)
         else:
             parts.ejection.record_probe(worker, outcome, now)
 
@@ -153,7 +175,8 @@
         elif timer is PeriodicTimer.CLOCK_TICK:
             parts.service.tick(now)
         elif timer is PeriodicTimer.WATCH_ENDPOINTS:
-            self.actions.watch_endpoints()
+            if parts.polling.is_due(token):
+                self.actions.watch_endpoints()
         elif timer is not None:
             parts.gossip.send(now, to_all=timer is PeriodicTimer.GOSSIP_TO_ALL)
 
@@ -171,6 +194,19 @@
 
     # ---- Queries ----
 
+    def may_send_to(self, worker_name: str) -> bool:
+        """Whether an attempt that was decided on may be written now."""
+        worker = self.workers[worker_name]
+        return worker.ready and self.parts.validity.covers(worker, self.actions.now())
+
+    def list_time_left(self) -> int | None:
+        """Time in ns until the endpoint list expires, less than 0 after that; None: it does not."""
+        return self.parts.validity.time_left(self.actions.now())
+
+    def list_expirations(self) -> int:
+        """How often the endpoint list has expired."""
+        return self.parts.validity.expirations
+
     def listed_workers(self) -> list[Worker]:
         """Workers that the endpoint list shows, ready or draining."""
         gone = EndpointCondition.GONE
--- a/ploverspoke/decisions/endpoints.py
+++ b/ploverspoke/decisions/endpoints.py
@@ -1,4 +1,4 @@
-"""The endpoint list: who is ready, who has started anew, and when the list is asked for again."""
+"""The endpoint list: who is ready, and who has started anew."""
 
 from dataclasses import dataclass
 
@@ -6,13 +6,9 @@
 from .context import Context
 from .interface import Endpoint, EndpointCondition
 from .outlier_ejection import OutlierEjection
-from .state import MILLISECOND, SECOND, PeriodicTimer, Worker
+from .state import Worker
 from .worker_choice import WorkerChoice
 
-FIRST_BACKOFF_NS = 250 * MILLISECOND
-LONGEST_BACKOFF_NS = 3 * SECOND
-MOST_DOUBLINGS = 5
-
 
 @dataclass(eq=False)
 class EndpointUpdates:
@@ -45,35 +41,3 @@
         worker.ready = ready
         if is_probed:
             self.ejection.suspect(worker, now)
-
-
-@dataclass(eq=False)
-class EndpointPolling:
-    """Calls service discovery, spread over time so that dispatchers do not find each other in its queue."""
-
-    context: Context
-    failures: int = 0  # in a row
-
-    def begin(self, has_workers: bool, now: int) -> None:
-        """Watch the list from a random moment on, or at once where no worker is known."""
-        if self.context.settings.discovery_polling and has_workers:
-            delay = int(self.context.random.fraction() * self.context.time_for_all_calls)
-            self.context.timers.start(PeriodicTimer.WATCH_ENDPOINTS, now + delay)
-        elif self.context.settings.discovery_polling:
-            self.context.actions.watch_endpoints()
-
-    def watch_failed(self, is_rejected: bool, now: int) -> None:
-        """Watch again after a backoff; after a rejection it leaves time for the calls of all."""
-        self.failures += 1
-        doublings, longest = min(self.failures, MOST_DOUBLINGS), self.context.settings.discovery_poll_interval
-        for_all = self.context.time_for_all_calls if is_rejected else 0
-        own, shared = FIRST_BACKOFF_NS << doublings, for_all << doublings - 1
-        backoff = max(min(own, longest // 4), min(shared, longest * 2 // 3))
-        backoff = max(for_all, min(backoff, LONGEST_BACKOFF_NS))
-        delay = int(backoff * (0.5 + self.context.random.fraction()))
-        reason = "leaves time for the calls of all dispatchers" if is_rejected else "grows with each failure"
-        self.context.log.write(
-            f"endpoint watch failed, {self.failures} in a row; "
-            f"next call in {delay / SECOND:.2f} s: a backoff that {reason}"
-        )
-        self.context.timers.start(PeriodicTimer.WATCH_ENDPOINTS, now + delay)
--- a/ploverspoke/decisions/parts.py
+++ b/ploverspoke/decisions/parts.py
@@ -6,10 +6,12 @@
 from .attempts import Attempts, Retries
 from .capacity import CapacityEstimates, SlowStart
 from .context import Context
-from .endpoints import EndpointPolling, EndpointUpdates
+from .endpoint_polling import EndpointPolling
+from .endpoints import EndpointUpdates
 from .gossip import GossipExchange
 from .gossip_state import PeerReports
 from .interface import DispatchActions
+from .list_validity import HealthConfirmation, ListValidity
 from .load_probes import LoadProbes
 from .observations import LoadReports, Observations, StartLateness
 from .outlier_ejection import OutlierEjection
@@ -42,6 +44,8 @@
     clock: SharedClock
     service: QueueService
     endpoints: EndpointUpdates
+    validity: ListValidity
+    confirmation: HealthConfirmation
     polling: EndpointPolling
 
 
@@ -56,7 +60,8 @@
     gossip = GossipExchange(context, lateness, PeerReports(workers))
     capacity = CapacityEstimates(context, workers, seen, gossip)
     slow_start = SlowStart(context, workers, seen)
-    choice = WorkerChoice(context, workers, seen, capacity, slow_start, gossip)
+    validity, confirmation = ListValidity(context), HealthConfirmation(context)
+    choice = WorkerChoice(context, workers, seen, capacity, slow_start, gossip, validity, confirmation)
     ejection = OutlierEjection(context, workers, choice)
     probes = LoadProbes(context, seen, reports, capacity, ejection)
     attempts = Attempts(context, requests, seen, capacity, gossip, slow_start, choice, ejection)
@@ -82,5 +87,7 @@
         clock=clock,
         service=QueueService(context, clock, choice, capacity, probes, attempts),
         endpoints=EndpointUpdates(context, workers, choice, slow_start, ejection),
-        polling=EndpointPolling(context),
+        validity=validity,
+        confirmation=confirmation,
+        polling=EndpointPolling(context, validity),
     )
--- a/ploverspoke/decisions/queues.py
+++ b/ploverspoke/decisions/queues.py
@@ -138,6 +138,13 @@
                 self._send(request, worker, now)
                 return
 
+    def worker_confirmed(self, now: int) -> None:
+        """A worker may be sent to again: the heads of all queues are looked at."""
+        for queue in self.clock.queues.values():
+            queue.no_capacity_until = now
+            if queue.waiting:
+                self.serve(queue, now)
+
     def probe_answered(self, worker: Worker, now: int) -> None:
         """Decide for each queue whose probes are all answered."""
         for queue in self.clock.queues.values():
--- a/ploverspoke/decisions/state.py
+++ b/ploverspoke/decisions/state.py
@@ -33,6 +33,7 @@
     LOAD = auto()  # before an attempt
     HEALTH = auto()  # of a suspected worker
     READMISSION = auto()  # of an ejected worker
+    CONFIRMATION = auto()  # of one that the endpoint list alone no longer covers
 
 
 @dataclass(frozen=True, slots=True, eq=False)
@@ -59,6 +60,7 @@
         self.unstarted: dict[int, int] = {}  # those without a known start, and when they were sent
         self.latest_start_sent_at = 0  # when the latest attempt that has started was sent
         self.heard_at = 0  # latest report on any attempt
+        self.healthy_at = -SECOND * 3600  # when the latest health check was sent that it answered well
         # Capacity estimate.
         self.capacity = capacity
         self.capacity_before_cut = capacity
@@ -229,11 +231,12 @@
         self.pending: dict[int, Timer] = {}
         self.next_token = 1
 
-    def start(self, timer: Timer, when: int) -> None:
-        """Have the timer fire at `when` or as soon as possible after it."""
-        self.pending[self.next_token] = timer
-        self.actions.wake_at(self.next_token, when)
-        self.next_token += 1
+    def start(self, timer: Timer, when: int) -> int:
+        """Have the timer fire at `when` or as soon as possible after it; returns its token."""
+        token, self.next_token = self.next_token, self.next_token + 1
+        self.pending[token] = timer
+        self.actions.wake_at(token, when)
+        return token
 
     def take(self, token: int) -> Timer | None:
         """The timer that has fired, once."""
--- a/ploverspoke/decisions/worker_choice.py
+++ b/ploverspoke/decisions/worker_choice.py
@@ -1,7 +1,7 @@
 """Choice of a worker by tiers: random fit (RF, Psychas and Ghaderi), the better of two drawn at random."""
 
 from collections import defaultdict
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from math import ceil
 from zlib import crc32
@@ -9,6 +9,7 @@
 from .capacity import CapacityEstimates, SlowStart
 from .context import Context
 from .gossip import GossipExchange
+from .list_validity import HealthConfirmation, ListValidity
 from .observations import Observations
 from .settings import Idempotency
 from .state import MILLISECOND, Request, RequestQueue, Worker
@@ -19,6 +20,7 @@
 MORE_PREFERRED = 2  # workers, where the preferred ones have no capacity
 FAR_LESS_LATE = 0.5  # than its own zone another must be to be sent to
 
+WorkerTest = Callable[[Worker, RequestQueue, int, Request | None], bool]
 Tiers = list[list[Worker]]  # best first
 TierKey = tuple[int, bool, str, int]  # machine kind, own zone first, affinity key, preferred workers
 
@@ -33,6 +35,8 @@
     capacity: CapacityEstimates
     slow_start: SlowStart
     gossip: GossipExchange
+    validity: ListValidity
+    confirmation: HealthConfirmation
     kept_tiers: dict[TierKey, Tiers] = field(default_factory=dict)
 
     def forget_tiers(self) -> None:
@@ -44,6 +48,18 @@
         narrow = request is not None and (request.retry_group is not None or request.affinity_key != "")
         if now < queue.no_capacity_until and not narrow:
             return []
+        found = self._draw(queue, now, request, self.has_capacity)
+        if found:
+            return found
+        if not narrow:
+            queue.no_capacity_until = now + SEARCH_INTERVAL_NS
+        if self.context.settings.probing_allowed and not self.validity.is_valid(now):
+            self.confirmation.request(self._draw(queue, now, request, self._has_capacity_if_confirmed))
+        return []
+
+    def _draw(
+        self, queue: RequestQueue, now: int, request: Request | None, is_usable: WorkerTest
+    ) -> list[Worker]:
         settings, random = self.context.settings, self.context.random
         for tier in self.tiers(queue.machine_kind, request):
             found: list[Worker] = []
@@ -51,12 +67,10 @@
             # Drawing until two have capacity gives the same pairs as a list of all that have, for less work.
             while left and len(found) < 2:
                 worker = left.pop(random.below(len(left)))
-                if self.has_capacity(worker, queue, now, request):
+                if is_usable(worker, queue, now, request):
                     found.append(worker)
             if found:
                 return found
-        if not narrow:
-            queue.no_capacity_until = now + SEARCH_INTERVAL_NS
         return []
 
     def _without_late_zones(self, tier: list[Worker], now: int) -> list[Worker]:
@@ -114,16 +128,28 @@
 
     def has_capacity(self, worker: Worker, queue: RequestQueue, now: int, request: Request | None) -> bool:
         """Whether a request may go there and is expected to start at once."""
+        return self.validity.covers(worker, now) and self._has_capacity_if_confirmed(
+            worker, queue, now, request
+        )
+
+    def _has_capacity_if_confirmed(
+        self, worker: Worker, queue: RequestQueue, now: int, request: Request | None
+    ) -> bool:
         return (
             (request is None or request.may_retry_at(worker))
             and worker.probe is None
             and self.capacity.free(worker, now) >= queue.slots
             and not self.capacity.has_pending_start(worker, now)
-            and self.allows(worker, queue, now, request)
+            and self._allows_if_confirmed(worker, queue, now, request)
         )
 
     def allows(self, worker: Worker, queue: RequestQueue, now: int, request: Request | None) -> bool:
         """Whether the rules and the needs of a request let it go there."""
+        return self.validity.covers(worker, now) and self._allows_if_confirmed(worker, queue, now, request)
+
+    def _allows_if_confirmed(
+        self, worker: Worker, queue: RequestQueue, now: int, request: Request | None
+    ) -> bool:
         if not worker.ready or queue.machine_kind not in (-1, worker.endpoint.machine_kind):
             return False
         is_risky = request is not None and request.rules.idempotency is Idempotency.NON_IDEMPOTENT
--- a/ploverspoke/routing/active_settings.py
+++ b/ploverspoke/routing/active_settings.py
@@ -3,13 +3,11 @@
 from collections.abc import Collection, Sequence
 from dataclasses import replace
 
+from ploverspoke.decisions.context import time_for_all_calls
 from ploverspoke.decisions.settings import DeploymentNames, Idempotency, Settings
-from ploverspoke.transport.units import SECOND
 
 from .request_classes import RequestClassTable
 
-MAX_WATCH_WAIT = 20 * SECOND  # that one watch request allows discovery
-
 
 class ActiveSettings:
     """The current settings, with classes, zones and machine kinds under numbers that never change meaning."""
@@ -57,9 +55,11 @@
         """Whether requests of the class may run more than once."""
         return self.current.classes[class_number].idempotency
 
-    def max_watch_wait(self) -> int:
-        """How long (ns) discovery may hold back the response to a watch request."""
-        return min(MAX_WATCH_WAIT, int(self.current.discovery_poll_interval))
+    def watch_pace(self) -> tuple[int, int, bool]:
+        """The arguments of `WatchPace`."""
+        current = self.current
+        longest = current.discovery_poll_interval
+        return time_for_all_calls(current), int(longest), current.probing_allowed
 
     def is_pushed(self) -> bool:
         """Whether changes of the endpoint list bind the dispatcher without being asked for."""
--- a/ploverspoke/routing/attempts.py
+++ b/ploverspoke/routing/attempts.py
@@ -159,7 +159,8 @@
         request = call.request
         allowed = (
             request.client is not None
-            and self.dispatcher.workers[call.worker].ready  # it may be draining or gone by now
+            # It may be draining or gone by now, or too little is known of it.
+            and self.dispatcher.may_send_to(call.worker)
             and self.endpoints.addresses.get(call.worker) == call.address
             and (self.recorder is None or self.recorder.is_leader())
             and not request.client.has_disconnected()
--- a/ploverspoke/routing/endpoint_watch.py
+++ b/ploverspoke/routing/endpoint_watch.py
@@ -12,16 +12,15 @@
 from ploverspoke.transport.units import MILLISECOND, SECOND
 
 from .watch_journal import CallOutcome, CallReason, WatchJournal
+from .watch_pace import WatchPace
 
 MAX_CONNECTIONS = 2  # the next request may need one before the last one's is closed completely
 CONNECT_TIMEOUT = 2 * SECOND
-# What a silent request keeps from the dispatcher binds it, as if received, 2 s after the wait that it was
-# allowed, or 6 s after it fell silent, if that is later or it was allowed none. The response to the next
-# request has to be here by then, and where all watches fall silent at once discovery works through the next
-# requests of all, one by one (six took 2 s). The response to a wait comes when that is over, also from a busy
-# discovery.
-RESPONSE_TIMEOUT = 250 * MILLISECOND  # beyond the wait
-FULL_LIST_TIMEOUT = 4 * SECOND  # for a request that may not wait, but has to wait its turn
+# For connection and response, beyond the wait that discovery is allowed. Crowded, it works through the calls
+# of all one by one and gives up those that wait for over 2 s; where that is too short, the next gets more.
+RESPONSE_TIMEOUT = 2250 * MILLISECOND
+MAX_RESPONSE_TIMEOUT = 2 * RESPONSE_TIMEOUT
+WAIT_TOLERANCE = 20 * MILLISECOND  # by which a wait may end early
 MIN_IMMEDIATE_RETRY_INTERVAL = SECOND  # a broken watch is no more often restarted without a backoff
 
 
@@ -31,8 +30,14 @@
     def receive_list(self, body: bytes) -> EndpointList:
         """Take the body of a list. Raises EndpointListError."""
 
-    def watch_failed(self, is_rejected: bool) -> None:
-        """The watch has ended; `is_rejected`: discovery has too many requests."""
+    def list_confirmed(self, as_of: int) -> None:
+        """All that discovery had at that time (monotonic ns) has been received."""
+
+    def list_time_left(self) -> int | None:
+        """Time in ns until the list expires, less than 0 after that; None: it does not."""
+
+    def watch_failed(self, outcome: CallOutcome) -> None:
+        """The watch has ended."""
 
 
 class WatchRequest:
@@ -46,6 +51,9 @@
         self.connection: Connection | None = None
         self.pending_connection: PendingConnection | None = None
         self.deadline: Deadline | None = None
+        self.sent_at = 0
+        self.max_wait = watch.wait_for(reason)  # that discovery is allowed
+        self.received: EndpointList | None = None
         self.reader = discovery.EndpointListReader(self._on_complete)
         self.body: bytes | None = None  # of the response, when that is complete
         self.is_reusable = False  # the connection, after the response
@@ -54,6 +62,8 @@
     def begin(self) -> None:
         """Get a connection, unless the watch has another request by now."""
         if self.watch.request is self:
+            # One deadline for connection and response: a bound on each would not bound their sum.
+            self._set_deadline(self.watch.response_timeout(self.max_wait))
             self.pending_connection = self.watch.pool.acquire(self.watch.address, self)
 
     def release(self) -> Connection | None:
@@ -81,9 +91,10 @@
         self.pending_connection = None
         self.connection = connection
         connection.user = self
-        timeout = FULL_LIST_TIMEOUT if self.version is None else watch.max_wait + RESPONSE_TIMEOUT
-        self.deadline = watch.deadlines.schedule(watch.deadlines.now() + timeout, self._on_timeout)
-        connection.write(discovery.encode_watch_request(self.version, watch.max_wait, watch.address))
+        self.sent_at = watch.deadlines.now()
+        if self.deadline is None:
+            self._set_deadline(watch.response_timeout(self.max_wait))
+        connection.write(discovery.encode_watch_request(self.version, self.max_wait, watch.address))
 
     def on_connect_failed(self, outcome: ExchangeOutcome) -> None:
         """Fail."""
@@ -103,7 +114,7 @@
             outcome, detail = CallOutcome.REJECTED, error.reason
         except HttpSyntaxError as error:
             outcome, detail = CallOutcome.INVALID, error.reason
-        problem = "" if self.body is None else self.watch.take_list(self.body, self.version)
+        problem = "" if self.body is None else self.watch.take_list(self)
         if problem and outcome is CallOutcome.ANSWERED:
             outcome, detail = CallOutcome.INVALID, problem
         if outcome is not CallOutcome.ANSWERED:
@@ -119,6 +130,22 @@
     def on_write_drained(self) -> None:
         """Do nothing: a request is written at once."""
 
+    def confirmed_at(self) -> int:
+        """The time as of which the response tells all that discovery had.
+
+        A response without a change was written when the wait was over. Any other may have been written at
+        any time since the request, and have been read late, as this process may have been stopped.
+        """
+        elapsed, received = self.watch.deadlines.now() - self.sent_at, self.received
+        has_no_change = received is not None and not received.entries and received.version == self.version
+        if has_no_change and elapsed >= self.max_wait - WAIT_TOLERANCE:
+            return self.sent_at + min(elapsed, self.max_wait)
+        return self.sent_at
+
+    def _set_deadline(self, timeout: int) -> None:
+        deadlines = self.watch.deadlines
+        self.deadline = deadlines.schedule(deadlines.now() + timeout, self._on_timeout)
+
     def _on_complete(self, body: bytes, reusable: bool) -> None:
         if self.body is not None:
             self.reader.fail(HttpSyntaxError("more than one answer"))
@@ -129,8 +156,7 @@
         if has_unread_data and not self.was_read_at_timeout:
             # This process may have been stopped: what came in time is read first.
             self.was_read_at_timeout = True
-            now = self.watch.deadlines.now()
-            self.deadline = self.watch.deadlines.schedule(now + MILLISECOND, self._on_timeout)
+            self._set_deadline(MILLISECOND)
         else:
             self.watch.on_silent(self)
 
@@ -144,10 +170,10 @@
         address: str,
         listener: WatchListener,
         journal: WatchJournal,
-        max_wait: int,
+        pace: WatchPace,
         is_pushed: bool = False,
     ) -> None:
-        """Discovery may wait `max_wait` ns for a change.
+        """Discovery may wait as long for a change as `pace` says.
 
         With `is_pushed` changes bind the dispatcher whether or not a watch is open, since an agent beside it
         without other callers delivers them: a watch that breaks is restarted without the backoff that
@@ -157,13 +183,14 @@
         self.address = address
         self.listener = listener
         self.journal = journal
-        self.max_wait = max_wait
+        self.pace = pace
         self.is_pushed = is_pushed
         self.immediate_retry_at = -MIN_IMMEDIATE_RETRY_INTERVAL  # when the last one was
         self.version: int | None = None  # of the list that was received last; None: the whole list is needed
         self.pool = ConnectionPool(
             deadlines.loop, deadlines, MAX_CONNECTIONS, CONNECT_TIMEOUT, CONNECT_TIMEOUT
         )
+        self.consecutive_timeouts = 0
         self.request: WatchRequest | None = None  # None: nobody watches
         self.is_stopped = False
 
@@ -183,10 +210,24 @@
 
     # ---- Called by requests, by each of them at most once ----
 
-    def take_list(self, body: bytes, requested_version: int | None) -> str:
-        """Report a list; returns why it could not be taken, "" where it was."""
+    def wait_for(self, reason: CallReason) -> int:
+        """How long (ns) the next request lets discovery wait for a change."""
+        if self.version is None:
+            return 0  # the whole list comes at once
+        time_left = self.listener.list_time_left()
+        return self.pace.wait(time_left, is_continued=reason is CallReason.ANSWERED)
+
+    def response_timeout(self, max_wait: int) -> int:
+        """How long (ns) a request may take that lets discovery wait for `max_wait` ns."""
+        if max_wait:
+            return max_wait + self.pace.lateness_limit()
+        return min(RESPONSE_TIMEOUT << self.consecutive_timeouts, MAX_RESPONSE_TIMEOUT)
+
+    def take_list(self, request: WatchRequest) -> str:
+        """Report the list of a response; returns why it could not be taken, "" where it was."""
+        body, requested_version = request.body or b"", request.version
         try:
-            received = self.listener.receive_list(body)
+            request.received = received = self.listener.receive_list(body)
         except Exception as error:
             # Whatever a list holds, it must not end the watch for good.
             return f"{type(error).__name__}: {error}"
@@ -201,7 +242,10 @@
         if self.request is not request:
             return  # the list that was reported has ended the watch
         connection = request.release()
+        self.consecutive_timeouts = 0
         self.journal.end(request.call, CallOutcome.ANSWERED)
+        self.pace.record(request.max_wait, self.deadlines.now() - request.sent_at)
+        self.listener.list_confirmed(request.confirmed_at())
         self.request = WatchRequest(self, CallReason.ANSWERED)
         if connection is not None and request.is_reusable:
             self.request.on_connected(connection)
@@ -214,6 +258,7 @@
         """Send the next request at once: it may be this connection alone, and the wait was backoff enough."""
         request.abort()
         if self.request is request:
+            self.consecutive_timeouts += 1
             self.journal.end(request.call, CallOutcome.TIMED_OUT)
             self.request = WatchRequest(self, CallReason.TIMED_OUT)
             self.request.begin()
@@ -225,11 +270,10 @@
             return
         self.request = None
         self.journal.end(request.call, outcome, detail)
-        is_rejected = outcome is CallOutcome.REJECTED
         now = self.deadlines.now()
         may_retry = now - self.immediate_retry_at >= MIN_IMMEDIATE_RETRY_INTERVAL
-        if self.is_pushed and not is_rejected and may_retry:
+        if self.is_pushed and outcome is not CallOutcome.REJECTED and may_retry:
             self.immediate_retry_at = now
             self.start(CallReason.BROKEN_PUSH)
         else:
-            self.listener.watch_failed(is_rejected)
+            self.listener.watch_failed(outcome)
--- a/ploverspoke/routing/endpoints.py
+++ b/ploverspoke/routing/endpoints.py
@@ -16,7 +16,8 @@
 
 from .context import RoutingContext
 from .endpoint_watch import EndpointWatch
-from .watch_journal import CallReason, WatchJournal
+from .watch_journal import CallOutcome, CallReason, WatchJournal
+from .watch_pace import WatchPace
 
 
 class EndpointDirectory:
@@ -37,6 +38,7 @@
         self.wall_clock_offset = time.time_ns() - time.monotonic_ns()
         self.journal = WatchJournal(context.deadlines.now)
         self.watch = self._make_watch(discovery_address)
+        self.has_moved = False  # to another address, which was not called yet
 
     def load_known(self, known: EndpointList, resume: bool) -> None:
         """Begin with a list from before the start.
@@ -63,17 +65,20 @@
 
     def start_watch(self) -> None:
         """Watch the list, if that is not done already."""
-        self.watch.start()
+        reason = CallReason.ADDRESS_CHANGED if self.has_moved else CallReason.DUE
+        self.has_moved = False
+        self.watch.start(reason)
 
     def change_address(self, address: str) -> None:
         """Watch at another address, from the whole list on: its versions are its own."""
         self.watch.stop()
         self.watch = self._make_watch(address)
-        self.watch.start(CallReason.ADDRESS_CHANGED)
+        self.has_moved = True
+        self.events.emit(partial(self.dispatcher.discovery_moved))
 
     def apply_settings(self) -> None:
         """Let the watch follow the current settings."""
-        self.watch.max_wait = self.settings.max_watch_wait()
+        self.watch.pace.configure(*self.settings.watch_pace())
         self.watch.is_pushed = self.settings.is_pushed()
 
     def _make_watch(self, address: str) -> EndpointWatch:
@@ -82,13 +87,25 @@
             address,
             self,
             self.journal,
-            self.settings.max_watch_wait(),
+            WatchPace(*self.settings.watch_pace()),
             self.settings.is_pushed(),
         )
 
-    def watch_failed(self, is_rejected: bool) -> None:
+    def list_confirmed(self, as_of: int) -> None:
+        """Report that all that discovery had at that time has been received."""
+        self.events.emit(partial(self.dispatcher.endpoint_list_confirmed, as_of))
+
+    def list_time_left(self) -> int | None:
+        """Time in ns until the list expires, less than 0 after that; None: it does not."""
+        return self.dispatcher.list_time_left()
+
+    def watch_failed(self, outcome: CallOutcome) -> None:
         """Leave it to the decisions when to watch again."""
-        self.events.emit(partial(self.dispatcher.endpoint_watch_failed, is_rejected))
+        is_rejected = outcome is CallOutcome.REJECTED
+        # The agent that pushes lists has no other callers: it rejects calls while it has no discovery itself.
+        is_unreachable = outcome is CallOutcome.REFUSED or (is_rejected and self.settings.is_pushed())
+        event = partial(self.dispatcher.endpoint_watch_failed, is_rejected, is_unreachable)
+        self.events.emit(event)
 
     def _report(self, received: EndpointList, is_complete: bool) -> None:
         endpoints = [self._enter(entry) for entry in received.entries]
--- a/ploverspoke/routing/router.py
+++ b/ploverspoke/routing/router.py
@@ -83,6 +83,7 @@
         """
         if known is not None:
             self.endpoints.load_known(known, resume)
+        self.endpoints.list_confirmed(self.deadlines.now())
         self.events.emit(partial(self.dispatcher.started))
         if self.active_settings.is_pushed():
             # On sockets nothing but this watch brings the changes that the decisions do not ask for.
--- a/ploverspoke/routing/watch_journal.py
+++ b/ploverspoke/routing/watch_journal.py
@@ -45,7 +45,7 @@
 
 
 class WatchJournal:
-    """Numbers the calls, counts their ends and logs all but an ordinary one that follows another."""
+    """Numbers the calls, counts their ends and logs them, of equal ones in a row fewer and fewer."""
 
     def __init__(self, now: Callable[[], int]) -> None:
         """`now` is the monotonic clock, in ns."""
@@ -53,7 +53,8 @@
         self.calls_begun = 0
         self.outcomes: Counter[CallOutcome] = Counter()
         self.list_confirmed_at = now()  # of the last answer, or of the start
-        self.is_in_order = False  # the last call was answered; only a change of that is logged
+        self.latest_outcome: CallOutcome | None = None  # of calls that were not abandoned
+        self.in_a_row = 0  # calls with that outcome
 
     def begin(self, reason: CallReason, address: str, version: int | None) -> WatchCall:
         """Number a call that begins."""
@@ -61,13 +62,17 @@
         return WatchCall(self.calls_begun, reason, address, version, self.now())
 
     def end(self, call: WatchCall, outcome: CallOutcome, detail: str = "") -> None:
-        """Count the end of a call, and log it where it is no ordinary one; `detail` says more."""
+        """Count the end of a call, and log it unless it is one more like the last; `detail` says more."""
         self.outcomes[outcome] += 1
+        if outcome is CallOutcome.ABANDONED:
+            self._log(call, outcome, detail)
+            return
+        self.in_a_row = self.in_a_row + 1 if outcome is self.latest_outcome else 1
+        self.latest_outcome = outcome
         is_answered = outcome is CallOutcome.ANSWERED
-        if not (is_answered and self.is_in_order):
+        is_power_of_two = self.in_a_row & (self.in_a_row - 1) == 0
+        if self.in_a_row == 1 or (is_power_of_two and not is_answered):
             self._log(call, outcome, detail)
-        if outcome is not CallOutcome.ABANDONED:
-            self.is_in_order = is_answered
         if is_answered:
             self.list_confirmed_at = self.now()
 
@@ -86,6 +91,6 @@
         version = "the whole list" if call.version is None else f"changes of version {call.version}"
         log_line(
             f"discovery: call {call.number} to {call.address} for {version} ({call.reason.value}): "
-            f"{outcome.value}{detail and f', {detail}'}, after {elapsed:.0f} ms; "
+            f"{outcome.value}{detail and f', {detail}'}, after {elapsed:.0f} ms, {self.in_a_row} in a row; "
             f"last answer {self.list_age() / SECOND:.2f} s ago"
         )
--- /dev/null
+++ b/ploverspoke/routing/watch_pace.py
@@ -0,0 +1,57 @@
+"""How long watch requests wait at discovery: so that the list stays valid, and longer while it is crowded."""
+
+from ploverspoke.transport.units import MILLISECOND, SECOND
+
+SHORTEST_WAIT = 2 * SECOND
+LONGEST_SHORTEST_WAIT = 3 * SECOND  # in a large fleet
+LONGEST_WAIT = 8 * SECOND
+LONGEST_WAIT_UNCHECKED = 4 * SECOND  # where nothing is sent once the list has expired
+# Discovery is crowded where it answers so late. A wait is so many times as long as that: the calls of a fleet
+# then take a small part of its time, whatever its size.
+CROWDED_LATENESS = 250 * MILLISECOND
+WAIT_PER_LATENESS = 20
+WEIGHT_OF_LATER = 0.5  # of a response that is later than those before it
+WEIGHT_OF_EARLIER = 0.8
+LATENESS_LIMIT = 500 * MILLISECOND  # of a sound response, while none was seen to be late
+LATENESS_MARGIN = 4
+LONGEST_LATENESS_LIMIT = 2250 * MILLISECOND
+# Kept of the list's validity for a call and a backoff after a watch that fell silent.
+RESERVE = 1250 * MILLISECOND
+
+
+class WatchPace:
+    """Measures how late discovery answers, and sets waits and time limits by it."""
+
+    def __init__(self, time_for_all_calls: int, longest_wait: int, can_check_workers: bool) -> None:
+        """`time_for_all_calls` (ns): for one call from each dispatcher; no wait is over `longest_wait`."""
+        self.lateness = 0.0  # ns, smoothed
+        self.configure(time_for_all_calls, longest_wait, can_check_workers)
+
+    def configure(self, time_for_all_calls: int, longest_wait: int, can_check_workers: bool) -> None:
+        """Go by other settings from now on."""
+        self.longest = min(longest_wait, LONGEST_WAIT if can_check_workers else LONGEST_WAIT_UNCHECKED)
+        self.shortest = min(self.longest, max(SHORTEST_WAIT, min(time_for_all_calls, LONGEST_SHORTEST_WAIT)))
+
+    def record(self, wait: int, elapsed: int) -> None:
+        """A response has come; one before its wait was over says nothing."""
+        if elapsed >= wait:
+            difference = elapsed - wait - self.lateness
+            self.lateness += difference * (WEIGHT_OF_LATER if difference > 0 else WEIGHT_OF_EARLIER)
+
+    def wait(self, time_left: int | None, is_continued: bool) -> int:
+        """The next wait, where the list stays valid for `time_left` ns (None: for good).
+
+        `is_continued`: the last call was answered. After one that was not, an answer is wanted at once.
+        """
+        comfortable = min(self.longest, max(self.shortest, int(WAIT_PER_LATENESS * self.lateness)))
+        if time_left is None:
+            return comfortable
+        if time_left <= 0 and not is_continued:
+            return 0
+        if self.lateness >= CROWDED_LATENESS:
+            return comfortable
+        return max(0, min(comfortable, time_left - RESERVE - self.lateness_limit()))
+
+    def lateness_limit(self) -> int:
+        """How late (ns) a response may be before its watch counts as silent."""
+        return min(LONGEST_LATENESS_LIMIT, max(LATENESS_LIMIT, int(LATENESS_MARGIN * self.lateness)))
--- a/ploverspoke/testbed/list_age/discovery.py
+++ b/ploverspoke/testbed/list_age/discovery.py
@@ -49,7 +49,7 @@
         self.turns = turns
         self.next_failures: deque[Failure] = deque()  # one for each of the next calls
         self.outage: Failure | None = None  # how every call fails
-        self.is_refusing = False
+        self.failed_at = 0.0  # when the latest call that failed came to that
         self.calls: list[CallSeen] = []
         self.written: dict[int, dict[int, float]] = {}  # by dispatcher and version: when first written
         self.changed = asyncio.Event()
@@ -71,9 +71,18 @@
         """Change a worker's state; returns the version from which on the list shows it."""
         self.version += 1
         self.entries = [{**each, "state": state} if each["id"] == worker else each for each in self.entries]
+        self.wake_waits()
+        return self.version
+
+    def fail_waits(self, *failures: Failure) -> None:
+        """Have the call that waits fail in the first way, and the next ones in the others."""
+        self.next_failures.extend(failures)
+        self.wake_waits()
+
+    def wake_waits(self) -> None:
+        """End the waits of all calls."""
         self.changed.set()
         self.changed = asyncio.Event()
-        return self.version
 
     def reset_all(self) -> None:
         """Reset every connection."""
@@ -82,7 +91,6 @@
 
     async def refuse(self) -> None:
         """Reset every connection and listen no more."""
-        self.is_refusing = True
         for server in self.servers.values():
             server.close()
         self.servers.clear()
@@ -90,7 +98,6 @@
 
     async def listen_again(self) -> None:
         """Accept connections at all addresses again."""
-        self.is_refusing = False
         for dispatcher in self.ports:
             await self._listen(dispatcher)
 
@@ -140,13 +147,13 @@
         query = parse_qs(urlsplit(head.split(" ")[1]).query)
         version = int(query["from"][0]) if "from" in query else None
         self.calls.append(CallSeen(asyncio.get_running_loop().time(), dispatcher, version))
-        failure = self.outage or (self.next_failures.popleft() if self.next_failures else None)
+        failure = self._next_failure()
         if failure is None and version == self.version:
             # Waits take no turn, and are not rejected.
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(int(query["hold_ms"][0]) / 1000):
                     await self.changed.wait()
-            failure = self.outage
+            failure = self._next_failure()
         elif failure is None and not await self._take_turn():
             failure = Failure.REJECTED
         if failure is Failure.RESET:
@@ -161,6 +168,14 @@
         writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
         return True
 
+    def _next_failure(self) -> Failure | None:
+        failure = self.outage
+        if failure is None and self.next_failures:
+            failure = self.next_failures.popleft()
+        if failure is not None:
+            self.failed_at = asyncio.get_running_loop().time()
+        return failure
+
     async def _take_turn(self) -> bool:
         """Wait until the calls before this one are worked through; false where too many wait."""
         if self.turns is None:
--- a/tests/routing/harness.py
+++ b/tests/routing/harness.py
@@ -1,7 +1,9 @@
 """A dispatcher on loopback sockets, among workers, a discovery and clients that the test controls."""
 
 import asyncio
+import contextlib
 import json
+import time
 from collections import Counter
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
@@ -50,6 +52,7 @@
         self.watches = 0
         self.next_list_body = b""  # in place of the list, once
         self.discovery_keeps_alive = True
+        self.answers_waits = True  # False: what waits at discovery has fallen silent
         self.servers: list[asyncio.Server] = []
         self.discovery_connections: list[tuple[asyncio.StreamReader, asyncio.StreamWriter]] = []
 
@@ -127,13 +130,10 @@
             while True:
                 first, _, _ = await message(reader)
                 self.watches += 1
-                if f"from={self.version}&" in first:
-                    self.list_changed.clear()
-                    await self.list_changed.wait()
-                body = (
-                    self.next_list_body
-                    or json.dumps({"version": self.version, "full": True, "servers": self.entries}).encode()
-                )
+                wait_is_over = f"from={self.version}&" in first and not await self._changes_within(first)
+                entries = [] if wait_is_over else self.entries
+                shown = {"version": self.version, "full": not wait_is_over, "servers": entries}
+                body = self.next_list_body or json.dumps(shown).encode()
                 self.next_list_body = b""
                 more = b"" if self.discovery_keeps_alive else b"Connection: close\r\n"
                 writer.write(b"HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n" % (more, len(body)) + body)
@@ -142,6 +142,16 @@
         except (asyncio.IncompleteReadError, ConnectionError):
             writer.close()
 
+    async def _changes_within(self, call: str) -> bool:
+        """Whether the list changes within the wait of the call, by the clock of the dispatcher."""
+        self.list_changed.clear()
+        now = self.service.deadlines.now if hasattr(self, "service") else time.monotonic_ns
+        until = now() + int(call.partition("hold_ms=")[2].split(" ")[0]) * 1_000_000
+        while not self.list_changed.is_set() and (now() < until or not self.answers_waits):
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self.list_changed.wait(), 0.005)
+        return self.list_changed.is_set()
+
     async def change_list(self, entries: list[dict[str, Any]]) -> None:
         self.entries, self.version = entries, self.version + 1
         self.list_changed.set()
--- a/tests/routing/test_acceptance_rules.py
+++ b/tests/routing/test_acceptance_rules.py
@@ -115,22 +115,29 @@
         self.server = await loop.create_server(lambda: FaultyConnection(self), sock=listening)
 
     def asked(self, peer: FaultyConnection, call: bytes) -> None:
+        waits = int(call.partition(b"hold_ms=")[2].split(b" ")[0] or 0) * MS
         if self.way == "well":
             if f"from={self.world.version}&".encode() in call:
                 peer.waits = True
+                when = self.clock.held_at + waits
+                self.world.service.deadlines.schedule(when, lambda: self.end_wait(peer))
             else:
                 self.deliver_list(peer)
             return
         peer.transport.write(RESPONSES[self.way])
         if self.way in ("silent", "half, then silent"):
             peer.waits = peer.silent = True
-            waits = int(call.partition(b"hold_ms=")[2].split(b" ")[0] or 0) * MS
             peer.binds_at = self.clock.held_at + waits + WAIT_OVER
         elif self.way == "resets":
             peer.transport.abort()
         elif self.way.endswith(("ends", "closed")):
             peer.transport.close()
 
+    def end_wait(self, peer: FaultyConnection) -> None:
+        if peer.waits and not peer.silent and not peer.transport.is_closing():
+            peer.waits = False
+            peer.transport.write(discovery_response(endpoint_list(version=self.world.version, full=False)))
+
     def deliver_list(self, peer: FaultyConnection) -> None:
         peer.waits = False
         peer.transport.write(
--- a/tests/routing/test_discovery.py
+++ b/tests/routing/test_discovery.py
@@ -58,7 +58,7 @@
 def test_silent_discovery_is_asked_again() -> None:
     # A cut network leaves the watch open for good: the wait that it was allowed is over, and nothing comes.
     async def script(world: World) -> None:
-        first = world.watches
+        world.answers_waits, first = False, world.watches
         await asyncio.sleep(2.6)
         assert world.watches > first and len(world.discovery_connections) > 1
         world.version, world.entries = 2, world.entries[:1]
--- a/tests/routing/test_endpoint_watch.py
+++ b/tests/routing/test_endpoint_watch.py
@@ -9,7 +9,8 @@
 from ploverspoke.protocol.discovery import EndpointList, read_endpoint_list
 from ploverspoke.protocol.errors import EndpointListError
 from ploverspoke.routing.endpoint_watch import EndpointWatch
-from ploverspoke.routing.watch_journal import WatchJournal
+from ploverspoke.routing.watch_journal import CallOutcome, WatchJournal
+from ploverspoke.routing.watch_pace import WatchPace
 from ploverspoke.service.settings import parse_names, parse_settings
 from ploverspoke.transport.deadlines import Deadlines
 from tests.decisions.harness import SETTINGS
@@ -41,10 +42,18 @@
         self.clock, self.lists, self.lost = Clock(deadlines), list[int](), list[bool]()
         self.clock.hold()
         address, journal = f"127.0.0.1:{self.discovery.port}", WatchJournal(deadlines.now)
-        self.watch = EndpointWatch(deadlines, address, self, journal, 10 * SECOND, pushed)
+        self.time_left: int | None = 5 * SECOND
+        pace = WatchPace(0, 10 * SECOND, can_check_workers=True)
+        self.watch = EndpointWatch(deadlines, address, self, journal, pace, pushed)
 
-    def watch_failed(self, is_rejected: bool) -> None:
-        self.lost.append(is_rejected)
+    def list_confirmed(self, as_of: int) -> None:
+        pass
+
+    def list_time_left(self) -> int | None:
+        return self.time_left
+
+    def watch_failed(self, outcome: CallOutcome) -> None:
+        self.lost.append(outcome is CallOutcome.REJECTED)
 
     def receive_list(self, body: bytes) -> EndpointList:
         received = read_endpoint_list(body)
--- /dev/null
+++ b/tests/routing/test_list_validity.py
@@ -0,0 +1,68 @@
+"""Drains bind within 6 s and the grace whatever befalls the calls to discovery, in fleets of 1 to 3,000."""
+
+import os
+import random
+
+import pytest
+
+from ploverspoke.routing import endpoint_watch
+from tests.decisions.harness import SETTINGS
+from tests.routing.virtual_router import MS, SECOND, UNREACHABLE, Fault, PlayedPool, VirtualRouter
+
+FLEETS = (1, 2, 8, 30, 177, 1000, 3000)
+WORKERS = 6
+STEP = 40 * MS
+SETTLES_WITHIN = 20 * SECOND
+SEEDS = int(os.environ.get("LIST_VALIDITY_SEEDS", "24"))  # of each mode; more by hand
+
+
+@pytest.fixture(autouse=True)
+def _played_connections(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(endpoint_watch, "ConnectionPool", PlayedPool)
+
+
+def play(seed: int, mode: str, can_probe: bool, lasts: int = 40 * SECOND) -> VirtualRouter:
+    """Faults, drains, moves and stops of the process at random moments; then discovery is well."""
+    randomness = random.Random(seed)
+    limits = {**SETTINGS["Limits"], "Probing": can_probe}
+    router = VirtualRouter(
+        randomness, WORKERS, Discovery=mode, Limits=limits, PeersTotal=randomness.choice(FLEETS)
+    )
+    router.start()
+    clock, discovery, moves = router.virtual, router.discovery, 0
+    began_at, next_event = clock.now(), 0
+    to_drain = [f"w{number}" for number in range(WORKERS - 2)]
+    while clock.now() < began_at + lasts:
+        clock.run_until(clock.now() + STEP)
+        router.send_request()
+        if clock.now() < next_event:
+            continue
+        next_event = clock.now() + randomness.choice([0, 50 * MS, 500 * MS, 2 * SECOND, 6 * SECOND])
+        kind = randomness.random()
+        if kind < 0.55:
+            discovery.set_fault(randomness.choice(list(Fault)))
+            if discovery.fault in (Fault.RESET, *UNREACHABLE) or randomness.random() < 0.3:
+                discovery.break_waits(discovery.fault)
+        elif kind < 0.7 and to_drain and clock.now() > began_at + SECOND:
+            discovery.drain(to_drain.pop())
+        elif kind < 0.8:
+            moves += 1
+            discovery.restart()
+            router.endpoints.change_address(f"discovery-{moves}:1")
+        elif kind < 0.85:
+            # The process was stopped: timers are late, and what came is read after them.
+            clock.time += randomness.randrange(8 * SECOND)
+    discovery.set_fault(Fault.NONE)
+    clock.run_until(clock.now() + SETTLES_WITHIN)
+    return router
+
+
+@pytest.mark.parametrize("can_probe", [True, False])
+@pytest.mark.parametrize("mode", ["ask", "push"])
+def test_no_fault_of_discovery_lets_a_drain_be_missed(mode: str, can_probe: bool) -> None:
+    for seed in range(SEEDS):
+        router = play(seed, mode, can_probe)
+        assert not router.violations, f"seed {seed}: {router.violations[:3]}"
+        assert router.dispatcher.parts.validity.is_valid(router.virtual.now()), f"seed {seed}"
+        if can_probe:
+            assert router.served > router.requests_sent * 0.9, f"seed {seed}: {router.served}"
--- /dev/null
+++ b/tests/routing/virtual_router.py
@@ -0,0 +1,338 @@
+"""A router in virtual time: its watch, decisions and timers, beside a discovery and workers that misbehave.
+
+No sockets: connections to discovery are played, as are attempts and health checks. Everything else is the
+program's own.
+"""
+
+import asyncio
+import heapq
+import json
+import random
+from collections.abc import Callable
+from enum import Enum, auto
+from typing import Any, cast
+
+from ploverspoke.decisions.interface import AttemptOutcome, AttemptResult, EndReason
+from ploverspoke.routing.active_settings import ActiveSettings
+from ploverspoke.routing.router import Router
+from ploverspoke.service.settings import parse_names, parse_settings
+from ploverspoke.transport.connection_pool import ConnectionPool
+from ploverspoke.transport.connections import Reader
+from ploverspoke.transport.deadlines import Deadline, Deadlines
+from ploverspoke.transport.outcomes import ExchangeOutcome
+from tests.decisions.harness import SETTINGS
+
+MS, SECOND = 1_000_000, 1_000_000_000
+CONNECT_TIMEOUT = 2 * SECOND
+ROUND_TRIP = MS
+
+
+class Fault(Enum):
+    """What befalls a call to discovery."""
+
+    NONE = auto()
+    REFUSED = auto()
+    NEVER_UP = auto()
+    NO_BUFFERS = auto()  # a local error of connect
+    RESET = auto()
+    REJECTED = auto()
+    REJECTED_LATE = auto()
+    SERVER_ERROR = auto()
+    GARBAGE = auto()
+    HALF_THEN_END = auto()
+    HALF_THEN_SILENT = auto()
+    SILENT = auto()
+    SLOW = auto()
+
+
+UNREACHABLE = (Fault.REFUSED, Fault.NEVER_UP)
+HANGING = (Fault.NEVER_UP, Fault.REJECTED_LATE, Fault.HALF_THEN_SILENT, Fault.SILENT, Fault.SLOW)
+BINDS_AFTER = 6 * SECOND
+MOVE_BINDS_AFTER = 4 * SECOND  # where lists are pushed
+
+
+class VirtualDeadlines(Deadlines):
+    """Timers on a clock that the test moves."""
+
+    def __init__(self) -> None:
+        self.time = 1000 * SECOND
+        self.soon: list[Callable[[], None]] = []
+        super().__init__(cast(asyncio.AbstractEventLoop, self))
+
+    def now(self) -> int:
+        return self.time
+
+    def call_soon(self, callback: Callable[..., None], *args: Any) -> None:
+        self.soon.append(lambda: callback(*args))
+
+    def _arm(self) -> None:
+        """The test runs what is due."""
+
+    def settle(self) -> None:
+        while self.soon:
+            self.soon.pop(0)()
+
+    def run_until(self, when: int) -> None:
+        self.settle()
+        while self.heap and self.heap[0].when <= when:
+            if self.heap[0].done:
+                heapq.heappop(self.heap)
+                continue
+            self.time = max(self.time, self.heap[0].when)
+            deadline = heapq.heappop(self.heap)
+            deadline.done = True
+            deadline.callback()
+            self.settle()
+        self.time = max(self.time, when)
+
+
+class PlayedConnection:
+    """A connection to discovery; also what stands for it while it is pending."""
+
+    def __init__(self, pool: "PlayedPool", address: str, user: Any) -> None:
+        self.pool, self.address, self.user, self.waiting_user = pool, address, user, user
+        self.data, self.is_open = b"", True
+
+    def cancel(self) -> None:
+        self.waiting_user = None
+
+    def write(self, data: bytes) -> None:
+        self.pool.discovery.called(self, data)
+
+    def feed(self, reader: Reader) -> None:
+        data, self.data = self.data, b""
+        reader.feed(memoryview(data))
+
+    def has_unread_data(self) -> bool:
+        return bool(self.data)
+
+    def abort(self) -> None:
+        self.is_open = False
+
+    def deliver(self, data: bytes) -> None:
+        if self.is_open and self.user is not None:
+            self.data += data
+            self.user.on_data_available()
+
+    def end(self) -> None:
+        if self.is_open and self.user is not None:
+            self.is_open = False
+            self.user.on_disconnected()
+
+
+class PlayedPool:
+    """Stands for the connection pool of a watch."""
+
+    discovery: "PlayedDiscovery"
+
+    def __init__(self, *_: Any) -> None:
+        pass
+
+    def acquire(self, address: str, user: Any) -> PlayedConnection:
+        connection = PlayedConnection(self, address, user)
+        self.discovery.connect(connection)
+        return connection
+
+
+class PlayedDiscovery:
+    """Has the list, shows changes a little late, and fails as it is told to."""
+
+    def __init__(self, deadlines: VirtualDeadlines, randomness: random.Random, workers: int) -> None:
+        self.deadlines, self.random = deadlines, randomness
+        self.fault = Fault.NONE
+        self.reachable_since: int | None = 0  # None: it cannot be reached
+        self.version = self.shown_version = 1
+        self.states = {f"w{number}": "Ready" for number in range(workers)}
+        self.shown = dict(self.states)
+        self.drained_at: dict[str, int] = {}  # when discovery had it
+        self.shown_at: dict[str, int] = {}
+        self.written_at: dict[str, int] = {}
+        self.hung_at = self.moved_at = -BINDS_AFTER  # the latest moment in which calls hung; the last move
+        self.waiting: dict[PlayedConnection, int] = {}  # and the version that each has
+
+    def after(self, delay: int, callback: Callable[[], None]) -> Deadline:
+        return self.deadlines.schedule(self.deadlines.now() + delay, callback)
+
+    def set_fault(self, fault: Fault) -> None:
+        was_unreachable = self.fault in UNREACHABLE
+        if self.fault in HANGING:
+            self.hung_at = self.deadlines.now()
+        self.fault = fault
+        if fault in UNREACHABLE:
+            self.reachable_since = None
+        elif was_unreachable:
+            self.reachable_since = self.deadlines.now()
+
+    def drain(self, worker: str) -> None:
+        self.states[worker] = "Terminating"
+        self.drained_at[worker] = self.deadlines.now()
+        self.version += 1
+        self.after(self.random.randrange(SECOND), self.show_changes)
+
+    def show_changes(self) -> None:
+        self.shown, self.shown_version = dict(self.states), self.version
+        for worker in self.drained_at:
+            self.shown_at.setdefault(worker, self.deadlines.now())
+        waiting, self.waiting = self.waiting, {}
+        for connection in waiting:
+            self.answer(connection, 0)
+
+    def restart(self) -> None:
+        """Its versions begin anew, behind another address or the same one."""
+        self.waiting.clear()
+        self.version = self.shown_version = 1
+        self.moved_at = self.deadlines.now()
+
+    def break_waits(self, how: Fault) -> None:
+        waiting, self.waiting = self.waiting, {}
+        for connection in waiting:
+            self.fail(connection, how)
+
+    # ---- Calls ----
+
+    def connect(self, connection: PlayedConnection) -> None:
+        local = {Fault.NO_BUFFERS: ExchangeOutcome.NO_DESCRIPTOR}
+        failures = {Fault.REFUSED: ExchangeOutcome.CONNECTION_REFUSED, **local}
+        if self.fault is Fault.NEVER_UP:
+            self.after(
+                CONNECT_TIMEOUT, lambda: self.connect_failed(connection, ExchangeOutcome.CONNECT_FAILED)
+            )
+        elif self.fault in failures:
+            outcome = failures[self.fault]
+            self.after(ROUND_TRIP, lambda: self.connect_failed(connection, outcome))
+        else:
+            self.after(ROUND_TRIP, lambda: self.connected(connection))
+
+    def connect_failed(self, connection: PlayedConnection, outcome: ExchangeOutcome) -> None:
+        if connection.waiting_user is not None:
+            connection.waiting_user.on_connect_failed(outcome)
+
+    def connected(self, connection: PlayedConnection) -> None:
+        user, connection.waiting_user = connection.waiting_user, None
+        if user is not None:
+            user.on_connected(connection)
+
+    def called(self, connection: PlayedConnection, data: bytes) -> None:
+        head = data.decode()
+        version = int(head.partition("from=")[2].partition("&")[0]) if "from=" in head else None
+        wait = int(head.partition("hold_ms=")[2].partition(" ")[0] or 0) * MS
+        self.after(ROUND_TRIP, lambda: self.work(connection, version, wait))
+
+    def work(self, connection: PlayedConnection, version: int | None, wait: int) -> None:
+        if self.fault is Fault.SLOW:
+            self.after(self.random.randrange(4 * SECOND), lambda: self.answer(connection, version))
+        elif self.fault is not Fault.NONE:
+            self.fail(connection, self.fault)
+        elif version == self.shown_version:
+            self.waiting[connection] = version
+            self.after(wait, lambda: self.wait_is_over(connection))
+        else:
+            self.answer(connection, version)
+
+    def wait_is_over(self, connection: PlayedConnection) -> None:
+        version = self.waiting.pop(connection, None)
+        if version is not None:
+            self.answer(connection, version)
+
+    def fail(self, connection: PlayedConnection, how: Fault) -> None:
+        text = {
+            Fault.REJECTED: b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n",
+            Fault.SERVER_ERROR: b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n",
+            Fault.GARBAGE: b"\x00\xff garbage\r\n\r\n",
+            Fault.HALF_THEN_END: b'HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\n{"version"',
+            Fault.HALF_THEN_SILENT: b'HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\n{"version"',
+        }
+        if how is Fault.REJECTED_LATE:
+            self.after(2 * SECOND, lambda: self.fail(connection, Fault.REJECTED))
+        elif how in text:
+            connection.deliver(text[how])
+        if how in (Fault.RESET, Fault.HALF_THEN_END, *UNREACHABLE):
+            connection.end()
+
+    def answer(self, connection: PlayedConnection, version: int | None) -> None:
+        if not connection.is_open or connection.user is None:
+            return
+        is_newer = version != self.shown_version
+        entries = [
+            {"id": name, "addr": "127.0.0.1:9", "zone": "a", "kind": "plain", "state": state}
+            for name, state in self.shown.items()
+        ]
+        for name, state in self.shown.items():
+            if state != "Ready" and is_newer:
+                self.written_at.setdefault(name, self.deadlines.now())
+        told = {"version": self.shown_version, "full": is_newer, "servers": entries if is_newer else []}
+        body = json.dumps(told).encode()
+        connection.deliver(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+
+    def counts_as_told_at(self, worker: str, is_any_call_an_excuse: bool) -> float:
+        """When a dispatcher counts as told of the worker's drain."""
+        drained_at, written_at = self.drained_at[worker], self.written_at.get(worker, float("inf"))
+        if not is_any_call_an_excuse:
+            return min(written_at, drained_at + BINDS_AFTER)
+        if self.reachable_since is None:
+            return written_at
+        return min(written_at, max(drained_at, self.reachable_since) + BINDS_AFTER)
+
+    def binds_at_where_pushed(self, worker: str) -> float:
+        """When a drain binds that an agent has: at once, but for calls that hang and after a move."""
+        if worker not in self.shown_at or self.reachable_since is None:
+            return float("inf")
+        shown_at = max(self.shown_at[worker], self.reachable_since, self.moved_at + MOVE_BINDS_AFTER)
+        hung_at = self.deadlines.now() if self.fault in HANGING else self.hung_at
+        return shown_at + (BINDS_AFTER if hung_at > shown_at - BINDS_AFTER else 0)
+
+
+class VirtualRouter(Router):
+    """A router whose attempts and health checks are played, and checked against the drains."""
+
+    def __init__(self, randomness: random.Random, workers: int, **settings: Any) -> None:
+        self.virtual = VirtualDeadlines()
+        PlayedPool.discovery = self.discovery = PlayedDiscovery(self.virtual, randomness, workers)
+        document = {**SETTINGS, **settings}
+        active = ActiveSettings(parse_settings(document), parse_names(document))
+        pool = cast(ConnectionPool, PlayedPool())
+        pool.retire_address = lambda address: None  # type: ignore[method-assign]
+        super().__init__(self.virtual, pool, "discovery-0:1", randomness.randrange(1 << 32), active)
+        self.requests_sent = self.served = 0
+        self.violations: list[str] = []
+        self.made: dict[int, int] = {}
+
+    def send_request(self) -> None:
+        self.requests_sent += 1
+        deadline = self.virtual.now() + 800 * MS
+        self.dispatcher.request_arrived(self.requests_sent, 0, 1.0, deadline, 0, "")
+
+    def start_attempt(self, request_id: int, worker: str, timeout: int) -> None:
+        now, attempt = self.virtual.now(), self.made.get(request_id, 0)
+        self.made[request_id] = attempt + 1
+        self._check(worker, now)
+        is_draining = self.discovery.states[worker] != "Ready"
+        outcome = AttemptOutcome.FULL if is_draining else AttemptOutcome.SUCCEEDED
+
+        def end() -> None:
+            self.served += not is_draining
+            result = AttemptResult(worker, outcome, 5 * MS, not is_draining)
+            self.dispatcher.attempt_ended(request_id, attempt, result)
+
+        self.discovery.after(5 * MS, end)
+
+    def _check(self, worker: str, now: int) -> None:
+        if worker not in self.discovery.drained_at:
+            return
+        told_at = self.discovery.counts_as_told_at(worker, not self.settings.probing_allowed)
+        if not self.settings.discovery_polling:
+            told_at = min(told_at, self.discovery.binds_at_where_pushed(worker))
+        if now > told_at + 500 * MS:
+            self.violations.append(f"{worker} {(now - told_at) / SECOND:.2f} s after it counts as told")
+
+    def probe(self, worker: str) -> None:
+        is_well = self.discovery.states[worker] == "Ready"
+        outcome = AttemptOutcome.SUCCEEDED if is_well else AttemptOutcome.WORKER_ERROR
+        load = {"waiting": 0.0, "free_slots": 4.0} if is_well else None
+        self.discovery.after(2 * MS, lambda: self.dispatcher.probe_completed(worker, outcome, 2 * MS, load))
+
+    def reject(self, request_id: int, retry_after: int, reason: EndReason = EndReason.NOT_STATED) -> None:
+        self.request_journal.request_ends[reason] += 1
+
+    def fail(self, request_id: int, reason: EndReason = EndReason.NOT_STATED) -> None:
+        raise AssertionError("an idempotent request fails")
