Accepting and set-up outlive errors of a moment; starts of workers outlive clock steps

- At a shutdown the first error of accept, though it may last a moment, ended the acceptance of what waited, and the close reset it.
It is tried again for up to 200 ms.
- A connection that was accepted was closed on any error of its set-up.
Errors that last a moment are tried again.
- Starts of workers were converted by one difference of the clocks.
Where the clock that discovery goes by was stepped, a new start lay in the future (a warm worker counted as cold for as long) or long ago (a cold one as warm).
A new start is now taken for what is possible: not in the future, and no earlier than the list before could have shown it.

--- a/ploverspoke/routing/client_server.py
+++ b/ploverspoke/routing/client_server.py
@@ -44,7 +44,7 @@
 
     def is_empty(self) -> bool:
         """Whether there is no session and none is being set up."""
-        return not self.sessions and not self.listener.setup_tasks
+        return not self.sessions and not self.listener.setup_tasks and not self.listener.is_finishing
 
     def forget(self, session: ClientSession) -> None:
         """The session has ended, or is about to."""
@@ -69,8 +69,7 @@
         if self.is_shut:
             return
         self.is_shut = True
-        self.listener.accept_backlog()
-        self.listener.close()
+        self.listener.finish()
         for session in self.sessions.values():
             session.close_if_idle()
 
--- a/ploverspoke/routing/endpoints.py
+++ b/ploverspoke/routing/endpoints.py
@@ -1,6 +1,5 @@
 """The endpoint list: where workers are, as discovery lists them, and the watch that keeps it up to date."""
 
-import time
 from collections.abc import Callable
 from functools import partial
 
@@ -12,10 +11,10 @@
     read_endpoint_list,
 )
 from ploverspoke.protocol.wire_names import ENDPOINT_STATES
-from ploverspoke.transport.units import MILLISECOND
 
 from .context import RoutingContext
 from .endpoint_watch import EndpointWatch
+from .start_times import StartTimes
 from .watch_journal import CallOutcome, CallReason, WatchJournal
 from .watch_pace import WatchPace
 
@@ -33,9 +32,7 @@
         self.addresses: dict[str, str] = {}  # by worker; also of those that are gone
         self.lists_received = 0  # from discovery, since the start
         self.on_list: Callable[[bytes], None] | None = None  # given the body of each list
-        # Discovery gives starts in Unix time. One difference, taken once, converts them all, so that the
-        # same start always has the same time.
-        self.wall_clock_offset = time.time_ns() - time.monotonic_ns()
+        self.start_times = StartTimes(context.deadlines.now)
         self.journal = WatchJournal(context.deadlines.now)
         self.watch = self._make_watch(discovery_address)
         self.has_moved = False  # to another address, which was not called yet
@@ -124,9 +121,8 @@
             self.pool.retire_address(known_address)
         if entry.address:
             self.addresses[entry.name] = entry.address
-        started_at = 0
-        if entry.started_ms:
-            started_at = max(1, entry.started_ms * MILLISECOND - self.wall_clock_offset)
+        confirmed_at = self.journal.list_confirmed_at if self.lists_received else None
+        started_at = self.start_times.convert(entry.name, entry.started_ms, confirmed_at)
         return Endpoint(
             entry.name,
             self.settings.zone_number(entry.zone),
--- a/ploverspoke/transport/listener.py
+++ b/ploverspoke/transport/listener.py
@@ -1,18 +1,25 @@
 """Accepts connections at one address, a few in each turn of the event loop."""
 
 import asyncio
+import errno
 import socket
 from collections.abc import Callable
+from functools import partial
 
 from .connections import Connection
 from .deadlines import Deadlines
 from .rate_limited_log import log_line
-from .units import MILLISECOND
+from .units import MILLISECOND, SECOND
 
 BACKLOG = 512
 ACCEPTS_PER_TURN = 8  # their first bytes are read before more are accepted: a flood would evict its own
 FIRST_BYTES_WITHIN = 20 * MILLISECOND  # a new connection that sent nothing for so long may be evicted
 RETRY_AFTER = 10 * MILLISECOND  # when there is no room for one more
+FINISH_TRIES = 20  # to accept what waits before the socket is closed
+SETUP_TRIES = 5  # to hand a connection to the event loop
+MOMENTARY_ERRORS = frozenset(
+    {errno.EINTR, errno.EAGAIN, errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM}
+)
 
 
 class Listener:
@@ -31,6 +38,7 @@
         self.make_connection = make_connection
         self.has_room = has_room
         self.socket: socket.socket | None = None
+        self.is_finishing = False
         self.setup_tasks: set[asyncio.Task[None]] = set()
 
     def open(self, host: str, port: int) -> None:
@@ -58,37 +66,60 @@
             self.loop.remove_reader(listening)
             listening.close()
 
-    def accept_backlog(self) -> None:
-        """Accept what waits in the kernel's queue: `close` would reset it."""
-        self._accept_some(BACKLOG)
+    def finish(self) -> None:
+        """Accept what waits in the kernel's queue, which a close would reset, then close."""
+        if self.socket is not None and not self.is_finishing:
+            self.is_finishing = True
+            self._accept_rest(FINISH_TRIES)
 
-    def _accept_some(self, limit: int = ACCEPTS_PER_TURN) -> None:
+    def _accept_rest(self, tries_left: int) -> None:
+        """Accept until nothing waits; what keeps that from happening may last a moment only."""
+        if self._accept_some(BACKLOG) or not tries_left:
+            self.is_finishing = False
+            self.close()
+            return
+        retry_at = self.deadlines.now() + RETRY_AFTER
+        self.deadlines.schedule(retry_at, partial(self._accept_rest, tries_left - 1))
+
+    def _accept_some(self, limit: int = ACCEPTS_PER_TURN) -> bool:
+        """Accept so many connections; returns whether none waits any more."""
         for _ in range(limit):
             if self.socket is None:
-                return
+                return True
             if not self.has_room(len(self.setup_tasks)):
                 self._pause(self.socket)
-                return
+                return False
             try:
                 accepted, _ = self.socket.accept()
-            except ConnectionAbortedError:
+            except (ConnectionAbortedError, InterruptedError):
                 continue
-            except (BlockingIOError, InterruptedError):
-                return
+            except BlockingIOError:
+                return True
             except OSError as error:
                 log_line(f"a connection could not be accepted: {error.strerror}")
                 self._pause(self.socket)
-                return
+                return False
             task = self.loop.create_task(self._set_up(accepted))
             self.setup_tasks.add(task)
             task.add_done_callback(self.setup_tasks.discard)
+        return False
 
     async def _set_up(self, accepted: socket.socket) -> None:
-        try:
-            await self.loop.connect_accepted_socket(self.make_connection, accepted)
-        except OSError:
-            # The client has gone already: there is nobody to report it to.
-            accepted.close()
+        """Hand an accepted connection to the event loop; a request may be in it already."""
+        failure: OSError | None = None
+        for _ in range(SETUP_TRIES):
+            try:
+                await self.loop.connect_accepted_socket(self.make_connection, accepted)
+            except OSError as error:
+                failure = error
+                if error.errno not in MOMENTARY_ERRORS:
+                    break
+                await asyncio.sleep(RETRY_AFTER / SECOND)
+            else:
+                return
+        # In most cases the client has gone already, and there is nobody to report it to.
+        log_line(f"an accepted connection is closed: {failure.strerror if failure else ''}")
+        accepted.close()
 
     def _pause(self, listening: socket.socket) -> None:
         """Leave new connections in the kernel's queue for a while."""
--- /dev/null
+++ b/tests/routing/test_start_times.py
@@ -0,0 +1,45 @@
+"""Starts of workers on the monotonic clock while wall clocks are stepped."""
+
+import pytest
+
+from ploverspoke.routing.start_times import LATEST_LISTING, StartTimes
+
+MS, SECOND, HOUR = 1_000_000, 1_000_000_000, 3600 * 1_000_000_000
+EPOCH = 1_700_000_000 * SECOND
+
+
+class Clocks:
+    """The monotonic clock of this machine, and the wall clocks here and where discovery is."""
+
+    def __init__(self) -> None:
+        self.time, self.step_here, self.step_there = 500 * SECOND, 0, 0
+        self.starts = StartTimes(lambda: self.time, lambda: EPOCH + self.time + self.step_here)
+
+    def listed(self, started_at: int) -> int:
+        return (EPOCH + started_at + self.step_there) // MS
+
+
+@pytest.mark.parametrize("here", [-HOUR, -3 * SECOND, 0, 3 * SECOND, HOUR])
+def test_step_of_the_own_wall_clock_changes_no_start(here: int) -> None:
+    clocks = Clocks()
+    before = clocks.starts.convert("w0", clocks.listed(490 * SECOND), None)
+    clocks.step_here, clocks.time = here, 600 * SECOND
+    after = clocks.starts.convert("w0", clocks.listed(490 * SECOND), 599 * SECOND)
+    fresh = clocks.starts.convert("w1", clocks.listed(599 * SECOND), 599 * SECOND)
+    assert before == after == 490 * SECOND and fresh == 599 * SECOND
+
+
+@pytest.mark.parametrize("there", [-HOUR, -3 * SECOND, 3 * SECOND, HOUR])
+def test_new_start_is_possible_however_the_clock_of_discovery_was_stepped(there: int) -> None:
+    clocks = Clocks()
+    known = clocks.starts.convert("w0", clocks.listed(490 * SECOND), None)
+    listed_before, clocks.step_there, clocks.time = clocks.listed(490 * SECOND), there, 600 * SECOND
+    fresh = clocks.starts.convert("w1", clocks.listed(599 * SECOND), 598 * SECOND)
+    assert 598 * SECOND - LATEST_LISTING <= fresh <= 600 * SECOND
+    assert clocks.starts.convert("w0", listed_before, 598 * SECOND) == known
+    clocks.time = 700 * SECOND
+    assert clocks.starts.convert("w1", clocks.listed(599 * SECOND), 699 * SECOND) == fresh
+
+
+def test_unknown_start_is_long_past() -> None:
+    assert Clocks().starts.convert("w0", 0, None) == 0
