A soak with signals, restarts and faults of discovery; validity follows a short poll interval

It judges lost requests, second runs and drains from outside.

Where the settings ask for more frequent polling than a list is valid, the list expires after four intervals, and no wait is cut to nothing.

--- a/ploverspoke/decisions/list_validity.py
+++ b/ploverspoke/decisions/list_validity.py
@@ -14,6 +14,7 @@
 CHANGE_BINDS_AFTER_NS = 6 * SECOND
 LATEST_LISTING_NS = SECOND  # discovery may pass a change on so late, in an answer that lacks it by then
 VALIDITY_NS = CHANGE_BINDS_AFTER_NS - LATEST_LISTING_NS
+POLL_INTERVALS = 4  # after so many without an answer a change binds, if that is sooner
 # What an agent has that pushes the list binds at once, whether or not a watch is open: this is what the grace
 # allows after one has broken.
 PUSHED_VALIDITY_NS = 300 * MILLISECOND
@@ -31,7 +32,11 @@
 
     def confirm(self, as_of: int, now: int) -> None:
         """Discovery has answered with all that it had at `as_of`, or had nothing to answer with."""
-        self.valid_until = max(self.valid_until or 0, as_of + VALIDITY_NS)
+        settings = self.context.settings
+        validity = VALIDITY_NS
+        if settings.discovery_polling:
+            validity = min(validity, POLL_INTERVALS * settings.discovery_poll_interval)
+        self.valid_until = max(self.valid_until or 0, as_of + validity)
         if self.expired_at and now < self.valid_until:
             expired_for = (now - self.expired_at) / SECOND
             self.context.log.write(f"endpoint list valid again, {expired_for:.2f} s after it expired")
--- a/ploverspoke/routing/endpoint_watch.py
+++ b/ploverspoke/routing/endpoint_watch.py
@@ -190,7 +190,7 @@
         self.pool = ConnectionPool(
             deadlines.loop, deadlines, MAX_CONNECTIONS, CONNECT_TIMEOUT, CONNECT_TIMEOUT
         )
-        self.consecutive_timeouts = 0
+        self.consecutive_timeouts = 0  # of requests that were to be answered at once
         self.request: WatchRequest | None = None  # None: nobody watches
         self.is_stopped = False
 
@@ -258,7 +258,8 @@
         """Send the next request at once: it may be this connection alone, and the wait was backoff enough."""
         request.abort()
         if self.request is request:
-            self.consecutive_timeouts += 1
+            if not request.max_wait:
+                self.consecutive_timeouts += 1
             self.journal.end(request.call, CallOutcome.TIMED_OUT)
             self.request = WatchRequest(self, CallReason.TIMED_OUT)
             self.request.begin()
--- a/ploverspoke/routing/watch_pace.py
+++ b/ploverspoke/routing/watch_pace.py
@@ -17,6 +17,7 @@
 LONGEST_LATENESS_LIMIT = 2250 * MILLISECOND
 # Kept of the list's validity for a call and a backoff after a watch that fell silent.
 RESERVE = 1250 * MILLISECOND
+LEAST_SHARE_OF_TIME_LEFT = 0.25  # a wait is no shorter: what is left may be short by the settings
 
 
 class WatchPace:
@@ -50,7 +51,10 @@
             return 0
         if self.lateness >= CROWDED_LATENESS:
             return comfortable
-        return max(0, min(comfortable, time_left - RESERVE - self.lateness_limit()))
+        affordable = max(
+            time_left - RESERVE - self.lateness_limit(), int(time_left * LEAST_SHARE_OF_TIME_LEFT)
+        )
+        return max(0, min(comfortable, affordable))
 
     def lateness_limit(self) -> int:
         """How late (ns) a response may be before its watch counts as silent."""
--- a/ploverspoke/testbed/list_age/discovery.py
+++ b/ploverspoke/testbed/list_age/discovery.py
@@ -49,7 +49,6 @@
         self.turns = turns
         self.next_failures: deque[Failure] = deque()  # one for each of the next calls
         self.outage: Failure | None = None  # how every call fails
-        self.failed_at = 0.0  # when the latest call that failed came to that
         self.calls: list[CallSeen] = []
         self.written: dict[int, dict[int, float]] = {}  # by dispatcher and version: when first written
         self.changed = asyncio.Event()
@@ -161,6 +160,8 @@
             return False
         if failure is Failure.SILENT:
             await asyncio.Event().wait()
+        if writer.transport.is_closing():
+            return False  # nothing is written to it any more
         if failure is Failure.REJECTED:
             writer.write(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
             return True
@@ -169,12 +170,9 @@
         return True
 
     def _next_failure(self) -> Failure | None:
-        failure = self.outage
-        if failure is None and self.next_failures:
-            failure = self.next_failures.popleft()
-        if failure is not None:
-            self.failed_at = asyncio.get_running_loop().time()
-        return failure
+        if self.outage is None and self.next_failures:
+            return self.next_failures.popleft()
+        return self.outage
 
     async def _take_turn(self) -> bool:
         """Wait until the calls before this one are worked through; false where too many wait."""
--- a/ploverspoke/testbed/list_age/measure.py
+++ b/ploverspoke/testbed/list_age/measure.py
@@ -53,7 +53,6 @@
         self.discovery.outage = None
         if failure is None:
             await self.discovery.listen_again()
-        self.discovery.failed_at = asyncio.get_running_loop().time()
 
 
 Fault = Callable[[Case], Awaitable[None]]
@@ -96,7 +95,10 @@
 
 
 async def list_age(fault: Fault, fleet: int, seed: int, folder: Path) -> float:
-    """Seconds from the later of a drain and the end of the failures until the drain was written."""
+    """Seconds from a drain until discovery has written it to the dispatcher.
+
+    The drain comes with the first of some failures, or at the end of an outage.
+    """
     loop, discovery = asyncio.get_running_loop(), ScriptedDiscovery(ENTRIES)
     dispatcher = DispatcherProcess(folder, 0, await discovery.address_for(0), seed, PeersTotal=fleet)
     case = Case(discovery, dispatcher)
@@ -109,7 +111,7 @@
         while case.discovery.written_at(0, version) is None and loop.time() < until:
             await asyncio.sleep(0.01)
         written = case.discovery.written_at(0, version)
-        return LONGEST if written is None else written - max(drained_at, case.discovery.failed_at)
+        return LONGEST if written is None else written - drained_at
     finally:
         await dispatcher.kill()
         case.discovery.close()
--- /dev/null
+++ b/tests/routing/test_watch_pace.py
@@ -0,0 +1,50 @@
+"""How long watch requests wait at discovery."""
+
+import pytest
+
+from ploverspoke.routing.watch_pace import CROWDED_LATENESS, WatchPace
+
+MS, SECOND = 1_000_000, 1_000_000_000
+VALID = 5 * SECOND
+
+
+def pace(fleet_time: int = 5 * SECOND, longest: int = 10 * SECOND, can_check: bool = True) -> WatchPace:
+    return WatchPace(fleet_time, longest, can_check)
+
+
+@pytest.mark.parametrize("fleet_time", [0, 125 * MS, 2500 * MS, 5 * SECOND])
+def test_silent_watch_leaves_time_for_a_call_and_a_backoff_before_the_list_expires(fleet_time: int) -> None:
+    waits = pace(fleet_time)
+    for time_left in range(0, VALID + 1, 100 * MS):
+        wait = waits.wait(time_left, is_continued=True)
+        assert wait <= max(time_left // 4, time_left - SECOND - waits.lateness_limit())
+    assert waits.wait(VALID, is_continued=True) >= 2 * SECOND
+
+
+def test_waits_grow_with_the_lateness_of_discovery_and_shrink_again() -> None:
+    waits = pace()
+    for _ in range(8):
+        waits.record(3 * SECOND, 4 * SECOND)
+    assert waits.wait(VALID, is_continued=True) == 8 * SECOND
+    assert waits.lateness_limit() > SECOND
+    for _ in range(2):
+        waits.record(8 * SECOND, 8 * SECOND + MS)
+    assert waits.lateness < CROWDED_LATENESS and waits.wait(VALID, is_continued=True) < 4 * SECOND
+
+
+def test_without_health_checks_no_wait_outlasts_the_list() -> None:
+    waits = pace(can_check=False)
+    waits.record(0, 10 * SECOND)
+    assert waits.wait(VALID, is_continued=True) <= 4 * SECOND
+
+
+def test_answer_is_wanted_at_once_where_the_list_has_expired_and_the_last_call_failed() -> None:
+    waits = pace()
+    waits.record(0, SECOND)
+    assert waits.wait(-SECOND, is_continued=False) == 0
+
+
+def test_short_poll_interval_makes_no_busy_loop() -> None:
+    waits = pace(fleet_time=100 * MS, longest=200 * MS)
+    assert waits.wait(800 * MS, is_continued=True) == 200 * MS
+    assert waits.wait(100 * MS, is_continued=True) > 0
--- /dev/null
+++ b/tests/testbed/test_soak.py
@@ -0,0 +1,20 @@
+"""A short soak: signals, restarts, kills at the earliest moment, faults of discovery; long ones by hand."""
+
+import asyncio
+
+import uvloop
+
+from ploverspoke.testbed.soak.run import Verdict, play_seed
+
+RUNS_LONG = True  # scheduled first: see tests/conftest.py
+SEEDS = (101, 102, 106, 109)  # the last two have a crowd
+
+
+def test_dispatcher_under_signals_and_faults_loses_and_misplaces_nothing() -> None:
+    async def play() -> list[Verdict]:
+        return list(await asyncio.gather(*map(play_seed, SEEDS)))
+
+    for verdict in uvloop.run(play()):
+        assert not verdict.problems, f"seed {verdict.seed}: {verdict.problems[:4]}"
+        assert verdict.requests > 500 and verdict.restarts == 2 and verdict.lateness < 1.0, verdict
+        assert verdict.served > verdict.requests * 0.5, verdict
