--- a/ploverspoke/decisions/endpoint_polling.py
+++ b/ploverspoke/decisions/endpoint_polling.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from .context import Context
-from .list_validity import PUSHED_VALIDITY_NS, ListValidity
+from .list_validity import ListValidity
 from .state import MILLISECOND, SECOND, PeriodicTimer
 
 FIRST_BACKOFF_NS = 250 * MILLISECOND
@@ -66,7 +66,7 @@
             delay, reason = self._backoff(now)
         else:
             delay, reason = PUSH_RETRY_NS, "the agent has no other callers"
-            self.validity.shorten(now + PUSHED_VALIDITY_NS)
+            self.validity.shorten(now + self.validity.pushed_validity())
         self._call_after(delay, now)
         if self.failures & (self.failures - 1) == 0:  # the first, the second, the fourth and so on
             why = "rejected" if is_rejected else "failed"
--- a/ploverspoke/decisions/list_validity.py
+++ b/ploverspoke/decisions/list_validity.py
@@ -15,9 +15,10 @@
 LATEST_LISTING_NS = SECOND  # discovery may pass a change on so late, in an answer that lacks it by then
 VALIDITY_NS = CHANGE_BINDS_AFTER_NS - LATEST_LISTING_NS
 POLL_INTERVALS = 4  # after so many without an answer a change binds, if that is sooner
-# What an agent has that pushes the list binds at once, whether or not a watch is open: this is what the grace
-# allows after one has broken.
-PUSHED_VALIDITY_NS = 300 * MILLISECOND
+# What an agent has that pushes the list binds at once, whether or not a watch is open: this part of the grace
+# is used after one has broken.
+PUSHED_SHARE_OF_GRACE = 0.6
+LONGEST_PUSHED_VALIDITY_NS = 300 * MILLISECOND
 MOST_CHECKS_IN_FLIGHT = 8
 
 
@@ -66,7 +67,12 @@
 
     def _health_validity(self) -> int:
         """A health check stands for as long as a change could stay unknown and not bind."""
-        return VALIDITY_NS if self.context.settings.discovery_polling else PUSHED_VALIDITY_NS
+        return VALIDITY_NS if self.context.settings.discovery_polling else self.pushed_validity()
+
+    def pushed_validity(self) -> int:
+        """How long (ns) a pushed list is good for without a watch that is open."""
+        share = int(PUSHED_SHARE_OF_GRACE * self.context.settings.drain_grace)
+        return min(LONGEST_PUSHED_VALIDITY_NS, share)
 
     def time_left(self, now: int) -> int | None:
         """Time in ns until the list expires, less than 0 after that; None: it does not."""
--- a/ploverspoke/decisions/settings.py
+++ b/ploverspoke/decisions/settings.py
@@ -59,6 +59,7 @@
     zone: int
     discovery_polling: bool  # endpoints must be polled: changes do not come unprompted
     discovery_poll_interval: int  # ns
+    drain_grace: int  # ns, in which sending to a worker has to stop once its drain binds
     workers_report_start: bool
     progress_interval: int  # ns between progress reports; 0: none
     load_reporting: LoadReporting
--- a/ploverspoke/routing/admin_server.py
+++ b/ploverspoke/routing/admin_server.py
@@ -78,6 +78,7 @@
         yield admin.counter_line("cfg_accepted", counters.configs_accepted)
         yield admin.counter_line("cfg_invalid", counters.configs_invalid)
         yield from self.router.endpoints.journal.lines()
+        yield admin.counter_line("endpoint_list_expirations", dispatcher.list_expirations())
         yield from self.router.request_journal.lines()
 
     # ---- Room for connections ----
--- a/ploverspoke/service/settings.py
+++ b/ploverspoke/service/settings.py
@@ -14,6 +14,7 @@
 from .config_reader import ConfigSection, JsonObject
 
 DEFAULT_POLL_INTERVAL = 10 * SECOND  # where no rule gives one; retries of a lost watch are no rarer
+DEFAULT_DRAIN_GRACE_US = 500_000  # where no rule gives one
 SHORTEST_POLL_INTERVAL = 200 * MILLISECOND  # pauses follow from it; none would make a busy loop
 
 # The operators' words and what they mean.
@@ -45,6 +46,7 @@
         discovery_poll_interval=_parse_poll_interval(rules),
         classes=_parse_classes(top, limits, domain),
         active_classes=tuple(range(count)),
+        drain_grace=rules.duration("StopSendingWithinUs", DEFAULT_DRAIN_GRACE_US),
         workers_report_start=domain.boolean("TellsStart"),
         progress_interval=domain.duration("ProgressUs", 0),
         load_reporting=report.choice("Via", LOAD_REPORTING, "off"),
--- a/tests/decisions/harness.py
+++ b/tests/decisions/harness.py
@@ -73,6 +73,7 @@
     zone=0,
     discovery_polling=True,
     discovery_poll_interval=10 * SECOND,
+    drain_grace=500 * MS,
     workers_report_start=True,
     progress_interval=SECOND,
     load_reporting=LoadReporting.NONE,
