--- a/ploverspoke/routing/watch_pace.py
+++ b/ploverspoke/routing/watch_pace.py
@@ -3,7 +3,7 @@
 from ploverspoke.transport.units import MILLISECOND, SECOND
 
 SHORTEST_WAIT = 2 * SECOND
-LONGEST_SHORTEST_WAIT = 3 * SECOND  # in a large fleet
+SHORTEST_WAIT_OF_LARGE_FLEET = 3 * SECOND
 LONGEST_WAIT = 8 * SECOND
 LONGEST_WAIT_UNCHECKED = 4 * SECOND  # where nothing is sent once the list has expired
 # Discovery is crowded where it answers so late. A wait is so many times as long as that: the calls of a fleet
@@ -31,7 +31,9 @@
     def configure(self, time_for_all_calls: int, longest_wait: int, can_check_workers: bool) -> None:
         """Go by other settings from now on."""
         self.longest = min(longest_wait, LONGEST_WAIT if can_check_workers else LONGEST_WAIT_UNCHECKED)
-        self.shortest = min(self.longest, max(SHORTEST_WAIT, min(time_for_all_calls, LONGEST_SHORTEST_WAIT)))
+        self.shortest = min(
+            self.longest, max(SHORTEST_WAIT, min(time_for_all_calls, SHORTEST_WAIT_OF_LARGE_FLEET))
+        )
 
     def record(self, wait: int, elapsed: int) -> None:
         """A response has come; one before its wait was over says nothing."""
--- a/ploverspoke/testbed/list_age/discovery.py
+++ b/ploverspoke/testbed/list_age/discovery.py
@@ -31,22 +31,22 @@
     version: int | None  # None: the whole list was asked for
 
 
-class Turns(NamedTuple):
+class CallQueue(NamedTuple):
     """Calls are worked through one after the other."""
 
-    call_time: float  # seconds that each takes
-    most_waiting: int  # further ones are rejected
-    rejections_take_a_turn: bool = False
+    service_time: float  # seconds that each takes
+    capacity: int  # further ones are rejected
+    rejections_are_served: bool = False
 
 
 class ScriptedDiscovery:
     """One discovery with an address for each dispatcher, by which it knows who calls."""
 
-    def __init__(self, entries: Iterable[dict[str, Any]], turns: Turns | None = None) -> None:
-        """`entries` are those of the list; without `turns` each call is answered at once."""
+    def __init__(self, entries: Iterable[dict[str, Any]], queue: CallQueue | None = None) -> None:
+        """`entries` are those of the list; without `queue` each call is answered at once."""
         self.entries = list(entries)
         self.version = 1
-        self.turns = turns
+        self.queue = queue
         self.next_failures: deque[Failure] = deque()  # one for each of the next calls
         self.outage: Failure | None = None  # how every call fails
         self.calls: list[CallSeen] = []
@@ -70,15 +70,15 @@
         """Change a worker's state; returns the version from which on the list shows it."""
         self.version += 1
         self.entries = [{**each, "state": state} if each["id"] == worker else each for each in self.entries]
-        self.wake_waits()
+        self.wake_watches()
         return self.version
 
-    def fail_waits(self, *failures: Failure) -> None:
+    def fail_watches(self, *failures: Failure) -> None:
         """Have the call that waits fail in the first way, and the next ones in the others."""
         self.next_failures.extend(failures)
-        self.wake_waits()
+        self.wake_watches()
 
-    def wake_waits(self) -> None:
+    def wake_watches(self) -> None:
         """End the waits of all calls."""
         self.changed.set()
         self.changed = asyncio.Event()
@@ -148,12 +148,12 @@
         self.calls.append(CallSeen(asyncio.get_running_loop().time(), dispatcher, version))
         failure = self._next_failure()
         if failure is None and version == self.version:
-            # Waits take no turn, and are not rejected.
+            # Watches that wait need no service, and are not rejected.
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(int(query["hold_ms"][0]) / 1000):
                     await self.changed.wait()
             failure = self._next_failure()
-        elif failure is None and not await self._take_turn():
+        elif failure is None and not await self._wait_for_service():
             failure = Failure.REJECTED
         if failure is Failure.RESET:
             _reset(writer)
@@ -174,17 +174,17 @@
             return self.next_failures.popleft()
         return self.outage
 
-    async def _take_turn(self) -> bool:
+    async def _wait_for_service(self) -> bool:
         """Wait until the calls before this one are worked through; false where too many wait."""
-        if self.turns is None:
+        if self.queue is None:
             return True
         loop = asyncio.get_running_loop()
-        if self.waiting >= self.turns.most_waiting:
-            if self.turns.rejections_take_a_turn:
-                self.free_at = max(loop.time(), self.free_at) + self.turns.call_time
+        if self.waiting >= self.queue.capacity:
+            if self.queue.rejections_are_served:
+                self.free_at = max(loop.time(), self.free_at) + self.queue.service_time
             return False
         self.waiting += 1
-        self.free_at = max(loop.time(), self.free_at) + self.turns.call_time
+        self.free_at = max(loop.time(), self.free_at) + self.queue.service_time
         try:
             await asyncio.sleep(self.free_at - loop.time())
         finally:
--- a/ploverspoke/testbed/list_age/measure.py
+++ b/ploverspoke/testbed/list_age/measure.py
@@ -10,7 +10,7 @@
 import click
 import uvloop
 
-from .discovery import Failure, ScriptedDiscovery, Turns
+from .discovery import CallQueue, Failure, ScriptedDiscovery
 from .processes import DispatcherProcess
 
 FLEETS = (1, 30, 177, 1000)
@@ -19,7 +19,7 @@
 LONGEST = 25.0  # seconds that one is waited for
 OUTAGE = 4.0  # seconds
 CROWD = 40
-CROWD_MOST_WAITING = 20
+CROWD_QUEUE_CAPACITY = 20
 CROWD_OUTAGE = 3.0
 COUNTED_AFTER = 10.0  # seconds after the outage in which calls are counted
 ENTRIES = [
@@ -48,7 +48,7 @@
             await self.discovery.refuse()
         else:
             self.discovery.outage = failure
-            self.discovery.wake_waits()
+            self.discovery.wake_watches()
         await asyncio.sleep(OUTAGE)
         self.discovery.outage = None
         if failure is None:
@@ -62,7 +62,7 @@
     """The open watch and the calls after it fail."""
 
     async def fault(case: Case) -> None:
-        case.discovery.fail_waits(*failures)
+        case.discovery.fail_watches(*failures)
 
     return fault
 
@@ -147,8 +147,8 @@
         print(f"| {name} | " + " | ".join(cells) + " |")
 
 
-async def crowd(turns: Turns, is_refusing: bool) -> str:
-    """A row: a fleet whose discovery works through its calls in turn comes back from an outage."""
+async def crowd(queue: CallQueue, is_refusing: bool) -> str:
+    """A row: a fleet whose discovery works through a queue of calls comes back from an outage."""
     loop, discovery = asyncio.get_running_loop(), ScriptedDiscovery(ENTRIES)
     with tempfile.TemporaryDirectory() as folder:
         dispatchers = [
@@ -159,13 +159,13 @@
             for part in range(0, CROWD, 8):
                 await asyncio.gather(*(each.start() for each in dispatchers[part : part + 8]))
             await asyncio.gather(*(watching(discovery, n) for n in range(CROWD)))
-            discovery.turns = turns
+            discovery.queue = queue
             began_at = loop.time()
             if is_refusing:
                 await discovery.refuse()
             else:
                 discovery.outage = Failure.REJECTED
-                discovery.wake_waits()
+                discovery.wake_watches()
             await asyncio.sleep(CROWD_OUTAGE)
             discovery.outage = None
             version, back_at = discovery.change("w0", "Terminating"), loop.time()
@@ -175,12 +175,12 @@
         finally:
             await asyncio.gather(*(each.kill() for each in dispatchers))
             discovery.close()
-    return _crowd_row(discovery, turns, is_refusing, version, began_at, back_at)
+    return _crowd_row(discovery, queue, is_refusing, version, began_at, back_at)
 
 
 def _crowd_row(
     discovery: ScriptedDiscovery,
-    turns: Turns,
+    queue: CallQueue,
     is_refusing: bool,
     version: int,
     began_at: float,
@@ -191,7 +191,7 @@
     during = sum(began_at <= call.at < back_at for call in discovery.calls) / CROWD_OUTAGE
     after = sum(back_at <= call.at < back_at + COUNTED_AFTER for call in discovery.calls) / COUNTED_AFTER
     return (
-        f"| {turns.call_time * 1000:.0f} ms | {'yes' if turns.rejections_take_a_turn else 'no'} | "
+        f"| {queue.service_time * 1000:.0f} ms | {'yes' if queue.rejections_are_served else 'no'} | "
         f"{'refused' if is_refusing else '503'} | {statistics.median(times):.1f} | {times[-1]:.1f} | "
         f"{'not seen' if is_refusing else f'{during:.1f}'} | {after:.1f} |"
     )
@@ -199,13 +199,14 @@
 
 async def table_of_crowds() -> None:
     """Print the table of a fleet at a discovery that comes back."""
-    print("| a call | rejections take a turn | while down | median | last | calls/s down | calls/s after |")
+    print("| a call | rejections are served | while down | median | last | calls/s down | calls/s after |")
     print("| --- | --- | --- | --- | --- | --- | --- |")
-    for call_time in (0.05, 0.125):
-        for takes_a_turn in (False, True):
+    for service_time in (0.05, 0.125):
+        for are_served in (False, True):
             for is_refusing in (True, False):
                 print(
-                    await crowd(Turns(call_time, CROWD_MOST_WAITING, takes_a_turn), is_refusing), flush=True
+                    await crowd(CallQueue(service_time, CROWD_QUEUE_CAPACITY, are_served), is_refusing),
+                    flush=True,
                 )
 
 
--- a/ploverspoke/testbed/soak/run.py
+++ b/ploverspoke/testbed/soak/run.py
@@ -68,7 +68,7 @@
         self.tasks = [self.loop.create_task(self._watch_lateness())]
         running = [self.loop.create_task(self.clients.run(n)) for n in range(CLIENTS)]
         try:
-            await self._cause_trouble()
+            await self._inject_faults()
             self.clients.is_over = True
             await asyncio.gather(*running)
         finally:
@@ -90,7 +90,7 @@
 
     # ---- Trouble ----
 
-    async def _cause_trouble(self) -> None:
+    async def _inject_faults(self) -> None:
         began_at, stops = self.loop.time(), list(STOPS_AT)
         while (elapsed := self.loop.time() - began_at) < LASTS:
             if stops and elapsed >= stops[0]:
@@ -128,7 +128,7 @@
         discovery = self.random.choice(self.discoveries)
         if self.random.random() < 0.4:
             failures = [self.random.choice(list(Failure)) for _ in range(self.random.randint(1, 4))]
-            discovery.fail_waits(*failures)
+            discovery.fail_watches(*failures)
             return
         lasts = self.random.choice([0.2, 1.0, 4.0])
         if self.random.random() < 0.3:
@@ -137,7 +137,7 @@
             await discovery.listen_again()
             return
         discovery.outage = self.random.choice(list(Failure))
-        discovery.wake_waits()
+        discovery.wake_watches()
         await asyncio.sleep(lasts)
         discovery.outage = None
 
--- a/tests/routing/test_list_validity.py
+++ b/tests/routing/test_list_validity.py
@@ -7,7 +7,7 @@
 
 from ploverspoke.routing import endpoint_watch
 from tests.decisions.harness import SETTINGS
-from tests.routing.virtual_router import MS, SECOND, UNREACHABLE, Fault, PlayedPool, VirtualRouter
+from tests.routing.virtual_router import MS, SECOND, UNREACHABLE, FakePool, Fault, VirtualRouter
 
 FLEETS = (1, 2, 8, 30, 177, 1000, 3000)
 WORKERS = 6
@@ -17,8 +17,8 @@
 
 
 @pytest.fixture(autouse=True)
-def _played_connections(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(endpoint_watch, "ConnectionPool", PlayedPool)
+def _fake_connections(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(endpoint_watch, "ConnectionPool", FakePool)
 
 
 def play(seed: int, mode: str, can_probe: bool, lasts: int = 40 * SECOND) -> VirtualRouter:
@@ -42,7 +42,7 @@
         if kind < 0.55:
             discovery.set_fault(randomness.choice(list(Fault)))
             if discovery.fault in (Fault.RESET, *UNREACHABLE) or randomness.random() < 0.3:
-                discovery.break_waits(discovery.fault)
+                discovery.break_watches(discovery.fault)
         elif kind < 0.7 and to_drain and clock.now() > began_at + SECOND:
             discovery.drain(to_drain.pop())
         elif kind < 0.8:
--- a/tests/routing/virtual_router.py
+++ b/tests/routing/virtual_router.py
@@ -86,10 +86,10 @@
         self.time = max(self.time, when)
 
 
-class PlayedConnection:
+class FakeConnection:
     """A connection to discovery; also what stands for it while it is pending."""
 
-    def __init__(self, pool: "PlayedPool", address: str, user: Any) -> None:
+    def __init__(self, pool: "FakePool", address: str, user: Any) -> None:
         self.pool, self.address, self.user, self.waiting_user = pool, address, user, user
         self.data, self.is_open = b"", True
 
@@ -120,21 +120,21 @@
             self.user.on_disconnected()
 
 
-class PlayedPool:
+class FakePool:
     """Stands for the connection pool of a watch."""
 
-    discovery: "PlayedDiscovery"
+    discovery: "FakeDiscovery"
 
     def __init__(self, *_: Any) -> None:
         pass
 
-    def acquire(self, address: str, user: Any) -> PlayedConnection:
-        connection = PlayedConnection(self, address, user)
+    def acquire(self, address: str, user: Any) -> FakeConnection:
+        connection = FakeConnection(self, address, user)
         self.discovery.connect(connection)
         return connection
 
 
-class PlayedDiscovery:
+class FakeDiscovery:
     """Has the list, shows changes a little late, and fails as it is told to."""
 
     def __init__(self, deadlines: VirtualDeadlines, randomness: random.Random, workers: int) -> None:
@@ -148,7 +148,7 @@
         self.shown_at: dict[str, int] = {}
         self.written_at: dict[str, int] = {}
         self.hung_at = self.moved_at = -BINDS_AFTER  # the latest moment in which calls hung; the last move
-        self.waiting: dict[PlayedConnection, int] = {}  # and the version that each has
+        self.waiting: dict[FakeConnection, int] = {}  # and the version that each has
 
     def after(self, delay: int, callback: Callable[[], None]) -> Deadline:
         return self.deadlines.schedule(self.deadlines.now() + delay, callback)
@@ -183,14 +183,14 @@
         self.version = self.shown_version = 1
         self.moved_at = self.deadlines.now()
 
-    def break_waits(self, how: Fault) -> None:
+    def break_watches(self, how: Fault) -> None:
         waiting, self.waiting = self.waiting, {}
         for connection in waiting:
             self.fail(connection, how)
 
     # ---- Calls ----
 
-    def connect(self, connection: PlayedConnection) -> None:
+    def connect(self, connection: FakeConnection) -> None:
         local = {Fault.NO_BUFFERS: ExchangeOutcome.NO_DESCRIPTOR}
         failures = {Fault.REFUSED: ExchangeOutcome.CONNECTION_REFUSED, **local}
         if self.fault is Fault.NEVER_UP:
@@ -203,22 +203,22 @@
         else:
             self.after(ROUND_TRIP, lambda: self.connected(connection))
 
-    def connect_failed(self, connection: PlayedConnection, outcome: ExchangeOutcome) -> None:
+    def connect_failed(self, connection: FakeConnection, outcome: ExchangeOutcome) -> None:
         if connection.waiting_user is not None:
             connection.waiting_user.on_connect_failed(outcome)
 
-    def connected(self, connection: PlayedConnection) -> None:
+    def connected(self, connection: FakeConnection) -> None:
         user, connection.waiting_user = connection.waiting_user, None
         if user is not None:
             user.on_connected(connection)
 
-    def called(self, connection: PlayedConnection, data: bytes) -> None:
+    def called(self, connection: FakeConnection, data: bytes) -> None:
         head = data.decode()
         version = int(head.partition("from=")[2].partition("&")[0]) if "from=" in head else None
         wait = int(head.partition("hold_ms=")[2].partition(" ")[0] or 0) * MS
         self.after(ROUND_TRIP, lambda: self.work(connection, version, wait))
 
-    def work(self, connection: PlayedConnection, version: int | None, wait: int) -> None:
+    def work(self, connection: FakeConnection, version: int | None, wait: int) -> None:
         if self.fault is Fault.SLOW:
             self.after(self.random.randrange(4 * SECOND), lambda: self.answer(connection, version))
         elif self.fault is not Fault.NONE:
@@ -229,12 +229,12 @@
         else:
             self.answer(connection, version)
 
-    def wait_is_over(self, connection: PlayedConnection) -> None:
+    def wait_is_over(self, connection: FakeConnection) -> None:
         version = self.waiting.pop(connection, None)
         if version is not None:
             self.answer(connection, version)
 
-    def fail(self, connection: PlayedConnection, how: Fault) -> None:
+    def fail(self, connection: FakeConnection, how: Fault) -> None:
         text = {
             Fault.REJECTED: b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n",
             Fault.SERVER_ERROR: b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n",
@@ -249,7 +249,7 @@
         if how in (Fault.RESET, Fault.HALF_THEN_END, *UNREACHABLE):
             connection.end()
 
-    def answer(self, connection: PlayedConnection, version: int | None) -> None:
+    def answer(self, connection: FakeConnection, version: int | None) -> None:
         if not connection.is_open or connection.user is None:
             return
         is_newer = version != self.shown_version
@@ -287,10 +287,10 @@
 
     def __init__(self, randomness: random.Random, workers: int, **settings: Any) -> None:
         self.virtual = VirtualDeadlines()
-        PlayedPool.discovery = self.discovery = PlayedDiscovery(self.virtual, randomness, workers)
+        FakePool.discovery = self.discovery = FakeDiscovery(self.virtual, randomness, workers)
         document = {**SETTINGS, **settings}
         active = ActiveSettings(parse_settings(document), parse_names(document))
-        pool = cast(ConnectionPool, PlayedPool())
+        pool = cast(ConnectionPool, FakePool())
         pool.retire_address = lambda address: None  # type: ignore[method-assign]
         super().__init__(self.virtual, pool, "discovery-0:1", randomness.randrange(1 << 32), active)
         self.requests_sent = self.served = 0
