Attempts that a worker takes confirm it; a silent agent does not stop a deployment without checks

While it is down the agent is silent and learns nothing, so a call that was to be answered at once, and was not, keeps the list valid there from its start on. A worker that has taken an attempt does not drain either: it is covered from when that was sent, which serves all deployments, with less health checks.

A call after a failure is answered at once, so that the list is confirmed at once.

--- a/ploverspoke/decisions/dispatcher.py
+++ b/ploverspoke/decisions/dispatcher.py
@@ -133,6 +133,10 @@
         """
         self.parts.polling.watch_failed(is_rejected, is_unreachable, self.actions.now())
 
+    def endpoint_watch_silent(self, as_of: int) -> None:
+        """A call that was begun at `as_of`, to be answered at once, was not answered in time."""
+        self.parts.polling.call_was_silent(as_of, self.actions.now())
+
     def discovery_moved(self) -> None:
         """Service discovery has another address; the list is asked for there by `watch_endpoints`."""
         self.parts.polling.moved(self.actions.now())
@@ -145,7 +149,7 @@
         purpose, worker.probe = worker.probe, None
         parts.confirmation.completed(worker)
         if outcome is AttemptOutcome.SUCCEEDED:
-            worker.healthy_at = now - elapsed
+            worker.healthy_at = max(worker.healthy_at, now - elapsed)
         if outcome is AttemptOutcome.SUCCEEDED and load:
             parts.reports.record(worker, load, now)
         elif outcome is AttemptOutcome.SUCCEEDED:
--- a/ploverspoke/decisions/endpoint_polling.py
+++ b/ploverspoke/decisions/endpoint_polling.py
@@ -75,6 +75,12 @@
                 f"next call in {delay / SECOND:.2f} s: {reason}"
             )
 
+    def call_was_silent(self, as_of: int, now: int) -> None:
+        """An agent that pushes lists is silent while it learns nothing: what it gets later binds later."""
+        settings = self.context.settings
+        if not settings.discovery_polling and not settings.probing_allowed and self.validity.is_valid(now):
+            self.validity.confirm(as_of, now)
+
     def _backoff(self, now: int) -> tuple[int, str]:
         doublings = min(self.failures - 1, MOST_DOUBLINGS)
         backoff = max(FIRST_BACKOFF_NS << doublings, self.context.time_for_all_calls)
--- a/ploverspoke/decisions/state.py
+++ b/ploverspoke/decisions/state.py
@@ -60,7 +60,8 @@
         self.unstarted: dict[int, int] = {}  # those without a known start, and when they were sent
         self.latest_start_sent_at = 0  # when the latest attempt that has started was sent
         self.heard_at = 0  # latest report on any attempt
-        self.healthy_at = -SECOND * 3600  # when the latest health check was sent that it answered well
+        # When the latest health check was sent that it answered well, or the latest attempt that it took.
+        self.healthy_at = -SECOND * 3600
         # Capacity estimate.
         self.capacity = capacity
         self.capacity_before_cut = capacity
--- a/ploverspoke/routing/endpoint_watch.py
+++ b/ploverspoke/routing/endpoint_watch.py
@@ -36,6 +36,9 @@
     def list_time_left(self) -> int | None:
         """Time in ns until the list expires, less than 0 after that; None: it does not."""
 
+    def call_was_silent(self, as_of: int) -> None:
+        """A call that was begun then, to be answered at once, was not answered in time."""
+
     def watch_failed(self, outcome: CallOutcome) -> None:
         """The watch has ended."""
 
@@ -260,6 +263,7 @@
         if self.request is request:
             if not request.max_wait:
                 self.consecutive_timeouts += 1
+                self.listener.call_was_silent(request.call.began_at)
             self.journal.end(request.call, CallOutcome.TIMED_OUT)
             self.request = WatchRequest(self, CallReason.TIMED_OUT)
             self.request.begin()
--- a/ploverspoke/routing/endpoints.py
+++ b/ploverspoke/routing/endpoints.py
@@ -96,11 +96,14 @@
         """Time in ns until the list expires, less than 0 after that; None: it does not."""
         return self.dispatcher.list_time_left()
 
+    def call_was_silent(self, as_of: int) -> None:
+        """Report a call that was to be answered at once, and was not."""
+        self.events.emit(partial(self.dispatcher.endpoint_watch_silent, as_of))
+
     def watch_failed(self, outcome: CallOutcome) -> None:
         """Leave it to the decisions when to watch again."""
         is_rejected = outcome is CallOutcome.REJECTED
-        # The agent that pushes lists has no other callers: it rejects calls while it has no discovery itself.
-        is_unreachable = outcome is CallOutcome.REFUSED or (is_rejected and self.settings.is_pushed())
+        is_unreachable = outcome is CallOutcome.REFUSED
         event = partial(self.dispatcher.endpoint_watch_failed, is_rejected, is_unreachable)
         self.events.emit(event)
 
--- a/ploverspoke/routing/watch_pace.py
+++ b/ploverspoke/routing/watch_pace.py
@@ -44,13 +44,14 @@
     def wait(self, time_left: int | None, is_continued: bool) -> int:
         """The next wait, where the list stays valid for `time_left` ns (None: for good).
 
-        `is_continued`: the last call was answered. After one that was not, an answer is wanted at once.
+        `is_continued`: the last call was answered. After one that was not, an answer is wanted at once: it
+        tells that discovery is well and the list complete.
         """
         comfortable = min(self.longest, max(self.shortest, int(WAIT_PER_LATENESS * self.lateness)))
+        if not is_continued:
+            return 0
         if time_left is None:
             return comfortable
-        if time_left <= 0 and not is_continued:
-            return 0
         if self.lateness >= CROWDED_LATENESS:
             return comfortable
         affordable = max(
--- a/ploverspoke/testbed/list_age/discovery.py
+++ b/ploverspoke/testbed/list_age/discovery.py
@@ -100,6 +100,18 @@
         for dispatcher in self.ports:
             await self._listen(dispatcher)
 
+    async def fail_for(self, failure: Failure | None, seconds: float) -> None:
+        """Every call fails for a while; None: nobody listens."""
+        if failure is None:
+            await self.refuse()
+        else:
+            self.outage = failure
+            self.wake_watches()
+        await asyncio.sleep(seconds)
+        self.outage = None
+        if failure is None:
+            await self.listen_again()
+
     def written_at(self, dispatcher: int, version: int) -> float | None:
         """When a list of that version or a later one was first written to the dispatcher."""
         times = [at for number, at in self.written.get(dispatcher, {}).items() if number >= version]
--- a/ploverspoke/testbed/list_age/measure.py
+++ b/ploverspoke/testbed/list_age/measure.py
@@ -42,18 +42,6 @@
         self.discovery.next_failures.extend([Failure.REJECTED] * failures)
         self.dispatcher.move_discovery(await self.discovery.address_for(0))
 
-    async def outage(self, failure: Failure | None) -> None:
-        """Every call fails for a while; None: nobody listens."""
-        if failure is None:
-            await self.discovery.refuse()
-        else:
-            self.discovery.outage = failure
-            self.discovery.wake_watches()
-        await asyncio.sleep(OUTAGE)
-        self.discovery.outage = None
-        if failure is None:
-            await self.discovery.listen_again()
-
 
 Fault = Callable[[Case], Awaitable[None]]
 
@@ -74,7 +62,7 @@
 
 def failing_for_a_while(failure: Failure | None) -> Fault:
     """An outage."""
-    return lambda case: case.outage(failure)
+    return lambda case: case.discovery.fail_for(failure, OUTAGE)
 
 
 FAULTS: dict[str, Fault] = {
--- a/ploverspoke/testbed/soak/run.py
+++ b/ploverspoke/testbed/soak/run.py
@@ -23,6 +23,8 @@
 BINDS_AFTER = 6.0
 GRACE = 0.55
 SLACK = 0.1
+OUTAGES = (0.2, 1.0, 4.0, 9.0)  # seconds
+DRAIN_SHARE = 0.5  # of the failures
 CROWD_SHARE = 0.3  # of the seeds
 CROWD = 150
 CROWD_SOCKETS = 128
@@ -56,6 +58,7 @@
         self.drained_at: dict[str, float] = {}
         self.known_since: dict[str, float] = {}  # a later process learns of a drain from its start on
         self.tasks: list[asyncio.Task[None]] = []
+        self.outage_lock = asyncio.Lock()
 
     async def play(self) -> Verdict:
         """Run to the end; returns what is wrong."""
@@ -100,13 +103,17 @@
             kind = self.random.random()
             if kind < 0.2:
                 self._drain_one()
-            elif kind < 0.35:
+            elif kind < 0.3:
                 self._move_discovery()
-            elif kind < 0.45 and self.has_crowd:
+            elif kind < 0.4 and self.has_crowd:
                 held = hold_idle_connections(self.dispatcher.port, CROWD, 3.0)
                 self.tasks.append(self.loop.create_task(held))
-            else:
-                await self._fail_discovery()
+            elif not self.outage_lock.locked():
+                self.tasks.append(self.loop.create_task(self._fail_discovery()))
+                # What is missed matters most just after a failure has begun.
+                if self.random.random() < DRAIN_SHARE:
+                    await asyncio.sleep(self.random.random() * 0.5)
+                    self._drain_one()
             until_stop = stops[0] - elapsed if stops else LASTS
             await asyncio.sleep(min(self.random.choice([0.05, 0.4, 1.5, 3.0]), max(0.0, until_stop)))
 
@@ -125,21 +132,16 @@
         self.dispatcher.move_discovery(self.addresses[0])
 
     async def _fail_discovery(self) -> None:
-        discovery = self.random.choice(self.discoveries)
-        if self.random.random() < 0.4:
-            failures = [self.random.choice(list(Failure)) for _ in range(self.random.randint(1, 4))]
-            discovery.fail_watches(*failures)
-            return
-        lasts = self.random.choice([0.2, 1.0, 4.0])
-        if self.random.random() < 0.3:
-            await discovery.refuse()
-            await asyncio.sleep(lasts)
-            await discovery.listen_again()
-            return
-        discovery.outage = self.random.choice(list(Failure))
-        discovery.wake_watches()
-        await asyncio.sleep(lasts)
-        discovery.outage = None
+        """Some calls fail, or all of them for a while."""
+        async with self.outage_lock:
+            if self.random.random() < 0.4:
+                failures = [self.random.choice(list(Failure)) for _ in range(self.random.randint(1, 4))]
+                for discovery in self.discoveries:
+                    discovery.fail_watches(*failures)
+                return
+            lasts = self.random.choice(OUTAGES)
+            failure = None if self.random.random() < 0.2 else self.random.choice(list(Failure))
+            await asyncio.gather(*(each.fail_for(failure, lasts) for each in self.discoveries))
 
     async def _restart(self) -> None:
         """Signals in series, a kill at the earliest moment, and the next process."""
--- a/tests/routing/test_endpoint_watch.py
+++ b/tests/routing/test_endpoint_watch.py
@@ -52,6 +52,9 @@
     def list_time_left(self) -> int | None:
         return self.time_left
 
+    def call_was_silent(self, as_of: int) -> None:
+        pass
+
     def watch_failed(self, outcome: CallOutcome) -> None:
         self.lost.append(outcome is CallOutcome.REJECTED)
 
--- a/tests/routing/test_watch_pace.py
+++ b/tests/routing/test_watch_pace.py
@@ -38,10 +38,10 @@
     assert waits.wait(VALID, is_continued=True) <= 4 * SECOND
 
 
-def test_answer_is_wanted_at_once_where_the_list_has_expired_and_the_last_call_failed() -> None:
+def test_answer_is_wanted_at_once_where_the_last_call_failed() -> None:
     waits = pace()
     waits.record(0, SECOND)
-    assert waits.wait(-SECOND, is_continued=False) == 0
+    assert waits.wait(-SECOND, is_continued=False) == waits.wait(VALID, is_continued=False) == 0
 
 
 def test_short_poll_interval_makes_no_busy_loop() -> None:
--- a/tests/routing/virtual_router.py
+++ b/tests/routing/virtual_router.py
@@ -140,6 +140,7 @@
     def __init__(self, deadlines: VirtualDeadlines, randomness: random.Random, workers: int) -> None:
         self.deadlines, self.random = deadlines, randomness
         self.fault = Fault.NONE
+        self.unreachable: tuple[Fault, ...] = UNREACHABLE
         self.reachable_since: int | None = 0  # None: it cannot be reached
         self.version = self.shown_version = 1
         self.states = {f"w{number}": "Ready" for number in range(workers)}
@@ -154,11 +155,11 @@
         return self.deadlines.schedule(self.deadlines.now() + delay, callback)
 
     def set_fault(self, fault: Fault) -> None:
-        was_unreachable = self.fault in UNREACHABLE
+        was_unreachable = self.fault in self.unreachable
         if self.fault in HANGING:
             self.hung_at = self.deadlines.now()
         self.fault = fault
-        if fault in UNREACHABLE:
+        if fault in self.unreachable:
             self.reachable_since = None
         elif was_unreachable:
             self.reachable_since = self.deadlines.now()
@@ -221,7 +222,7 @@
     def work(self, connection: FakeConnection, version: int | None, wait: int) -> None:
         if self.fault is Fault.SLOW:
             self.after(self.random.randrange(4 * SECOND), lambda: self.answer(connection, version))
-        elif self.fault is not Fault.NONE:
+        elif self.fault not in (Fault.NONE, Fault.NO_BUFFERS):
             self.fail(connection, self.fault)
         elif version == self.shown_version:
             self.waiting[connection] = version
@@ -292,6 +293,9 @@
         active = ActiveSettings(parse_settings(document), parse_names(document))
         pool = cast(ConnectionPool, FakePool())
         pool.retire_address = lambda address: None  # type: ignore[method-assign]
+        if not active.current.discovery_polling and not active.current.probing_allowed:
+            # An agent is silent while it learns nothing.
+            self.discovery.unreachable = (*UNREACHABLE, *HANGING)
         super().__init__(self.virtual, pool, "discovery-0:1", randomness.randrange(1 << 32), active)
         self.requests_sent = self.served = 0
         self.violations: list[str] = []
