--- a/ploverspoke/decisions/list_validity.py
+++ b/ploverspoke/decisions/list_validity.py
@@ -3,7 +3,8 @@
 A change of the list binds a dispatcher `CHANGE_BINDS_AFTER_NS` after discovery has it and can be reached,
 however many calls failed in between. Bounds on each wait and each backoff do not bound their sum, so there is
 one time, counted from the last answer, after which the list alone allows nothing. From then on a worker is
-sent to only after a health check of its own: workers that drain answer those unwell.
+sent to only if it has answered a health check well, or has taken an attempt, in as short a time: workers that
+drain do neither.
 """
 
 from dataclasses import dataclass, field
@@ -55,9 +56,9 @@
         if not self.expired_at:
             self.expired_at = now
             self.expirations += 1
-            instead = "workers are sent to after health checks of their own"
+            instead = "workers need a health check of their own"
             if not self.context.settings.probing_allowed:
-                instead = "nothing is sent, as no health checks are permitted"
+                instead = "only workers that go on taking attempts are sent to"
             self.context.log.write(f"endpoint list expired, unconfirmed for too long: {instead}")
         return False
 
--- a/ploverspoke/routing/endpoint_watch.py
+++ b/ploverspoke/routing/endpoint_watch.py
@@ -224,6 +224,8 @@
         """How long (ns) a request may take that lets discovery wait for `max_wait` ns."""
         if max_wait:
             return max_wait + self.pace.lateness_limit()
+        if self.is_pushed:
+            return RESPONSE_TIMEOUT  # the agent has no other callers
         return min(RESPONSE_TIMEOUT << self.consecutive_timeouts, MAX_RESPONSE_TIMEOUT)
 
     def take_list(self, request: WatchRequest) -> str:
--- a/tests/routing/virtual_router.py
+++ b/tests/routing/virtual_router.py
@@ -181,10 +181,13 @@
     def restart(self) -> None:
         """Its versions begin anew, behind another address or the same one."""
         self.waiting.clear()
-        self.version = self.shown_version = 1
+        self.shown_version = 1
+        self.version = 1 + (self.states != self.shown)  # a change that it does not show yet has a later one
         self.moved_at = self.deadlines.now()
 
     def break_watches(self, how: Fault) -> None:
+        if how in (Fault.NONE, Fault.NO_BUFFERS):
+            return  # these do nothing to a call that waits
         waiting, self.waiting = self.waiting, {}
         for connection in waiting:
             self.fail(connection, how)
