Only health checks cover a worker, as draining ones may take attempts; waits of 4 s at most

Change: only a health check covers a worker. A wait is 4 s at the most, and one late answer weighs a quarter.

--- a/ploverspoke/decisions/endpoint_polling.py
+++ b/ploverspoke/decisions/endpoint_polling.py
@@ -7,14 +7,17 @@
 from .state import MILLISECOND, SECOND, PeriodicTimer
 
 FIRST_BACKOFF_NS = 250 * MILLISECOND
-MOST_DOUBLINGS = 3
+MOST_DOUBLINGS = 5
+LONGEST_OWN_BACKOFF_NS = 3 * SECOND
 LONGEST_BACKOFF_NS = 5 * SECOND  # less than the time after which a change binds
 # While the list is valid a backoff takes only a part of the time left, so that several calls come before it
 # expires: each would be bounded without that, but not their sum. Once it has expired there is no such hurry.
 SHARE_OF_TIME_LEFT = 0.6
 ANSWER_TIME_NS = 250 * MILLISECOND  # that the last of these calls is given
 LEAST_TIME_LEFT_NS = 400 * MILLISECOND  # with less, the list expires before an answer
-LEAST_SHARE = 0.5  # of a backoff; the rest is chance, which keeps dispatchers apart
+# A backoff is waited by chance from this share of it on, which keeps dispatchers apart.
+LEAST_SHARE = 0.5
+MOST_SHARE = 1.5
 PUSH_RETRY_NS = 100 * MILLISECOND  # an agent that pushes lists has no other callers
 MOVE_BINDS_AFTER_NS = 3500 * MILLISECOND  # half a second before changes at another address bind
 MOVE_SPREAD_SHARE = 0.2  # of the time that the calls of all dispatchers take
@@ -63,7 +66,7 @@
             # Nothing binds while it cannot be reached, and without health checks there is only the list.
             self.validity.confirm(now, now)
         if settings.discovery_polling:
-            delay, reason = self._backoff(now)
+            delay, reason = self._backoff(is_rejected, now)
         else:
             delay, reason = PUSH_RETRY_NS, "the agent has no other callers"
             self.validity.shorten(now + self.validity.pushed_validity())
@@ -81,16 +84,21 @@
         if not settings.discovery_polling and not settings.probing_allowed and self.validity.is_valid(now):
             self.validity.confirm(as_of, now)
 
-    def _backoff(self, now: int) -> tuple[int, str]:
-        doublings = min(self.failures - 1, MOST_DOUBLINGS)
-        backoff = max(FIRST_BACKOFF_NS << doublings, self.context.time_for_all_calls)
-        backoff, reason = min(backoff, LONGEST_BACKOFF_NS), "it leaves time for the calls of all"
+    def _backoff(self, is_rejected: bool, now: int) -> tuple[int, str]:
+        longest = self.context.settings.discovery_poll_interval // 4
+        backoff = min(FIRST_BACKOFF_NS << min(self.failures, MOST_DOUBLINGS), longest, LONGEST_OWN_BACKOFF_NS)
+        reason, most_share = "it grows with each failure", MOST_SHARE
+        if is_rejected:
+            # Discovery has too many calls: those of all dispatchers need their time.
+            backoff = min(max(backoff, self.context.time_for_all_calls), LONGEST_BACKOFF_NS)
+            reason, most_share = "it leaves time for the calls of all", 1.0
         left = self.validity.time_left(now)
         if left is not None and left - ANSWER_TIME_NS > LEAST_TIME_LEFT_NS:
-            share = int(SHARE_OF_TIME_LEFT * (left - ANSWER_TIME_NS))
+            share = int(SHARE_OF_TIME_LEFT * (left - ANSWER_TIME_NS) / most_share)
             if share < backoff:
                 backoff, reason = share, "the list expires soon"
-        return int(backoff * (LEAST_SHARE + (1 - LEAST_SHARE) * self.context.random.fraction())), reason
+        chance = (most_share - LEAST_SHARE) * self.context.random.fraction()
+        return int(backoff * (LEAST_SHARE + chance)), reason
 
     def _call_after(self, delay: int, now: int) -> None:
         self.due_token = self.context.timers.start(PeriodicTimer.WATCH_ENDPOINTS, now + delay)
--- a/ploverspoke/decisions/list_validity.py
+++ b/ploverspoke/decisions/list_validity.py
@@ -3,8 +3,8 @@
 A change of the list binds a dispatcher `CHANGE_BINDS_AFTER_NS` after discovery has it and can be reached,
 however many calls failed in between. Bounds on each wait and each backoff do not bound their sum, so there is
 one time, counted from the last answer, after which the list alone allows nothing. From then on a worker is
-sent to only if it has answered a health check well, or has taken an attempt, in as short a time: workers that
-drain do neither.
+sent to only if it has answered a health check well in as short a time: workers that drain answer those
+unwell, though they may go on taking attempts.
 """
 
 from dataclasses import dataclass, field
@@ -58,7 +58,7 @@
             self.expirations += 1
             instead = "workers need a health check of their own"
             if not self.context.settings.probing_allowed:
-                instead = "only workers that go on taking attempts are sent to"
+                instead = "nothing is sent, as no health checks are permitted"
             self.context.log.write(f"endpoint list expired, unconfirmed for too long: {instead}")
         return False
 
--- a/ploverspoke/decisions/request_path.py
+++ b/ploverspoke/decisions/request_path.py
@@ -54,7 +54,6 @@
         delay = now - request.sent_at
         request.started_at = request.heard_at = worker.heard_at = now
         worker.probation_until = 0
-        worker.healthy_at = max(worker.healthy_at, request.sent_at)
         self.parts.capacity.record_start(request, worker, delay, now)
         worker.begin_running(request)
         self.parts.observations.start_delays[worker.endpoint.zone].append(delay)
@@ -80,7 +79,6 @@
     def _learn_from(self, request: Request, worker: Worker, result: AttemptResult, now: int) -> None:
         capacity, outcome = self.parts.capacity, result.outcome
         if outcome is AttemptOutcome.SUCCEEDED:
-            worker.healthy_at = max(worker.healthy_at, request.sent_at)
             self.parts.observations.record_success(request, worker, result.elapsed, now)
             if not request.started_at:
                 capacity.accepted(worker, request.slots_in_use)
--- a/ploverspoke/decisions/state.py
+++ b/ploverspoke/decisions/state.py
@@ -60,7 +60,8 @@
         self.unstarted: dict[int, int] = {}  # those without a known start, and when they were sent
         self.latest_start_sent_at = 0  # when the latest attempt that has started was sent
         self.heard_at = 0  # latest report on any attempt
-        # When the latest health check was sent that it answered well, or the latest attempt that it took.
+        # When the latest health check was sent that it answered well. That it takes an attempt says nothing:
+        # workers that drain may do so.
         self.healthy_at = -SECOND * 3600
         # Capacity estimate.
         self.capacity = capacity
--- a/ploverspoke/routing/active_settings.py
+++ b/ploverspoke/routing/active_settings.py
@@ -55,11 +55,9 @@
         """Whether requests of the class may run more than once."""
         return self.current.classes[class_number].idempotency
 
-    def watch_pace(self) -> tuple[int, int, bool]:
+    def watch_pace(self) -> tuple[int, int]:
         """The arguments of `WatchPace`."""
-        current = self.current
-        longest = current.discovery_poll_interval
-        return time_for_all_calls(current), int(longest), current.probing_allowed
+        return time_for_all_calls(self.current), int(self.current.discovery_poll_interval)
 
     def is_pushed(self) -> bool:
         """Whether changes of the endpoint list bind the dispatcher without being asked for."""
--- a/ploverspoke/routing/watch_pace.py
+++ b/ploverspoke/routing/watch_pace.py
@@ -4,13 +4,12 @@
 
 SHORTEST_WAIT = 2 * SECOND
 SHORTEST_WAIT_OF_LARGE_FLEET = 3 * SECOND
-LONGEST_WAIT = 8 * SECOND
-LONGEST_WAIT_UNCHECKED = 4 * SECOND  # where nothing is sent once the list has expired
+LONGEST_WAIT = 4 * SECOND  # the list has to be confirmed before it expires
 # Discovery is crowded where it answers so late. A wait is so many times as long as that: the calls of a fleet
 # then take a small part of its time, whatever its size.
 CROWDED_LATENESS = 250 * MILLISECOND
 WAIT_PER_LATENESS = 20
-WEIGHT_OF_LATER = 0.5  # of a response that is later than those before it
+WEIGHT_OF_LATER = 0.25  # of a response that is later than those before it
 WEIGHT_OF_EARLIER = 0.8
 LATENESS_LIMIT = 500 * MILLISECOND  # of a sound response, while none was seen to be late
 LATENESS_MARGIN = 4
@@ -23,14 +22,14 @@
 class WatchPace:
     """Measures how late discovery answers, and sets waits and time limits by it."""
 
-    def __init__(self, time_for_all_calls: int, longest_wait: int, can_check_workers: bool) -> None:
+    def __init__(self, time_for_all_calls: int, longest_wait: int) -> None:
         """`time_for_all_calls` (ns): for one call from each dispatcher; no wait is over `longest_wait`."""
         self.lateness = 0.0  # ns, smoothed
-        self.configure(time_for_all_calls, longest_wait, can_check_workers)
+        self.configure(time_for_all_calls, longest_wait)
 
-    def configure(self, time_for_all_calls: int, longest_wait: int, can_check_workers: bool) -> None:
+    def configure(self, time_for_all_calls: int, longest_wait: int) -> None:
         """Go by other settings from now on."""
-        self.longest = min(longest_wait, LONGEST_WAIT if can_check_workers else LONGEST_WAIT_UNCHECKED)
+        self.longest = min(longest_wait, LONGEST_WAIT)
         self.shortest = min(
             self.longest, max(SHORTEST_WAIT, min(time_for_all_calls, SHORTEST_WAIT_OF_LARGE_FLEET))
         )
--- a/tests/routing/test_endpoint_watch.py
+++ b/tests/routing/test_endpoint_watch.py
@@ -43,7 +43,7 @@
         self.clock.hold()
         address, journal = f"127.0.0.1:{self.discovery.port}", WatchJournal(deadlines.now)
         self.time_left: int | None = 5 * SECOND
-        pace = WatchPace(0, 10 * SECOND, can_check_workers=True)
+        pace = WatchPace(0, 10 * SECOND)
         self.watch = EndpointWatch(deadlines, address, self, journal, pace, pushed)
 
     def list_confirmed(self, as_of: int) -> None:
--- a/tests/routing/test_watch_pace.py
+++ b/tests/routing/test_watch_pace.py
@@ -8,8 +8,8 @@
 VALID = 5 * SECOND
 
 
-def pace(fleet_time: int = 5 * SECOND, longest: int = 10 * SECOND, can_check: bool = True) -> WatchPace:
-    return WatchPace(fleet_time, longest, can_check)
+def pace(fleet_time: int = 5 * SECOND, longest: int = 10 * SECOND) -> WatchPace:
+    return WatchPace(fleet_time, longest)
 
 
 @pytest.mark.parametrize("fleet_time", [0, 125 * MS, 2500 * MS, 5 * SECOND])
@@ -25,17 +25,18 @@
     waits = pace()
     for _ in range(8):
         waits.record(3 * SECOND, 4 * SECOND)
-    assert waits.wait(VALID, is_continued=True) == 8 * SECOND
+    assert waits.wait(VALID, is_continued=True) == 4 * SECOND
     assert waits.lateness_limit() > SECOND
     for _ in range(2):
-        waits.record(8 * SECOND, 8 * SECOND + MS)
+        waits.record(4 * SECOND, 4 * SECOND + MS)
     assert waits.lateness < CROWDED_LATENESS and waits.wait(VALID, is_continued=True) < 4 * SECOND
 
 
-def test_without_health_checks_no_wait_outlasts_the_list() -> None:
-    waits = pace(can_check=False)
-    waits.record(0, 10 * SECOND)
-    assert waits.wait(VALID, is_continued=True) <= 4 * SECOND
+def test_one_late_answer_makes_no_wait_that_outlasts_the_list() -> None:
+    # The first answer came after a second, and the next wait of 8 s fell silent: the list expired meanwhile.
+    waits = pace()
+    waits.record(0, SECOND)
+    assert waits.wait(VALID, is_continued=True) + waits.lateness_limit() <= VALID
 
 
 def test_answer_is_wanted_at_once_where_the_last_call_failed() -> None:
--- a/tests/routing/virtual_router.py
+++ b/tests/routing/virtual_router.py
@@ -313,7 +313,8 @@
         now, attempt = self.virtual.now(), self.made.get(request_id, 0)
         self.made[request_id] = attempt + 1
         self._check(worker, now)
-        is_draining = self.discovery.states[worker] != "Ready"
+        # Some that drain take attempts all the same.
+        is_draining = self.discovery.states[worker] != "Ready" and self.discovery.random.random() < 0.5
         outcome = AttemptOutcome.FULL if is_draining else AttemptOutcome.SUCCEEDED
 
         def end() -> None:
