An incomplete list confirms nothing; quick moves and short poll intervals keep their bounds

Found by reading the change once more, each with a test that fails without it:

- A discovery that began anew, with lower versions, answers what is newer than its versions, which says nothing of what it changed before; that counted as a confirmation for 5 s.
A part of a list where all of it was asked for is invalid.
- New configurations in quick succession put the first call off again and again; the sooner of two now counts.
- A health check covered a worker for 5 s even where the settings let a list count for less.

--- a/ploverspoke/decisions/endpoint_polling.py
+++ b/ploverspoke/decisions/endpoint_polling.py
@@ -31,7 +31,8 @@
     context: Context
     validity: ListValidity
     failures: int = 0  # in a row
-    due_token: int = 0  # of the timer that counts; others belong to an earlier state
+    due_token: int = 0  # of the timer that counts, 0: none; others belong to an earlier state
+    due_at: int = 0
 
     def begin(self, has_workers: bool, now: int) -> None:
         """Watch the list from a random moment on, or at once where no worker is known."""
@@ -47,7 +48,10 @@
         spread = min(self.context.time_for_all_calls * MOVE_SPREAD_SHARE, LONGEST_MOVE_SPREAD_NS)
         if not self.context.settings.discovery_polling:
             spread = 0
-        self._call_after(int(spread * self.context.random.fraction()), now)
+        delay = int(spread * self.context.random.fraction())
+        # Moves in quick succession must not put the call off again and again.
+        if not self.due_token or now + delay < self.due_at:
+            self._call_after(delay, now)
 
     def answered(self) -> None:
         """A list has come, or has been confirmed."""
@@ -55,8 +59,11 @@
         self.due_token = 0
 
     def is_due(self, token: int) -> bool:
-        """Whether this timer still counts, or belongs to an earlier state."""
-        return token == self.due_token
+        """Whether this timer still counts, which it does once, or belongs to an earlier state."""
+        if token != self.due_token:
+            return False
+        self.due_token = 0
+        return True
 
     def watch_failed(self, is_rejected: bool, is_unreachable: bool, now: int) -> None:
         """Watch again after a backoff; `is_unreachable`: discovery certainly has nothing to tell now."""
@@ -101,4 +108,5 @@
         return int(backoff * (LEAST_SHARE + chance)), reason
 
     def _call_after(self, delay: int, now: int) -> None:
-        self.due_token = self.context.timers.start(PeriodicTimer.WATCH_ENDPOINTS, now + delay)
+        self.due_at = now + delay
+        self.due_token = self.context.timers.start(PeriodicTimer.WATCH_ENDPOINTS, self.due_at)
--- a/ploverspoke/decisions/list_validity.py
+++ b/ploverspoke/decisions/list_validity.py
@@ -34,11 +34,7 @@
 
     def confirm(self, as_of: int, now: int) -> None:
         """Discovery has answered with all that it had at `as_of`, or had nothing to answer with."""
-        settings = self.context.settings
-        validity = VALIDITY_NS
-        if settings.discovery_polling:
-            validity = min(validity, POLL_INTERVALS * settings.discovery_poll_interval)
-        self.valid_until = max(self.valid_until or 0, as_of + validity)
+        self.valid_until = max(self.valid_until or 0, as_of + self._list_validity())
         if self.expired_at and now < self.valid_until:
             expired_for = (now - self.expired_at) / SECOND
             self.context.log.write(f"endpoint list valid again, {expired_for:.2f} s after it expired")
@@ -68,7 +64,14 @@
 
     def _health_validity(self) -> int:
         """A health check stands for as long as a change could stay unknown and not bind."""
-        return VALIDITY_NS if self.context.settings.discovery_polling else self.pushed_validity()
+        is_polled = self.context.settings.discovery_polling
+        return self._list_validity() if is_polled else self.pushed_validity()
+
+    def _list_validity(self) -> int:
+        settings = self.context.settings
+        if not settings.discovery_polling:
+            return VALIDITY_NS
+        return min(VALIDITY_NS, POLL_INTERVALS * settings.discovery_poll_interval)
 
     def pushed_validity(self) -> int:
         """How long (ns) a pushed list is good for without a watch that is open."""
--- a/ploverspoke/routing/endpoint_watch.py
+++ b/ploverspoke/routing/endpoint_watch.py
@@ -236,6 +236,8 @@
         except Exception as error:
             # Whatever a list holds, it must not end the watch for good.
             return f"{type(error).__name__}: {error}"
+        if requested_version is None and not received.is_complete:
+            return "a part of the list, where all of it was asked for"
         # Versions that went back are those of a restarted discovery: it would not report what it changed
         # before it reaches the version that is known here.
         went_back = requested_version is not None and received.version < requested_version
@@ -250,7 +252,8 @@
         self.consecutive_timeouts = 0
         self.journal.end(request.call, CallOutcome.ANSWERED)
         self.pace.record(request.max_wait, self.deadlines.now() - request.sent_at)
-        self.listener.list_confirmed(request.confirmed_at())
+        if self.version is not None:  # else something is known to be missing
+            self.listener.list_confirmed(request.confirmed_at())
         self.request = WatchRequest(self, CallReason.ANSWERED)
         if connection is not None and request.is_reusable:
             self.request.on_connected(connection)
--- /dev/null
+++ b/tests/decisions/test_endpoint_polling.py
@@ -0,0 +1,45 @@
+"""When service discovery is called, and how long the endpoint list is used without an answer."""
+
+from typing import Any
+
+import pytest
+
+from ploverspoke.decisions.interface import AttemptOutcome
+from ploverspoke.decisions.list_validity import VALIDITY_NS
+from ploverspoke.decisions.state import SECOND
+from tests.decisions.harness import MS, DispatchHarness, endpoint
+
+
+def expired(names: str, **settings: Any) -> DispatchHarness:
+    """A dispatcher whose list has just expired."""
+    harness = DispatchHarness([endpoint(name) for name in names], **settings)
+    harness.dispatcher.endpoint_list_confirmed(harness.clock)
+    harness.advance(VALIDITY_NS)
+    return harness
+
+
+def test_moves_in_quick_succession_do_not_put_the_call_off() -> None:
+    harness = DispatchHarness([endpoint("a")], dispatcher_count=3000)
+    harness.advance(10 * SECOND)
+    called_at = harness.clock
+    for _ in range(200):
+        calls = harness.watch_calls
+        harness.dispatcher.discovery_moved()
+        harness.advance(100 * MS)
+        if harness.watch_calls > calls:
+            called_at = harness.clock
+        assert harness.clock - called_at <= SECOND + 100 * MS
+
+
+@pytest.mark.parametrize("poll_interval", [200 * MS, SECOND, 10 * SECOND])
+def test_health_check_covers_a_worker_no_longer_than_an_answer_covers_the_list(poll_interval: int) -> None:
+    harness = expired("a", discovery_poll_interval=poll_interval)
+    harness.send_request(1)
+    assert harness.probes == ["a"] and not harness.attempts[1]
+    harness.dispatcher.probe_completed("a", AttemptOutcome.SUCCEEDED, MS, {})
+    assert harness.worker_of(1) == "a"
+    span = min(VALIDITY_NS, 4 * poll_interval)
+    harness.advance(span - 2 * MS)
+    assert harness.dispatcher.may_send_to("a")
+    harness.advance(2 * MS)
+    assert not harness.dispatcher.may_send_to("a")
--- a/tests/routing/test_endpoint_watch.py
+++ b/tests/routing/test_endpoint_watch.py
@@ -43,11 +43,12 @@
         self.clock.hold()
         address, journal = f"127.0.0.1:{self.discovery.port}", WatchJournal(deadlines.now)
         self.time_left: int | None = 5 * SECOND
+        self.confirmations = 0
         pace = WatchPace(0, 10 * SECOND)
         self.watch = EndpointWatch(deadlines, address, self, journal, pace, pushed)
 
     def list_confirmed(self, as_of: int) -> None:
-        pass
+        self.confirmations += 1
 
     def list_time_left(self) -> int | None:
         return self.time_left
@@ -267,3 +268,19 @@
         assert endpoints.lists_received == received and dispatcher.workers == known
 
     play(script)
+
+
+def test_incomplete_lists_confirm_nothing() -> None:
+    # A discovery that began anew tells nothing of what it changed before, and that counted as a confirmation.
+    async def script() -> None:
+        held, peer = await watching()
+        assert held.confirmations == 1
+        peer.end.send(discovery_response(endpoint_list(version=3, full=False)))
+        peer = await held.called(3)
+        assert held.confirmations == 1 and b"from=" not in held.calls()[-1]
+        peer.end.send(discovery_response(endpoint_list(version=4, full=False)))
+        await until(lambda: held.lost)
+        assert held.confirmations == 1 and held.lost == [False]
+        held.watch.stop()
+
+    run_on_loop(script)
--- a/tests/routing/test_list_validity.py
+++ b/tests/routing/test_list_validity.py
@@ -47,9 +47,11 @@
             discovery.drain(to_drain.pop())
         elif kind < 0.8:
             moves += 1
-            discovery.restart()
+            discovery.move()
             router.endpoints.change_address(f"discovery-{moves}:1")
-        elif kind < 0.85:
+        elif kind < 0.84:
+            discovery.restart()
+        elif kind < 0.89:
             # The process was stopped: timers are late, and what came is read after them.
             clock.time += randomness.randrange(8 * SECOND)
     discovery.set_fault(Fault.NONE)
--- a/tests/routing/virtual_router.py
+++ b/tests/routing/virtual_router.py
@@ -47,6 +47,7 @@
 
 UNREACHABLE = (Fault.REFUSED, Fault.NEVER_UP)
 HANGING = (Fault.NEVER_UP, Fault.REJECTED_LATE, Fault.HALF_THEN_SILENT, Fault.SILENT, Fault.SLOW)
+FIRST_VERSION, VERSIONS_OF_A_RUN = 100_000, 100
 BINDS_AFTER = 6 * SECOND
 MOVE_BINDS_AFTER = 4 * SECOND  # where lists are pushed
 
@@ -142,7 +143,8 @@
         self.fault = Fault.NONE
         self.unreachable: tuple[Fault, ...] = UNREACHABLE
         self.reachable_since: int | None = 0  # None: it cannot be reached
-        self.version = self.shown_version = 1
+        self.version = self.shown_version = FIRST_VERSION
+        self.restarts = 0
         self.states = {f"w{number}": "Ready" for number in range(workers)}
         self.shown = dict(self.states)
         self.drained_at: dict[str, int] = {}  # when discovery had it
@@ -179,10 +181,16 @@
             self.answer(connection, 0)
 
     def restart(self) -> None:
-        """Its versions begin anew, behind another address or the same one."""
-        self.waiting.clear()
-        self.shown_version = 1
-        self.version = 1 + (self.states != self.shown)  # a change that it does not show yet has a later one
+        """It begins anew, with versions of its own; none is that of another list."""
+        self.break_watches(Fault.RESET)
+        self.restarts += 1
+        self.shown_version = FIRST_VERSION - self.restarts * VERSIONS_OF_A_RUN
+        # A change that it does not show yet has a later one.
+        self.version = self.shown_version + (self.states != self.shown)
+
+    def move(self) -> None:
+        """Dispatchers are to call another one, whose versions are its own."""
+        self.restart()
         self.moved_at = self.deadlines.now()
 
     def break_watches(self, how: Fault) -> None:
@@ -257,6 +265,11 @@
         if not connection.is_open or connection.user is None:
             return
         is_newer = version != self.shown_version
+        if version is not None and version > self.shown_version:
+            # Nothing is newer than that: it does not know that the version is not one of its own.
+            body = json.dumps({"version": self.shown_version, "full": False, "servers": []}).encode()
+            connection.deliver(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+            return
         entries = [
             {"id": name, "addr": "127.0.0.1:9", "zone": "a", "kind": "plain", "state": state}
             for name, state in self.shown.items()
