A worker that answers a health check unwell is checked once a second at most

Cause: while the list is expired, each answer to a check had the queues looked at, and a look that found no worker checked two more. A worker that answered well may be checked again as soon as that no longer counts.

--- a/ploverspoke/decisions/dispatcher.py
+++ b/ploverspoke/decisions/dispatcher.py
@@ -150,6 +150,7 @@
         parts.confirmation.completed(worker)
         if outcome is AttemptOutcome.SUCCEEDED:
             worker.healthy_at = max(worker.healthy_at, now - elapsed)
+            worker.next_check_at = now
         if outcome is AttemptOutcome.SUCCEEDED and load:
             parts.reports.record(worker, load, now)
         elif outcome is AttemptOutcome.SUCCEEDED:
--- a/ploverspoke/decisions/list_validity.py
+++ b/ploverspoke/decisions/list_validity.py
@@ -21,6 +21,7 @@
 PUSHED_SHARE_OF_GRACE = 0.6
 LONGEST_PUSHED_VALIDITY_NS = 300 * MILLISECOND
 MOST_CHECKS_IN_FLIGHT = 8
+CHECK_INTERVAL_NS = SECOND  # of one worker; one that answered well may be checked when that no longer counts
 
 
 @dataclass(eq=False)
@@ -90,11 +91,16 @@
     context: Context
     in_flight: set[str] = field(default_factory=set)
 
-    def request(self, workers: list[Worker]) -> None:
+    def is_due(self, worker: Worker, now: int) -> bool:
+        """Whether the worker may be checked: not for a while after an answer that did not cover it."""
+        return now >= worker.next_check_at
+
+    def request(self, workers: list[Worker], now: int) -> None:
         """Check these workers, unless enough checks are out."""
         for worker in workers:
             if worker.probe is None and len(self.in_flight) < MOST_CHECKS_IN_FLIGHT:
                 worker.probe = ProbePurpose.CONFIRMATION
+                worker.next_check_at = now + CHECK_INTERVAL_NS
                 self.in_flight.add(worker.name)
                 self.context.actions.probe(worker.name)
 
--- a/ploverspoke/decisions/state.py
+++ b/ploverspoke/decisions/state.py
@@ -63,6 +63,7 @@
         # When the latest health check was sent that it answered well. That it takes an attempt says nothing:
         # workers that drain may do so.
         self.healthy_at = -SECOND * 3600
+        self.next_check_at = 0  # it is not asked for that sooner
         # Capacity estimate.
         self.capacity = capacity
         self.capacity_before_cut = capacity
--- a/ploverspoke/decisions/worker_choice.py
+++ b/ploverspoke/decisions/worker_choice.py
@@ -54,7 +54,7 @@
         if not narrow:
             queue.no_capacity_until = now + SEARCH_INTERVAL_NS
         if self.context.settings.probing_allowed and not self.validity.is_valid(now):
-            self.confirmation.request(self._draw(queue, now, request, self._has_capacity_if_confirmed))
+            self.confirmation.request(self._draw(queue, now, request, self._is_worth_a_check), now)
         return []
 
     def _draw(
@@ -143,6 +143,13 @@
             and self._allows_if_confirmed(worker, queue, now, request)
         )
 
+    def _is_worth_a_check(
+        self, worker: Worker, queue: RequestQueue, now: int, request: Request | None
+    ) -> bool:
+        return self.confirmation.is_due(worker, now) and self._has_capacity_if_confirmed(
+            worker, queue, now, request
+        )
+
     def allows(self, worker: Worker, queue: RequestQueue, now: int, request: Request | None) -> bool:
         """Whether the rules and the needs of a request let it go there."""
         return self.validity.covers(worker, now) and self._allows_if_confirmed(worker, queue, now, request)
--- a/tests/decisions/test_endpoint_polling.py
+++ b/tests/decisions/test_endpoint_polling.py
@@ -43,3 +43,19 @@
     assert harness.dispatcher.may_send_to("a")
     harness.advance(2 * MS)
     assert not harness.dispatcher.may_send_to("a")
+
+
+def test_workers_that_answer_unwell_are_not_checked_again_and_again() -> None:
+    # Each answer had the queues looked at, which had the next workers checked: as fast as answers came.
+    harness = expired("abcdefgh")
+    checks = 0
+    for request_id in range(10):
+        harness.send_request(request_id)
+        for _ in range(100):
+            harness.advance(MS)
+            due, harness.probes = harness.probes, []
+            checks += len(due)
+            for name in due:
+                harness.dispatcher.probe_completed(name, AttemptOutcome.WORKER_ERROR, MS, None)
+    assert 8 <= checks <= 16, f"{checks} checks of 8 workers in a second"
+    assert not any(harness.attempts.values())
