The decisions' log refills with time; an abandoned call is logged without another call's count

After 40 lines a dispatcher never logged again when it calls discovery, or that its list expired, however long it ran. It now has 40 lines at once and one more for each ten seconds.

--- a/ploverspoke/decisions/state.py
+++ b/ploverspoke/decisions/state.py
@@ -249,13 +249,19 @@
 class LimitedLog:
     """Log for the person on call, limited since a flood would hide what matters."""
 
-    def __init__(self, actions: DispatchActions, lines: int = 40) -> None:
-        """Write at most so many lines."""
+    def __init__(self, actions: DispatchActions, lines: int = 40, interval: int = 10 * SECOND) -> None:
+        """Write so many lines at once, and one more for each `interval` ns."""
         self.actions = actions
+        self.lines = lines
+        self.interval = interval
         self.lines_left = lines
+        self.refilled_at = actions.now()
 
     def write(self, line: str) -> None:
         """Write the line unless the limit is reached."""
+        refills = (self.actions.now() - self.refilled_at) // self.interval
+        self.refilled_at += refills * self.interval
+        self.lines_left = min(self.lines, self.lines_left + refills)
         if self.lines_left:
             self.lines_left -= 1
             self.actions.log(line)
--- a/ploverspoke/routing/admission.py
+++ b/ploverspoke/routing/admission.py
@@ -3,7 +3,6 @@
 from enum import Enum, auto
 from functools import partial
 
-from ploverspoke.decisions.interface import EndReason
 from ploverspoke.protocol import clients
 from ploverspoke.protocol.clients import HttpRequest
 from ploverspoke.protocol.errors import (
@@ -77,7 +76,7 @@
                 return known
         if len(self.requests) >= self.settings.current.max_open_requests:
             self.counters.count_turned_away(self.settings.class_name(class_number))
-            self.journal.request_ends[EndReason.NO_ROOM] += 1
+            self.journal.turned_away()
             return NotAdmitted.NO_CAPACITY
         deadline = self.deadlines.now() + timeout - min(MAX_ANSWER_MARGIN, timeout // 10)
         request = Request(client, class_number, message, deadline)
@@ -105,7 +104,7 @@
         class_name = clients.request_class_name(target)
         if class_name in self.settings.classes.numbers:
             self.counters.count_turned_away(class_name)
-            self.journal.request_ends[EndReason.NO_ROOM] += 1
+            self.journal.turned_away()
 
     def _class_number(self, target: str) -> int:
         class_number = self.settings.classes.numbers.get(clients.request_class_name(target))
--- a/ploverspoke/routing/request_journal.py
+++ b/ploverspoke/routing/request_journal.py
@@ -45,6 +45,10 @@
             f"request {request.request_id} {answer}: {reason.value}, {len(request.attempts)} attempts made"
         )
 
+    def turned_away(self) -> None:
+        """Count a request for which there is no room."""
+        self.request_ends[EndReason.NO_ROOM] += 1
+
     def lines(self) -> Iterator[str]:
         """The counters that operators fetch."""
         for outcome in ExchangeOutcome:
--- a/ploverspoke/routing/watch_journal.py
+++ b/ploverspoke/routing/watch_journal.py
@@ -65,14 +65,14 @@
         """Count the end of a call, and log it unless it is one more like the last; `detail` says more."""
         self.outcomes[outcome] += 1
         if outcome is CallOutcome.ABANDONED:
-            self._log(call, outcome, detail)
+            self._log(call, outcome, detail, 1)
             return
         self.in_a_row = self.in_a_row + 1 if outcome is self.latest_outcome else 1
         self.latest_outcome = outcome
         is_answered = outcome is CallOutcome.ANSWERED
         is_power_of_two = self.in_a_row & (self.in_a_row - 1) == 0
         if self.in_a_row == 1 or (is_power_of_two and not is_answered):
-            self._log(call, outcome, detail)
+            self._log(call, outcome, detail, self.in_a_row)
         if is_answered:
             self.list_confirmed_at = self.now()
 
@@ -86,11 +86,11 @@
             yield admin.labelled_line("watch_calls", {"outcome": outcome.value}, self.outcomes[outcome])
         yield admin.counter_line("endpoint_list_age_ms", self.list_age() // MILLISECOND)
 
-    def _log(self, call: WatchCall, outcome: CallOutcome, detail: str) -> None:
+    def _log(self, call: WatchCall, outcome: CallOutcome, detail: str, in_a_row: int) -> None:
         elapsed = (self.now() - call.began_at) / MILLISECOND
         version = "the whole list" if call.version is None else f"changes of version {call.version}"
         log_line(
             f"discovery: call {call.number} to {call.address} for {version} ({call.reason.value}): "
-            f"{outcome.value}{detail and f', {detail}'}, after {elapsed:.0f} ms, {self.in_a_row} in a row; "
+            f"{outcome.value}{detail and f', {detail}'}, after {elapsed:.0f} ms, {in_a_row} in a row; "
             f"last answer {self.list_age() / SECOND:.2f} s ago"
         )
--- a/tests/decisions/test_endpoint_polling.py
+++ b/tests/decisions/test_endpoint_polling.py
@@ -59,3 +59,15 @@
                 harness.dispatcher.probe_completed(name, AttemptOutcome.WORKER_ERROR, MS, None)
     assert 8 <= checks <= 16, f"{checks} checks of 8 workers in a second"
     assert not any(harness.attempts.values())
+
+
+def test_log_of_the_decisions_goes_on_after_its_first_lines() -> None:
+    harness, lines = DispatchHarness([]), list[str]()
+    harness.log = lambda line: lines.append(line)  # type: ignore[method-assign]
+    for _ in range(60):
+        harness.dispatcher.parts.context.log.write("line")
+    assert len(lines) == 40
+    harness.advance(60 * SECOND)
+    for _ in range(60):
+        harness.dispatcher.parts.context.log.write("line")
+    assert len(lines) == 46
