--- a/ploverspoke/routing/client_server.py
+++ b/ploverspoke/routing/client_server.py
@@ -9,6 +9,7 @@
 from ploverspoke.transport.slot_table import SlotTable
 
 from .client_session import ClientSession
+from .close_reasons import CloseReason
 from .router import Router
 
 
@@ -101,7 +102,7 @@
         if session is None:
             return False
         self.forget(session)
-        session.hang_up()
+        session.hang_up(CloseReason.EVICTED)
         return True
 
     def _oldest_unserved(self) -> ClientSession | None:
--- a/ploverspoke/routing/client_session.py
+++ b/ploverspoke/routing/client_session.py
@@ -14,6 +14,7 @@
 
 from .admission import NotAdmitted
 from .answers import FinalAnswer
+from .close_reasons import CloseReason, reason_after_response
 from .requests import Request
 from .responses import OWN_TARGETS, UNSUCCESSFUL, redirect_response, status_response
 
@@ -42,6 +43,7 @@
         self.is_answering = False  # a request is being handled
         self.keep_alive = True
         self.is_closing = False
+        self.close_reason = CloseReason.CLIENT_LEFT  # unless this side closes it first
         self.failure: HttpSyntaxError | None = None  # of the reader; sent when all before it is answered
         self.dropped_bytes = 0  # that came beyond what may be sent ahead
         self.buffered_bytes = 0  # of requests, read and not admitted yet
@@ -62,10 +64,11 @@
     def close_if_idle(self) -> None:
         """Close it between two requests; one that waits in the kernel is read first, and answered."""
         if self.is_idle() and not self.connection.has_unread_data():
-            self.hang_up()
+            self.hang_up(CloseReason.SHUTDOWN)
 
-    def hang_up(self) -> None:
+    def hang_up(self, reason: CloseReason) -> None:
         """Close the connection once all written bytes are sent."""
+        self.close_reason = reason
         self.is_closing = True
         self.connection.close()
 
@@ -90,6 +93,7 @@
         self.is_closing = True
         self.queue.clear()
         request, self.request = self.request, None
+        self.server.router.request_journal.client_closed(self.close_reason, request)
         if request is not None:
             self.server.router.completion.on_client_disconnected(request, self)
 
@@ -131,7 +135,7 @@
         self.connection.set_reading_paused(False)
         while not self.is_answering and not self.is_closing and not self.connection.has_unsent_data:
             if self.dropped_bytes:
-                self._close()  # what came next is lost
+                self._close(CloseReason.SENT_TOO_MUCH)  # what came next is lost
             elif self.queue:
                 self.is_answering = True
                 self._handle(self.queue.popleft())
@@ -228,19 +232,20 @@
         """Close the connection without an answer."""
         self.is_answering = False
         self.request = None
-        self.hang_up()
+        self.hang_up(CloseReason.OTHER_LEADER)
 
     def _respond(self, status: int, body: bytes, retry_after: int = 0, location: str = "") -> None:
         self.is_answering = False
         self.request = None
         # A client whose request is at fault would send the same again as fast as it can.
         is_at_fault = 400 <= status < 500
-        is_ending = self.server.is_shut or self.server.is_handing_over or self.dropped_bytes > 0
-        keep_alive = self.keep_alive and not is_at_fault and not is_ending
+        has_dropped = self.dropped_bytes > 0
+        is_ending = self.server.is_shut or self.server.is_handing_over
+        keep_alive = self.keep_alive and not (is_at_fault or has_dropped or is_ending)
         self.connection.write(clients.encode_response(status, body, keep_alive, retry_after, location))
         self.idle_since = self.server.deadlines.now()
         if not keep_alive:
-            self._close()
+            self._close(reason_after_response(status, has_dropped, is_ending, not self.is_excess))
         else:
             # What the client has sent in the meantime is read in a turn of its own.
             self.server.loop.call_soon(self._read_on_if_open)
@@ -250,8 +255,9 @@
         if not self.is_answering and not self.is_closing and self.connection.is_open:
             self._read_on()
 
-    def _close(self) -> None:
+    def _close(self, reason: CloseReason) -> None:
         """Close the connection so that the response arrives even if more was sent than was read."""
+        self.close_reason = reason
         self.is_closing = True
         self.queue.clear()
         buffer = self.connection.buffer
@@ -281,6 +287,8 @@
 
     def _on_timeout(self) -> None:
         if self.connection.has_unsent_data or not self.reader.in_message:
+            has_unread = self.connection.has_unsent_data
+            self.close_reason = CloseReason.RESPONSE_NOT_READ if has_unread else CloseReason.NOTHING_SENT
             self.connection.abort()
         elif not self.is_answering:
             self._respond(408, b"the request did not come whole")
--- a/ploverspoke/routing/request_journal.py
+++ b/ploverspoke/routing/request_journal.py
@@ -9,6 +9,7 @@
 from ploverspoke.transport.rate_limited_log import RateLimitedLog
 from ploverspoke.transport.units import MILLISECOND, SECOND
 
+from .close_reasons import CloseReason
 from .requests import Request
 
 BURST_LINES = 20
@@ -23,6 +24,7 @@
         self.log = RateLimitedLog(BURST_LINES, LINES_PER_SECOND)
         self.attempt_ends: Counter[ExchangeOutcome] = Counter()
         self.request_ends: Counter[EndReason] = Counter()
+        self.client_closes: Counter[CloseReason] = Counter()
 
     def attempt_ended(
         self, request: Request, worker: str, index: int, outcome: ExchangeOutcome, elapsed: int, list_age: int
@@ -49,6 +51,12 @@
         """Count a request for which there is no room."""
         self.request_ends[EndReason.NO_ROOM] += 1
 
+    def client_closed(self, reason: CloseReason, request: Request | None) -> None:
+        """Count the end of a client's connection; `request`: which it still waited for."""
+        self.client_closes[reason] += 1
+        if request is not None:
+            self.log.write(f"request {request.request_id}: its connection ended, {reason.value}")
+
     def lines(self) -> Iterator[str]:
         """The counters that operators fetch."""
         for outcome in ExchangeOutcome:
@@ -58,3 +66,6 @@
             yield admin.labelled_line(
                 "unsuccessful_ends", {"reason": reason.value}, self.request_ends[reason]
             )
+        for close_reason in CloseReason:
+            labels = {"reason": close_reason.value}
+            yield admin.labelled_line("client_closes", labels, self.client_closes[close_reason])
--- a/ploverspoke/testbed/list_age/discovery.py
+++ b/ploverspoke/testbed/list_age/discovery.py
@@ -11,6 +11,8 @@
 from typing import Any, NamedTuple
 from urllib.parse import parse_qs, urlsplit
 
+from ..standins.wire import answer
+
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
@@ -175,10 +177,10 @@
         if writer.transport.is_closing():
             return False  # nothing is written to it any more
         if failure is Failure.REJECTED:
-            writer.write(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
+            writer.write(answer(503, "Busy", b""))
             return True
         body = b'{"version":"soon"}' if failure is Failure.INVALID else self._list(dispatcher, version)
-        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+        writer.write(answer(200, "OK", body))
         return True
 
     def _next_failure(self) -> Failure | None:
--- a/ploverspoke/testbed/soak/workers.py
+++ b/ploverspoke/testbed/soak/workers.py
@@ -7,8 +7,9 @@
 from collections import defaultdict
 from typing import Any, NamedTuple
 
+from ..standins.wire import LAST_CHUNK, answer, chunk
+
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-EMPTY = b"Content-Length: 0\r\n\r\n"
 LONGEST_RUN = 0.06  # seconds, for most requests
 LONG_RUN = 0.4
 LONG_SHARE = 0.03
@@ -67,9 +68,7 @@
     ) -> None:
         is_draining = name in self.draining
         if head.startswith("GET "):
-            body = b"" if is_draining else LOAD
-            status = b"503 Draining" if is_draining else b"200 OK"
-            writer.write(b"HTTP/1.1 %s\r\nContent-Length: %d\r\n\r\n" % (status, len(body)) + body)
+            writer.write(answer(503, "Draining", b"") if is_draining else answer(200, "OK", LOAD))
             return
         lines = (line.split(": ", 1) for line in head.split("\r\n")[1:] if line)
         headers = {key.lower(): value for key, value in lines}
@@ -80,15 +79,14 @@
         self.arrivals.append(arrival)
         self.by_request[request_id].append(arrival)
         if is_draining:
-            writer.write(b"HTTP/1.1 503 Draining\r\nNot-Started: 1\r\n" + EMPTY)
+            writer.write(answer(503, "Draining", b"", "Not-Started: 1\r\n"))
             return
-        writer.write(HEAD + _chunk({"id": request_id, "from": name, "state": "started"}))
+        writer.write(HEAD + _line({"id": request_id, "from": name, "state": "started"}))
         longest = LONG_RUN if self.random.random() < LONG_SHARE else LONGEST_RUN
         await asyncio.sleep(self.random.random() * longest)
         done = {"id": request_id, "from": name, "state": "done", "result": request_id}
-        writer.write(_chunk(done) + b"0\r\n\r\n")
+        writer.write(_line(done) + LAST_CHUNK)
 
 
-def _chunk(line: dict[str, str]) -> bytes:
-    text = json.dumps(line).encode() + b"\n"
-    return f"{len(text):x}\r\n".encode() + text + b"\r\n"
+def _line(line: dict[str, str]) -> bytes:
+    return chunk(json.dumps(line).encode() + b"\n")
--- a/tests/routing/test_client_requests.py
+++ b/tests/routing/test_client_requests.py
@@ -5,12 +5,14 @@
 
 import pytest
 
+from ploverspoke.routing.close_reasons import CloseReason
 from tests.routing.harness import (
     World,
     message,
     play,
     say_nothing,
 )
+from tests.routing.race_harness import until
 
 
 def test_requests_are_served_over_reused_connections() -> None:
@@ -127,6 +129,11 @@
         kept.write(world.request("second"))
         assert (await message(kept_reader))[0] == "HTTP/1.1 200 OK"
         kept.close()
+        for writer in (half_writer, drip_writer):
+            writer.close()
+        closes = world.service.router.request_journal.client_closes
+        await until(lambda: closes[CloseReason.INVALID_REQUEST] == 2 and closes[CloseReason.CLIENT_LEFT] == 1)
+        assert closes[CloseReason.NOTHING_SENT] == 2
 
     play(script)
 
