--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -33,10 +33,12 @@
         self.file = (folder / "record.txt").open("w", encoding="utf-8")
         self.began = time.monotonic()
 
-    def write(self, line: str) -> None:
+    def write(self, line: str, echo: bool = True) -> None:
+        """Write a line to the record, and to standard output with `echo`."""
         text = f"{time.monotonic() - self.began:8.3f} {line}"
         print(text, file=self.file, flush=True)
-        print(text, flush=True)
+        if echo:
+            print(text, flush=True)
 
 
 def free_ports(count: int) -> list[int]:
@@ -199,6 +201,9 @@
         self.duration = duration
         self.busy = 0
         self.runs: list[str] = []  # ids, one entry a run
+        self.usual_result = f"done by {name}"
+        self.results: dict[str, str] = {}  # by id, where it is not the usual one
+        self.is_quiet = False  # under load, single runs are not echoed
         self.tasks: set[asyncio.Task[None]] = set()
         self.port = 0
 
@@ -238,8 +243,8 @@
             return
         self.busy += 1
         self.runs.append(request_id)
-        count = self.runs.count(request_id)
-        self.record.write(f"{self.name}: runs {request_id} ({target}), run {count} of this id")
+        line = f"{self.name}: runs {request_id} ({target}), run {self.runs.count(request_id)} of this id"
+        self.record.write(line, echo=not self.is_quiet)
         run = asyncio.create_task(self._run(request_id, writer))
         self.tasks.add(run)
         run.add_done_callback(self.tasks.discard)
@@ -258,8 +263,8 @@
                 share = 1 - remaining / total
                 self._line(writer, {"id": request_id, "from": self.name, "state": "running", "share": share})
         self.busy -= 1
-        self.record.write(f"{self.name}: has done {request_id}")
-        result = f"done by {self.name}"
+        self.record.write(f"{self.name}: has done {request_id}", echo=not self.is_quiet)
+        result = self.results.get(request_id, self.usual_result)
         self._line(writer, {"id": request_id, "from": self.name, "state": "done", "result": result})
         self._send(writer, b"0\r\n\r\n")
 
@@ -288,6 +293,10 @@
     def __init__(self, record: Record, addresses: list[str]) -> None:
         self.record = record
         self.addresses = addresses
+        self.is_quiet = False  # under load, single requests are not echoed
+
+    def _note(self, line: str) -> None:
+        self.record.write(line, echo=not self.is_quiet)
 
     async def ask_once(
         self, address: str, path: str, request_id: str, timeout_ms: int, body: bytes
@@ -317,23 +326,24 @@
         turn = 0
         address = first or self.addresses[0]
         while time.monotonic() < end:
-            self.record.write(f"client: sends {request_id} ({path}, waits {timeout_ms} ms) to {address}")
+            self._note(f"client: sends {request_id} ({path}, waits {timeout_ms} ms) to {address}")
             answer = await self.ask_once(address, path, request_id, timeout_ms, body)
             if answer is None:
-                self.record.write(f"client: no answer to {request_id} from {address}")
+                self._note(f"client: no answer to {request_id} from {address}")
             elif answer.status == 307:
                 address = answer.headers["location"].removeprefix("http://").partition("/")[0]
-                self.record.write(f"client: {request_id} is redirected to {address}")
+                self._note(f"client: {request_id} is redirected to {address}")
+                await asyncio.sleep(0.02)
                 continue
             elif answer.status == 503 and answer.body == "no replica leads":
-                self.record.write(f"client: no replica leads, {request_id} is asked for again")
+                self._note(f"client: no replica leads, {request_id} is asked for again")
             else:
-                self.record.write(f"client: {request_id} is answered {answer.status} {answer.body!r}")
+                self._note(f"client: {request_id} is answered {answer.status} {answer.body[:40]!r}")
                 return answer
             await asyncio.sleep(0.2)
             turn += 1
             address = self.addresses[turn % len(self.addresses)]
-        self.record.write(f"client: gives {request_id} up")
+        self._note(f"client: gives {request_id} up, it has no answer")
         return None
 
 
@@ -470,7 +480,7 @@
         programs.close()
         for log in sorted(temporary.glob("*.log")):
             for line in log.read_text(encoding="utf-8", errors="replace").splitlines()[-60:]:
-                record.write(f"log of {log.stem}: {line}")
+                record.write(f"log of {log.stem}: {line}", echo=False)
         shutil.rmtree(temporary, ignore_errors=True)
     record.write({HELD: "the rule held", BROKEN: "THE RULE WAS BROKEN"}.get(code, "could not run"))
     sys.exit(code)
