Log messages to other replicas that cannot be framed, with type and receiver

Frames too large, a follower that is slow to catch up, a disk that cannot be written and elections without a winner looked alike in the log but for a traceback without the receiver.

--- a/ploverspoke/consensus/peer_links.py
+++ b/ploverspoke/consensus/peer_links.py
@@ -241,7 +241,16 @@
         elif unsent > MAX_UNSENT_BYTES:
             self.links.dropped_messages += 1
         else:
-            self._write(self.frames.encode(message))
+            self._send_frame(message)
+
+    def _send_frame(self, message: object) -> None:
+        """Send a message; one that has no frame is logged, with its receiver. Raises FrameError."""
+        try:
+            frame = self.frames.encode(message)
+        except FrameError as error:
+            log_line(f"store: a message of type {type(message).__name__} to {self.peer_id}: {error}")
+            raise
+        self._write(frame)
 
     def _is_stalled(self, unsent: int) -> bool:
         now = asyncio.get_running_loop().time()
