Limit messages of consensus by their encoded size, and let no error end an event halfway

Cause: Log.entries_after took each command that is not bytes for 64 bytes, so 512 answers made a frame of 11 MB. FrameTooLargeError then ended the heartbeat round, the timer and the batch of proposals halfway. Change: entries count as they are encoded; commands that cannot be encoded or are too large are refused alone, before they are in the log; links, servers and clients drop a message without a frame and log it; a tool gets the reason in place of a reply; other errors of consensus fail what waits, and the replica begins again from its disk; transactions are rolled back after every error; unreadable commands are skipped.

--- a/ploverspoke/config_distribution/state_machine.py
+++ b/ploverspoke/config_distribution/state_machine.py
@@ -10,6 +10,8 @@
 
 import msgspec
 
+from ploverspoke.consensus.log import MalformedEntryError
+
 SNAPSHOT_FORMAT = 1
 MAX_VERSIONS = 64  # kept, including the latest
 MAX_VERSION_BYTES = 4 * 1024 * 1024  # total size of the kept bodies without the latest
@@ -17,6 +19,7 @@
 DIGEST_BYTES = 16
 PUBLISH_COMMAND = "publish"  # the name of a command in the log
 SHORT_DIGEST_CHARACTERS = 16
+NOT_BYTES = "a command is not bytes"
 
 
 def digest_of(body: str) -> bytes:
@@ -106,10 +109,20 @@
     # ---- The replicated log ----
 
     def apply(self, index: int, command: object) -> None:
-        """Apply a committed log entry; an unknown command, written by a later release, changes nothing."""
-        assert isinstance(command, bytes)
-        if msgspec.msgpack.decode(command, type=_CommandHeader).name == PUBLISH_COMMAND:
-            self._publish(msgspec.msgpack.decode(command, type=PublishCommand))
+        """Apply a committed log entry; an unknown command, written by a later release, changes nothing.
+
+        Raises MalformedEntryError.
+        """
+        if not isinstance(command, bytes):
+            raise MalformedEntryError(NOT_BYTES)
+        try:
+            header: _CommandHeader = msgspec.msgpack.decode(command, type=_CommandHeader)
+            if header.name != PUBLISH_COMMAND:
+                return
+            publish: PublishCommand = msgspec.msgpack.decode(command, type=PublishCommand)
+        except msgspec.DecodeError as error:
+            raise MalformedEntryError(str(error)) from error
+        self._publish(publish)
 
     def take_snapshot(self) -> bytes:
         """Return the whole state, encoded for a snapshot."""
--- a/ploverspoke/consensus/framed_client.py
+++ b/ploverspoke/consensus/framed_client.py
@@ -56,12 +56,22 @@
         return self.ready and self.transport is not None
 
     def write(self, message: object) -> None:
-        """Send a message; drop it if the connection is not ready or the server does not read."""
+        """Send a message.
+
+        It is dropped if the connection is not ready, the server does not read, or the message is too large or
+        cannot be encoded.
+        """
         if self.transport is None or not self.ready:
             return
         unsent = self.transport.get_write_buffer_size()
-        if self.max_unsent_bytes is None or unsent <= self.max_unsent_bytes:
-            self.transport.write(self.frames.encode(message))
+        if self.max_unsent_bytes is not None and unsent > self.max_unsent_bytes:
+            return
+        try:
+            frame = self.frames.encode(message)
+        except FrameError as error:
+            log_line(f"{self.log_name}: a message to a server is dropped: {error}")
+            return
+        self.transport.write(frame)
 
     def close(self) -> None:
         """Close the connection now, or as soon as it is established; no handler is called again."""
--- a/ploverspoke/consensus/framed_server.py
+++ b/ploverspoke/consensus/framed_server.py
@@ -73,14 +73,19 @@
     def write(self, message: object) -> int:
         """Send a message and return the number of bytes on the wire, 0 if it was not sent.
 
-        If the client leaves too many bytes unread, the connection is aborted instead.
+        If the client leaves too many bytes unread, the connection is aborted instead. A message that is too
+        large or cannot be encoded is dropped.
         """
         if self.transport is None or not self.is_open():
             return 0
         if self.transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
             self.abort()
             return 0
-        data = self.frames.encode(message)
+        try:
+            data = self.frames.encode(message)
+        except FrameError as error:
+            log_line(f"{self.server.log_name}: a message to {self.client_name} is dropped: {error}")
+            return 0
         self.transport.write(data)
         return len(data)
 
--- a/ploverspoke/consensus/framing.py
+++ b/ploverspoke/consensus/framing.py
@@ -26,6 +26,8 @@
 SEQUENCE_NUMBER_BYTES = 8
 MAX_BODY_BYTES = 4 * 1024 * 1024
 MAX_GREETING_BYTES = 4096
+# A command in the log; the rest of a body is for the message around it.
+MAX_COMMAND_BYTES = MAX_BODY_BYTES - 64 * 1024
 
 
 class FrameError(ConsensusError):
@@ -42,6 +44,15 @@
         self.limit = limit
 
 
+class FrameEncodeError(FrameError):
+    """A message holds a value that msgpack cannot encode, as half of a surrogate pair."""
+
+    def __init__(self, reason: str) -> None:
+        """Keep the reason that the encoder gives."""
+        super().__init__(f"a message cannot be encoded: {reason}")
+        self.reason = reason
+
+
 class FrameAuthenticationError(FrameError):
     """A MAC does not match."""
 
@@ -80,8 +91,14 @@
         return _build_frame(self.greeting_body, _compute_mac(derive_key(self.secret), 0, self.greeting_body))
 
     def encode(self, message: object) -> bytes:
-        """Return the frame of a message: any value that msgspec encodes. Raises FrameTooLargeError."""
-        body = self._encoder.encode(message)
+        """Return the frame of a message: any value that msgspec encodes.
+
+        Raises FrameTooLargeError or FrameEncodeError; the connection can be used further after either.
+        """
+        try:
+            body = self._encoder.encode(message)
+        except (ValueError, TypeError, OverflowError) as error:
+            raise FrameEncodeError(str(error)) from error
         if len(body) > MAX_BODY_BYTES:
             raise FrameTooLargeError(len(body), MAX_BODY_BYTES)
         self._sent_frames += 1
--- a/ploverspoke/consensus/log.py
+++ b/ploverspoke/consensus/log.py
@@ -5,13 +5,13 @@
 
 import msgspec
 
+from .errors import ConsensusError
 from .membership import Members, members_from_plain
 
 # A value that msgpack can encode: None, bool, int, float, str, bytes, and lists and maps of these.
 PlainValue: TypeAlias = object
 
-# The assumed size of a command that is not `bytes`, when the size of a message is limited.
-ASSUMED_COMMAND_BYTES = 64
+ENTRY_OVERHEAD_BYTES = 48  # upper bound for the index, the term and the kind of an encoded entry
 
 
 class EntryKind(StrEnum):
@@ -31,6 +31,9 @@
     data: PlainValue
 
 
+_encoder = msgspec.msgpack.Encoder()
+
+
 class Snapshot(msgspec.Struct, frozen=True):
     """The state after all entries up to `index`; it replaces the log up to there."""
 
@@ -40,11 +43,19 @@
     data: bytes
 
 
+class MalformedEntryError(ConsensusError):
+    """A committed command cannot be read by the state machine."""
+
+
 class StateMachine(Protocol):
     """The replicated state, which all replicas change by applying the same committed commands."""
 
     def apply(self, index: int, command: PlainValue) -> None:
-        """Execute the command that was committed at `index`, a plain value. Must not fail."""
+        """Execute the command that was committed at `index`, a plain value.
+
+        Raises MalformedEntryError, with the state unchanged, if the command cannot be read: all replicas
+        then skip it.
+        """
 
     def take_snapshot(self) -> bytes:
         """Return the whole state."""
@@ -53,6 +64,11 @@
         """Replace the state by that of a snapshot; b"" stands for the empty state."""
 
 
+def encoded_entry_bytes(entry: Entry) -> int:
+    """Return an upper bound for the size of an encoded entry, in bytes."""
+    return ENTRY_OVERHEAD_BYTES + len(_encoder.encode(entry.data))
+
+
 def with_typed_members(entry: Entry) -> Entry:
     """Convert the members in an entry that was read from disk or received. Raises msgspec.ValidationError."""
     if entry.kind is not EntryKind.MEMBERS:
@@ -97,7 +113,7 @@
         size = 0
         position = index - self.snapshot_index
         for entry in self.entries[position : position + max_entries]:
-            size += len(entry.data) if isinstance(entry.data, bytes) else ASSUMED_COMMAND_BYTES
+            size += encoded_entry_bytes(entry)
             if selected and size > max_bytes:
                 break
             selected.append(entry)
--- a/ploverspoke/consensus/node.py
+++ b/ploverspoke/consensus/node.py
@@ -8,7 +8,7 @@
 import random
 import time
 from collections.abc import Callable
-from typing import NamedTuple
+from functools import partial
 
 import msgspec
 
@@ -18,14 +18,16 @@
 from .admin_requests import AdminRequests, status_fields
 from .clock import ReplicatedClock
 from .cluster_config import ReplicaConfig, initial_replica_id, split_address
+from .isolated_callbacks import isolated
 from .log import PlainValue, StateMachine
 from .membership import Member, Members, find_by_name
 from .peer_links import PeerIdentity, PeerLinks, Reply
 from .persisted_state import WriteBatch
+from .proposal_queue import Command, CommitCallback, ProposalQueue
 from .raft_state import RaftTimeouts, Role
 from .replica import Replica, RoleListener, Runtime
 from .replica_driver import DriverCallbacks, ReplicaDriver, WriteCounters
-from .storage import CorruptionError, ReplicaStorage, StorageError
+from .storage import ReplicaStorage, StorageError
 from .storage_setup import open_storage
 from .storage_thread import StorageThread
 from .wire_messages import Message
@@ -33,16 +35,6 @@
 REOPEN_DELAY_S = 0.5  # before each attempt to reopen storage that could not be written
 HEARTBEATS_PER_ELECTION_TIMEOUT = 4
 
-CommitCallback = Callable[[bool], None]
-Command = msgspec.Struct | bytes | list[PlainValue]
-
-
-class Proposal(NamedTuple):
-    """A command that waits for the next batch."""
-
-    command: PlainValue
-    on_result: CommitCallback
-
 
 class ReplicaNode:
     """The interface of a replica to its service, which derives a subclass and overrides the hooks."""
@@ -67,7 +59,7 @@
         self.storage_failures = 0
         self.write_counters = WriteCounters()
         self._driver: ReplicaDriver | None = None  # None: the storage cannot be used
-        self._proposals: list[Proposal] = []  # made in this iteration of the event loop
+        self._proposals = ProposalQueue(self._propose_batch)
         self._tasks: set[asyncio.Task[None]] = set()
 
     # ---- Start and stop ----
@@ -98,7 +90,7 @@
         self.state_machine.restore_snapshot(b"")
         election = self.config.election_timeout
         timeouts = RaftTimeouts(election, heartbeat=election // HEARTBEATS_PER_ELECTION_TIMEOUT)
-        runtime = Runtime(time.monotonic_ns, random.SystemRandom().random, self.peer_links.send)
+        runtime = Runtime(time.monotonic_ns, random.SystemRandom().random, self.peer_links.send, log_line)
         replica = Replica(self.replica_id, self.storage.persisted, self.state_machine, runtime, timeouts)
         replica.role_listeners.append(self.on_role_changed)
         self.replica = replica
@@ -152,38 +144,47 @@
         """Propose a command. `on_result` is called after this returns, with whether it was committed.
 
         False does not mean that it will never be committed. A struct is written to the log as plain values.
+        A command that cannot be encoded, or is too large for a message, is logged and not proposed.
         """
-        if isinstance(command, msgspec.Struct):
-            command = msgspec.to_builtins(command, builtin_types=(bytes,))
-        if not self._proposals:
-            self.loop.call_soon(self._propose_batch)
-        self._proposals.append(Proposal(command, on_result))
+        self._proposals.add(command, on_result)
 
     def read_barrier(self, on_result: CommitCallback) -> None:
         """Call `on_result` with True once the state includes all that was committed before this call.
 
         False means that this could not be confirmed.
         """
-        if self.replica is None:
+        replica = self.replica
+        if replica is None:
             self.loop.call_soon(on_result, False)
         else:
-            self.replica.read_barrier(on_result)
-            self._schedule_step()
+            self._run_in_replica(lambda: replica.read_barrier(isolated(on_result)))
 
     def change_members(self, members: Members) -> bool:
         """Start replacing the members; return False if that is not possible now."""
-        accepted = self.replica is not None and bool(self.replica.raft.change_members(members))
-        if accepted:
-            self._connect_to_members()
-        self._schedule_step()
+        accepted = False
+
+        def change(replica: Replica) -> None:
+            """Propose the members, and connect to the new ones."""
+            nonlocal accepted
+            accepted = bool(replica.raft.change_members(members))
+            if accepted:
+                self._connect_to_members()
+
+        if self.replica is not None:
+            self._run_in_replica(partial(change, self.replica))
         return accepted
 
     def transfer_leadership(self, name: str) -> bool:
         """Start transferring leadership to the voter of that name; return False if that is not possible."""
-        if self.replica is None:
-            return False
-        accepted = self.replica.raft.transfer_leadership(find_by_name(self.members(), name))
-        self._schedule_step()
+        accepted = False
+
+        def transfer(replica: Replica) -> None:
+            """Start the transfer."""
+            nonlocal accepted
+            accepted = replica.raft.transfer_leadership(find_by_name(self.members(), name))
+
+        if self.replica is not None:
+            self._run_in_replica(partial(transfer, self.replica))
         return accepted
 
     def status(self) -> WireMap:
@@ -223,25 +224,21 @@
     # ---- Events ----
 
     def _on_message(self, sender: str, message: Message) -> None:
-        if self.replica is not None:
-            self.replica.raft.receive(sender, message)
-            self._schedule_step()
-
-    def _propose_batch(self) -> None:
-        proposals, self._proposals = self._proposals, []
-        callbacks = [proposal.on_result for proposal in proposals]
-
-        def on_result(committed: bool) -> None:
-            for callback in callbacks:
-                self.loop.call_soon(callback, committed)
-
-        if self.replica is None:
+        replica = self.replica
+        if replica is not None:
+            self._run_in_replica(lambda: replica.raft.receive(sender, message))
+
+    def _propose_batch(self, commands: list[PlainValue], on_result: CommitCallback) -> None:
+        replica = self.replica
+        if replica is not None:
+            self._run_in_replica(lambda: replica.propose(commands, on_result))
+        if replica is None or self.replica is not replica:
             on_result(False)
-        else:
-            self.replica.propose([proposal.command for proposal in proposals], on_result)
-            self._schedule_step()
 
-    def _schedule_step(self) -> None:
+    def _run_in_replica(self, call: Callable[[], None]) -> None:
+        """Run a call that changes the replica's state, and write what follows from it."""
+        if self._driver is not None:
+            self._driver.run(call)
         if self._driver is not None:
             self._driver.schedule_step()
 
@@ -253,14 +250,15 @@
     # ---- Storage failures ----
 
     def _stop_replica(self, error: Exception) -> None:
-        """Leave consensus until the storage can be written; unwritten data counts as never received."""
+        """Leave consensus and begin again from storage; unwritten data counts as never received."""
         if self.replica is None or self._driver is None:
             return
         self._driver.stop()
         self._driver = None
         self.storage_error = str(error)
         self.storage_failures += 1
-        log_line(f"store: the disk cannot be written, this replica stands aside: {error}")
+        cause = "the disk cannot be written" if isinstance(error, StorageError) else "an internal error"
+        log_line(f"store: {cause}, this replica stands aside: {error}")
         replica, self.replica = self.replica, None
         replica.stop()
         task = self.loop.create_task(self._reopen_storage())
@@ -272,12 +270,13 @@
             await asyncio.sleep(REOPEN_DELAY_S)
             try:
                 await self.storage_thread.run(self._reopen_and_write)
-            except (StorageError, CorruptionError) as error:
+                if not self.closed:
+                    self._start_replica()
+            except Exception as error:  # whatever it is, the next attempt must follow
                 self.storage_error = str(error)
                 continue
             self.storage_error = ""
             log_line("store: the disk can be written again")
-            self._start_replica()
             return
 
     def _reopen_and_write(self) -> None:
--- a/ploverspoke/consensus/peer_links.py
+++ b/ploverspoke/consensus/peer_links.py
@@ -15,6 +15,7 @@
 from ploverspoke.transport.rate_limited_log import log_line
 from ploverspoke.transport.stream_protocol import StreamProtocol
 
+from .admin_messages import ResultReply, encode_reply
 from .errors import ConsensusError
 from .framing import FrameCodec, FrameError
 from .wire_messages import Message, decode_message
@@ -169,9 +170,15 @@
             self.abort()
 
     def reply(self, message: object) -> None:
-        """Send a reply to a tool, if it is still connected."""
-        if self.transport is not None:
-            self.transport.write(self.frames.encode(message))
+        """Send a reply to a tool, if it is still connected; in place of one without a frame, the reason."""
+        if self.transport is None:
+            return
+        try:
+            frame = self.frames.encode(message)
+        except FrameError as error:
+            log_line(f"store: a reply to a tool cannot be sent: {error}")
+            frame = self.frames.encode(encode_reply(ResultReply(done=False, why=str(error))))
+        self.transport.write(frame)
 
     def _handle(self, body: bytes) -> None:
         if not self.sender:
@@ -244,13 +251,16 @@
             self._send_frame(message)
 
     def _send_frame(self, message: object) -> None:
-        """Send a message; one that has no frame is logged, with its receiver. Raises FrameError."""
+        """Send a message; drop it if it has no frame, since consensus must not end halfway."""
         try:
             frame = self.frames.encode(message)
         except FrameError as error:
-            log_line(f"store: a message of type {type(message).__name__} to {self.peer_id}: {error}")
-            raise
-        self._write(frame)
+            self.links.dropped_messages += 1
+            log_line(
+                f"store: a message of type {type(message).__name__} to {self.peer_id} is dropped: {error}"
+            )
+        else:
+            self._write(frame)
 
     def _is_stalled(self, unsent: int) -> bool:
         now = asyncio.get_running_loop().time()
--- a/ploverspoke/consensus/replica.py
+++ b/ploverspoke/consensus/replica.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from .log import Entry, EntryKind, PlainValue, Snapshot, StateMachine
+from .log import Entry, EntryKind, MalformedEntryError, PlainValue, Snapshot, StateMachine
 from .persisted_state import PersistedState, WriteBatch
 from .raft import DEFAULT_TIMEOUTS, Raft
 from .raft_state import RaftTimeouts, Role
@@ -25,7 +25,8 @@
 
     now: Callable[[], int]  # monotonic time in ns
     random_fraction: Callable[[], float]  # at least 0, less than 1
-    send: Callable[[str, Message], None]  # to the replica with that id
+    send: Callable[[str, Message], None]  # to the replica with that id; must not fail
+    log: Callable[[str], None] = lambda line: None
 
 
 class PendingProposal(NamedTuple):
@@ -131,11 +132,14 @@
         return Snapshot(index, term, self.raft.members_at(index), self.state_machine.take_snapshot())
 
     def stop(self) -> None:
-        """Fail pending proposals and confirmed reads, as the storage cannot be written.
+        """Fail pending proposals and reads, as the storage cannot be written.
 
         The listeners are notified of the role STOPPED.
         """
         self.on_role_changed(Role.STOPPED, "")
+        reads, self._unconfirmed_reads = self._unconfirmed_reads, {}
+        for on_result in reads.values():
+            on_result(False)
 
     # ---- RaftEnvironment ----
 
@@ -177,7 +181,7 @@
     def on_entry_committed(self, entry: Entry) -> None:
         """Apply an entry, and answer the proposal and the reads that wait for it."""
         if entry.kind is EntryKind.DATA:
-            self.state_machine.apply(entry.index, entry.data)
+            self._apply(entry)
         self.applied_index = entry.index
         proposal = self._proposals.pop(entry.index, None)
         if proposal is not None:
@@ -211,6 +215,12 @@
         if on_result is not None:
             on_result(False)
 
+    def _apply(self, entry: Entry) -> None:
+        try:
+            self.state_machine.apply(entry.index, entry.data)
+        except MalformedEntryError as error:
+            self._runtime.log(f"store: entry {entry.index} is skipped: {error}")
+
     def _answer_reads(self) -> None:
         ready = [read for read in self._confirmed_reads if read.index <= self.applied_index]
         self._confirmed_reads = [read for read in self._confirmed_reads if read.index > self.applied_index]
--- a/ploverspoke/consensus/replica_driver.py
+++ b/ploverspoke/consensus/replica_driver.py
@@ -5,11 +5,13 @@
 """
 
 import asyncio
+import traceback
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import NamedTuple
 
 from ploverspoke.transport.loop_timer import LoopTimer
+from ploverspoke.transport.rate_limited_log import log_line
 
 from .log import EntryKind
 from .persisted_state import WriteBatch
@@ -30,7 +32,7 @@
     """The events that a driver reports to its node."""
 
     on_members_written: Callable[[], None]  # the members may have changed
-    on_failure: Callable[[Exception], None]  # the storage cannot be written
+    on_failure: Callable[[Exception], None]  # the storage cannot be written, or consensus has failed
 
 
 class ReplicaDriver:
@@ -59,11 +61,24 @@
         self._is_taking_snapshot = False
         self._timer = LoopTimer(self._on_timer)
 
+    def run(self, call: Callable[[], None]) -> None:
+        """Run a call that changes the replica's state; an error ends the replica.
+
+        After an error halfway, what the replica holds in memory may contradict its storage.
+        """
+        if self._is_stopped:
+            return
+        try:
+            call()
+        except Exception as error:
+            log_line(f"store: consensus failed: {traceback.format_exc()}")
+            self.callbacks.on_failure(error)
+
     def schedule_step(self) -> None:
         """Write the current batch and set the timer, after the callbacks that the loop has queued already."""
         if not self._is_step_scheduled:
             self._is_step_scheduled = True
-            self._loop.call_soon(self._step)
+            self._loop.call_soon(self.run, self._step)
 
     def stop(self) -> None:
         """Stop driving the replica; a write in progress is still completed."""
@@ -72,8 +87,6 @@
 
     def _step(self) -> None:
         self._is_step_scheduled = False
-        if self._is_stopped:
-            return
         self._timer.set(self.replica.raft.next_tick())
         if self._is_writing or self.replica.batch.is_empty():
             return
@@ -82,14 +95,15 @@
             self.replica.on_batch_written(batch)
             return
         self._is_writing = True
-        self.storage_thread.submit(
-            lambda error: self._on_batch_written(batch, error), self.storage.write, batch
-        )
+
+        def on_done(error: Exception | None) -> None:
+            """Handle the result of the write, unless the replica was stopped meanwhile."""
+            self.run(lambda: self._on_batch_written(batch, error))
+
+        self.storage_thread.submit(on_done, self.storage.write, batch)
 
     def _on_batch_written(self, batch: WriteBatch, error: Exception | None) -> None:
         self._is_writing = False
-        if self._is_stopped:
-            return
         if error is not None:
             self.callbacks.on_failure(error)
             return
@@ -116,11 +130,10 @@
             if error is not None:
                 self.callbacks.on_failure(error)
             else:
-                self.replica.on_snapshot_written(snapshot)
+                self.run(lambda: self.replica.on_snapshot_written(snapshot))
 
         self.storage_thread.submit(on_done, self.storage.save_snapshot, snapshot)
 
     def _on_timer(self) -> None:
-        if not self._is_stopped:
-            self.replica.raft.tick()
-            self.schedule_step()
+        self.run(self.replica.raft.tick)
+        self.schedule_step()
--- a/ploverspoke/consensus/storage.py
+++ b/ploverspoke/consensus/storage.py
@@ -66,18 +66,20 @@
     if target.exists():
         raise ClusterMismatchError(target, "exists: it is never written over")
     folder.mkdir(parents=True, exist_ok=True)
+    storage = ReplicaStorage(folder)
     try:
         with closing(sqlite3.connect(backup)) as source, closing(sqlite3.connect(target)) as copy:
             source.backup(copy)
-        storage = ReplicaStorage(folder)
         storage.open()
         storage.save_value(schema.STORAGE_ID_KEY, secrets.token_hex(schema.STORAGE_ID_BYTES))
         storage.save_value(schema.REPLICA_ID_KEY, replica_id)
         storage.save_value(schema.VOTE_KEY, (storage.persisted.current_term + 1, ""))
     except sqlite3.Error as error:
+        storage.close()
         target.unlink()
         raise CorruptionError(backup, str(error)) from error
-    except ConsensusError:
+    except BaseException:
+        storage.close()
         target.unlink()
         raise
     return storage
@@ -142,12 +144,10 @@
         """Set up the storage of a new replica. Raises ClusterMismatchError if that was done before."""
         if self.replica_id:
             raise ClusterMismatchError(self.path, f"is the store of {self.replica_id} already")
-        connection = self._require_connection()
-        connection.execute("begin immediate")
-        self._put(schema.REPLICA_ID_KEY, replica_id)
-        self._put(schema.FINGERPRINT_KEY, cluster_fingerprint)
-        self._put(schema.FIRST_MEMBERS_KEY, members)
-        connection.execute("commit")
+        with self._transaction():
+            self._put(schema.REPLICA_ID_KEY, replica_id)
+            self._put(schema.FINGERPRINT_KEY, cluster_fingerprint)
+            self._put(schema.FIRST_MEMBERS_KEY, members)
         self._load_state()
 
     def _connect(self) -> None:
@@ -160,10 +160,9 @@
             connection.execute(f"pragma max_page_count = {self.max_pages}")
         connection.executescript(schema.CREATE_TABLES)
         if self.load_value(schema.FORMAT_KEY, int) is None:
-            connection.execute("begin immediate")
-            self._put(schema.FORMAT_KEY, schema.FORMAT_VERSION)
-            self._put(schema.STORAGE_ID_KEY, secrets.token_hex(schema.STORAGE_ID_BYTES))
-            connection.execute("commit")
+            with self._transaction():
+                self._put(schema.FORMAT_KEY, schema.FORMAT_VERSION)
+                self._put(schema.STORAGE_ID_KEY, secrets.token_hex(schema.STORAGE_ID_BYTES))
         stored_version = self.load_value(schema.FORMAT_KEY, int)
         if stored_version != schema.FORMAT_VERSION:
             detail = f"has format {stored_version}, this version reads {schema.FORMAT_VERSION}"
@@ -260,7 +259,11 @@
 
     @contextmanager
     def _transaction(self) -> Iterator[sqlite3.Connection]:
-        """Run one transaction, and roll it back when a write fails. Raises StorageError."""
+        """Run one transaction, and roll it back after any error.
+
+        Raises StorageError when a write fails, and the error itself if it is another one: a value that cannot
+        be encoded must not leave a transaction open, in which all later ones would fail.
+        """
         try:
             connection = self._require_connection()
             connection.execute("begin immediate")
@@ -269,6 +272,9 @@
         except (sqlite3.Error, OSError) as error:
             self._roll_back()
             raise StorageError(str(error)) from error
+        except BaseException:
+            self._roll_back()
+            raise
 
     def _roll_back(self) -> None:
         if self.connection is None or not self.connection.in_transaction:
--- a/ploverspoke/leases/state_machine.py
+++ b/ploverspoke/leases/state_machine.py
@@ -12,6 +12,8 @@
 
 import msgspec
 
+from ploverspoke.consensus.log import MalformedEntryError
+
 SNAPSHOT_FORMAT = 1
 EPOCH_TOKEN_BITS = 24  # low bits of a token, which number the grants of one epoch
 
@@ -67,12 +69,18 @@
 
 
 def parse_command(entry: object) -> LeaseCommand | None:
-    """Parse a log entry, typed or a plain list; return None if this release does not know its kind."""
+    """Parse a log entry, typed or a plain list; return None if this release does not know its kind.
+
+    Raises MalformedEntryError.
+    """
     if isinstance(entry, GrantCommand | ReleaseCommand | EpochCommand):
         return entry
     if not isinstance(entry, list | tuple) or not entry or entry[0] not in COMMAND_TAGS:
         return None
-    command: LeaseCommand = msgspec.convert(entry, LeaseCommand)
+    try:
+        command: LeaseCommand = msgspec.convert(entry, LeaseCommand)
+    except msgspec.ValidationError as error:
+        raise MalformedEntryError(str(error)) from error
     return command
 
 
@@ -90,7 +98,7 @@
     # ---- Interface of a replica's state machine ----
 
     def apply(self, index: int, command: object) -> None:
-        """Apply a committed command; a command of an unknown kind is ignored."""
+        """Apply a committed command; a command of an unknown kind is ignored. Raises MalformedEntryError."""
         parsed = parse_command(command)
         if isinstance(parsed, GrantCommand):
             self._grant(parsed)
--- a/ploverspoke/store/errors.py
+++ b/ploverspoke/store/errors.py
@@ -1,11 +1,13 @@
 """Errors of the replicated store."""
 
+from ploverspoke.consensus.log import MalformedEntryError
+
 
 class StoreError(Exception):
     """Base class of the errors that `ploverspoke.store` raises."""
 
 
-class MalformedCommandError(StoreError):
+class MalformedCommandError(StoreError, MalformedEntryError):
     """A command in the log has a known verb, but its fields are not those of that verb."""
 
     def __init__(self, verb: str, reason: str) -> None:
--- a/tests/consensus/test_framed_connections.py
+++ b/tests/consensus/test_framed_connections.py
@@ -11,6 +11,7 @@
     FramedServer,
     RegistrationLimits,
 )
+from ploverspoke.consensus.framing import MAX_BODY_BYTES
 
 SECRET = b"a secret of twenty-four."
 
@@ -190,3 +191,18 @@
         return closed
 
     assert asyncio.run(run()) == ["", "", "abort"]
+
+
+@pytest.mark.parametrize("message", ["\ud83d", "x" * MAX_BODY_BYTES])
+def test_message_without_a_frame_is_dropped_by_either_side(message: str) -> None:
+    # Guards against a timer or a loop over clients that ends halfway, because one message cannot be sent.
+    server = EchoServer()
+    link = Link(server, RecordingClient())
+    link.exchange()
+    link.client.write(message)
+    link.client.write("hello")
+    link.exchange()
+    assert server.send("c", message) == 0
+    assert server.send("c", "after") > 0
+    link.exchange()
+    assert link.client.events == ["connected", "hello", "after"]
--- a/tests/consensus/test_peer_links.py
+++ b/tests/consensus/test_peer_links.py
@@ -7,7 +7,11 @@
 import uvloop
 
 from ploverspoke.consensus import peer_links
-from ploverspoke.consensus.framing import FrameCodec
+from ploverspoke.consensus.admin_messages import StatusRequest
+from ploverspoke.consensus.framing import MAX_BODY_BYTES, FrameCodec
+from ploverspoke.consensus.replica_client import RequestRejectedError, call_replica
+from ploverspoke.consensus.wire_messages import TimeoutNow
+from ploverspoke.testbed.processes.addresses import reserve_ports
 from tests.polling import until
 
 
@@ -51,3 +55,34 @@
             transport.abort()
 
     uvloop.run(asyncio.wait_for(scenario(), 20))
+
+
+def test_a_message_without_a_frame_is_dropped_and_a_reply_without_one_says_why() -> None:
+    # Guards against a heartbeat round or a tool's request that ends halfway, because one message is too large
+    # or cannot be encoded.
+    secret = b"a secret of the test"
+    received: list[object] = []
+
+    async def scenario() -> None:
+        port = reserve_ports(1)[0]
+        receiver = peer_links.PeerLinks(
+            secret,
+            peer_links.PeerIdentity("b.1", "s"),
+            lambda _, message: received.append(message),
+            lambda _, reply: reply(["x" * MAX_BODY_BYTES]),
+        )
+        await receiver.open("127.0.0.1", port)
+        sender = peer_links.PeerLinks(secret, peer_links.PeerIdentity("a.1", "s"), print, print)
+        sender.set_peers({"b.1": f"127.0.0.1:{port}"})
+        await until(lambda: "b.1" in sender.outbound and sender.outbound["b.1"].ready)
+        for too_much in ("\ud83d", "x" * MAX_BODY_BYTES):
+            sender.send("b.1", [too_much])
+        sender.send("b.1", TimeoutNow(term=3, storage_id="d"))
+        await until(lambda: received)
+        assert received == [TimeoutNow(term=3, storage_id="d")] and sender.dropped_messages == 2
+        with pytest.raises(RequestRejectedError, match="exceeds the limit"):
+            await asyncio.to_thread(call_replica, f"127.0.0.1:{port}", secret, StatusRequest(), list[str])
+        sender.close()
+        receiver.close()
+
+    uvloop.run(asyncio.wait_for(scenario(), 20))
--- a/tests/consensus/test_storage.py
+++ b/tests/consensus/test_storage.py
@@ -113,3 +113,17 @@
     storage = opened_storage(tmp_path)
     with pytest.raises(ClusterMismatchError):
         storage.initialize("b.1", "mark", MEMBERS)
+
+
+def test_value_that_cannot_be_encoded_leaves_no_transaction_open(tmp_path: Path) -> None:
+    # Guards against a replica that stood aside with "the disk cannot be written", as each later write
+    # failed in the transaction that one endpoint list or answer with half a surrogate pair had left open.
+    storage = opened_storage(tmp_path)
+    with pytest.raises(UnicodeEncodeError):
+        storage.save_value("roster", {"id": "w\ud83d"})
+    bad = batch(1, 2)
+    bad.entries.append(Entry(3, 1, EntryKind.DATA, ["\ud83d"]))
+    with pytest.raises(UnicodeEncodeError):
+        storage.write(bad)
+    storage.write(batch(1, 2))
+    assert last_index_after_restart(storage, tmp_path) == 2
--- a/tests/store/cluster_harness.py
+++ b/tests/store/cluster_harness.py
@@ -9,6 +9,7 @@
 
 from ploverspoke.consensus.cluster_config import read_replica_config
 from ploverspoke.consensus.membership import Members
+from ploverspoke.consensus.proposal_queue import Command
 from ploverspoke.store.log_commands import CommitConfiguration
 from ploverspoke.store.node import StoreNode
 from ploverspoke.testbed.processes.addresses import reserve_ports
@@ -81,13 +82,18 @@
 
 def commit(node: StoreNode, body: str) -> Awaitable[bool]:
     """Propose a configuration with that body; the result says whether it was committed."""
+    return propose(node, CommitConfiguration(body, "test", 1))
+
+
+def propose(node: StoreNode, command: Command) -> Awaitable[bool]:
+    """Propose a command; the result says whether it was committed."""
     future: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
 
     def on_decided(is_committed: bool) -> None:
         if not future.cancelled():
             future.set_result(is_committed)
 
-    node.propose(CommitConfiguration(body, "test", 1), on_decided)
+    node.propose(command, on_decided)
     return future
 
 
--- a/tests/store/test_node.py
+++ b/tests/store/test_node.py
@@ -6,11 +6,14 @@
 import msgspec
 import pytest
 
+from ploverspoke.consensus.framing import MAX_BODY_BYTES
 from ploverspoke.consensus.membership import Member
 from ploverspoke.consensus.storage import ClusterMismatchError
+from ploverspoke.routing.answers import FinalAnswer
+from ploverspoke.store.log_commands import AnswerRequest, encode_command
 from ploverspoke.store.node import StoreNode
 from tests.polling import until
-from tests.store.cluster_harness import Cluster, bodies, commit, fill_disk, run_cluster
+from tests.store.cluster_harness import Cluster, bodies, commit, fill_disk, propose, run_cluster
 
 
 def snapshot_index(node: StoreNode) -> int:
@@ -165,3 +168,64 @@
 
     (tmp_path / "other").mkdir()
     run_cluster(tmp_path, 3, scenario)
+
+
+def answer_of(number: int) -> list[object]:
+    """The stored command of an answer with a result of 24 KB."""
+    return encode_command(AnswerRequest(f"r{number}", FinalAnswer.SUCCEEDED, "x" * 24_000, b"", 1))
+
+
+def test_a_follower_that_missed_many_large_answers_catches_up_while_the_leader_commits(
+    tmp_path: Path,
+) -> None:
+    # Guards against a store that stops answering as soon as such a follower is back.
+    async def scenario(cluster: Cluster) -> None:
+        for name in list(cluster.nodes):
+            await cluster.stop(name)
+            await cluster.start(name, snapshot_every=20_000)
+        leader = await cluster.wait_for_leader()
+        away = next(name for name, node in cluster.nodes.items() if node is not leader)
+        await cluster.stop(away)
+        missed = [propose(leader, answer_of(number)) for number in range(400)]
+        assert all(await asyncio.gather(*missed))
+        back = await cluster.start(away, snapshot_every=20_000)
+        assert await propose(leader, answer_of(400)) and leader.leads()
+        await until(lambda: len(back.requests.answered) == 401)
+
+    run_cluster(tmp_path, 3, scenario)
+
+
+@pytest.mark.parametrize("command", [["\ud83d"], ["x" * MAX_BODY_BYTES]])
+def test_a_command_that_no_replica_can_store_is_refused_alone(command: list[object], tmp_path: Path) -> None:
+    # Guards against callbacks of the same batch that are never called, and a leader that stands aside.
+    async def scenario(cluster: Cluster) -> None:
+        leader = await cluster.wait_for_leader()
+        results = await asyncio.gather(
+            commit(leader, "before"), propose(leader, command), commit(leader, "after")
+        )
+        assert tuple(results) == (True, False, True) and not leader.storage_failures
+
+    run_cluster(tmp_path, 1, scenario)
+
+
+def test_an_error_in_consensus_fails_what_waits_and_the_replica_begins_again(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Guards against callbacks and timers that are lost when an event of consensus ends halfway.
+    async def scenario(cluster: Cluster) -> None:
+        leader = await cluster.wait_for_leader()
+        assert await commit(leader, "kept")
+
+        def fail(*_: object) -> None:
+            raise IndexError
+
+        assert leader.replica is not None
+        monkeypatch.setattr(leader.replica.raft.replication, "propose", fail)
+        barrier: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
+        leader.read_barrier(barrier.set_result)
+        assert not await commit(leader, "lost") and leader.storage_failures == 1
+        assert await barrier in (True, False)
+        await until(lambda: leader.leads() and bodies(leader) == ["kept"])
+        assert await commit(leader, "next")
+
+    run_cluster(tmp_path, 1, scenario)
