Store results and names of workers that hold half of a surrogate pair

Callers of a store had no answer where a worker's result was cut in the middle of an emoji, and the leader stood aside. Cause: msgpack has no half of a surrogate pair, so the answer's command cannot be encoded. A worker's name is stored escaped.

--- a/ploverspoke/store/log_commands.py
+++ b/ploverspoke/store/log_commands.py
@@ -10,9 +10,10 @@
 import msgspec
 
 from ploverspoke.decisions.interface import AttemptOutcome
-from ploverspoke.routing.answers import FinalAnswer
+from ploverspoke.routing.answers import FinalAnswer, RecordedAnswer
 
 from .errors import MalformedCommandError
+from .storable_text import to_storable
 
 OUTCOMES_BY_WORD = {outcome.value: outcome for outcome in AttemptOutcome}
 
@@ -63,6 +64,12 @@
     now: int
 
 
+class AnswerRequestEncoded(AnswerRequest, array_like=True, frozen=True, tag="answer"):
+    """A final answer whose result holds half of a surrogate pair; older versions know `result` alone."""
+
+    encoded_result: bytes  # see `StorableText`
+
+
 class CommitConfiguration(msgspec.Struct, array_like=True, frozen=True, tag="configure"):
     """The next version of the shared configuration."""
 
@@ -79,6 +86,17 @@
     for command_type in (AcceptRequest, StartAttempt, FinishAttempt, AnswerRequest, CommitConfiguration)
 }
 
+# Types with a further field, which entries of older versions lack; a command's array begins with its verb.
+EXTENDED_TYPES: dict[type[LogCommand], type[LogCommand]] = {AnswerRequest: AnswerRequestEncoded}
+
+
+def answer_command(request_id: str, answer: RecordedAnswer, digest: bytes, now: int) -> AnswerRequest:
+    """Return the command that records a final answer."""
+    result, encoded_result = to_storable(answer.result)
+    if encoded_result:
+        return AnswerRequestEncoded(request_id, answer.answer, result, digest, now, encoded_result)
+    return AnswerRequest(request_id, answer.answer, result, digest, now)
+
 
 def encode_command(command: LogCommand) -> list[object]:
     """Return the array that represents a command in the log."""
@@ -96,6 +114,9 @@
     command_type = COMMAND_TYPES.get(entry[0])
     if command_type is None:
         return None
+    extended_type = EXTENDED_TYPES.get(command_type)
+    if extended_type is not None and len(entry) > len(extended_type.__struct_fields__):
+        command_type = extended_type
     try:
         return msgspec.convert(entry, command_type)
     except msgspec.ValidationError as error:
--- a/ploverspoke/store/request_log.py
+++ b/ploverspoke/store/request_log.py
@@ -18,10 +18,12 @@
     AnswerRequest,
     FinishAttempt,
     StartAttempt,
+    answer_command,
 )
 from .node import StoreNode
 from .recovery import Recovery, RecoveryVerdict, answer_at_deadline, decide_recovery
 from .snapshot import AttemptRecord, OpenRequest
+from .storable_text import escape_name
 
 ANSWER_GRACE_S = 0.05  # time after a deadline in which the answer of the request's own dispatcher may arrive
 DIGEST_BYTES = 16
@@ -65,10 +67,9 @@
 
     def previous_outcome(self, request_id: str) -> PreviousOutcome | None:
         """Return the recorded outcome of a request id; None if the id is new."""
-        answered = self.node.requests.answered.get(request_id)
-        if answered is not None:
-            answer = RecordedAnswer(answered.answer, answered.result)
-            return PreviousOutcome(answer, answered.digest, 0, "", 0)
+        answer = self.node.requests.recorded_answer(request_id)
+        if answer is not None:
+            return PreviousOutcome(answer, self.node.requests.answered[request_id].digest, 0, "", 0)
         request = self.node.requests.open_requests.get(request_id)
         if request is None:
             return None
@@ -94,7 +95,8 @@
     def record_attempt(self, request_id: str, worker: str, index: int, on_committed: CommitCallback) -> None:
         """Commit that an attempt may be sent to the worker."""
         now = self.node.clock.now()
-        self.node.propose(StartAttempt(request_id, worker, index, now, time.time_ns()), on_committed)
+        name = escape_name(worker)
+        self.node.propose(StartAttempt(request_id, name, index, now, time.time_ns()), on_committed)
 
     def record_attempt_outcome(self, request_id: str, index: int, outcome: AttemptOutcome) -> None:
         """Commit the outcome of an attempt; nothing waits for this commit."""
@@ -107,14 +109,11 @@
 
         def on_answer_committed(is_committed: bool) -> None:
             """Report False if another answer was committed first: the first one is valid."""
-            recorded = self.node.requests.answered.get(request_id)
-            is_ours = recorded is not None and RecordedAnswer(recorded.answer, recorded.result) == answer
+            is_ours = self.node.requests.recorded_answer(request_id) == answer
             on_committed(is_committed and is_ours)
 
-        now = self.node.clock.now()
-        self.node.propose(
-            AnswerRequest(request_id, answer.answer, answer.result, digest, now), on_answer_committed
-        )
+        command = answer_command(request_id, answer, digest, self.node.clock.now())
+        self.node.propose(command, on_answer_committed)
 
     def _time_since_start(self, attempt: AttemptRecord) -> int:
         """Return the ns since the attempt started: the longer of the times that two clocks measured.
--- a/ploverspoke/store/snapshot.py
+++ b/ploverspoke/store/snapshot.py
@@ -68,11 +68,16 @@
     configurations: list[SharedConfiguration]
     now: int = 0  # 0 if written by an older version, whose times were wall times
     highest_token: int = 0
+    # By request id; only of results that hold half of a surrogate pair. Left out if there are none.
+    encoded_results: dict[str, bytes] = {}
 
 
 def encode_snapshot(snapshot: RequestSnapshot) -> bytes:
     """Encode a snapshot."""
-    return msgspec.msgpack.encode(snapshot)
+    fields = [getattr(snapshot, field) for field in snapshot.__struct_fields__]
+    if not snapshot.encoded_results:
+        fields.pop()
+    return msgspec.msgpack.encode(fields)
 
 
 def decode_snapshot(data: bytes) -> RequestSnapshot:
--- a/ploverspoke/store/state_machine.py
+++ b/ploverspoke/store/state_machine.py
@@ -8,11 +8,13 @@
 from collections import OrderedDict
 from collections.abc import Callable
 
+from ploverspoke.routing.answers import RecordedAnswer
 from ploverspoke.transport.units import MINUTE
 
 from .log_commands import (
     AcceptRequest,
     AnswerRequest,
+    AnswerRequestEncoded,
     CommitConfiguration,
     FinishAttempt,
     LogCommand,
@@ -29,6 +31,7 @@
     decode_snapshot,
     encode_snapshot,
 )
+from .storable_text import StorableText, from_storable
 
 MAX_ANSWERS = 200_000
 MAX_RESULT_BYTES = 64 * 1024 * 1024
@@ -45,6 +48,7 @@
         self.max_result_bytes = max_result_bytes
         self.open_requests: dict[str, OpenRequest] = {}
         self.answered: OrderedDict[str, AnsweredRequest] = OrderedDict()
+        self.encoded_results: dict[str, bytes] = {}  # of those among `answered` that need it
         self.result_bytes = 0
         self.configurations: list[SharedConfiguration] = []
         self.highest_token = 0  # highest fencing token that a configuration was committed under
@@ -56,6 +60,14 @@
         """Return the latest configuration, if there is one."""
         return self.configurations[-1] if self.configurations else None
 
+    def recorded_answer(self, request_id: str) -> RecordedAnswer | None:
+        """Return the answer of a request; None if it has none, or it is not retained any more."""
+        answered = self.answered.get(request_id)
+        if answered is None:
+            return None
+        stored = StorableText(answered.result, self.encoded_results.get(request_id, b""))
+        return RecordedAnswer(answered.answer, from_storable(stored))
+
     # ---- State machine of consensus ----
 
     def apply(self, index: int, command: object) -> None:
@@ -74,6 +86,7 @@
                 self.configurations,
                 self.now,
                 self.highest_token,
+                dict(self.encoded_results),
             )
         )
 
@@ -85,6 +98,7 @@
         snapshot = decode_snapshot(data)
         self.open_requests = snapshot.open_requests
         self.answered = OrderedDict(snapshot.answered)
+        self.encoded_results = snapshot.encoded_results
         self.result_bytes = sum(len(answer.result) for answer in self.answered.values())
         self.configurations = snapshot.configurations
         self.highest_token = snapshot.highest_token
@@ -142,6 +156,8 @@
         digest = request.digest if request is not None else command.digest
         forget_at = max(command.now, deadline) + ANSWER_RETENTION
         self.answered[command.request_id] = AnsweredRequest(command.answer, command.result, digest, forget_at)
+        if isinstance(command, AnswerRequestEncoded):
+            self.encoded_results[command.request_id] = command.encoded_result
         self.result_bytes += len(command.result)
         self._evict_answers(command.now, command.request_id)
 
@@ -153,6 +169,7 @@
             if oldest_id == latest_id or (not exceeds_limit and oldest.forget_at > now):
                 return
             del self.answered[oldest_id]
+            self.encoded_results.pop(oldest_id, None)
             self.result_bytes -= len(oldest.result)
 
     def _commit_configuration(self, command: CommitConfiguration) -> None:
