Decide recovery by the recorded rules of a request, not by the number of its class

A line for each recovered request told it apart from a lost record; on the old decisions it said: may_run, class=1, attempts=1, idempotent.

Without rules, from an older version, a request is non-idempotent. The same for the word full, which an older version wrote also where it proves nothing; for the next index of an attempt, which was a count of records; and for the recorded answer of a class that was removed, which was 404. A record of an id in use now fails in place of being dropped.

--- a/ploverspoke/routing/request_admission.py
+++ b/ploverspoke/routing/request_admission.py
@@ -45,7 +45,8 @@
 
     def check_head(self, method: str, target: str, headers: dict[str, str]) -> None:
         """Check whether a request with this head can be admitted at all. Raises HttpSyntaxError."""
-        self._class_number(target)
+        if not self._is_recorded(headers):
+            self._class_number(target)
         if method != "POST":
             raise MethodNotAllowedError(reason="submissions come by POST")
         if not headers.get(REQUEST_ID):
@@ -61,14 +62,14 @@
         """
         # Checked again: the id may have been used, or the class removed, while the body was being received.
         self._check_id_is_unused(message.headers[REQUEST_ID])
-        class_number = self._class_number(message.target)
-        timeout = self._timeout(message, class_number)
-        slots = clients.requested_slots(message.headers)
-        work_hint = clients.work_hint(message.headers)
         if self.recorder is not None:
             repeat_result = self._handle_repeat(self.recorder, client, message)
             if repeat_result is not None:
                 return repeat_result
+        class_number = self._class_number(message.target)
+        timeout = self._timeout(message, class_number)
+        slots = clients.requested_slots(message.headers)
+        work_hint = clients.work_hint(message.headers)
         if len(self.requests) >= self.settings.current.max_open_requests:
             self.counters.count_rejected(self.settings.class_name(class_number))
             self.request_journal.rejected_for_capacity()
@@ -107,6 +108,10 @@
             raise UnknownRequestClassError(reason="no such service grade")
         return class_number
 
+    def _is_recorded(self, headers: dict[str, str]) -> bool:
+        """Whether there is a store that knows the id; its class may have been removed since."""
+        return self.recorder is not None and self.recorder.is_recorded(headers.get(REQUEST_ID, ""))
+
     def _check_id_is_unused(self, request_id: str) -> None:
         # With a store, the request log tells a retry of the same request from a different request.
         if request_id in self.requests.recent_ids and self.recorder is None:
--- a/ploverspoke/routing/request_log.py
+++ b/ploverspoke/routing/request_log.py
@@ -39,6 +39,13 @@
     def previous_outcome(self, request_id: str) -> PreviousOutcome | None:
         """The record of an earlier request with this id; None if the id is new."""
 
+    def resume(self, request_id: str, class_number: int) -> bool:
+        """Take up an open request, which this replica's router answers from now on.
+
+        False if it may not be handled under the rules that its class has now, or is not open: the record of
+        a new request with this id then fails.
+        """
+
     def record_request(
         self,
         request_id: str,
--- a/ploverspoke/routing/request_recorder.py
+++ b/ploverspoke/routing/request_recorder.py
@@ -53,6 +53,10 @@
         request.waiting_clients.clients.append(client)
         return request
 
+    def is_recorded(self, request_id: str) -> bool:
+        """Whether the log knows a request with this id."""
+        return self.request_log.previous_outcome(request_id) is not None
+
     def recorded_answer(self, message: HttpRequest) -> RecordedAnswer | None:
         """The recorded answer of the request with this id; None if it is new or has none yet.
 
@@ -81,11 +85,12 @@
         request.digest = self._digest(request.message)
         request.client = request.waiting_clients = WaitingClients(client)
         self.open_requests[request.request_id] = request
-        if self.settings.idempotency(request.class_number) is Idempotency.IDEMPOTENT:
-            on_admitted()
-            return
         previous = self.request_log.previous_outcome(request.request_id)
-        if previous is not None:
+        if previous is None:
+            if self.settings.idempotency(request.class_number) is Idempotency.IDEMPOTENT:
+                on_admitted()
+                return
+        elif self.request_log.resume(request.request_id, request.class_number):
             self._resume(request, previous)
             on_admitted()
             return
--- a/ploverspoke/store/daemon.py
+++ b/ploverspoke/store/daemon.py
@@ -12,6 +12,7 @@
 from ploverspoke.transport.garbage_collection import freeze_startup_objects
 from ploverspoke.transport.rate_limited_log import log_line
 
+from .class_rules import rules_of_classes
 from .endpoint_cache import EndpointCache
 from .node import StoreNode
 from .request_log import ReplicatedRequestLog
@@ -53,7 +54,8 @@
 
     def _build_service(self, config: Config) -> Service:
         settings = config.settings
-        request_log = ReplicatedRequestLog(self.node, settings.classes, settings.full_may_have_run)
+        class_rules = rules_of_classes(config.names.request_classes, settings.classes)
+        request_log = ReplicatedRequestLog(self.node, class_rules, settings.full_may_have_run)
         service = Service(asyncio.get_running_loop(), config, request_log)
         service.load_config = self.read_config
         endpoint_cache = EndpointCache(self.node.save_endpoints, config.known_endpoints)
--- a/ploverspoke/store/log_commands.py
+++ b/ploverspoke/store/log_commands.py
@@ -2,7 +2,7 @@
 
 A command is a msgpack array that begins with its verb. The verbs, the outcome words and the order of the
 fields define the format of the log on disk and between replicas: they must not change when names in the code
-change. A field added later must come last and have a default, because entries of older versions lack it.
+change. Later fields come last, because entries of older versions lack them and older versions ignore them.
 Times are nanoseconds of the replicated clock (`consensus/clock.py`) as read by the leader; wall times are
 nanoseconds of Unix time.
 """
@@ -12,10 +12,29 @@
 from ploverspoke.decisions.interface import AttemptOutcome
 from ploverspoke.routing.answers import FinalAnswer, RecordedAnswer
 
+from .class_rules import ClassRules
 from .errors import MalformedCommandError
 from .storable_text import to_storable
 
-OUTCOMES_BY_WORD = {outcome.value: outcome for outcome in AttemptOutcome}
+# The worker was full, and this proves that it did not run the request. The word "full" proves nothing: older
+# versions wrote it also where workers may turn away what they have started (`FullMayHaveRun`).
+FULL_NEVER_RAN_WORD = "full_never_ran"
+OUTCOMES_BY_WORD = {outcome.value: outcome for outcome in AttemptOutcome} | {
+    FULL_NEVER_RAN_WORD: AttemptOutcome.FULL
+}
+NEVER_RAN_WORDS = frozenset(
+    (FULL_NEVER_RAN_WORD, AttemptOutcome.UNREACHABLE.value, AttemptOutcome.NOT_SENT.value)
+)
+
+
+def outcome_word(outcome: AttemptOutcome, full_may_have_run: bool) -> str:
+    """Return the word to store for an outcome.
+
+    `full_may_have_run`: a worker's answer "full" does not prove that it did not run the request.
+    """
+    if outcome is AttemptOutcome.FULL and not full_may_have_run:
+        return FULL_NEVER_RAN_WORD
+    return outcome.value
 
 
 def parse_outcome(word: str) -> AttemptOutcome | None:
@@ -30,12 +49,20 @@
     """A request was accepted and will be answered."""
 
     request_id: str
-    request_class: int  # its number in the settings
+    request_class: (
+        int  # its number in the settings of the replica that accepted it; only older versions read it
+    )
     digest: bytes  # of the request, to detect another request with the same id
     deadline: int
     now: int
 
 
+class AcceptRequestUnderRules(AcceptRequest, array_like=True, frozen=True, tag="take"):
+    """A request was accepted under the rules of its class; older versions read it as an `AcceptRequest`."""
+
+    rules: ClassRules
+
+
 class StartAttempt(msgspec.Struct, array_like=True, frozen=True, tag="intend"):
     """An attempt may be sent to a worker; committed before it is sent."""
 
@@ -51,7 +78,7 @@
 
     request_id: str
     index: int
-    outcome_word: str  # value of an `AttemptOutcome`; one from a later version is kept as it is
+    outcome_word: str  # see `outcome_word`; one from a later version is kept as it is
 
 
 class AnswerRequest(msgspec.Struct, array_like=True, frozen=True, tag="answer"):
@@ -87,7 +114,10 @@
 }
 
 # Types with a further field, which entries of older versions lack; a command's array begins with its verb.
-EXTENDED_TYPES: dict[type[LogCommand], type[LogCommand]] = {AnswerRequest: AnswerRequestEncoded}
+EXTENDED_TYPES: dict[type[LogCommand], type[LogCommand]] = {
+    AcceptRequest: AcceptRequestUnderRules,
+    AnswerRequest: AnswerRequestEncoded,
+}
 
 
 def answer_command(request_id: str, answer: RecordedAnswer, digest: bytes, now: int) -> AnswerRequest:
--- a/ploverspoke/store/request_log.py
+++ b/ploverspoke/store/request_log.py
@@ -7,18 +7,20 @@
 
 from ploverspoke.consensus.raft_state import Role
 from ploverspoke.decisions.interface import AttemptOutcome
-from ploverspoke.decisions.settings import RequestClass
 from ploverspoke.routing.answers import FinalAnswer, RecordedAnswer
 from ploverspoke.routing.request_log import CommitCallback, PreviousOutcome
 from ploverspoke.transport.rate_limited_log import log_line
 from ploverspoke.transport.units import SECOND
 
+from .class_rules import UNKNOWN_RULES, ClassRules
 from .log_commands import (
     AcceptRequest,
+    AcceptRequestUnderRules,
     AnswerRequest,
     FinishAttempt,
     StartAttempt,
     answer_command,
+    outcome_word,
 )
 from .node import StoreNode
 from .recovery import Recovery, RecoveryVerdict, answer_at_deadline, decide_recovery
@@ -35,15 +37,16 @@
     def __init__(
         self,
         node: StoreNode,
-        request_classes: Sequence[RequestClass],
-        full_may_have_run: bool = False,
+        class_rules: Sequence[ClassRules],
+        full_may_have_run: bool = True,
     ) -> None:
-        """`request_classes` are the classes of the settings, in the order of their numbers.
+        """`class_rules` are the rules of the classes in the settings, by class number.
 
         `full_may_have_run`: a worker's answer "full" does not prove that it did not run the request.
         """
         self.node = node
-        self.request_classes = request_classes
+        self.class_rules = class_rules
+        self.rules_by_name = {rules.class_name: rules for rules in class_rules}
         self.full_may_have_run = full_may_have_run
         self.on_leadership_lost: Callable[[], None] = lambda: None
         self.is_leading = False
@@ -80,6 +83,19 @@
         elapsed = self._time_since_start(attempt)
         return PreviousOutcome(None, request.digest, recovery.attempt_count, attempt.worker, elapsed)
 
+    def resume(self, request_id: str, class_number: int) -> bool:
+        """Take up an open request for a client of that class; False: it was accepted under other rules.
+
+        Then it is ended here, and its client gets the answer when it asks again.
+        """
+        request = self.node.requests.open_requests.get(request_id)
+        if request is None:
+            return False
+        if request.rules.allow_resuming_under(self._current_rules(class_number)):
+            return True
+        self._end_request(request_id, request)
+        return False
+
     def record_request(
         self,
         request_id: str,
@@ -90,7 +106,18 @@
     ) -> None:
         """Commit that a request was accepted; `time_left` is the time until its deadline in ns."""
         now = self.node.clock.now()
-        self.node.propose(AcceptRequest(request_id, class_number, digest, now + time_left, now), on_committed)
+        fields = (request_id, class_number, digest, now + time_left, now)
+        rules = self._current_rules(class_number)
+        is_known = rules != UNKNOWN_RULES
+        command = AcceptRequestUnderRules(*fields, rules) if is_known else AcceptRequest(*fields)
+
+        def on_accepted(is_committed: bool) -> None:
+            """Report False if the state ignored the command, because the id is in use."""
+            request = self.node.requests.open_requests.get(request_id)
+            is_ours = request is not None and (request.accepted_at, request.digest) == (now, digest)
+            on_committed(is_committed and is_ours)
+
+        self.node.propose(command, on_accepted)
 
     def record_attempt(self, request_id: str, worker: str, index: int, on_committed: CommitCallback) -> None:
         """Commit that an attempt may be sent to the worker."""
@@ -100,7 +127,8 @@
 
     def record_attempt_outcome(self, request_id: str, index: int, outcome: AttemptOutcome) -> None:
         """Commit the outcome of an attempt; nothing waits for this commit."""
-        self.node.propose(FinishAttempt(request_id, index, outcome.value), _ignore_commit)
+        word = outcome_word(outcome, self.full_may_have_run)
+        self.node.propose(FinishAttempt(request_id, index, word), _ignore_commit)
 
     def record_answer(
         self, request_id: str, answer: RecordedAnswer, digest: bytes, on_committed: CommitCallback
@@ -147,8 +175,16 @@
 
     def _recover_request(self, request_id: str, request: OpenRequest) -> None:
         self.recovered_count += 1
-        if self._decide_recovery(request).verdict is RecoveryVerdict.MUST_FAIL:
+        recovery = self._decide_recovery(request)
+        log_line(
+            f"store: open request {request_id}: {recovery.verdict.name.lower()}, "
+            f"class={request.rules.class_name or 'not recorded'}, {request.rules.idempotency.value}, "
+            f"attempts={recovery.attempt_count}"
+        )
+        if recovery.verdict is RecoveryVerdict.MUST_FAIL:
             self._commit_answer(request_id, FinalAnswer.FAILED)
+        elif not self._may_be_resumed(request):
+            self._end_request(request_id, request)
         else:
             delay = (request.deadline - self.node.clock.now()) / SECOND + ANSWER_GRACE_S
             asyncio.get_running_loop().call_later(max(0.0, delay), self._on_deadline, request_id)
@@ -157,12 +193,31 @@
         request = self.node.requests.open_requests.get(request_id)
         if request is None or not self.is_leading:
             return
-        request_class = self.request_classes[request.request_class]
-        self._commit_answer(request_id, answer_at_deadline(request, request_class, self.full_may_have_run))
+        log_line(f"store: open request {request_id} is answered at the deadline of its earlier leader")
+        self._end_request(request_id, request)
 
     def _decide_recovery(self, request: OpenRequest) -> Recovery:
-        idempotency = self.request_classes[request.request_class].idempotency
-        return decide_recovery(request, idempotency, self.full_may_have_run)
+        return decide_recovery(request, request.rules.idempotency, self.full_may_have_run)
+
+    def _may_be_resumed(self, request: OpenRequest) -> bool:
+        """Whether its class, if it is known, is still there with rules under which it may be resumed."""
+        if request.rules == UNKNOWN_RULES:
+            return True
+        current = self.rules_by_name.get(request.rules.class_name)
+        return current is not None and request.rules.allow_resuming_under(current)
+
+    def _current_rules(self, class_number: int) -> ClassRules:
+        """Return the rules of a class of the settings."""
+        return self.class_rules[class_number] if class_number < len(self.class_rules) else UNKNOWN_RULES
+
+    def _end_request(self, request_id: str, request: OpenRequest) -> None:
+        """Commit the final answer of a request that is not attempted any more.
+
+        If its class has other rules now, workers may not drop duplicates as its own rules say.
+        """
+        is_unchanged = self.rules_by_name.get(request.rules.class_name) == request.rules
+        rules = request.rules if is_unchanged else UNKNOWN_RULES
+        self._commit_answer(request_id, answer_at_deadline(request, rules, self.full_may_have_run))
 
     def _commit_answer(self, request_id: str, answer: FinalAnswer) -> None:
         now = self.node.clock.now()
--- a/ploverspoke/store/snapshot.py
+++ b/ploverspoke/store/snapshot.py
@@ -1,8 +1,8 @@
 """The records of the store's state, in the form in which a snapshot stores them.
 
 Each is stored as a msgpack array, so the order of its fields is part of the format. A field added later must
-come last and have a default. Times are nanoseconds of the replicated clock; wall times are nanoseconds of
-Unix time.
+come last and have a default, and is left out where it has it. Times are nanoseconds of the replicated clock;
+wall times are nanoseconds of Unix time.
 """
 
 import msgspec
@@ -10,8 +10,9 @@
 from ploverspoke.decisions.interface import AttemptOutcome
 from ploverspoke.routing.answers import FinalAnswer
 
+from .class_rules import UNKNOWN_RULES, ClassRules
 from .errors import MalformedSnapshotError
-from .log_commands import parse_outcome
+from .log_commands import NEVER_RAN_WORDS, parse_outcome
 
 SNAPSHOT_FORMAT = 1
 
@@ -22,7 +23,7 @@
     worker: str
     index: int
     started_at: int
-    outcome_word: str = ""  # see `parse_outcome`
+    outcome_word: str = ""  # "": not known; see `outcome_word` of log_commands.py
     started_wall_time: int = 0
 
     @property
@@ -30,15 +31,32 @@
         """The outcome of the attempt; None if unknown."""
         return parse_outcome(self.outcome_word)
 
+    @property
+    def never_ran(self) -> bool:
+        """Whether the outcome proves that the worker did not run the request."""
+        return self.outcome_word in NEVER_RAN_WORDS
+
 
 class OpenRequest(msgspec.Struct, array_like=True):
     """A request that was accepted and is not answered yet."""
 
-    request_class: int
+    request_class: (
+        int  # its number in the settings of the replica that accepted it; only older versions read it
+    )
     digest: bytes
     deadline: int
     accepted_at: int
     attempts: list[AttemptRecord] = []
+    rules: ClassRules = UNKNOWN_RULES
+
+    def stored_fields(self) -> tuple[object, ...]:
+        """Return the fields as a snapshot stores them."""
+        fields = (self.request_class, self.digest, self.deadline, self.accepted_at, self.attempts)
+        return fields if self.rules == UNKNOWN_RULES else (*fields, self.rules)
+
+    def next_attempt_index(self) -> int:
+        """Return the index of the next attempt; no two attempts may have one index."""
+        return max((attempt.index + 1 for attempt in self.attempts), default=0)
 
 
 class AnsweredRequest(msgspec.Struct, array_like=True):
@@ -72,9 +90,15 @@
     encoded_results: dict[str, bytes] = {}
 
 
+OPEN_REQUESTS_POSITION = RequestSnapshot.__struct_fields__.index("open_requests")
+
+
 def encode_snapshot(snapshot: RequestSnapshot) -> bytes:
     """Encode a snapshot."""
     fields = [getattr(snapshot, field) for field in snapshot.__struct_fields__]
+    fields[OPEN_REQUESTS_POSITION] = {
+        request_id: request.stored_fields() for request_id, request in snapshot.open_requests.items()
+    }
     if not snapshot.encoded_results:
         fields.pop()
     return msgspec.msgpack.encode(fields)
--- a/ploverspoke/store/state_machine.py
+++ b/ploverspoke/store/state_machine.py
@@ -11,8 +11,10 @@
 from ploverspoke.routing.answers import RecordedAnswer
 from ploverspoke.transport.units import MINUTE
 
+from .class_rules import UNKNOWN_RULES
 from .log_commands import (
     AcceptRequest,
+    AcceptRequestUnderRules,
     AnswerRequest,
     AnswerRequestEncoded,
     CommitConfiguration,
@@ -126,8 +128,9 @@
         self._advance_time(command.now)
         request_id = command.request_id
         if request_id not in self.open_requests and request_id not in self.answered:
+            rules = command.rules if isinstance(command, AcceptRequestUnderRules) else UNKNOWN_RULES
             self.open_requests[request_id] = OpenRequest(
-                command.request_class, command.digest, command.deadline, command.now
+                command.request_class, command.digest, command.deadline, command.now, rules=rules
             )
 
     def _start_attempt(self, command: StartAttempt) -> None:
@@ -142,9 +145,11 @@
 
     def _finish_attempt(self, command: FinishAttempt) -> None:
         request = self.open_requests.get(command.request_id)
-        for attempt in request.attempts if request is not None else ():
-            if attempt.index == command.index and not attempt.outcome_word:
-                attempt.outcome_word = command.outcome_word
+        attempts = request.attempts if request is not None else []
+        matching = [attempt for attempt in attempts if attempt.index == command.index]
+        # An older version gave several attempts one index; which of them ended is not known then.
+        if len(matching) == 1 and not matching[0].outcome_word:
+            matching[0].outcome_word = command.outcome_word
 
     def _answer(self, command: AnswerRequest) -> None:
         """Record the answer unless there is one already: only the first answer is valid."""
--- a/tests/store/request_log_harness.py
+++ b/tests/store/request_log_harness.py
@@ -32,6 +32,9 @@
     def previous_outcome(self, request_id: str) -> PreviousOutcome | None:
         return self.previous.get(request_id)
 
+    def resume(self, request_id: str, class_number: int) -> bool:
+        return True
+
     def record_request(
         self,
         request_id: str,
--- a/tests/store/test_router_with_request_log.py
+++ b/tests/store/test_router_with_request_log.py
@@ -5,6 +5,7 @@
 import pytest
 
 from ploverspoke.decisions.state import SECOND
+from ploverspoke.routing.answers import FinalAnswer, RecordedAnswer
 from ploverspoke.routing.request_log import PreviousOutcome
 from ploverspoke.testbed.checkers.request_audit import SOCKETS_TOLERANCE, audit_requests
 from ploverspoke.testbed.experiment_files.reader import parse_experiment
@@ -127,6 +128,19 @@
     run_with_request_log(scenario, ServiceGrades=grades)
 
 
+def test_a_recorded_answer_is_given_also_if_its_class_was_removed() -> None:
+    # Guards against a client that asks again after a change of the classes and gets 404 in place of its answer.
+    async def scenario(harness: ServiceHarness, log: ControlledRequestLog) -> None:
+        digest = log.digest("POST", "/removed/1?a=b", b"x")
+        log.previous["r1"] = PreviousOutcome(
+            RecordedAnswer(FinalAnswer.SUCCEEDED, "seat 4"), digest, 0, "", 0
+        )
+        assert (await harness.exchange(harness.request("r1", "removed")))[::2] == (200, b"seat 4")
+        assert (await harness.exchange(harness.request("r2", "removed")))[0] == 404
+
+    run_with_request_log(scenario)
+
+
 def test_clients_are_redirected_to_the_leader() -> None:
     async def scenario(harness: ServiceHarness, log: ControlledRequestLog) -> None:
         log.is_leading = False
