--- a/tests/store/test_request_log.py
+++ b/tests/store/test_request_log.py
@@ -1,7 +1,6 @@
 """The request log of a replica on its own disk: what is committed, and what another leader makes of it."""
 
 import asyncio
-from collections.abc import Sequence
 from pathlib import Path
 
 import msgspec
@@ -14,12 +13,11 @@
 from ploverspoke.store.admin_messages import ConfigureReply
 from ploverspoke.store.class_rules import ClassRules
 from ploverspoke.store.log_commands import AnswerRequest
-from ploverspoke.store.node import StoreNode
 from ploverspoke.store.request_log import ANSWER_GRACE_S, COMMIT_RETRY_DELAY_S, ReplicatedRequestLog
 from tests.polling import until
 from tests.store.cluster_harness import Cluster, propose, run_cluster
+from tests.store.request_commits import DIGEST, committed, leading_log
 
-DIGEST = b"d" * 16
 SECOND = 1_000_000_000
 TIME_LEFT_NS = 3 * SECOND
 SHORT_TIME_NS = SECOND // 5
@@ -31,23 +29,6 @@
 IN_RACK = ClassRules("booking", "guarded", "cell", 5)
 
 
-async def leading_log(cluster: Cluster, rules: Sequence[ClassRules] = ()) -> ReplicatedRequestLog:
-    """Return a request log of the only replica with these rules, after it has taken over."""
-    node: StoreNode = await cluster.wait_for_leader()
-    log = ReplicatedRequestLog(node, rules, full_may_have_run=False)
-    node.read_barrier(log._take_over)
-    await until(lambda: log.is_leading)
-    return log
-
-
-async def committed(record: object, *arguments: object) -> bool:
-    """Call a method that records something; the result says whether it was committed."""
-    future: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
-    assert callable(record)
-    record(*arguments, future.set_result)
-    return await future
-
-
 def test_half_a_surrogate_pair_in_a_result_or_a_worker_s_name_is_recorded(tmp_path: Path) -> None:
     # Guards against a client without an answer, and a leader that stands aside, because a worker has cut its
     # result in the middle of an emoji: the store's encoding has no half of a surrogate pair.
