--- a/tests/compatibility/test_previous_build.py
+++ b/tests/compatibility/test_previous_build.py
@@ -6,6 +6,7 @@
 import subprocess
 import sys
 import tarfile
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
@@ -22,6 +23,7 @@
 PREVIOUS_BUILD = DATA / "e21b7e1" / "store-replica.tar.xz"
 DRIVER = Path(__file__).parent / "old_replica.py"
 TIME_LEFT_NS = 60_000_000_000
+ELECTION_MS = 1000  # so that only the test changes the leader
 ENTRIES_PER_SNAPSHOT = 100  # as the harness configures it
 LOOKUP = ClassRules("look-up", "free", "all", 0)
 BOOKING = ClassRules("booking", "single_shot", "all", 0)
@@ -48,12 +50,13 @@
         self.process.stdin.flush()
         return json.loads(self.process.stdout.readline())
 
-    async def wait_for(self, key: str, expected: object) -> None:
+    async def wait_for(self, condition: Callable[[dict[str, Any]], bool]) -> dict[str, Any]:
         for _ in range(500):
-            if (await self.call("state"))[key] == expected:
-                return
+            state: dict[str, Any] = await self.call("state")
+            if condition(state):
+                return state
             await asyncio.sleep(0.02)
-        raise AssertionError(await self.call("state"))
+        raise AssertionError(state)
 
     def stop(self) -> None:
         self.process.communicate(timeout=10)
@@ -83,20 +86,18 @@
 
 def test_replicas_of_the_previous_build_and_of_this_one_run_in_one_cluster(tmp_path: Path) -> None:
     # Guards against a rolling upgrade in which a booking runs twice, or a replica cannot read the others'
-    # entries and snapshots: what an entry of the previous build does not say is taken for may have run, never again.
+    # entries and snapshots. What an entry of the previous build does not say is taken for may have run, so it
+    # never runs again.
     source = tmp_path / "previous"
     with tarfile.open(PREVIOUS_BUILD) as archive:
         archive.extractall(source, filter="data")
 
     async def scenario(cluster: Cluster) -> None:
-        await cluster.stop("r0")  # never used: its folder is made anew by the previous build
-        for path in (cluster.folder / "r0").iterdir():
-            path.unlink()
         old = OldReplica(cluster, "r0", source, new=True)
         try:
             await check(cluster, old)
         finally:
-            old.stop()
+            await asyncio.to_thread(old.stop)
 
     async def check(cluster: Cluster, old: OldReplica) -> None:
         # The previous build reads the entries of this one.
@@ -106,9 +107,9 @@
         assert await committed(log.record_request, "waiting", 1, DIGEST, TIME_LEFT_NS)
         answer = RecordedAnswer(FinalAnswer.SUCCEEDED, "cut \ud83d")
         assert await committed(log.record_answer, "cut", answer, DIGEST)
-        await old.wait_for("open", {"sent": 1, "waiting": 0})
-        await old.wait_for("answered", {"cut": "cut ?"})
-        assert (await old.call("state"))["package"].startswith(str(source))
+        state = await old.wait_for(lambda state: "cut" in state["answered"])
+        assert state["open"] == {"sent": 1, "waiting": 0} and state["answered"] == {"cut": "cut ?"}
+        assert state["package"].startswith(str(source))
         # It leads, and this build reads its entries and its snapshot.
         await lead_with_old(cluster, old)
         await cluster.stop("r2")
@@ -118,7 +119,7 @@
         assert await old.call("propose", ["outcome", "full", 0, AttemptOutcome.FULL.value])
         for number in range(ENTRIES_PER_SNAPSHOT):
             assert await old.call("propose", ["answer", f"a{number}", "nacked", "", "", now])
-        assert (await old.call("state"))["snapshot"] >= ENTRIES_PER_SNAPSHOT
+        await old.wait_for(lambda state: state["snapshot"] >= ENTRIES_PER_SNAPSHOT)
         await cluster.start("r2")
         restored = cluster.nodes["r2"]
         await until(lambda: "a99" in restored.requests.answered)
@@ -130,17 +131,17 @@
         assert log.resume("waiting", 1) and list(requests.open_requests) == ["waiting"]
         # The previous build reads a snapshot of this one, and this one its folder.
         assert await committed(log.record_request, "late", 1, DIGEST, TIME_LEFT_NS)
-        old.stop()
+        await asyncio.to_thread(old.stop)
         for number in range(2 * ENTRIES_PER_SNAPSHOT):
             assert await committed(log.record_answer, f"b{number}", answer, DIGEST)
         again = OldReplica(cluster, "r0", source, new=False)
         try:
-            await again.wait_for("open", {"waiting": 0, "late": 0})
-            state = await again.call("state")
+            state = await again.wait_for(lambda state: "b199" in state["answered"])
         finally:
-            again.stop()
-        assert state["answered"]["b199"] == "cut ?" and state["snapshot"] >= ENTRIES_PER_SNAPSHOT
+            await asyncio.to_thread(again.stop)
+        assert state["open"] == {"waiting": 0, "late": 0} and state["answered"]["b199"] == "cut ?"
+        assert state["snapshot"] >= ENTRIES_PER_SNAPSHOT
         upgraded = await cluster.start("r0")
         await until(lambda: upgraded.requests.open_requests.keys() == {"waiting", "late"})
 
-    run_cluster(tmp_path, 3, scenario)
+    run_cluster(tmp_path, 3, scenario, left_out=["r0"], election_ms=ELECTION_MS)
--- a/tests/store/cluster_harness.py
+++ b/tests/store/cluster_harness.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import json
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Collection
 from pathlib import Path
 
 import uvloop
@@ -33,6 +33,7 @@
             for number in range(size + spare)
         }
         self.nodes: dict[str, StoreNode] = {}
+        self.config: dict[str, object] = {}  # further keys of each replica's file
         (folder / "secret").write_text("a secret that is long enough")
 
     def write_config(self, replica: str, **changes: object) -> Path:
@@ -49,7 +50,7 @@
             "replicas": replicas,
         }
         path = self.folder / f"{replica}.json"
-        path.write_text(json.dumps({**document, "snapshot_every": 100, **changes}))
+        path.write_text(json.dumps({**document, "snapshot_every": 100, **self.config, **changes}))
         return path
 
     async def start(self, name: str, new: bool = False, join: str = "", **changes: object) -> StoreNode:
@@ -109,15 +110,25 @@
 
 
 def run_cluster(
-    folder: Path, size: int, scenario: Callable[[Cluster], Awaitable[None]], spare: int = 0
+    folder: Path,
+    size: int,
+    scenario: Callable[[Cluster], Awaitable[None]],
+    spare: int = 0,
+    left_out: Collection[str] = (),
+    **config: object,
 ) -> None:
-    """Start a new store of `size` replicas, run the scenario, and stop the replicas that still run."""
+    """Start a new store of `size` replicas, run the scenario, and stop the replicas that still run.
+
+    The replicas in `left_out` are started by the scenario. `config` has further keys of each replica's file.
+    """
 
     async def run() -> None:
         cluster = Cluster(folder, size, spare)
+        cluster.config = config
         try:
-            for number in range(size):
-                await cluster.start(f"r{number}", new=True)
+            for name in [f"r{number}" for number in range(size)]:
+                if name not in left_out:
+                    await cluster.start(name, new=True)
             await scenario(cluster)
         finally:
             await cluster.close()
