End all processes of a command under a lease, not the direct child alone

lease run of a script that starts a program: the program went on when lease run was killed, and after the lease expired a second lease run acted beside it. Cause: PR_SET_PDEATHSIG and kill reach the direct child. The command now runs below a small process that is a subreaper and holds a pipe from lease run: it kills all that the command has started, also detached programs, when lease run is gone; TERM goes to all of them, and the lease is held until they have ended; KILL comes before the lease expires as before.

--- a/ploverspoke/leases/guarded_process.py
+++ b/ploverspoke/leases/guarded_process.py
@@ -1,10 +1,12 @@
-"""A command that runs as a child process under a lease and is ended before the lease expires."""
+"""A command that runs under a lease and is ended, with all that it has started, before the lease expires.
+
+It runs below a process of `process_guard.py`, which kills it also if this process is killed.
+"""
 
 import asyncio
 import contextlib
-import ctypes
 import os
-import signal
+import sys
 from collections.abc import Sequence
 from typing import NamedTuple
 
@@ -12,22 +14,28 @@
 
 from ploverspoke.transport.units import SECOND
 
+from . import process_guard
 from .client import LeaseClient
+from .process_tree import kill_descendants
 
 TOKEN_VARIABLE = "PLOVERSPOKE_LEASE_TOKEN"
-PR_SET_PDEATHSIG = 1  # of prctl(2)
 MIN_POLL_INTERVAL_S, MAX_POLL_INTERVAL_S = 0.01, 0.25
 KILL_MARGIN_DIVISOR = 4  # the process is killed while the lease has a quarter of the grace left
-SIGNAL_EXIT_CODE_BASE = 128  # plus the number of the signal, as in shells
 
 
 class GuardedProcess(NamedTuple):
-    """A child process that runs under a lease."""
+    """A process that runs a command under a lease; signals to it are passed on to the command."""
 
     lease_name: str
     token: int
     process: asyncio.subprocess.Process
 
+    async def kill(self) -> None:
+        """Kill the command and all that it has started."""
+        await asyncio.to_thread(kill_descendants, self.process.pid)
+        with contextlib.suppress(ProcessLookupError):  # it may just have ended
+            self.process.kill()
+
 
 class ProcessOutcome(NamedTuple):
     """How a guarded process ended."""
@@ -41,17 +49,21 @@
 ) -> GuardedProcess | None:
     """Start a command with the lease's token; return None if it is not acquired within `timeout` seconds.
 
-    `duration` is in ns. The child process is killed when this process ends.
+    `duration` is in ns. The command and all that it has started are killed when this process ends before it.
     """
     client.request_lease(name, duration)
     token = await client.wait_until_held(name, timeout)
     if not token:
         click.echo(f"ploverspoke: {name} is not acquired", err=True)
         return None
-    environment = {**os.environ, TOKEN_VARIABLE: str(token)}
+    # The write end stays open, and is inherited by nobody, for as long as this process runs.
+    read_end, _ = os.pipe()
     process = await asyncio.create_subprocess_exec(
-        *command, env=environment, preexec_fn=_set_parent_death_signal
+        *(sys.executable, "-m", process_guard.__name__, str(read_end), *command),
+        env={**os.environ, TOKEN_VARIABLE: str(token)},
+        pass_fds=(read_end,),
     )
+    os.close(read_end)
     return GuardedProcess(name, token, process)
 
 
@@ -70,8 +82,7 @@
             client.time_left(guarded.lease_name) if client.token(guarded.lease_name) == guarded.token else 0
         )
         if time_left <= kill_at:
-            if process.returncode is None:
-                process.kill()
+            await guarded.kill()
             return ProcessOutcome(await ended, lease_ended=True)
         if time_left <= terminate_at and not terminated:
             terminated = True
@@ -80,9 +91,4 @@
                 process.terminate()
         until_next_s = (time_left - (kill_at if terminated else terminate_at)) / SECOND
         await asyncio.wait([ended], timeout=max(MIN_POLL_INTERVAL_S, min(MAX_POLL_INTERVAL_S, until_next_s)))
-    code = ended.result()
-    return ProcessOutcome(code if code >= 0 else SIGNAL_EXIT_CODE_BASE - code, terminated)
-
-
-def _set_parent_death_signal() -> None:
-    ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+    return ProcessOutcome(ended.result(), terminated)
--- a/ploverspoke/leases/holding_commands.py
+++ b/ploverspoke/leases/holding_commands.py
@@ -143,6 +143,7 @@
 
     The fencing token is in PLOVERSPOKE_LEASE_TOKEN. If the lease cannot be renewed, COMMAND is ended before
     the lease expires: TERM, then KILL after the grace. If this process is killed, COMMAND is killed, too.
+    This holds for all processes that COMMAND has started; those that it leaves behind at its end go on.
     Exit: the exit code of COMMAND; 1 if the lease was not acquired; 4 if COMMAND was ended because of the
     lease.
     """
