Keep a lease that was acquired when a response comes late

lease acquire said that a lease is held; a response within the 50 ms until its connection closed was taken for a grant that nobody wants, and the lease was released. The client now closes its connection at once and sends nothing more.

--- a/ploverspoke/leases/client.py
+++ b/ploverspoke/leases/client.py
@@ -102,8 +102,15 @@
         return 0
 
     def keep_until_expiry(self) -> None:
-        """Stop renewing the leases without releasing them: each is held until it expires."""
+        """Stop renewing the leases without releasing them: each is held until it expires.
+
+        Nothing is sent or received any more: a response that is still under way would be taken for a grant
+        that nobody wants, and be answered with its release.
+        """
         self.holder.leases.clear()
+        self.closed = True
+        self.timer.cancel()
+        self._disconnect()
 
     async def close(self) -> None:
         """Release all leases; if the release cannot be sent, they expire by themselves."""
