--- a/ploverspoke/leases/command_options.py
+++ b/ploverspoke/leases/command_options.py
@@ -39,8 +39,22 @@
     show_default=True,
     help="Duration of the lease in seconds.",
 )
+
+
+def _check_holder(context: click.Context, parameter: click.Parameter, value: str) -> str:
+    """Refuse a name that no message can carry: one with bytes that are not UTF-8."""
+    if not value.isprintable():
+        message = f"{value!r} is not printable"
+        raise click.BadParameter(message)
+    return value
+
+
 HOLDER_OPTION = click.option(
-    "--as", "holder", default=socket.gethostname, help="The holder's name; an id of this start is appended."
+    "--as",
+    "holder",
+    default=socket.gethostname,
+    callback=_check_holder,
+    help="The holder's name; an id of this start is appended.",
 )
 COMMAND_ARGUMENT = click.argument("command", nargs=-1, required=True, type=click.UNPROCESSED)
 
