--- a/ploverspoke/store/log_commands.py
+++ b/ploverspoke/store/log_commands.py
@@ -49,9 +49,8 @@
     """A request was accepted and will be answered."""
 
     request_id: str
-    request_class: (
-        int  # its number in the settings of the replica that accepted it; only older versions read it
-    )
+    # Its number in the settings of the replica that accepted it. Only older versions read it.
+    request_class: int
     digest: bytes  # of the request, to detect another request with the same id
     deadline: int
     now: int
--- a/ploverspoke/store/snapshot.py
+++ b/ploverspoke/store/snapshot.py
@@ -40,9 +40,8 @@
 class OpenRequest(msgspec.Struct, array_like=True):
     """A request that was accepted and is not answered yet."""
 
-    request_class: (
-        int  # its number in the settings of the replica that accepted it; only older versions read it
-    )
+    # Its number in the settings of the replica that accepted it. Only older versions read it.
+    request_class: int
     digest: bytes
     deadline: int
     accepted_at: int
