A replica that fails while it begins again is stopped, and the reason is logged

Operators saw a replica that could not open its storage again only by its status: no log line said why. Read on the way and then reproduced: an error after the storage was open, while the replica was started, left this replica and its driver behind; messages reached them until a second replica was started at the same storage.

Change: after each failed attempt the replica and its driver are stopped, and what waits for them gets False; a reason that differs from the one before is logged once. The next attempt is scheduled before the old replica's listeners are called, so an error of a listener cannot prevent it.

--- a/ploverspoke/consensus/node.py
+++ b/ploverspoke/consensus/node.py
@@ -22,13 +22,12 @@
 from .log import PlainValue, StateMachine
 from .membership import Member, Members, find_by_name
 from .peer_links import PeerIdentity, PeerLinks, Reply
-from .persisted_state import WriteBatch
 from .proposal_queue import Command, CommitCallback, ProposalQueue
 from .raft_state import RaftTimeouts, Role
 from .replica import Replica, RoleListener, Runtime
 from .replica_driver import DriverCallbacks, ReplicaDriver, WriteCounters
 from .storage import ReplicaStorage, StorageError
-from .storage_setup import open_storage
+from .storage_setup import open_storage, reopen_storage
 from .storage_thread import StorageThread
 from .wire_messages import Message
 
@@ -253,35 +252,41 @@
         """Leave consensus and begin again from storage; unwritten data counts as never received."""
         if self.replica is None or self._driver is None:
             return
-        self._driver.stop()
-        self._driver = None
         self.storage_error = str(error)
         self.storage_failures += 1
         cause = "the disk cannot be written" if isinstance(error, StorageError) else "an internal error"
         log_line(f"store: {cause}, this replica stands aside: {error}")
-        replica, self.replica = self.replica, None
-        replica.stop()
         task = self.loop.create_task(self._reopen_storage())
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        self._discard_replica()
+
+    def _discard_replica(self) -> None:
+        """Stop the replica, if there is one; proposals and reads that wait for it fail."""
+        driver, self._driver = self._driver, None
+        replica, self.replica = self.replica, None
+        if driver is not None:
+            driver.stop()
+        if replica is not None:
+            replica.stop()
 
     async def _reopen_storage(self) -> None:
         while not self.closed:
             await asyncio.sleep(REOPEN_DELAY_S)
             try:
-                await self.storage_thread.run(self._reopen_and_write)
+                await self.storage_thread.run(reopen_storage, self.storage)
                 if not self.closed:
                     self._start_replica()
             except Exception as error:  # whatever it is, the next attempt must follow
-                self.storage_error = str(error)
+                self._on_reopen_failed(error)
                 continue
             self.storage_error = ""
             log_line("store: the disk can be written again")
             return
 
-    def _reopen_and_write(self) -> None:
-        self.storage.reopen()
-        # Writing the current vote again changes nothing and tests whether the disk can be written.
-        batch = WriteBatch()
-        batch.vote = (self.storage.persisted.current_term, self.storage.persisted.voted_for)
-        self.storage.write(batch)
+    def _on_reopen_failed(self, error: Exception) -> None:
+        """Stop a replica that has been started only in part, and log a reason that is new."""
+        if str(error) != self.storage_error:
+            log_line(f"store: this replica cannot begin again yet: {error!r}")
+        self.storage_error = str(error)
+        self._discard_replica()
--- a/ploverspoke/consensus/storage_setup.py
+++ b/ploverspoke/consensus/storage_setup.py
@@ -4,6 +4,7 @@
 
 from .cluster_config import ReplicaConfig, initial_replica_id
 from .membership import Members, fingerprint
+from .persisted_state import WriteBatch
 from .storage import ClusterMismatchError, ReplicaStorage
 
 EMPTY_STORAGE_DETAIL = (
@@ -33,6 +34,18 @@
         raise ClusterMismatchError(storage.path, OTHER_CLUSTER_DETAIL)
 
 
+def reopen_storage(storage: ReplicaStorage) -> None:
+    """Open the storage again after a failure, and test whether it can be written.
+
+    Raises CorruptionError or StorageError.
+    """
+    storage.reopen()
+    # Writing the current vote again changes nothing.
+    batch = WriteBatch()
+    batch.vote = (storage.persisted.current_term, storage.persisted.voted_for)
+    storage.write(batch)
+
+
 def as_learners(members: Members) -> Members:
     """Return the members as learners, without votes.
 
