Units of time stand once in capacity, and one message has one wording

SECONDS_PER_MINUTE stood four times in the testbed's capacity package; it and its neighbours move to time_units.

--- a/ploverspoke/config_distribution/overlay.py
+++ b/ploverspoke/config_distribution/overlay.py
@@ -97,7 +97,7 @@
     except ConfigError:
         raise
     except (ValueError, RecursionError) as error:
-        problem = f"the body is no JSON: {error}"
+        problem = f"the body is not valid JSON: {error}"
         raise ConfigError(problem, max_length=MAX_ERROR_CHARACTERS) from error
     if not isinstance(body, dict):
         raise _body_error(WHOLE_BODY, "expected an object")
--- a/ploverspoke/consensus/cluster_config.py
+++ b/ploverspoke/consensus/cluster_config.py
@@ -63,7 +63,7 @@
     except OSError as error:
         raise unreadable_file_error(path, error) from error
     except (ValueError, RecursionError) as error:
-        message = f"{path} is no JSON: {error}"
+        message = f"{path} is not valid JSON: {error}"
         raise ConfigError(message) from error
     return ConfigSection(document)
 
--- a/ploverspoke/testbed/capacity/failure_requirements.py
+++ b/ploverspoke/testbed/capacity/failure_requirements.py
@@ -17,11 +17,10 @@
     format_number,
     scale_estimate,
 )
+from .time_units import SECONDS_PER_MINUTE
 from .verdicts import HOLDS, MISSING
 from .workload import MACHINE, RACK, REGIONS_APART, RESTART, ZONE, lost_workers, zones_in_larger_region
 
-SECONDS_PER_MINUTE = 60
-
 
 class _Failure(NamedTuple):
     """A kind of failure that recurs."""
--- a/ploverspoke/testbed/capacity/measurements/config_server.py
+++ b/ploverspoke/testbed/capacity/measurements/config_server.py
@@ -20,6 +20,7 @@
 from ...processes.running_process import ProcessStartError
 from ...processes.tcp_proxy import OUTSIDE
 from ...scenarios.replica_files import SECRET
+from ..time_units import SECONDS_PER_MINUTE
 from .command_costs import METHOD as COMMAND_METHOD
 from .command_costs import run_command
 from .config_server_fleet import CLUSTER, SERVER_COUNT, ConfigServerFleet, make_body
@@ -48,7 +49,6 @@
 PUBLISHED_SIZES = (4096, 16384, 65536)  # bytes
 SAMPLE_INTERVAL, MIN_SAMPLE_INTERVAL = 0.5, 0.05  # seconds
 DELIVERY_TIME = 1.0  # seconds until all watchers have received the last version
-SECONDS_PER_MINUTE = 60
 METHOD = (
     "the server that leads and that all watch, the others as follower_*; schedstat and /proc/PID/status, "
     "bytes at the proxy; servers have the rig's launcher"
--- a/ploverspoke/testbed/capacity/measurements/dispatcher.py
+++ b/ploverspoke/testbed/capacity/measurements/dispatcher.py
@@ -12,6 +12,7 @@
 from ...experiment_files.experiment import Experiment
 from ...experiment_files.reader import parse_experiment
 from ...models.deployment_settings import dispatcher_settings
+from ..time_units import SECONDS_PER_MINUTE
 from .measurement import (
     NO_RESULT,
     SEED,
@@ -53,7 +54,6 @@
 GOSSIPING_DISPATCHERS = (4, 11, 32)
 DRAIN_SECONDS = 3
 RELOAD_OFFSET = 0.3  # seconds from the start of the interval to the first reload
-SECONDS_PER_MINUTE = 60
 
 
 class PlannedRun(NamedTuple):
--- a/ploverspoke/testbed/capacity/measurements/watching_dispatcher.py
+++ b/ploverspoke/testbed/capacity/measurements/watching_dispatcher.py
@@ -16,7 +16,8 @@
 from ...processes.rig import Rig
 from ...processes.running_process import ProcessStartError
 from ...processes.tcp_proxy import OUTSIDE
-from .config_server import BODY_SIZES, CHANGE_RATES, SECONDS_PER_MINUTE
+from ..time_units import SECONDS_PER_MINUTE
+from .config_server import BODY_SIZES, CHANGE_RATES
 from .config_server_fleet import ConfigServerFleet
 from .dispatcher import RELOAD_OFFSET, WORKERS, dispatcher_experiment, measurement_interval
 from .measurement import (
--- a/ploverspoke/testbed/capacity/ordinary_requirements.py
+++ b/ploverspoke/testbed/capacity/ordinary_requirements.py
@@ -34,8 +34,9 @@
     format_number,
     scale_estimate,
 )
+from .time_units import SECONDS_PER_DAY
 from .verdicts import FAILS, MISSING, OVER_BUDGET
-from .workload import PEAK, SECONDS_PER_DAY, config_change_rate, largest_zone_share, mean_running_time_s
+from .workload import PEAK, config_change_rate, largest_zone_share, mean_running_time_s
 
 
 def assess_workers(context: AssessmentContext) -> Requirement:
--- a/ploverspoke/testbed/capacity/workload.py
+++ b/ploverspoke/testbed/capacity/workload.py
@@ -10,13 +10,12 @@
 
 from ..experiment_files.durations import SECOND
 from .fleet_size import FleetSize
+from .time_units import MINUTES_PER_HOUR, SECONDS_PER_DAY, SECONDS_PER_MINUTE
 
 STATED: Final = "stated"
 WORKED_OUT: Final = "worked out"
 ASSUMED: Final = "assumed"
 Origin = Literal["stated", "worked out", "assumed"]
-SECONDS_PER_DAY, SECONDS_PER_MINUTE = 86_400, 60
-MINUTES_PER_HOUR = 60
 
 ORDINARY, PEAK = "ordinary day", "peak"
 MACHINE, RESTART, RACK, ZONE, REGIONS_APART = "machine", "restart", "rack or switch", "zone", "regions apart"
