Metrics of memory held by kind, of slow connections and timers, and of refusals

Logs and counters could not tell what memory was held for, which connection held up the loop, or why a request was refused before it was admitted. Now: an account of held memory by kind (estimates of what objects cost), the longest step of each kind of connection and the latest timer, resident memory, refusals by status, capacity rejections by the limit that was reached.

--- a/ploverspoke/protocol/http_messages.py
+++ b/ploverspoke/protocol/http_messages.py
@@ -9,6 +9,8 @@
 MAX_HEADERS = 100
 MAX_HEAD_SIZE = 16 * 1024  # bytes
 MAX_BODY_SIZE = 64 * 1024  # bytes
+TEXT_OBJECT_BYTES = 80  # of a string in the interpreter, beside its characters
+FIELD_BYTES = 2 * TEXT_OBJECT_BYTES + 64  # of a name and its value, with their place in a dictionary
 CHUNKING_OVERHEAD = 8  # bytes received for each byte of a body sent in the smallest possible chunks
 
 Headers: TypeAlias = dict[str, str]  # by header name; received names are in lower case
@@ -50,6 +52,10 @@
         self.failure = failure
         raise failure
 
+    def held_bytes(self) -> int:
+        """What the incomplete message costs in memory, in bytes; the parser may hold one field itself."""
+        return len(self.headers) * FIELD_BYTES + self.head_size + len(self.body)
+
     def keeps_alive(self) -> bool:
         """Whether the connection can carry another message."""
         return bool(self.parser.should_keep_alive()) and not self.parser.should_upgrade()
--- a/ploverspoke/routing/admin_server.py
+++ b/ploverspoke/routing/admin_server.py
@@ -8,11 +8,13 @@
 from ploverspoke.transport.connections import Connection
 from ploverspoke.transport.deadlines import Deadlines
 from ploverspoke.transport.listener import EVICTION_MIN_AGE, Listener
+from ploverspoke.transport.loop_meter import ConnectionKind
 from ploverspoke.transport.rate_limited_log import log_line
 from ploverspoke.transport.slot_table import SlotTable
 
 from .admin_connection import AdminConnection
 from .client_server import ClientServer
+from .resource_metrics import resource_metric_lines
 from .router import Router
 
 MAX_SESSIONS = 16  # their file descriptors are reserved in transport/resource_limits.py
@@ -34,6 +36,7 @@
         self.router = router
         self.commands: dict[str, Callable[[], bytes]] = {"check": self._check, "vars": self._vars}
         self.connections: SlotTable[Connection] = SlotTable()
+        self.monitor = router.connection_monitor._replace(kind=ConnectionKind.OPERATOR)
         self.sessions: dict[int, AdminConnection] = {}  # by the number of the connection, oldest first
         self.listener = Listener(loop, deadlines, self._make_connection, self._may_accept)
 
@@ -79,11 +82,12 @@
         yield from self.router.endpoints.journal.metric_lines()
         yield admin.counter_line("endpoint_list_expirations", dispatcher.list_expirations())
         yield from self.router.request_journal.metric_lines()
+        yield from resource_metric_lines(self.monitor)
 
     # ---- Limit on connections ----
 
     def _make_connection(self) -> Connection:
-        return Connection(self.connections, self._on_accepted)
+        return Connection(self.connections, self._on_accepted, monitor=self.monitor)
 
     def _on_accepted(self, connection: Connection) -> None:
         self.sessions[connection.number] = AdminConnection(self, connection)
--- a/ploverspoke/routing/client_server.py
+++ b/ploverspoke/routing/client_server.py
@@ -5,6 +5,7 @@
 from ploverspoke.transport.connections import Connection
 from ploverspoke.transport.deadlines import Deadlines
 from ploverspoke.transport.listener import EVICTION_MIN_AGE, Listener
+from ploverspoke.transport.loop_meter import ConnectionKind
 from ploverspoke.transport.rate_limited_log import log_line
 from ploverspoke.transport.slot_table import SlotTable
 
@@ -33,6 +34,7 @@
         self.router = router
         self.max_sessions = max_sessions
         self.max_buffered_bytes = max_buffered_bytes
+        self.monitor = router.connection_monitor._replace(kind=ConnectionKind.CLIENT)
         self.buffered_bytes = 0  # of requests that are not admitted yet
         self.connections: SlotTable[Connection] = SlotTable()
         self.sessions: dict[int, ClientSession] = {}  # by connection number, oldest first
@@ -80,7 +82,7 @@
     # ---- Limit on connections ----
 
     def _make_connection(self) -> Connection:
-        return Connection(self.connections, self._on_accepted)
+        return Connection(self.connections, self._on_accepted, monitor=self.monitor)
 
     def _on_accepted(self, connection: Connection) -> None:
         session = ClientSession(self, connection)
--- a/ploverspoke/routing/client_session.py
+++ b/ploverspoke/routing/client_session.py
@@ -6,8 +6,10 @@
 from ploverspoke.protocol import clients
 from ploverspoke.protocol.clients import HttpRequest
 from ploverspoke.protocol.errors import HttpSyntaxError, MessageTooLongError
+from ploverspoke.protocol.message_costs import message_cost
 from ploverspoke.transport.connections import Connection
 from ploverspoke.transport.deadlines import Deadline
+from ploverspoke.transport.memory_account import MemoryHolding, MemoryKind
 from ploverspoke.transport.rate_limited_log import log_line
 from ploverspoke.transport.units import MILLISECOND, SECOND
 
@@ -15,6 +17,7 @@
 from .client_session_owner import ClientSessionOwner
 from .close_reasons import CloseReason, reason_after_response
 from .request_admission import NotAdmitted
+from .request_journal import CapacityLimit
 from .requests import Request
 from .responses import OWN_TARGET_PREFIX, UNSUCCESSFUL_RESPONSES, redirect_response, status_response
 
@@ -44,6 +47,7 @@
         self.failure: HttpSyntaxError | None = None  # from the reader; sent after all earlier responses
         self.dropped_bytes = 0  # received beyond the read-ahead limit
         self.buffered_bytes = 0  # of requests that are read but not admitted yet
+        self.messages_held = MemoryHolding(connection.monitor.memory, MemoryKind.MESSAGES)
         self.was_served = False  # a request of this session was admitted
         self.is_excess = False  # beyond the limit on sessions: its request is rejected
         self.idle_since = server.deadlines.now()
@@ -84,6 +88,7 @@
         self.server.remove_session(self)
         self.server.buffered_bytes -= self.buffered_bytes
         self.buffered_bytes = 0
+        self.messages_held.set(0)
         self.server.deadlines.cancel(self.deadline)
         self.is_closing = True
         self.queue.clear()
@@ -135,7 +140,7 @@
                 self.is_answering = True
                 self._handle(self.queue.popleft())
             elif self.failure is not None:
-                self._respond(self.failure.status, str(self.failure).encode())
+                self._refuse(self.failure)
             elif len(self.connection.buffer):
                 self._parse_buffer()
             else:
@@ -155,9 +160,9 @@
         """Reject the requests that were read, and close: they exceed the memory limit."""
         admission = self.server.router.admission
         for message in self.queue:
-            admission.count_rejected(message.target)
+            admission.count_rejected(message.target, CapacityLimit.MEMORY)
         if self.reader.in_message and not self.reader.in_head:
-            admission.count_rejected(self.reader.target.decode("latin-1"))
+            admission.count_rejected(self.reader.target.decode("latin-1"), CapacityLimit.MEMORY)
         self.queue.clear()
         self.keep_alive = False
         self.answer(FinalAnswer.REJECTED)
@@ -168,6 +173,8 @@
         buffered += max(0, len(self.connection.buffer) - UNCOUNTED_READ_AHEAD_BYTES)
         self.server.buffered_bytes += buffered - self.buffered_bytes
         self.buffered_bytes = buffered
+        queued = sum(message_cost(message.target, message.headers, message.body) for message in self.queue)
+        self.messages_held.set(self.reader.held_bytes() + queued)
 
     def _handle(self, message: HttpRequest) -> None:
         self.keep_alive = message.keep_alive and not self.is_excess
@@ -182,7 +189,7 @@
         try:
             self._admit(message)
         except HttpSyntaxError as error:
-            self._respond(error.status, str(error).encode())
+            self._refuse(error)
         except Exception:  # any fault of the router: the client must still get a response
             log_line(f"a request could not be admitted: {traceback.format_exc()}")
             self._respond(500, b"a fault of ours")
@@ -191,7 +198,7 @@
         """Admit the request, or reject it for lack of capacity. Raises HttpSyntaxError."""
         admission = self.server.router.admission
         if self.is_excess:
-            admission.count_rejected(message.target)
+            admission.count_rejected(message.target, CapacityLimit.CONNECTIONS)
             self.answer(FinalAnswer.REJECTED)
             return
         admitted = admission.admit(self, message)
@@ -214,6 +221,11 @@
             response = UNSUCCESSFUL_RESPONSES[answer]
             self._respond(response.status, response.body, retry_after)
 
+    def _refuse(self, error: HttpSyntaxError) -> None:
+        """Answer an invalid request."""
+        self.server.router.request_journal.refused(error.status, error.reason)
+        self._respond(error.status, str(error).encode())
+
     def has_disconnected(self) -> bool:
         """Whether the client has closed its connection; if so, this side closes it as well."""
         is_closed = self.connection.is_closed_by_peer()
--- a/ploverspoke/routing/endpoint_directory.py
+++ b/ploverspoke/routing/endpoint_directory.py
@@ -11,6 +11,7 @@
     read_endpoint_list,
 )
 from ploverspoke.protocol.wire_names import ENDPOINT_STATES
+from ploverspoke.transport.loop_meter import ConnectionKind
 
 from .context import RouterPart, RoutingContext
 from .endpoint_watch import EndpointWatch
@@ -81,7 +82,7 @@
         self.watch.is_pushed = self.settings.is_pushed()
 
     def _make_watch(self, address: str) -> EndpointWatch:
-        return EndpointWatch(
+        watch = EndpointWatch(
             self.deadlines,
             address,
             self,
@@ -89,6 +90,8 @@
             WatchPace(*self.settings.watch_pace()),
             self.settings.is_pushed(),
         )
+        watch.pool.monitor = self.pool.monitor._replace(kind=ConnectionKind.DISCOVERY)
+        return watch
 
     def list_confirmed(self, as_of: int) -> None:
         """Report that the list contains everything that discovery had at `as_of` (monotonic ns)."""
--- a/ploverspoke/routing/endpoint_watch.py
+++ b/ploverspoke/routing/endpoint_watch.py
@@ -8,6 +8,7 @@
 from ploverspoke.transport.connection_pool import ConnectionPool, PendingConnection
 from ploverspoke.transport.connections import Connection
 from ploverspoke.transport.deadlines import Deadline, Deadlines
+from ploverspoke.transport.memory_account import MemoryHolding, MemoryKind
 from ploverspoke.transport.outcomes import ExchangeOutcome
 from ploverspoke.transport.units import MILLISECOND, SECOND
 
@@ -63,6 +64,7 @@
         self.received: EndpointList | None = None
         self.reader = discovery.EndpointListReader(self._on_complete)
         self.body: bytes | None = None  # of the complete response
+        self.response_held = MemoryHolding(watch.pool.monitor.memory, MemoryKind.RESPONSES)
         self.is_reusable = False  # whether the connection can carry another request
         self.is_timeout_extended = False  # at most once, to read data that has already arrived
 
@@ -76,6 +78,7 @@
     def release(self) -> Connection | None:
         """End the request and return its connection, if it has one; the caller then owns the connection."""
         self.watch.deadlines.cancel(self.deadline)
+        self.response_held.set(0)
         if self.pending_connection is not None:
             self.pending_connection.cancel()
             self.pending_connection = None
@@ -121,6 +124,7 @@
             outcome, detail = CallOutcome.REJECTED, error.reason
         except HttpSyntaxError as error:
             outcome, detail = CallOutcome.INVALID, error.reason
+        self.response_held.set(self.reader.held_bytes())
         problem = "" if self.body is None else self.watch.apply_list(self)
         if problem and outcome is CallOutcome.ANSWERED:
             outcome, detail = CallOutcome.INVALID, problem
--- a/ploverspoke/routing/request_admission.py
+++ b/ploverspoke/routing/request_admission.py
@@ -17,6 +17,7 @@
 from .answers import Client
 from .completion import RequestCompletion
 from .context import RouterPart, RoutingContext
+from .request_journal import CapacityLimit
 from .request_recorder import RequestRecorder
 from .requests import Request
 
@@ -72,7 +73,7 @@
         work_hint = clients.work_hint(message.headers)
         if len(self.requests) >= self.settings.current.max_open_requests:
             self.counters.count_rejected(self.settings.class_name(class_number))
-            self.request_journal.rejected_for_capacity()
+            self.request_journal.rejected_for_capacity(CapacityLimit.OPEN_REQUESTS)
             return NotAdmitted.NO_CAPACITY
         due_at = self.deadlines.now() + timeout - min(MAX_ANSWER_MARGIN_NS, timeout // ANSWER_MARGIN_DIVISOR)
         request = Request(client, class_number, message, due_at)
@@ -95,12 +96,12 @@
             self.recorder.record_request(request, client, on_admitted, on_commit_failed)
         return request
 
-    def count_rejected(self, target: str) -> None:
+    def count_rejected(self, target: str, limit: CapacityLimit) -> None:
         """Count a request that the server rejects for lack of capacity, if it names a request class."""
         class_name = clients.request_class_name(target)
         if class_name in self.settings.classes.numbers:
             self.counters.count_rejected(class_name)
-            self.request_journal.rejected_for_capacity()
+            self.request_journal.rejected_for_capacity(limit)
 
     def _class_number(self, target: str) -> int:
         class_number = self.settings.classes.numbers.get(clients.request_class_name(target))
--- a/ploverspoke/routing/request_journal.py
+++ b/ploverspoke/routing/request_journal.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 from collections.abc import Iterator
+from enum import Enum
 
 from ploverspoke.decisions.interface import EndReason
 from ploverspoke.protocol import admin
@@ -12,6 +13,15 @@
 from .close_reasons import CloseReason
 from .requests import Request
 
+
+class CapacityLimit(Enum):
+    """Which limit a request exceeds that is rejected before it is admitted."""
+
+    OPEN_REQUESTS = "open_requests"
+    CONNECTIONS = "connections"
+    MEMORY = "memory"
+
+
 BURST_LINES = 20
 LINES_PER_SECOND = 1.0  # a separate limit, so that these lines do not suppress others
 
@@ -25,6 +35,8 @@
         self.attempt_ends: Counter[ExchangeOutcome] = Counter()
         self.request_ends: Counter[EndReason] = Counter()
         self.client_closes: Counter[CloseReason] = Counter()
+        self.exceeded_limits: Counter[CapacityLimit] = Counter()
+        self.refusals: Counter[int] = Counter()  # invalid requests, by status
 
     def attempt_ended(
         self, request: Request, worker: str, index: int, outcome: ExchangeOutcome, elapsed: int, list_age: int
@@ -47,9 +59,16 @@
             f"request {request.request_id} {answer}: {reason.value}, {len(request.attempts)} attempts made"
         )
 
-    def rejected_for_capacity(self) -> None:
-        """Count a request that is rejected for lack of capacity."""
+    def rejected_for_capacity(self, limit: CapacityLimit) -> None:
+        """Count and log a request that is rejected because a limit is exceeded."""
         self.request_ends[EndReason.NO_CAPACITY] += 1
+        self.exceeded_limits[limit] += 1
+        self.log.write(f"a request is rejected: the limit of {limit.value} is reached")
+
+    def refused(self, status: int, reason: str) -> None:
+        """Count and log an invalid request, which is answered with a 4xx status."""
+        self.refusals[status] += 1
+        self.log.write(f"a request is refused with {status}: {reason}")
 
     def client_closed(self, reason: CloseReason, request: Request | None) -> None:
         """Count the end of a client's connection; `request` is the one that it was still waiting for."""
@@ -66,6 +85,11 @@
             yield admin.labeled_counter_line(
                 "unsuccessful_ends", {"reason": reason.value}, self.request_ends[reason]
             )
+        for limit in CapacityLimit:
+            labels = {"limit": limit.value}
+            yield admin.labeled_counter_line("capacity_rejections", labels, self.exceeded_limits[limit])
+        for status, count in sorted(self.refusals.items()):
+            yield admin.labeled_counter_line("refusals", {"status": str(status)}, count)
         for close_reason in CloseReason:
             labels = {"reason": close_reason.value}
             yield admin.labeled_counter_line("client_closes", labels, self.client_closes[close_reason])
--- a/ploverspoke/routing/request_table.py
+++ b/ploverspoke/routing/request_table.py
@@ -3,18 +3,22 @@
 from collections import deque
 from collections.abc import Iterator
 
+from ploverspoke.protocol.message_costs import message_cost
+from ploverspoke.transport.memory_account import MemoryAccount, MemoryKind
 from ploverspoke.transport.slot_table import SlotTable
 
 from .requests import Request
 
+REQUEST_BYTES = 4 * 1024  # of the objects of a request here and in the decision logic, without its message
 MIN_RECENT_IDS = 4096  # at least the ids of this many recent requests are kept
 
 
 class RequestTable:
     """Numbers each request, and remembers the ids of the latest ones, ended or not."""
 
-    def __init__(self) -> None:
-        """Create an empty table."""
+    def __init__(self, memory: MemoryAccount | None = None) -> None:
+        """Create an empty table, whose requests are counted in `memory`."""
+        self.memory = memory or MemoryAccount()
         self.slots: SlotTable[Request] = SlotTable()
         self.body_bytes = 0  # total for all requests in the table
         self.recent_ids: set[str] = set()
@@ -36,6 +40,7 @@
         """Give the request its number."""
         request.number = self.slots.add(request)
         self.body_bytes += len(request.message.body)
+        self.memory.add(MemoryKind.OPEN_REQUESTS, _cost(request))
         # A duplicate may arrive just after the answer, so the id is kept longer than the request.
         self.recent_ids.add(request.request_id)
         self.recent_id_order.append(request.request_id)
@@ -48,6 +53,7 @@
         is_ended = request.client is None and not request.has_active_attempt()
         if is_ended and self.slots.remove(request.number) is not None:
             self.body_bytes -= len(request.message.body)
+            self.memory.add(MemoryKind.OPEN_REQUESTS, -_cost(request))
 
     def open_count(self) -> int:
         """The number of requests that wait for their answer."""
@@ -56,3 +62,9 @@
     def class_numbers(self) -> set[int]:
         """The numbers of the request classes that are in use."""
         return {request.class_number for request in self.slots}
+
+
+def _cost(request: Request) -> int:
+    """The bytes that an admitted request costs in memory."""
+    message = request.message
+    return REQUEST_BYTES + message_cost(message.target, message.headers, message.body)
--- a/ploverspoke/routing/router.py
+++ b/ploverspoke/routing/router.py
@@ -47,9 +47,10 @@
         """`seed` is for the random numbers of the decision logic; `request_log` is None without a store."""
         self.deadlines = deadlines
         self.active_settings = settings
+        self.connection_monitor = pool.monitor
         self.counters = Counters()
         self.counters.register_classes(settings.classes.numbers)
-        self.requests = RequestTable()
+        self.requests = RequestTable(pool.monitor.memory)
         self.request_journal = RequestJournal()
         self.events = EventQueue(self._on_decision_failed)
         self.dispatcher = Dispatcher(self, seed, settings.current)
--- a/ploverspoke/routing/worker_calls.py
+++ b/ploverspoke/routing/worker_calls.py
@@ -6,6 +6,7 @@
 from ploverspoke.protocol.workers import LoadReport, ResponseListener, ResponseReader
 from ploverspoke.transport.connection_pool import ConnectionPool, PendingConnection
 from ploverspoke.transport.connections import Connection
+from ploverspoke.transport.memory_account import MemoryAccount, MemoryHolding, MemoryKind
 from ploverspoke.transport.outcomes import ExchangeOutcome
 from ploverspoke.transport.units import MILLISECOND
 
@@ -67,6 +68,7 @@
         self.reader = user.make_reader(self)
         self.connection: Connection | None = None
         self.pending_connection: PendingConnection | None = None
+        self.response_held = MemoryHolding(MemoryAccount(), MemoryKind.RESPONSES)
         self.abort_outcome: ExchangeOutcome | None = None  # why this side closed the connection
         self.is_reusable = False  # whether the connection can carry another request
         self.delay_last_byte = delay_last_byte
@@ -96,6 +98,7 @@
             self._end(ExchangeOutcome.NOT_SENT)
             return
         self.connection = connection
+        self.response_held = MemoryHolding(connection.monitor.memory, MemoryKind.RESPONSES)
         message = user.encode_request(self.ends_at - self.deadlines.now())
         if not self.delay_last_byte:
             self._write_to_end(connection, message)
@@ -121,10 +124,12 @@
             self.connection.feed(self.reader)
         except HttpSyntaxError:
             self.abort_outcome = ExchangeOutcome.MALFORMED_RESPONSE
+        self.response_held.set(self.reader.held_bytes())
         if self.abort_outcome is not None:
             self.connection.abort()
         elif self.reader.is_complete:
             connection, self.connection = self.connection, None
+            self.response_held.set(0)
             self.deadlines.cancel(self.deadline)
             if self.is_reusable and not connection.has_unsent_data:
                 self.pool.release(connection)
@@ -136,6 +141,7 @@
         """End the call."""
         if self.connection is None:
             return
+        self.response_held.set(0)
         has_status = bool(self.reader.status)
         # A request has certainly not run only if a part of it is certainly still in this process.
         is_incomplete = self.last_byte is not None or (self.connection.has_unsent_data and not has_status)
--- a/ploverspoke/transport/buffers.py
+++ b/ploverspoke/transport/buffers.py
@@ -1,5 +1,7 @@
 """The read buffer of a connection: one block of memory that grows on demand and is compacted in place."""
 
+from .memory_account import MemoryAccount, MemoryHolding, MemoryKind
+
 INITIAL_SIZE = 4 * 1024  # bytes
 MIN_WRITABLE = 2 * 1024  # bytes offered to each read from the socket
 
@@ -7,9 +9,11 @@
 class ReadBuffer:
     """The received bytes that are not consumed yet, in the order of arrival."""
 
-    def __init__(self) -> None:
-        """Start empty, with `INITIAL_SIZE` bytes of memory."""
+    def __init__(self, memory: MemoryAccount | None = None) -> None:
+        """Start empty, with `INITIAL_SIZE` bytes of memory, which are counted in `memory`."""
+        self.holding = MemoryHolding(memory or MemoryAccount(), MemoryKind.READ_BUFFERS)
         self.data = bytearray(INITIAL_SIZE)
+        self.holding.set(len(self.data))
         self.start = 0
         self.end = 0
 
@@ -32,6 +36,7 @@
                 self.start, self.end = 0, len(self)
             if len(self.data) - self.end < MIN_WRITABLE:
                 self.data.extend(bytes(len(self.data)))
+        self.holding.set(len(self.data))
         return memoryview(self.data)[self.end :]
 
     def commit(self, count: int) -> None:
@@ -45,3 +50,7 @@
     def consume(self, count: int) -> None:
         """Drop the first `count` unread bytes."""
         self.start += count
+
+    def close(self) -> None:
+        """Give the memory back to the account; the connection has ended."""
+        self.holding.set(0)
--- a/ploverspoke/transport/connection_pool.py
+++ b/ploverspoke/transport/connection_pool.py
@@ -7,8 +7,10 @@
 from operator import attrgetter
 from typing import NamedTuple, Protocol
 
-from .connections import Connection, ConnectionUser
+from .connections import Connection, ConnectionMonitor, ConnectionUser
 from .deadlines import Deadline, Deadlines
+from .loop_meter import ConnectionKind
+from .memory_account import MemoryAccount
 from .outcomes import ExchangeOutcome
 from .rate_limited_log import log_line
 from .slot_table import SlotTable
@@ -78,7 +80,7 @@
     def __init__(self, pool: "ConnectionPool", address: str, user: PoolUser, timeout: int) -> None:
         """Start connecting to `address`, with a timeout of `timeout` ns."""
         self.pool = pool
-        self.connection = Connection(pool.connections, address=address)
+        self.connection = Connection(pool.connections, address=address, monitor=pool.monitor)
         self.user: PoolUser | None = user
         self.deadline = pool.deadlines.schedule(pool.deadlines.now() + timeout, self.on_timeout)
         self.task = pool.loop.create_task(self._connect(address))
@@ -143,8 +145,9 @@
         capacity: int,
         idle_limit: int,
         connect_timeout: int,
+        monitor: ConnectionMonitor | None = None,
     ) -> None:
-        """`capacity` is a number of connections.
+        """`capacity` is a number of connections, which `monitor` measures.
 
         `idle_limit` is the time in ns after which the other side closes an idle connection; `connect_timeout`
         is also in ns.
@@ -154,6 +157,7 @@
         self.capacity = capacity
         self.max_idle_time = max_idle_time_for(idle_limit)
         self.connect_timeout = connect_timeout
+        self.monitor = monitor or ConnectionMonitor(ConnectionKind.WORKER, MemoryAccount(), deadlines.meter)
         self.connections: SlotTable[Connection] = SlotTable()
         self.pending_count = 0
         self.idle: dict[str, list[IdleEntry]] = defaultdict(list)  # by address, longest idle first
--- a/ploverspoke/transport/connections.py
+++ b/ploverspoke/transport/connections.py
@@ -2,13 +2,26 @@
 
 import asyncio
 import select
+import time
 from collections.abc import Callable
-from typing import Protocol, cast
+from typing import NamedTuple, Protocol, cast
 
 from .buffers import ReadBuffer
+from .loop_meter import ConnectionKind, LoopMeter
+from .memory_account import MemoryAccount, MemoryHolding, MemoryKind
 from .slot_table import SlotTable
 from .stream_protocol import StreamProtocol
 
+CONNECTION_BYTES = 8 * 1024  # of the objects of one connection and of its user, without buffers
+
+
+class ConnectionMonitor(NamedTuple):
+    """Where connections of one kind are measured."""
+
+    kind: ConnectionKind
+    memory: MemoryAccount
+    loop_meter: LoopMeter
+
 
 class ConnectionUser(Protocol):
     """Receives the events of a connection that it uses."""
@@ -38,20 +51,24 @@
         table: "SlotTable[Connection]",
         on_accepted: "Callable[[Connection], None] | None" = None,
         address: str = "",
+        monitor: ConnectionMonitor | None = None,
     ) -> None:
         """`on_accepted` is called when a connection opened by the other side is set up.
 
         `address` is the remote address of a connection opened by this side. `table` assigns a number to the
-        connection while it is open.
+        connection while it is open. `monitor` measures it; without one it has an account of its own.
         """
         super().__init__()
+        self.monitor = monitor or ConnectionMonitor(ConnectionKind.WORKER, MemoryAccount(), LoopMeter())
+        self.objects_held = MemoryHolding(self.monitor.memory, MemoryKind.CONNECTIONS)
+        self.unsent_held = MemoryHolding(self.monitor.memory, MemoryKind.UNSENT)
         self.table = table
         self.address = address
         self.is_retired = False  # closed when its user releases it
         self.number = 0
         self.on_accepted = on_accepted
         self.user: ConnectionUser | None = None
-        self.buffer = ReadBuffer()
+        self.buffer = ReadBuffer(self.monitor.memory)
         self.is_open = False
         self.has_unsent_data = False  # some written bytes have not been passed to the kernel yet
         self.is_reading = True
@@ -66,6 +83,7 @@
         # known whether a request was sent completely.
         self.transport.set_write_buffer_limits(high=0)
         self.is_open = True
+        self.objects_held.set(CONNECTION_BYTES)
         self.number = self.table.add(self)
         if self.on_accepted is not None:
             self.on_accepted(self)
@@ -78,7 +96,10 @@
         """Tell the user that `nbytes` bytes were received."""
         self.buffer.commit(nbytes)
         if self.user is not None:
+            unread, began_at = len(self.buffer), time.monotonic_ns()
             self.user.on_data_available()
+            elapsed = time.monotonic_ns() - began_at
+            self.monitor.loop_meter.record_step(self.monitor.kind, elapsed, unread)
 
     def eof_received(self) -> bool:
         """Close the connection when the other side does."""
@@ -91,6 +112,7 @@
     def resume_writing(self) -> None:
         """Record that the kernel has accepted all bytes, and tell the user."""
         self.has_unsent_data = False
+        self.unsent_held.set(0)
         if self.user is not None:
             self.user.on_write_drained()
 
@@ -100,6 +122,9 @@
             return
         self.is_open = False
         self.table.remove(self.number)
+        self.buffer.close()
+        self.unsent_held.set(0)
+        self.objects_held.set(0)
         user, self.user = self.user, None
         if user is not None:
             user.on_disconnected()
@@ -110,6 +135,8 @@
         """Send bytes; does nothing if the connection is closed."""
         if self.is_open and self.transport is not None:
             self.transport.write(data)
+            if self.has_unsent_data:
+                self.unsent_held.set(self.transport.get_write_buffer_size())
 
     def feed(self, reader: Reader) -> None:
         """Pass all unread bytes to the reader and consume them, even if the reader raises an error."""
--- a/ploverspoke/transport/deadlines.py
+++ b/ploverspoke/transport/deadlines.py
@@ -6,6 +6,7 @@
 import traceback
 from collections.abc import Callable
 
+from .loop_meter import LoopMeter
 from .rate_limited_log import log_line
 from .units import SECOND
 
@@ -40,6 +41,7 @@
         self.cancelled_count = 0  # cancelled deadlines that are still in the heap
         self.timer: asyncio.TimerHandle | None = None
         self.timer_when = 0
+        self.meter = LoopMeter()
 
     def now(self) -> int:
         """Return the monotonic time in nanoseconds."""
@@ -81,6 +83,8 @@
     def _run_due(self) -> None:
         self.timer = None
         now = self.now()
+        if self.heap and self.heap[0].when <= now:
+            self.meter.record_timer_delay(now - self.heap[0].when)
         due = []
         while self.heap and self.heap[0].when <= now:
             due.append(heapq.heappop(self.heap))
--- /dev/null
+++ b/tests/limits/crowd_harness.py
@@ -0,0 +1,136 @@
+"""A dispatcher started by the deploy file's `run` under small limits, with workers, crowds and a client."""
+
+import asyncio
+import json
+import os
+import re
+import sys
+import time
+import tomllib
+from pathlib import Path
+from typing import NamedTuple
+
+from tests.decisions.harness import SETTINGS
+from tests.routing.admin_client import admin_call
+from tests.routing.harness import ServiceHarness
+from tests.routing.http_messages import read_message
+
+ROOT = Path(__file__).parents[2]
+MEBIBYTE = 1024 * 1024
+CLIENT_PAUSE_S = 0.02
+ANSWER_TIMEOUT_S = 10.0
+CUT_OFF = -1  # status of a request that was still open at the end
+WAIT_CLASS = {"Name": "wait", "Repeat": "free", "ExpectedTimeUs": 3_000_000, "AbandonTimeUs": 4_000_000}
+
+
+class Exchange(NamedTuple):
+    """One request of the usual client."""
+
+    status: int  # 0: no answer
+    seconds: float
+
+
+class CrowdedDispatcher:
+    """The program under test with all around it."""
+
+    def __init__(self, folder: Path, memory_mb: int, descriptors: int) -> None:
+        self.folder = folder
+        self.limits = {"memory_mb": memory_mb, "sockets": descriptors}
+        self.harness = ServiceHarness()
+        self.exchanges: list[Exchange] = []
+
+    async def start(self) -> None:
+        """Start workers, discovery and the program, and wait until it is ready."""
+        discovery = await self.harness.start_workers_and_discovery(3)
+        path = self.folder / "config.json"
+        self.log = self.folder / "log.txt"
+        grades = [*SETTINGS["ServiceGrades"], WAIT_CLASS]
+        document = {
+            **self.harness.config_document(discovery),
+            "name": "n0",
+            "admin_addr": f"127.0.0.1:{self.harness.admin_port}",
+            "limits": self.limits,
+            "settings": {**SETTINGS, "ServiceGrades": grades},
+        }
+        path.write_text(json.dumps(document))
+        run = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
+        set_limit = f"ulimit -n {self.limits['sockets']}"
+        with self.log.open("wb") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                *("/bin/sh", "-c", f"{set_limit}; {run}"),
+                cwd=ROOT,
+                env={**os.environ, "RELAY_CONFIG": str(path), "TMPDIR": str(self.folder)},
+                stderr=log,
+            )
+        for _ in range(1000):
+            if " serves at " in self.log.read_text():
+                return
+            await asyncio.sleep(0.02)
+        raise AssertionError(self.log.read_text())
+
+    async def crowd(self, kind: str, count: int, seconds: float) -> None:
+        """Play a crowd beside the usual client, from its first connection to its end."""
+        crowd = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "tests.limits.crowd_process",
+            *(str(self.harness.port), kind, str(count), str(seconds)),
+            cwd=ROOT,
+        )
+        client = asyncio.ensure_future(self.usual_client())
+        await crowd.wait()
+        client.cancel()
+        await asyncio.gather(client, return_exceptions=True)
+
+    async def usual_client(self) -> None:
+        """Send one request after the other, on a connection that is kept while it can be."""
+        number = 0
+        reader, writer = await self.harness.connect()
+        while True:
+            number += 1
+            began = time.monotonic()
+            self.exchanges.append(Exchange(0, ANSWER_TIMEOUT_S))  # unless it is answered
+            try:
+                writer.write(self.harness.request(f"usual-{os.getpid()}-{number}"))
+                first, headers, _ = await asyncio.wait_for(read_message(reader), ANSWER_TIMEOUT_S)
+                status = int(first.split()[1])
+                closes = headers.get("connection") == "close"
+            except asyncio.CancelledError:
+                self.exchanges[-1] = Exchange(CUT_OFF, time.monotonic() - began)
+                raise
+            except (OSError, asyncio.IncompleteReadError, TimeoutError):
+                status, closes = 0, True
+            self.exchanges[-1] = Exchange(status, time.monotonic() - began)
+            if closes:
+                writer.close()
+                reader, writer = await self.harness.connect()
+            await asyncio.sleep(CLIENT_PAUSE_S)
+
+    def resident_mb(self, peak: bool = False) -> float:
+        """The program's resident memory in MiB, now or at its peak."""
+        text = Path(f"/proc/{self.process.pid}/status").read_text()
+        found = re.search(rf"{'VmHWM' if peak else 'VmRSS'}:\s+(\d+) kB", text)
+        assert found, text
+        return int(found[1]) / 1024
+
+    async def metrics(self) -> dict[str, int]:
+        """The program's counters."""
+        lines = (await admin_call(self.harness, b"vars\n")).splitlines()
+        pairs = (line.rsplit(" ", 1) for line in lines if line.startswith("dispatcher_"))
+        return {name.removeprefix("dispatcher_"): int(value) for name, value in pairs}
+
+    async def stop(self) -> None:
+        """End the program and all around it."""
+        if self.process.returncode is None:
+            self.process.kill()
+            await self.process.wait()
+        self.harness.close_servers()
+
+    def slowest(self) -> float:
+        """The longest time of the usual client's answers, in seconds."""
+        return max(exchange.seconds for exchange in self.exchanges)
+
+    def served_share(self) -> float:
+        """The share of the usual client's requests that succeeded."""
+        ended = [exchange for exchange in self.exchanges if exchange.status != CUT_OFF]
+        return sum(exchange.status == 200 for exchange in ended) / max(1, len(ended))
--- a/tests/routing/simulated_discovery.py
+++ b/tests/routing/simulated_discovery.py
@@ -8,8 +8,10 @@
 from enum import Enum, auto
 from typing import Any, cast
 
-from ploverspoke.transport.connections import Reader
+from ploverspoke.transport.connections import ConnectionMonitor, Reader
 from ploverspoke.transport.deadlines import Deadline, Deadlines
+from ploverspoke.transport.loop_meter import ConnectionKind, LoopMeter
+from ploverspoke.transport.memory_account import MemoryAccount
 from ploverspoke.transport.outcomes import ExchangeOutcome
 from ploverspoke.transport.units import MILLISECOND as MS
 from ploverspoke.transport.units import SECOND
@@ -118,7 +120,7 @@
     discovery: "FakeDiscovery"
 
     def __init__(self, *_: Any) -> None:
-        pass
+        self.monitor = ConnectionMonitor(ConnectionKind.WORKER, MemoryAccount(), LoopMeter())
 
     def acquire(self, address: str, user: Any) -> FakeConnection:
         connection = FakeConnection(self, address, user)
