--- a/tests/limits/crowd_harness.py
+++ b/tests/limits/crowd_harness.py
@@ -13,12 +13,15 @@
 from tests.decisions.harness import SETTINGS
 from tests.routing.admin_client import admin_call
 from tests.routing.harness import ServiceHarness
-from tests.routing.http_messages import read_message
+from tests.routing.http_messages import Headers, read_message
+
+from .crowd_messages import WAITING_PREFIX
 
 ROOT = Path(__file__).parents[2]
 MEBIBYTE = 1024 * 1024
 CLIENT_PAUSE_S = 0.02
 ANSWER_TIMEOUT_S = 10.0
+WAIT_S = 1.0  # time that a worker takes for a request that is to wait
 CUT_OFF = -1  # status of a request that was still open at the end
 WAIT_CLASS = {"Name": "wait", "Repeat": "free", "ExpectedTimeUs": 3_000_000, "AbandonTimeUs": 4_000_000}
 
@@ -42,6 +45,7 @@
     async def start(self) -> None:
         """Start workers, discovery and the program, and wait until it is ready."""
         discovery = await self.harness.start_workers_and_discovery(3)
+        self.harness.behaviours = dict.fromkeys(("w0", "w1", "w2"), self._serve)
         path = self.folder / "config.json"
         self.log = self.folder / "log.txt"
         grades = [*SETTINGS["ServiceGrades"], WAIT_CLASS]
@@ -68,6 +72,13 @@
             await asyncio.sleep(0.02)
         raise AssertionError(self.log.read_text())
 
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, headers: Headers, body: bytes
+    ) -> None:
+        if headers["request-id"].startswith(WAITING_PREFIX):
+            await asyncio.sleep(WAIT_S)
+        await self.harness.serve(reader, writer, headers, body)
+
     async def crowd(self, kind: str, count: int, seconds: float) -> None:
         """Play a crowd beside the usual client, from its first connection to its end."""
         crowd = await asyncio.create_subprocess_exec(
--- a/tests/limits/crowd_messages.py
+++ b/tests/limits/crowd_messages.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Iterator
 
 KIBIBYTE = 1024
+WAITING_PREFIX = "waiting-"  # of the ids of requests that run for a while
 FLOOD_BYTES = 64 * KIBIBYTE  # of each block of small messages
 MAX_HEAD_BYTES = 15 * KIBIBYTE  # of a long head, which the dispatcher still reads
 
@@ -80,10 +81,17 @@
 
 def large_ahead(number: int) -> Iterator[bytes]:
     """A request, and much behind it before its answer has come."""
-    yield request(f"a{number}", target="wait")
+    yield request(f"{WAITING_PREFIX}{number}", target="wait")
     yield b"y" * (240 * KIBIBYTE)
 
 
+def pipelined_behind(number: int) -> Iterator[bytes]:
+    """A request that runs for a while, and as many small requests behind it as are kept."""
+    yield request(f"{WAITING_PREFIX}{number}", target="wait")
+    block = b"GET /-/ready HTTP/1.1\r\n\r\n"
+    yield block * (240 * KIBIBYTE // len(block))
+
+
 def unread_answers(number: int) -> Iterator[bytes]:
     """Requests with large answers, which the client does not read."""
     for index in itertools.count():
@@ -104,6 +112,7 @@
         new_names,
         unsound,
         large_ahead,
+        pipelined_behind,
         unread_answers,
     )
 }
