A cancelled timer keeps nothing alive until the heap is compacted

Cancelled timers stay in the heap until half of it is cancelled; their callbacks held ended requests and sessions with heads, bodies and buffers, which no account saw. cancel() now drops the callback.

--- a/ploverspoke/transport/deadlines.py
+++ b/ploverspoke/transport/deadlines.py
@@ -13,6 +13,10 @@
 MIN_CANCELLED_TO_COMPACT = 256
 
 
+def _do_nothing() -> None:
+    """The callback of a cancelled deadline."""
+
+
 class Deadline:
     """One scheduled callback; `is_done` is true once it has run or was cancelled."""
 
@@ -61,6 +65,7 @@
         if deadline is None or deadline.is_done:
             return
         deadline.is_done = True
+        deadline.callback = _do_nothing  # what the callback refers to must not live on in the heap
         self.cancelled_count += 1
         # Most deadlines are cancelled. Left in the heap until due, they would use most of the memory.
         if self.cancelled_count > max(MIN_CANCELLED_TO_COMPACT, len(self.heap) // 2):
--- a/tests/transport/test_deadlines.py
+++ b/tests/transport/test_deadlines.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import weakref
 from functools import partial
 
 import pytest
@@ -28,3 +29,15 @@
     assert [scheduled[number][0] for number in executed] == sorted(
         scheduled[number][0] for number in executed
     )
+
+
+def test_cancelled_deadline_keeps_nothing_alive(loop: asyncio.AbstractEventLoop) -> None:
+    class Owner:
+        def on_due(self) -> None:
+            """Never called."""
+
+    deadlines, owner = Deadlines(loop), Owner()
+    reference = weakref.ref(owner)
+    deadlines.cancel(deadlines.schedule(deadlines.now() + 1000 * MILLISECOND, owner.on_due))
+    del owner
+    assert reference() is None
