--- a/ploverspoke/protocol/http_messages.py
+++ b/ploverspoke/protocol/http_messages.py
@@ -29,6 +29,7 @@
         self.body = bytearray()
         self.head_size = 0
         self.in_head = True
+        self.field_count = 0
         self.received = 0  # bytes received for this message
         self.failure: HttpSyntaxError | None = None
 
@@ -56,6 +57,12 @@
         """What the incomplete message costs in memory, in bytes; the parser may hold one field itself."""
         return len(self.headers) * FIELD_BYTES + self.head_size + len(self.body)
 
+    def drop_message(self) -> None:
+        """Give back the memory of the message."""
+        self.headers = {}
+        self.body = bytearray()
+        self.head_size = 0
+
     def keeps_alive(self) -> bool:
         """Whether the connection can carry another message."""
         return bool(self.parser.should_keep_alive()) and not self.parser.should_upgrade()
@@ -67,6 +74,7 @@
         self.headers = {}
         self.body = bytearray()
         self.head_size = 0
+        self.field_count = 0
         self.in_head = True
         self.received = 0
 
@@ -75,13 +83,19 @@
         self.in_head = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header under its lower-case name; values of repeated headers are joined."""
+        """Store a header under its lower-case name; values of repeated headers are joined.
+
+        Fields after the body (trailers) are dropped: the message was checked without them.
+        """
+        if not self.in_head:
+            return
         self.add_head_size(len(name) + len(value))
+        self.field_count += 1
+        if self.field_count > MAX_HEADERS:
+            self.fail(HttpSyntaxError("head too long"))
         # The parser keeps trailing blanks of a value, which would turn a request id into a different one.
         key, text = name.decode("latin-1").lower(), value.decode("latin-1").strip(" \t")
         self.headers[key] = f"{self.headers[key]}, {text}" if key in self.headers else text
-        if len(self.headers) > MAX_HEADERS:
-            self.fail(HttpSyntaxError("head too long"))
 
     def add_head_size(self, size: int) -> None:
         """Count bytes of the head. Raises HttpSyntaxError if it exceeds the limit."""
--- a/tests/protocol/test_http_readers.py
+++ b/tests/protocol/test_http_readers.py
@@ -115,3 +115,15 @@
     for cut in range(1, len(message)):
         assert events([message[:cut], message[cut:]]) == unsplit
     assert events([message[at : at + 1] for at in range(len(message))]) == unsplit
+
+
+def test_fields_after_a_chunked_body_change_nothing() -> None:
+    listener = RecordingListener()
+    head = b"POST /a HTTP/1.1\r\nRequest-Id: one\r\nTransfer-Encoding: chunked\r\n\r\n"
+    request_feed(listener)(memoryview(head + b"1\r\nx\r\n0\r\nRequest-Id: two\r\nSlots: 9\r\n\r\n"))
+    assert listener.requests[0].headers == {"request-id": "one", "transfer-encoding": "chunked"}
+
+
+def test_a_repeated_field_counts_each_time() -> None:
+    with pytest.raises(HttpSyntaxError, match="head too long"):
+        request_feed(RecordingListener())(memoryview(b"POST /a HTTP/1.1\r\n" + b"a:b\r\n" * 101 + b"\r\n"))
