One account of memory for clients, and short turns: no crowd passes the limit by its input

Callers saw: crowds of 450 clients passed 40 and 64 MiB with small pipelined requests, half bodies and data ahead; one client with pipelined requests made others wait 1.25 s, a crowd 2 to 3 s without an answer. Cause: only bodies over 64 KiB ahead were counted, and a connection was read up to 32 times, parsed and handled whole in one turn. Now all that is held for a client (connection, buffers, heads, queued and open requests, unsent bytes) is in one account whose limit follows from memory_mb, at its cost in the interpreter. When it is full the session that has held memory longest gives it up: its request gets 503, data behind an open request is dropped, an unread response ends. A request is only handled once all that the client has sent behind it is read, so that its end is seen; past 8 MiB it is given up.

--- a/ploverspoke/protocol/clients.py
+++ b/ploverspoke/protocol/clients.py
@@ -25,6 +25,8 @@
 }
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 MAX_SLOTS = 1e6
+HEAD_SLICE_BYTES = 1024  # of a head or of chunks, which may hold many fields, requests or chunks
+BODY_SLICE_BYTES = 16 * 1024  # of a body of known length
 MAX_LENGTH_DIGITS = 18  # digits of a Content-Length
 MAX_NUMBER_DIGITS = 15  # digits of a whole number in any other header
 
@@ -61,6 +63,7 @@
         self.listener = listener
         self.target = b""
         self.in_message = False  # a request has begun and is not complete yet
+        self.body_length: int | None = None  # of the message, if it is known
         # Method and target of the latest request whose head is complete.
         self.request_method = ""
         self.request_target = ""
@@ -69,6 +72,7 @@
         """Reset the state for the next request."""
         super().on_message_begin()
         self.target = b""
+        self.body_length = None
         self.in_message = True
 
     def on_url(self, part: bytes) -> None:
@@ -90,6 +94,7 @@
             len(content_length) > MAX_LENGTH_DIGITS or int(content_length) > MAX_BODY_SIZE
         ):
             self.on_body_too_long()
+        self.body_length = None if content_length is None else int(content_length)
         self.request_method = self.parser.get_method().decode("latin-1")
         self.request_target = self.target.decode("latin-1")
         try:
@@ -99,6 +104,22 @@
         if self.headers.get("expect", "").lower() == "100-continue":
             self.listener.on_continue_expected()
 
+    def next_slice_size(self) -> int:
+        """How many bytes may be parsed at a stretch, so that it takes little time whatever they are."""
+        if self.body_length is None or self.in_head or not self.in_message:
+            return HEAD_SLICE_BYTES
+        return max(HEAD_SLICE_BYTES, min(BODY_SLICE_BYTES, self.body_length - len(self.body)))
+
+    def drop_message(self) -> None:
+        """Give back the memory of the message."""
+        super().drop_message()
+        self.target = b""
+
+    def close(self) -> None:
+        """Break the reference cycles with the parser and the listener, which would delay the release."""
+        del self.parser
+        del self.listener
+
     def on_body_too_long(self) -> NoReturn:
         """Reject the request with status 413."""
         self.fail(MessageTooLongError("body too long"))
@@ -106,14 +127,10 @@
     def on_message_complete(self) -> None:
         """Report the complete request to the listener."""
         self.in_message = False
+        headers, body = self.headers, bytes(self.body)
+        self.drop_message()
         self.listener.on_request(
-            HttpRequest(
-                self.request_method,
-                self.request_target,
-                self.headers,
-                bytes(self.body),
-                self.keeps_alive(),
-            )
+            HttpRequest(self.request_method, self.request_target, headers, body, self.keeps_alive())
         )
 
 
--- /dev/null
+++ b/ploverspoke/routing/client_input.py
@@ -0,0 +1,102 @@
+"""What a client has sent: unparsed bytes, parsed requests that wait to be handled, and what was dropped."""
+
+from collections import deque
+
+from ploverspoke.protocol.clients import HttpRequest, RequestListener, RequestReader
+from ploverspoke.protocol.errors import HttpSyntaxError
+from ploverspoke.protocol.message_costs import message_cost
+from ploverspoke.transport.connections import Connection
+from ploverspoke.transport.memory_account import MemoryHolding, MemoryKind
+
+MAX_UNPARSED_BYTES = 16 * 1024  # beyond that reading is paused, unless a request of the client is open
+# Data sent ahead of the response (pipelining) is read, because a disconnect is only seen after that data.
+MAX_READ_AHEAD_BYTES = 256 * 1024  # kept; a client that sends more is disconnected after its response
+MAX_DROPPED_BYTES = 8 * 1024 * 1024  # read and dropped beyond that; then the open request is given up
+
+
+class ClientInput:
+    """The input of one connection; what it holds is counted in the account of the connection."""
+
+    def __init__(self, connection: Connection, listener: RequestListener) -> None:
+        """The reader reports to `listener`, which adds complete requests with `add_request`."""
+        self.connection = connection
+        self.reader = RequestReader(listener)
+        self.queue: deque[HttpRequest] = deque()  # read but not handled yet
+        self.queue_cost = 0  # bytes
+        self.failure: HttpSyntaxError | None = None  # from the reader; sent after all earlier responses
+        self.dropped_bytes = 0  # received beyond a limit
+        self.holding = MemoryHolding(connection.monitor.memory, MemoryKind.MESSAGES)
+
+    def has_work(self) -> bool:
+        """Whether there is anything to parse, to handle or to refuse."""
+        return bool(self.queue or self.failure is not None or len(self.connection.buffer))
+
+    def is_holding(self) -> bool:
+        """Whether memory is held beyond that of an idle connection."""
+        return self.reader.in_message or self.has_work()
+
+    def add_request(self, request: HttpRequest) -> None:
+        """Queue a complete request."""
+        self.queue.append(request)
+        self.queue_cost += _cost(request)
+
+    def next_request(self) -> HttpRequest:
+        """Remove and return the oldest queued request."""
+        request = self.queue.popleft()
+        self.queue_cost -= _cost(request)
+        self._update_holding()
+        return request
+
+    def parse_some(self) -> None:
+        """Parse a short piece of the unparsed bytes."""
+        try:
+            self.connection.feed(self.reader, self.reader.next_slice_size())
+        except HttpSyntaxError as error:
+            self.failure = error  # requests before the invalid one are answered first
+        self._update_holding()
+        self.limit_reading()
+
+    def limit_reading(self) -> None:
+        """Pause reading while there is much to parse: the client then waits."""
+        self.connection.set_reading_paused(len(self.connection.buffer) >= MAX_UNPARSED_BYTES)
+
+    def read_ahead(self) -> None:
+        """Keep what the client sends ahead of its response, or drop it beyond the limits."""
+        is_over = len(self.connection.buffer) > MAX_READ_AHEAD_BYTES
+        if self.dropped_bytes or is_over or self.holding.account.is_full_for_clients():
+            self.drop_unparsed()
+
+    def has_sent_far_too_much(self) -> bool:
+        """Whether even dropping what is sent ahead costs too much."""
+        return self.dropped_bytes > MAX_DROPPED_BYTES
+
+    def drop_unparsed(self) -> None:
+        """Drop the unparsed bytes: no request after the open one can be read any more."""
+        unparsed = len(self.connection.buffer)
+        self.connection.buffer.consume(unparsed)
+        self.dropped_bytes += unparsed
+
+    def drop_ahead(self) -> None:
+        """Give back the memory of everything behind the open request."""
+        self.dropped_bytes += 1  # even if nothing is unparsed: a partial request is dropped
+        self.drop_unparsed()
+        self.clear()
+
+    def clear(self) -> None:
+        """Drop what was parsed and is not handled."""
+        self.queue.clear()
+        self.queue_cost = 0
+        self.reader.drop_message()
+        self._update_holding()
+
+    def close(self) -> None:
+        """Drop everything: the connection has ended."""
+        self.clear()
+        self.reader.close()
+
+    def _update_holding(self) -> None:
+        self.holding.set(self.reader.held_bytes() + self.queue_cost)
+
+
+def _cost(request: HttpRequest) -> int:
+    return message_cost(request.target, request.headers, request.body)
--- a/ploverspoke/routing/client_server.py
+++ b/ploverspoke/routing/client_server.py
@@ -1,6 +1,7 @@
 """The server for clients: accepts their connections, and evicts idle ones at the connection limit."""
 
 import asyncio
+from collections import OrderedDict
 
 from ploverspoke.transport.connections import Connection
 from ploverspoke.transport.deadlines import Deadlines
@@ -8,6 +9,7 @@
 from ploverspoke.transport.loop_meter import ConnectionKind
 from ploverspoke.transport.rate_limited_log import log_line
 from ploverspoke.transport.slot_table import SlotTable
+from ploverspoke.transport.turn_queue import TurnQueue
 
 from .client_session import ClientSession
 from .close_reasons import CloseReason
@@ -26,28 +28,24 @@
         deadlines: Deadlines,
         router: Router,
         max_sessions: int,
-        max_buffered_bytes: int,
     ) -> None:
-        """`max_buffered_bytes` limits the memory for requests, including admitted ones."""
+        """`max_sessions` limits the connections whose requests are not rejected."""
         self.loop = loop
         self.deadlines = deadlines
         self.router = router
         self.max_sessions = max_sessions
-        self.max_buffered_bytes = max_buffered_bytes
+        self.turns = TurnQueue(loop)
         self.monitor = router.connection_monitor._replace(kind=ConnectionKind.CLIENT)
-        self.buffered_bytes = 0  # of requests that are not admitted yet
+        self.holding: OrderedDict[ClientSession, None] = OrderedDict()  # memory; for the longest time first
         self.connections: SlotTable[Connection] = SlotTable()
         self.sessions: dict[int, ClientSession] = {}  # by connection number, oldest first
         self.unserved: dict[int, ClientSession] = {}  # sessions without an admitted request, oldest first
+        self.is_making_room = False  # in memory
         self.is_marked_not_ready = False  # not ready for new clients
         self.is_handing_over = False  # other processes accept new connections
         self.is_accepting_stopped = False  # no more connections are accepted
         self.listener = Listener(loop, deadlines, self._make_connection, self._may_accept)
 
-    def is_full(self) -> bool:
-        """Whether the memory limit for requests is exceeded."""
-        return self.buffered_bytes + self.router.requests.body_bytes > self.max_buffered_bytes
-
     def is_empty(self) -> bool:
         """Whether there is no session and none is being set up."""
         return not self.sessions and not self.listener.setup_tasks and not self.listener.is_finishing
@@ -56,6 +54,26 @@
         """Remove a session that has ended or is about to end."""
         self.sessions.pop(session.connection.number, None)
         self.unserved.pop(session.connection.number, None)
+        if session.is_closing:
+            self.turns.remove(session)
+            self.holding.pop(session, None)
+
+    # ---- Memory ----
+
+    def note_memory(self, session: ClientSession, is_holding: bool) -> None:
+        """Record whether the session holds memory, and make room if there is no more for clients."""
+        if is_holding:
+            self.holding.setdefault(session)
+        else:
+            self.holding.pop(session, None)
+        if self.is_making_room:
+            return  # a session that gives up its memory notes that, too
+        self.is_making_room = True
+        while self.holding and self.monitor.memory.is_full_for_clients():
+            # A usual client's request comes whole within milliseconds: the oldest belongs to a slow client.
+            oldest, _ = self.holding.popitem(last=False)
+            oldest.give_up_memory()
+        self.is_making_room = False
 
     # ---- Shutdown ----
 
@@ -123,7 +141,8 @@
     def _may_evict_unserved(self, session: ClientSession) -> bool:
         """Whether the client had time to send a request; on a busy event loop one may still be unread."""
         age = self.deadlines.now() - session.idle_since
-        return age >= EVICTION_MIN_AGE and not session.connection.has_unread_data()
+        has_input = session.input.has_work() or session.connection.has_unread_data()
+        return age >= EVICTION_MIN_AGE and not has_input
 
     def _longest_idle(self) -> ClientSession | None:
         idle = [session for session in self.sessions.values() if session.was_served and session.is_idle()]
--- a/ploverspoke/routing/client_session.py
+++ b/ploverspoke/routing/client_session.py
@@ -1,19 +1,17 @@
 """The connection of one client: reads its requests one after the other and responds to each."""
 
 import traceback
-from collections import deque
 
 from ploverspoke.protocol import clients
 from ploverspoke.protocol.clients import HttpRequest
 from ploverspoke.protocol.errors import HttpSyntaxError, MessageTooLongError
-from ploverspoke.protocol.message_costs import message_cost
 from ploverspoke.transport.connections import Connection
 from ploverspoke.transport.deadlines import Deadline
-from ploverspoke.transport.memory_account import MemoryHolding, MemoryKind
 from ploverspoke.transport.rate_limited_log import log_line
 from ploverspoke.transport.units import MILLISECOND, SECOND
 
 from .answers import FinalAnswer
+from .client_input import ClientInput
 from .client_session_owner import ClientSessionOwner
 from .close_reasons import CloseReason, reason_after_response
 from .request_admission import NotAdmitted
@@ -24,30 +22,23 @@
 REQUEST_TIMEOUT_NS = 2500 * MILLISECOND  # to receive a whole request; the first is timed from the connect
 RESPONSE_TIMEOUT_NS = 10 * SECOND  # for the client to read a response
 CLOSE_TIMEOUT_NS = SECOND  # for the client to read the last response
-# Data sent ahead of the response (pipelining) is read, because a disconnect is only seen after that data.
-UNCOUNTED_READ_AHEAD_BYTES = 64 * 1024  # do not count as buffered
-MAX_READ_AHEAD_BYTES = 256 * 1024  # kept; a client that sends more is disconnected after its response
-MAX_DROPPED_BYTES = 8 * 1024 * 1024  # read and dropped beyond that; then reading is paused
+UNREAD_INPUT_DELAY_NS = 100 * MILLISECOND  # before a timeout is checked again while this side is behind
 
 
 class ClientSession:
-    """Owner of one client's connection; implements `Client` and `RequestListener`."""
+    """Owner of one client's connection; implements `Client`, `RequestListener` and `TurnUser`."""
 
     def __init__(self, server: "ClientSessionOwner[ClientSession]", connection: Connection) -> None:
         """Start reading; the server is notified when the connection has ended."""
         self.server = server
         self.connection = connection
-        self.reader = clients.RequestReader(self)
-        self.queue: deque[HttpRequest] = deque()  # read but not handled yet
+        self.input = ClientInput(connection, self)
         self.request: Request | None = None  # admitted but not answered yet
         self.is_answering = False  # a request is being handled
+        self.is_draining = False  # a request waits until all that was sent behind it is read
         self.keep_alive = True
         self.is_closing = False
         self.close_reason = CloseReason.CLIENT_LEFT  # unless this side closes it first
-        self.failure: HttpSyntaxError | None = None  # from the reader; sent after all earlier responses
-        self.dropped_bytes = 0  # received beyond the read-ahead limit
-        self.buffered_bytes = 0  # of requests that are read but not admitted yet
-        self.messages_held = MemoryHolding(connection.monitor.memory, MemoryKind.MESSAGES)
         self.was_served = False  # a request of this session was admitted
         self.is_excess = False  # beyond the limit on sessions: its request is rejected
         self.idle_since = server.deadlines.now()
@@ -57,8 +48,8 @@
 
     def is_idle(self) -> bool:
         """Whether the client has received all its responses and has sent nothing since."""
-        is_busy = self.is_answering or self.queue or self.is_closing or self.reader.in_message
-        return not is_busy and not len(self.connection.buffer) and not self.connection.has_unsent_data
+        is_busy = self.is_answering or self.is_closing or self.input.is_holding()
+        return not is_busy and not self.connection.has_unsent_data
 
     def close_if_idle(self) -> None:
         """Close the connection if it is between two requests; one still in the kernel is answered first."""
@@ -74,24 +65,23 @@
     # ---- Events of the connection ----
 
     def on_data_available(self) -> None:
-        """Read requests, or buffer data that is sent ahead of the response."""
+        """Keep the data for this session's next turn, or as sent ahead of the response."""
         if self.is_closing:
             buffer = self.connection.buffer
             buffer.consume(len(buffer))
-        elif self.is_answering or self.connection.has_unsent_data:
-            self._buffer_read_ahead()
+        elif self.is_answering or self.is_draining or self.connection.has_unsent_data:
+            self._read_ahead()
         else:
-            self._continue_reading()
+            self.input.limit_reading()
+            self._want_turn()
+        self._note_memory()
 
     def on_disconnected(self) -> None:
         """End the session, and the request that the client is waiting for."""
+        self.is_closing = True
         self.server.remove_session(self)
-        self.server.buffered_bytes -= self.buffered_bytes
-        self.buffered_bytes = 0
-        self.messages_held.set(0)
+        self.input.close()
         self.server.deadlines.cancel(self.deadline)
-        self.is_closing = True
-        self.queue.clear()
         request, self.request = self.request, None
         self.server.router.request_journal.client_closed(self.close_reason, request)
         if request is not None:
@@ -100,19 +90,105 @@
     def on_write_drained(self) -> None:
         """Continue reading, as the response has been sent."""
         if not self.is_answering and not self.is_closing:
-            self._continue_reading()
+            self._continue()
+
+    def _read_ahead(self) -> None:
+        self.input.read_ahead()
+        if self.input.has_sent_far_too_much():
+            self._give_up()
+        elif self.is_draining:
+            self._want_turn()
+
+    def _give_up(self) -> None:
+        """Answer without waiting any longer: the client's end could not be noticed behind its data."""
+        request = self.request
+        if request is not None:
+            self.server.router.completion.give_up(request)
+        elif not self.is_answering:
+            self.reject_input(CapacityLimit.MEMORY)
+        else:
+            self.connection.set_reading_paused(True)
+
+    # ---- Turns ----
+
+    def take_turn(self) -> bool:
+        """Handle one request, or parse a short piece of what was received."""
+        if self.is_closing or self.is_answering or self.connection.has_unsent_data:
+            return False
+        if self.input.queue:
+            self._take_request()
+        elif self.input.dropped_bytes:
+            self._close(CloseReason.SENT_TOO_MUCH)  # the data after that response was dropped
+        elif self.input.failure is not None:
+            self._refuse(self.input.failure)
+        elif len(self.connection.buffer):
+            self.input.parse_some()
+        self._update_deadline()
+        self._note_memory()
+        is_waiting = self.is_answering or self.is_closing or self.is_draining
+        return not is_waiting and self.input.has_work()
+
+    def on_turn_failed(self) -> None:
+        """Answer the request whose handling failed, and close."""
+        if not self.is_closing:
+            self.keep_alive = False
+            self._respond(500, b"a fault of ours")
 
-    def _buffer_read_ahead(self) -> None:
-        self._update_buffered_bytes()
-        buffer = self.connection.buffer
-        read_ahead = len(buffer)
-        limit = UNCOUNTED_READ_AHEAD_BYTES if self.server.is_full() else MAX_READ_AHEAD_BYTES
-        if self.dropped_bytes or read_ahead > limit:
-            buffer.consume(read_ahead)
-            self.dropped_bytes += read_ahead
-            self._update_buffered_bytes()
-            if self.dropped_bytes > MAX_DROPPED_BYTES:
-                self.connection.set_reading_paused(True)
+    def _want_turn(self) -> None:
+        self.server.turns.add(self)
+
+    def _continue(self) -> None:
+        """Read and handle what the client sends next."""
+        if self.input.has_work() or self.input.dropped_bytes:
+            self._want_turn()
+        else:
+            self.connection.set_reading_paused(False)
+        self._update_deadline()
+
+    def _take_request(self) -> None:
+        """Handle the next request once all that the client has sent is read.
+
+        Behind unread data the end of the connection would not be noticed, and the request would be sent for a
+        client that has left.
+        """
+        self.connection.set_reading_paused(False)
+        is_read = not self.connection.has_unread_data()
+        if not is_read and not self.input.queue[0].target.startswith(OWN_TARGET_PREFIX):
+            self.is_draining = True  # data, or the end, is about to be reported
+            return
+        self.is_draining = False
+        self.is_answering = True
+        self._handle(self.input.next_request())
+
+    # ---- Memory ----
+
+    def _note_memory(self) -> None:
+        """Tell the server whether this session holds memory that it may be asked to give up."""
+        is_holding = self.input.is_holding() or self.connection.has_unsent_data
+        self.server.note_memory(self, is_holding and self.connection.is_open)
+
+    def give_up_memory(self) -> None:
+        """Give back what this session holds, since the limit is reached; its client gets an answer."""
+        if self.is_answering:
+            self.input.drop_ahead()
+        elif self.is_closing or self.connection.has_unsent_data:
+            self.close_reason = CloseReason.RESPONSE_NOT_READ
+            self.connection.abort()
+        else:
+            self.reject_input(CapacityLimit.MEMORY)
+
+    def reject_input(self, limit: CapacityLimit) -> None:
+        """Reject the requests that were read, and close."""
+        reader, admission = self.input.reader, self.server.router.admission
+        for message in self.input.queue:
+            admission.count_rejected(message.target, limit)
+        if reader.in_message and not reader.in_head:
+            admission.count_rejected(reader.request_target, limit)
+        self.input.drop_ahead()
+        self.is_draining = False
+        self.keep_alive = False
+        self.answer(FinalAnswer.REJECTED)
+        self.close_reason = CloseReason.NO_CAPACITY
 
     # ---- Requests ----
 
@@ -123,62 +199,15 @@
 
     def on_request(self, request: HttpRequest) -> None:
         """Queue a complete request."""
-        self.queue.append(request)
+        self.input.add_request(request)
 
     def on_continue_expected(self) -> None:
         """Ask for the body, unless a response must be sent first."""
-        if not self.is_answering and not self.queue:
+        if not self.is_answering and not self.input.queue:
             self.connection.write(clients.CONTINUE_RESPONSE)
 
-    def _continue_reading(self) -> None:
-        """Read and handle requests until one is waiting for its response or no data is left."""
-        self.connection.set_reading_paused(False)
-        while not self.is_answering and not self.is_closing and not self.connection.has_unsent_data:
-            if self.dropped_bytes:
-                self._close(CloseReason.SENT_TOO_MUCH)  # the data after that response was dropped
-            elif self.queue:
-                self.is_answering = True
-                self._handle(self.queue.popleft())
-            elif self.failure is not None:
-                self._refuse(self.failure)
-            elif len(self.connection.buffer):
-                self._parse_buffer()
-            else:
-                break
-        self._update_deadline()
-
-    def _parse_buffer(self) -> None:
-        try:
-            self.connection.feed(self.reader)
-        except HttpSyntaxError as error:
-            self.failure = error  # requests before the invalid one are answered first
-        self._update_buffered_bytes()
-        if self.server.is_full():
-            self._reject_all()
-
-    def _reject_all(self) -> None:
-        """Reject the requests that were read, and close: they exceed the memory limit."""
-        admission = self.server.router.admission
-        for message in self.queue:
-            admission.count_rejected(message.target, CapacityLimit.MEMORY)
-        if self.reader.in_message and not self.reader.in_head:
-            admission.count_rejected(self.reader.target.decode("latin-1"), CapacityLimit.MEMORY)
-        self.queue.clear()
-        self.keep_alive = False
-        self.answer(FinalAnswer.REJECTED)
-
-    def _update_buffered_bytes(self) -> None:
-        buffered = len(self.reader.body) if self.reader.in_message else 0
-        buffered += sum(len(message.body) for message in self.queue)
-        buffered += max(0, len(self.connection.buffer) - UNCOUNTED_READ_AHEAD_BYTES)
-        self.server.buffered_bytes += buffered - self.buffered_bytes
-        self.buffered_bytes = buffered
-        queued = sum(message_cost(message.target, message.headers, message.body) for message in self.queue)
-        self.messages_held.set(self.reader.held_bytes() + queued)
-
     def _handle(self, message: HttpRequest) -> None:
         self.keep_alive = message.keep_alive and not self.is_excess
-        self._update_buffered_bytes()
         if message.target.startswith(OWN_TARGET_PREFIX):
             self._respond(*status_response(message, self.server.is_marked_not_ready))
             return
@@ -245,7 +274,7 @@
         self.request = None
         # After an invalid request the connection is closed, as the client might repeat it as fast as it can.
         is_client_error = 400 <= status < 500
-        has_dropped = self.dropped_bytes > 0
+        has_dropped = self.input.dropped_bytes > 0
         is_ending = self.server.is_accepting_stopped or self.server.is_handing_over
         keep_alive = self.keep_alive and not (is_client_error or has_dropped or is_ending)
         self.connection.write(clients.encode_response(status, body, keep_alive, retry_after, location))
@@ -253,22 +282,17 @@
         if not keep_alive:
             self._close(reason_after_response(status, has_dropped, is_ending, not self.is_excess))
         else:
-            # Data that the client has sent in the meantime is read in another turn of the event loop.
-            self.server.loop.call_soon(self._continue_reading_if_open)
-        self._update_deadline()
-
-    def _continue_reading_if_open(self) -> None:
-        if not self.is_answering and not self.is_closing and self.connection.is_open:
-            self._continue_reading()
+            self._continue()
+        self._note_memory()
 
     def _close(self, reason: CloseReason) -> None:
         """Close the connection so that the response arrives even if the client has sent unread data."""
         self.close_reason = reason
         self.is_closing = True
-        self.queue.clear()
+        self.input.clear()
         buffer = self.connection.buffer
         buffer.consume(len(buffer))
-        if isinstance(self.failure, MessageTooLongError):
+        if isinstance(self.input.failure, MessageTooLongError):
             self.connection.set_reading_paused(True)  # the client may have much more to send
         self.connection.shut_down_writing()
         self.server.deadlines.cancel(self.deadline)
@@ -281,22 +305,33 @@
         """Set a deadline while the client has to send a whole request or to read its response."""
         if self.is_closing:
             return
-        has_to_send = (self.reader.in_message or not self.was_served) and not self.is_answering
+        has_to_send = (self.input.reader.in_message or not self.was_served) and not self.is_answering
         if not has_to_send and not self.connection.has_unsent_data:
             self.server.deadlines.cancel(self.deadline)
             self.deadline = None
         elif self.deadline is None:
             # Set only once, so that a client that sends byte by byte does not extend it.
-            timeout = REQUEST_TIMEOUT_NS if has_to_send else RESPONSE_TIMEOUT_NS
-            now = self.server.deadlines.now()
-            self.deadline = self.server.deadlines.schedule(now + timeout, self._on_timeout)
+            self._set_deadline(REQUEST_TIMEOUT_NS if has_to_send else RESPONSE_TIMEOUT_NS)
+
+    def _set_deadline(self, timeout: int) -> None:
+        now = self.server.deadlines.now()
+        self.deadline = self.server.deadlines.schedule(now + timeout, self._on_timeout)
 
     def _on_timeout(self) -> None:
-        if self.connection.has_unsent_data or not self.reader.in_message:
-            is_response_unread = self.connection.has_unsent_data
-            self.close_reason = (
-                CloseReason.RESPONSE_NOT_READ if is_response_unread else CloseReason.NOTHING_SENT
-            )
-            self.connection.abort()
-        elif not self.is_answering:
+        self.deadline = None
+        if self.is_closing:
+            return
+        if self.connection.has_unsent_data:
+            self._abort(CloseReason.RESPONSE_NOT_READ)
+        elif self.is_answering:
+            return
+        elif self.input.has_work() or self.connection.has_unread_data():
+            self._set_deadline(UNREAD_INPUT_DELAY_NS)  # received in time, and its turn has not come yet
+        elif self.input.reader.in_message:
             self._respond(408, b"the request did not come whole")
+        else:
+            self._abort(CloseReason.NOTHING_SENT)
+
+    def _abort(self, reason: CloseReason) -> None:
+        self.close_reason = reason
+        self.connection.abort()
--- a/ploverspoke/routing/client_session_owner.py
+++ b/ploverspoke/routing/client_session_owner.py
@@ -4,6 +4,7 @@
 from typing import Protocol, TypeVar
 
 from ploverspoke.transport.deadlines import Deadlines
+from ploverspoke.transport.turn_queue import TurnQueue
 
 from .router import Router
 
@@ -17,13 +18,13 @@
     deadlines: Deadlines
     router: Router
     unserved: dict[int, Session]  # sessions without an admitted request, by connection number
-    buffered_bytes: int  # of requests in all sessions that are not admitted yet
+    turns: TurnQueue
     is_marked_not_ready: bool  # not ready for new clients
     is_handing_over: bool  # other processes accept new connections
     is_accepting_stopped: bool  # no more connections are accepted
 
-    def is_full(self) -> bool:
-        """Whether the memory limit for requests is exceeded."""
+    def note_memory(self, session: Session, is_holding: bool) -> None:
+        """Record whether the session holds memory, and make room if there is no more for clients."""
 
     def remove_session(self, session: Session) -> None:
         """Remove a session that has ended."""
--- a/ploverspoke/routing/completion.py
+++ b/ploverspoke/routing/completion.py
@@ -104,6 +104,10 @@
             self.answer(request, FinalAnswer.REJECTED)
         self._report_client_disconnected(request)
 
+    def give_up(self, request: Request) -> None:
+        """Answer a request at once whose client sends so much that its end could not be noticed."""
+        self.answer_without_decision(request)
+
     def answer_all(self) -> None:
         """Answer every open request because the process is about to exit."""
         for request in self.requests:
--- a/ploverspoke/routing/request_admission.py
+++ b/ploverspoke/routing/request_admission.py
@@ -71,9 +71,10 @@
         timeout = self._timeout(message, class_number)
         slots = clients.requested_slots(message.headers)
         work_hint = clients.work_hint(message.headers)
-        if len(self.requests) >= self.settings.current.max_open_requests:
+        exceeded = self._exceeded_limit()
+        if exceeded is not None:
             self.counters.count_rejected(self.settings.class_name(class_number))
-            self.request_journal.rejected_for_capacity(CapacityLimit.OPEN_REQUESTS)
+            self.request_journal.rejected_for_capacity(exceeded)
             return NotAdmitted.NO_CAPACITY
         due_at = self.deadlines.now() + timeout - min(MAX_ANSWER_MARGIN_NS, timeout // ANSWER_MARGIN_DIVISOR)
         request = Request(client, class_number, message, due_at)
@@ -103,6 +104,14 @@
             self.counters.count_rejected(class_name)
             self.request_journal.rejected_for_capacity(limit)
 
+    def _exceeded_limit(self) -> CapacityLimit | None:
+        """The limit that one more open request would exceed, if any."""
+        if len(self.requests) >= self.settings.current.max_open_requests:
+            return CapacityLimit.OPEN_REQUESTS
+        if self.pool.monitor.memory.is_full_for_clients():
+            return CapacityLimit.MEMORY
+        return None
+
     def _class_number(self, target: str) -> int:
         class_number = self.settings.classes.numbers.get(clients.request_class_name(target))
         if class_number is None:
--- a/ploverspoke/routing/request_table.py
+++ b/ploverspoke/routing/request_table.py
@@ -20,7 +20,6 @@
         """Create an empty table, whose requests are counted in `memory`."""
         self.memory = memory or MemoryAccount()
         self.slots: SlotTable[Request] = SlotTable()
-        self.body_bytes = 0  # total for all requests in the table
         self.recent_ids: set[str] = set()
         self.recent_id_order: deque[str] = deque()
 
@@ -39,7 +38,6 @@
     def add(self, request: Request) -> None:
         """Give the request its number."""
         request.number = self.slots.add(request)
-        self.body_bytes += len(request.message.body)
         self.memory.add(MemoryKind.OPEN_REQUESTS, _cost(request))
         # A duplicate may arrive just after the answer, so the id is kept longer than the request.
         self.recent_ids.add(request.request_id)
@@ -52,7 +50,6 @@
         """Remove the request once it has no client and no attempt."""
         is_ended = request.client is None and not request.has_active_attempt()
         if is_ended and self.slots.remove(request.number) is not None:
-            self.body_bytes -= len(request.message.body)
             self.memory.add(MemoryKind.OPEN_REQUESTS, -_cost(request))
 
     def open_count(self) -> int:
--- a/ploverspoke/service/service.py
+++ b/ploverspoke/service/service.py
@@ -18,8 +18,11 @@
 from ploverspoke.routing.request_log import RequestLog
 from ploverspoke.routing.router import Router
 from ploverspoke.transport.connection_pool import ConnectionPool, max_idle_time_for
+from ploverspoke.transport.connections import ConnectionMonitor
 from ploverspoke.transport.deadlines import Deadlines
 from ploverspoke.transport.garbage_collection import freeze_startup_objects
+from ploverspoke.transport.loop_meter import ConnectionKind
+from ploverspoke.transport.memory_account import MemoryAccount
 from ploverspoke.transport.rate_limited_log import log_line
 from ploverspoke.transport.resource_limits import split_resources
 from ploverspoke.transport.units import MILLISECOND, SECOND
@@ -61,8 +64,14 @@
         resources = split_resources(self.descriptor_limit, config.memory_limit)
         settings = config.settings
         idle_timeout, connect_timeout = settings.idle_timeout, settings.connect_timeout
+        self.memory = MemoryAccount(resources.held_bytes)
         self.pool = ConnectionPool(
-            loop, self.deadlines, resources.worker_connections, idle_timeout, connect_timeout
+            loop,
+            self.deadlines,
+            resources.worker_connections,
+            idle_timeout,
+            connect_timeout,
+            ConnectionMonitor(ConnectionKind.WORKER, self.memory, self.deadlines.meter),
         )
         self.router = Router(
             self.deadlines,
@@ -76,9 +85,7 @@
             self.router.load_gossip = GossipSocket(
                 config.peers, settings.dispatcher_index, self.router.known_workers, self.router.on_gossip
             )
-        self.client_server = ClientServer(
-            loop, self.deadlines, self.router, resources.client_connections, resources.buffered_bytes
-        )
+        self.client_server = ClientServer(loop, self.deadlines, self.router, resources.client_connections)
         self.admin_server = AdminServer(loop, self.deadlines, self.client_server, self.router)
         self.listening_socket: socket.socket | None = None
         self.process_registry = ProcessRegistry(None)
@@ -149,7 +156,7 @@
             resources = split_resources(self.descriptor_limit, self.config.memory_limit, process_count)
             self.pool.resize(resources.worker_connections)
             self.client_server.max_sessions = resources.client_connections
-            self.client_server.max_buffered_bytes = resources.buffered_bytes
+            self.memory.set_limit(resources.held_bytes)
         self.deadlines.schedule(self.deadlines.now() + PROCESS_COUNT_INTERVAL, self._update_process_count)
 
     # ---- Changes of the configuration ----
--- a/ploverspoke/transport/connections.py
+++ b/ploverspoke/transport/connections.py
@@ -12,6 +12,7 @@
 from .slot_table import SlotTable
 from .stream_protocol import StreamProtocol
 
+READS_PER_TURN = 4  # the event loop would read up to 32 times from one connection before it turns to others
 CONNECTION_BYTES = 8 * 1024  # of the objects of one connection and of its user, without buffers
 
 
@@ -72,6 +73,7 @@
         self.is_open = False
         self.has_unsent_data = False  # some written bytes have not been passed to the kernel yet
         self.is_reading = True
+        self.reads_left = READS_PER_TURN  # 0: the event loop turns to other connections first
         self.idle_time: int | None = None  # ns for which it was idle before its current use; None: it is new
 
     # ---- Called by the event loop ----
@@ -100,6 +102,20 @@
             self.user.on_data_available()
             elapsed = time.monotonic_ns() - began_at
             self.monitor.loop_meter.record_step(self.monitor.kind, elapsed, unread)
+        self._count_read()
+
+    def _count_read(self) -> None:
+        """Let the other connections go first once this one has been read from often enough."""
+        self.reads_left -= 1
+        if not self.reads_left and self.is_open and self.transport is not None:
+            if self.is_reading:
+                self.transport.pause_reading()
+            asyncio.get_running_loop().call_soon(self._resume_after_turn)
+
+    def _resume_after_turn(self) -> None:
+        self.reads_left = READS_PER_TURN
+        if self.is_open and self.transport is not None and self.is_reading:
+            self.transport.resume_reading()
 
     def eof_received(self) -> bool:
         """Close the connection when the other side does."""
@@ -138,9 +154,9 @@
             if self.has_unsent_data:
                 self.unsent_held.set(self.transport.get_write_buffer_size())
 
-    def feed(self, reader: Reader) -> None:
-        """Pass all unread bytes to the reader and consume them, even if the reader raises an error."""
-        data = self.buffer.unread()
+    def feed(self, reader: Reader, limit: int | None = None) -> None:
+        """Pass unread bytes to the reader, at most `limit`, and consume them even if it raises an error."""
+        data = self.buffer.unread()[:limit]
         try:
             reader.feed(data)
         finally:
@@ -171,6 +187,8 @@
         """Pause or resume reading; while it is paused, a peer that sends too much is blocked."""
         if self.is_open and self.transport is not None and self.is_reading == paused:
             self.is_reading = not paused
+            if not self.reads_left:
+                return  # paused in any case, until the other connections have been read from
             if paused:
                 self.transport.pause_reading()
             else:
--- a/ploverspoke/transport/memory_account.py
+++ b/ploverspoke/transport/memory_account.py
@@ -5,6 +5,7 @@
 
 from enum import Enum
 
+RESPONSE_SHARE = 8  # this part of the limit is left for responses when clients have used the rest
 UNLIMITED = 1 << 62  # bytes; the limit of an account that only counts
 
 
@@ -24,7 +25,7 @@
 
     def __init__(self, limit: int = UNLIMITED) -> None:
         """Start an empty account; `limit` is in bytes."""
-        self.limit = limit
+        self.set_limit(limit)
         self.held = dict.fromkeys(MemoryKind, 0)
         self.total = 0
         self.peak = 0  # highest total so far
@@ -35,9 +36,14 @@
         self.total += size
         self.peak = max(self.peak, self.total)
 
-    def available(self) -> int:
-        """The bytes that may still be held, negative beyond the limit."""
-        return self.limit - self.total
+    def set_limit(self, limit: int) -> None:
+        """Change the limit, in bytes."""
+        self.limit = limit
+        self.client_limit = limit - limit // RESPONSE_SHARE
+
+    def is_full_for_clients(self) -> bool:
+        """Whether nothing more may be held for clients' requests."""
+        return self.total >= self.client_limit
 
     def is_full(self) -> bool:
         """Whether the limit is reached."""
--- a/ploverspoke/transport/resource_limits.py
+++ b/ploverspoke/transport/resource_limits.py
@@ -1,7 +1,8 @@
-"""How file descriptors and memory are divided among clients, workers and buffers."""
+"""How file descriptors and memory are divided among clients, workers and what is held for them."""
 
 from typing import NamedTuple
 
+from .connections import CONNECTION_BYTES
 from .units import MEBIBYTE
 
 # Descriptors for the event loop, listeners, discovery, admin connections, log and configuration.
@@ -10,11 +11,12 @@
 # Share of the remaining descriptors for clients. The last eighth is left for clients that are refused with an
 # answer.
 CLIENT_FRACTION = 7 / 8
-BASE_MEMORY = 22 * MEBIBYTE  # used by a process with all connections open and nothing buffered
-BUFFER_FRACTION = 0.4  # share of the remaining memory for buffers: received bytes are briefly held twice
-MAX_BUFFERED = 32 * MEBIBYTE
-# Enough for a few bodies in each of two processes that share the smallest allowed memory.
-MIN_BUFFERED = MEBIBYTE // 2
+BASE_MEMORY = 28 * MEBIBYTE  # used by a process without connections
+HELD_FRACTION = 0.6  # share of the remaining memory for the account: the interpreter keeps some that is free
+MIN_HELD = MEBIBYTE  # for each of two processes that share the smallest allowed memory
+# Shares of the account that open connections may take, even if nothing is received on them.
+CLIENT_CONNECTION_SHARE = 0.4
+WORKER_CONNECTION_SHARE = 0.3
 
 
 class ResourceLimits(NamedTuple):
@@ -22,14 +24,18 @@
 
     worker_connections: int
     client_connections: int
-    buffered_bytes: int  # buffered bytes of complete and partial requests
+    held_bytes: int  # the limit of the memory account
 
 
 def split_resources(descriptors: int, memory: int, processes: int = 1) -> ResourceLimits:
     """Return the limits of one of `processes` equal processes that share `descriptors` and `memory` bytes."""
     descriptors, memory = descriptors // processes, memory // processes
+    held = max(MIN_HELD, int((memory - BASE_MEMORY) * HELD_FRACTION))
     available = max(0, descriptors - RESERVED_DESCRIPTORS)
     workers = int(available * WORKER_FRACTION)
     clients = int((available - workers) * CLIENT_FRACTION)
-    buffered = min(MAX_BUFFERED, max(MIN_BUFFERED, int((memory - BASE_MEMORY) * BUFFER_FRACTION)))
-    return ResourceLimits(workers, clients, buffered)
+    return ResourceLimits(
+        min(workers, int(held * WORKER_CONNECTION_SHARE) // CONNECTION_BYTES),
+        min(clients, int(held * CLIENT_CONNECTION_SHARE) // CONNECTION_BYTES),
+        held,
+    )
--- a/tests/limits/crowd_harness.py
+++ b/tests/limits/crowd_harness.py
@@ -22,7 +22,6 @@
 CLIENT_PAUSE_S = 0.02
 ANSWER_TIMEOUT_S = 10.0
 WAIT_S = 1.0  # time that a worker takes for a request that is to wait
-CUT_OFF = -1  # status of a request that was still open at the end
 WAIT_CLASS = {"Name": "wait", "Repeat": "free", "ExpectedTimeUs": 3_000_000, "AbandonTimeUs": 4_000_000}
 
 
@@ -41,6 +40,7 @@
         self.limits = {"memory_mb": memory_mb, "sockets": descriptors}
         self.harness = ServiceHarness()
         self.exchanges: list[Exchange] = []
+        self.is_crowd_over = False
 
     async def start(self) -> None:
         """Start workers, discovery and the program, and wait until it is ready."""
@@ -88,30 +88,27 @@
             *(str(self.harness.port), kind, str(count), str(seconds)),
             cwd=ROOT,
         )
+        self.is_crowd_over = False
         client = asyncio.ensure_future(self.usual_client())
         await crowd.wait()
-        client.cancel()
-        await asyncio.gather(client, return_exceptions=True)
+        self.is_crowd_over = True  # no cancellation: the last exchange is to end as well
+        await client
 
     async def usual_client(self) -> None:
         """Send one request after the other, on a connection that is kept while it can be."""
         number = 0
         reader, writer = await self.harness.connect()
-        while True:
+        while not self.is_crowd_over:
             number += 1
             began = time.monotonic()
-            self.exchanges.append(Exchange(0, ANSWER_TIMEOUT_S))  # unless it is answered
             try:
                 writer.write(self.harness.request(f"usual-{os.getpid()}-{number}"))
                 first, headers, _ = await asyncio.wait_for(read_message(reader), ANSWER_TIMEOUT_S)
                 status = int(first.split()[1])
                 closes = headers.get("connection") == "close"
-            except asyncio.CancelledError:
-                self.exchanges[-1] = Exchange(CUT_OFF, time.monotonic() - began)
-                raise
             except (OSError, asyncio.IncompleteReadError, TimeoutError):
                 status, closes = 0, True
-            self.exchanges[-1] = Exchange(status, time.monotonic() - began)
+            self.exchanges.append(Exchange(status, time.monotonic() - began))
             if closes:
                 writer.close()
                 reader, writer = await self.harness.connect()
@@ -143,5 +140,4 @@
 
     def served_share(self) -> float:
         """The share of the usual client's requests that succeeded."""
-        ended = [exchange for exchange in self.exchanges if exchange.status != CUT_OFF]
-        return sum(exchange.status == 200 for exchange in ended) / max(1, len(ended))
+        return sum(exchange.status == 200 for exchange in self.exchanges) / max(1, len(self.exchanges))
--- a/tests/limits/test_memory_limit.py
+++ b/tests/limits/test_memory_limit.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from tests.limits.crowd_harness import CUT_OFF, CrowdedDispatcher
+from tests.limits.crowd_harness import CrowdedDispatcher
 from tests.limits.crowd_messages import MESSAGES
 from tests.routing.harness import run_on_loop
 
@@ -38,7 +38,7 @@
             assert dispatcher.resident_mb(peak=True) <= memory_mb
             assert dispatcher.resident_mb() <= idle_mb + KEPT_SHARE * (memory_mb - idle_mb)
             assert dispatcher.slowest() <= MAX_ANSWER_S
-            assert {exchange.status for exchange in dispatcher.exchanges} <= {200, 503, CUT_OFF}
+            assert {exchange.status for exchange in dispatcher.exchanges} <= {200, 503}
             held = {name: size for name, size in (await dispatcher.metrics()).items() if "held_bytes" in name}
             assert sum(held.values()) < 1024 * 1024, held
         finally:
--- a/tests/routing/test_admin_server.py
+++ b/tests/routing/test_admin_server.py
@@ -11,6 +11,7 @@
 from tests.routing.admin_client import admin_call, admin_counters, operations_key
 from tests.routing.harness import ServiceHarness, run_script
 from tests.routing.http_messages import read_message
+from tests.routing.race_harness import wait_until
 from tests.routing.worker_behaviours import FAULTY_BEHAVIOURS
 
 
@@ -111,8 +112,10 @@
 
 def test_requests_without_memory_for_them_count_as_throttled() -> None:
     async def script(harness: ServiceHarness) -> None:
-        harness.service.client_server.max_buffered_bytes = 1000
         reader, writer = await harness.connect()
+        await wait_until(lambda: harness.service.client_server.sessions)
+        memory = harness.service.memory
+        memory.set_limit((memory.total + 8000) * 8 // 7)  # enough for the head, not for the body
         writer.write(harness.request("big", body=b"x" * 5000))
         first, _, _ = await read_message(reader)
         assert first.startswith("HTTP/1.1 503")
--- a/tests/routing/test_client_requests.py
+++ b/tests/routing/test_client_requests.py
@@ -6,6 +6,7 @@
 import pytest
 
 from ploverspoke.routing.close_reasons import CloseReason
+from ploverspoke.transport.memory_account import MemoryKind
 from tests.routing.harness import ServiceHarness, run_script
 from tests.routing.http_messages import read_message
 from tests.routing.race_harness import wait_until
@@ -172,10 +173,10 @@
             for n in range(80)
         ]
         await asyncio.sleep(0.3)
-        server = harness.service.client_server
-        assert server.buffered_bytes + server.router.requests.body_bytes <= server.max_buffered_bytes + 65536
+        memory = harness.service.memory
+        assert memory.peak <= memory.limit + 65536
         assert {status for status, _, _ in await asyncio.gather(*pending_responses)} == {503}
-        assert not server.buffered_bytes and not server.router.requests.body_bytes
+        assert not memory.held[MemoryKind.MESSAGES] and not memory.held[MemoryKind.OPEN_REQUESTS]
 
     run_script(script, memory_mb=32)
 
--- a/tests/routing/test_race_conditions.py
+++ b/tests/routing/test_race_conditions.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from ploverspoke.transport.memory_account import MemoryKind
 from ploverspoke.transport.units import MILLISECOND as MS
 from ploverspoke.transport.units import SECOND
 from tests.routing.harness import ServiceHarness, endpoint_entry, run_script
@@ -122,13 +123,14 @@
         await wait_until(lambda: harness.service.router.requests.open_count())
         await send_all(client, b"z" * 1_000_000)
         session = newest_session(harness)
-        await wait_until(lambda: session.dropped_bytes)
-        assert session.buffered_bytes + len(session.connection.buffer) <= 512 * 1024
+        await wait_until(lambda: session.input.dropped_bytes)
+        held = harness.service.memory.held
+        assert held[MemoryKind.MESSAGES] + held[MemoryKind.READ_BUFFERS] <= 512 * 1024
         deliver_list(harness, harness.entries[0])
         assert await wait_until(client.status) == 200
         assert b"connection: close" in client.received.lower()
         await wait_until(client.has_ended)
-        assert not harness.service.client_server.buffered_bytes and len(harness.sent) == 1
+        assert not held[MemoryKind.MESSAGES] and len(harness.sent) == 1
 
     run_script(script, workers=1, **LENIENT_SETTINGS)
 
--- a/tests/service/handover_harness.py
+++ b/tests/service/handover_harness.py
@@ -24,6 +24,7 @@
         self.harness = harness
         self.listening = listening
         self.folder = folder
+        self.processes: list[subprocess.Popen[bytes]] = []
         self.config_path = folder / "config.json"
         harness.port = listening.getsockname()[1]
         self.document = harness.config_document(discovery)
@@ -50,7 +51,16 @@
             "TMPDIR": str(self.folder),
         }
         command = [sys.executable, "-m", "ploverspoke"]
-        return subprocess.Popen(command, env=environment, pass_fds=[descriptor])
+        process = subprocess.Popen(command, env=environment, pass_fds=[descriptor])
+        self.processes.append(process)
+        return process
+
+    def kill_all(self) -> None:
+        """End the processes that still run, after a test that failed."""
+        for process in self.processes:
+            if process.poll() is None:
+                process.kill()
+                process.wait()
 
     async def check(self) -> str:
         """Return the latest process's reply to `check`; empty if its admin server does not listen yet."""
@@ -91,7 +101,10 @@
 
     async def run() -> None:
         dispatcher = await ReplacedDispatcher.create(listening, folder)
-        await dispatcher.finish(await script(dispatcher))
+        try:
+            await dispatcher.finish(await script(dispatcher))
+        finally:
+            dispatcher.kill_all()
 
     run_on_loop(run)
 
--- a/tests/service/test_handover.py
+++ b/tests/service/test_handover.py
@@ -26,7 +26,7 @@
         assert half.worker_connections * 2 <= one.worker_connections
         assert half.client_connections * 2 <= one.client_connections
         assert half.worker_connections > 0 and half.client_connections > 0
-        assert half.buffered_bytes >= 4 * 65536
+        assert half.held_bytes >= 4 * 65536
 
 
 async def send_requests(harness: ServiceHarness, name: str, stop: asyncio.Event, statuses: list[int]) -> None:
