Free memory goes back to the system, and input that is dropped costs little

Seen: after a crowd all kinds of the account were at 0 and 42 to 52 MiB of 64 stayed resident; sessions of clients that had gone read on for seconds in pieces of 4 KiB, and a slow parse extended the time for a request without end. Cause: the allocator raises its thresholds by itself and keeps freed blocks; dropped input took the way of kept input. Now the thresholds are set and the heap is trimmed after 2 MiB of the account were released; dropped input is read into one shared 64 KiB block; a request whose bytes came in time gets 300 ms more once, then 503.

--- a/ploverspoke/routing/client_input.py
+++ b/ploverspoke/routing/client_input.py
@@ -24,9 +24,13 @@
         self.queue: deque[HttpRequest] = deque()  # read but not handled yet
         self.queue_cost = 0  # bytes
         self.failure: HttpSyntaxError | None = None  # from the reader; sent after all earlier responses
-        self.dropped_bytes = 0  # received beyond a limit
         self.holding = MemoryHolding(connection.monitor.memory, MemoryKind.MESSAGES)
 
+    @property
+    def dropped_bytes(self) -> int:
+        """The bytes received beyond a limit."""
+        return self.connection.discarded_bytes
+
     def has_work(self) -> bool:
         """Whether there is anything to parse, to handle or to refuse."""
         return bool(self.queue or self.failure is not None or len(self.connection.buffer))
@@ -63,22 +67,23 @@
     def read_ahead(self) -> None:
         """Keep what the client sends ahead of its response, or drop it beyond the limits."""
         is_over = len(self.connection.buffer) > MAX_READ_AHEAD_BYTES
-        if self.dropped_bytes or is_over or self.holding.account.is_full_for_clients():
+        if is_over or self.holding.account.is_full_for_clients():
             self.drop_unparsed()
 
+    def is_dropping(self) -> bool:
+        """Whether a part of the input was dropped, so that no later request can be read."""
+        return self.connection.is_discarding
+
     def has_sent_far_too_much(self) -> bool:
         """Whether even dropping what is sent ahead costs too much."""
         return self.dropped_bytes > MAX_DROPPED_BYTES
 
     def drop_unparsed(self) -> None:
         """Drop the unparsed bytes: no request after the open one can be read any more."""
-        unparsed = len(self.connection.buffer)
-        self.connection.buffer.consume(unparsed)
-        self.dropped_bytes += unparsed
+        self.connection.discard_input()
 
     def drop_ahead(self) -> None:
         """Give back the memory of everything behind the open request."""
-        self.dropped_bytes += 1  # even if nothing is unparsed: a partial request is dropped
         self.drop_unparsed()
         self.clear()
 
--- a/ploverspoke/routing/client_session.py
+++ b/ploverspoke/routing/client_session.py
@@ -22,7 +22,7 @@
 REQUEST_TIMEOUT_NS = 2500 * MILLISECOND  # to receive a whole request; the first is timed from the connect
 RESPONSE_TIMEOUT_NS = 10 * SECOND  # for the client to read a response
 CLOSE_TIMEOUT_NS = SECOND  # for the client to read the last response
-UNREAD_INPUT_DELAY_NS = 100 * MILLISECOND  # before a timeout is checked again while this side is behind
+INPUT_DELAY_NS = 300 * MILLISECOND  # added once if a request has been received and is not parsed yet
 
 
 class ClientSession:
@@ -42,6 +42,7 @@
         self.was_served = False  # a request of this session was admitted
         self.is_excess = False  # beyond the limit on sessions: its request is rejected
         self.idle_since = server.deadlines.now()
+        self.is_deadline_extended = False
         self.deadline: Deadline | None = None  # for the client to send a request or read its response
         connection.user = self
         self._update_deadline()
@@ -67,9 +68,8 @@
     def on_data_available(self) -> None:
         """Keep the data for this session's next turn, or as sent ahead of the response."""
         if self.is_closing:
-            buffer = self.connection.buffer
-            buffer.consume(len(buffer))
-        elif self.is_answering or self.is_draining or self.connection.has_unsent_data:
+            return  # the input is dropped
+        if self.is_answering or self.is_draining or self.connection.has_unsent_data:
             self._read_ahead()
         else:
             self.input.limit_reading()
@@ -94,20 +94,13 @@
 
     def _read_ahead(self) -> None:
         self.input.read_ahead()
-        if self.input.has_sent_far_too_much():
-            self._give_up()
+        if self.is_draining and self.input.is_dropping():
+            self.reject_input(CapacityLimit.MEMORY)
         elif self.is_draining:
             self._want_turn()
-
-    def _give_up(self) -> None:
-        """Answer without waiting any longer: the client's end could not be noticed behind its data."""
-        request = self.request
-        if request is not None:
-            self.server.router.completion.give_up(request)
-        elif not self.is_answering:
-            self.reject_input(CapacityLimit.MEMORY)
-        else:
-            self.connection.set_reading_paused(True)
+        elif self.input.has_sent_far_too_much() and self.request is not None:
+            # The client's end could not be noticed behind its data: the request is not waited for any longer.
+            self.server.router.completion.give_up(self.request)
 
     # ---- Turns ----
 
@@ -115,9 +108,11 @@
         """Handle one request, or parse a short piece of what was received."""
         if self.is_closing or self.is_answering or self.connection.has_unsent_data:
             return False
+        if not self.connection.is_reading and self.has_disconnected():
+            return False
         if self.input.queue:
             self._take_request()
-        elif self.input.dropped_bytes:
+        elif self.input.is_dropping():
             self._close(CloseReason.SENT_TOO_MUCH)  # the data after that response was dropped
         elif self.input.failure is not None:
             self._refuse(self.input.failure)
@@ -139,7 +134,7 @@
 
     def _continue(self) -> None:
         """Read and handle what the client sends next."""
-        if self.input.has_work() or self.input.dropped_bytes:
+        if self.input.has_work() or self.input.is_dropping():
             self._want_turn()
         else:
             self.connection.set_reading_paused(False)
@@ -274,7 +269,7 @@
         self.request = None
         # After an invalid request the connection is closed, as the client might repeat it as fast as it can.
         is_client_error = 400 <= status < 500
-        has_dropped = self.input.dropped_bytes > 0
+        has_dropped = self.input.is_dropping()
         is_ending = self.server.is_accepting_stopped or self.server.is_handing_over
         keep_alive = self.keep_alive and not (is_client_error or has_dropped or is_ending)
         self.connection.write(clients.encode_response(status, body, keep_alive, retry_after, location))
@@ -290,8 +285,7 @@
         self.close_reason = reason
         self.is_closing = True
         self.input.clear()
-        buffer = self.connection.buffer
-        buffer.consume(len(buffer))
+        self.connection.discard_input()
         if isinstance(self.input.failure, MessageTooLongError):
             self.connection.set_reading_paused(True)  # the client may have much more to send
         self.connection.shut_down_writing()
@@ -311,6 +305,7 @@
             self.deadline = None
         elif self.deadline is None:
             # Set only once, so that a client that sends byte by byte does not extend it.
+            self.is_deadline_extended = False
             self._set_deadline(REQUEST_TIMEOUT_NS if has_to_send else RESPONSE_TIMEOUT_NS)
 
     def _set_deadline(self, timeout: int) -> None:
@@ -325,13 +320,24 @@
             self._abort(CloseReason.RESPONSE_NOT_READ)
         elif self.is_answering:
             return
-        elif self.input.has_work() or self.connection.has_unread_data():
-            self._set_deadline(UNREAD_INPUT_DELAY_NS)  # received in time, and its turn has not come yet
+        elif self._is_behind():
+            self._extend_deadline()
         elif self.input.reader.in_message:
             self._respond(408, b"the request did not come whole")
         else:
             self._abort(CloseReason.NOTHING_SENT)
 
+    def _is_behind(self) -> bool:
+        """Whether the client may have sent its request in time, and only this side is late."""
+        return self.input.has_work() or self.connection.has_unread_data()
+
+    def _extend_deadline(self) -> None:
+        if self.is_deadline_extended:
+            self.reject_input(CapacityLimit.PROCESSOR)
+        else:
+            self.is_deadline_extended = True
+            self._set_deadline(INPUT_DELAY_NS)
+
     def _abort(self, reason: CloseReason) -> None:
         self.close_reason = reason
         self.connection.abort()
--- a/ploverspoke/routing/request_journal.py
+++ b/ploverspoke/routing/request_journal.py
@@ -20,6 +20,7 @@
     OPEN_REQUESTS = "open_requests"
     CONNECTIONS = "connections"
     MEMORY = "memory"
+    PROCESSOR = "processor"  # the request was received and could not be parsed in time
 
 
 BURST_LINES = 20
--- a/ploverspoke/service/service.py
+++ b/ploverspoke/service/service.py
@@ -17,6 +17,7 @@
 from ploverspoke.routing.load_gossip import GossipSocket
 from ploverspoke.routing.request_log import RequestLog
 from ploverspoke.routing.router import Router
+from ploverspoke.transport.allocator import MemoryTrimmer
 from ploverspoke.transport.connection_pool import ConnectionPool, max_idle_time_for
 from ploverspoke.transport.connections import ConnectionMonitor
 from ploverspoke.transport.deadlines import Deadlines
@@ -105,6 +106,7 @@
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT. Raises OSError if an address cannot be listened on."""
         self._handle_signals()
+        self.memory_trimmer = MemoryTrimmer(self.deadlines, self.memory)
         if self.config.admin_address is not None:
             self.admin_server.listener.open(*self.config.admin_address)
         if self.process_registry.register():
--- a/ploverspoke/transport/connections.py
+++ b/ploverspoke/transport/connections.py
@@ -13,6 +13,7 @@
 from .stream_protocol import StreamProtocol
 
 READS_PER_TURN = 4  # the event loop would read up to 32 times from one connection before it turns to others
+DISCARD_SPACE = memoryview(bytearray(64 * 1024))  # shared by all connections whose input is dropped
 CONNECTION_BYTES = 8 * 1024  # of the objects of one connection and of its user, without buffers
 
 
@@ -73,6 +74,8 @@
         self.is_open = False
         self.has_unsent_data = False  # some written bytes have not been passed to the kernel yet
         self.is_reading = True
+        self.is_discarding = False  # what is received is dropped
+        self.discarded_bytes = 0
         self.reads_left = READS_PER_TURN  # 0: the event loop turns to other connections first
         self.idle_time: int | None = None  # ns for which it was idle before its current use; None: it is new
 
@@ -92,11 +95,14 @@
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return the space for the next bytes from the socket."""
-        return self.buffer.writable_space()
+        return DISCARD_SPACE if self.is_discarding else self.buffer.writable_space()
 
     def buffer_updated(self, nbytes: int) -> None:
         """Tell the user that `nbytes` bytes were received."""
-        self.buffer.commit(nbytes)
+        if self.is_discarding:
+            self.discarded_bytes += nbytes
+        else:
+            self.buffer.commit(nbytes)
         if self.user is not None:
             unread, began_at = len(self.buffer), time.monotonic_ns()
             self.user.on_data_available()
@@ -194,6 +200,12 @@
             else:
                 self.transport.resume_reading()
 
+    def discard_input(self) -> None:
+        """Drop all unread bytes, and from now on all that is received."""
+        self.is_discarding = True
+        self.discarded_bytes += len(self.buffer)
+        self.buffer.close()
+
     def discard(self) -> None:
         """Abort the connection, and report its end to the user immediately.
 
--- a/ploverspoke/transport/memory_account.py
+++ b/ploverspoke/transport/memory_account.py
@@ -29,12 +29,20 @@
         self.held = dict.fromkeys(MemoryKind, 0)
         self.total = 0
         self.peak = 0  # highest total so far
+        self.recent_peak = 0  # since it was last taken
 
     def add(self, kind: MemoryKind, size: int) -> None:
         """Add `size` bytes of one kind; negative to release them."""
         self.held[kind] += size
         self.total += size
-        self.peak = max(self.peak, self.total)
+        if self.total > self.recent_peak:
+            self.recent_peak = self.total
+            self.peak = max(self.peak, self.total)
+
+    def take_recent_peak(self) -> int:
+        """Return the highest total since the last call."""
+        recent_peak, self.recent_peak = self.recent_peak, self.total
+        return recent_peak
 
     def set_limit(self, limit: int) -> None:
         """Change the limit, in bytes."""
