The id of a request that may have run is kept, by all processes of a dispatcher

Callers saw: a non-idempotent request whose client left ran again when its id came again behind 9,000 others, at the successor of an upgrade, or after a kill. Cause: a process remembered the last 4,096 ids as text of any length (up to 64 MB), and no other process knew them. Now ids of requests that must not run twice go into a table of a fixed size (memory_mb / 64, keyed hashes of 8 bytes) before their first attempt; with TMPDIR it is a file that predecessor, successor and children of one address share under a lock. An id is kept for a minute or twice the longest deadline at the least; when the table is full of younger ids, cannot be read, written or locked, or a predecessor used none, such requests are rejected with 503: what cannot be known is not run.

--- a/ploverspoke/routing/request_admission.py
+++ b/ploverspoke/routing/request_admission.py
@@ -17,6 +17,8 @@
 from .answers import Client
 from .completion import RequestCompletion
 from .context import RouterPart, RoutingContext
+from .request_id_table import IdClaim
+from .request_ids import RequestIds
 from .request_journal import CapacityLimit
 from .request_recorder import RequestRecorder
 from .requests import Request
@@ -43,16 +45,17 @@
         super().__init__(context)
         self.completion = completion
         self.recorder = recorder
+        self.request_ids = RequestIds(context.deadlines)
 
     def check_head(self, method: str, target: str, headers: dict[str, str]) -> None:
         """Check whether a request with this head can be admitted at all. Raises HttpSyntaxError."""
-        if not self._is_recorded(headers):
-            self._class_number(target)
+        class_number = None if self._is_recorded(headers) else self._class_number(target)
         if method != "POST":
             raise MethodNotAllowedError(reason="submissions come by POST")
         if not headers.get(REQUEST_ID):
             raise HttpSyntaxError(reason="request-id is missing")
-        self._check_id_is_unused(headers[REQUEST_ID])
+        if class_number is not None:
+            self._check_id_is_unused(headers[REQUEST_ID], class_number)
         for parse_header in (clients.request_timeout, clients.requested_slots, clients.work_hint):
             parse_header(headers)
 
@@ -61,17 +64,17 @@
 
         With a store, the result may be an open request that another client is already waiting for.
         """
-        # Checked again: the id may have been used, or the class removed, while the body was being received.
-        self._check_id_is_unused(message.headers[REQUEST_ID])
         if self.recorder is not None:
             repeat_result = self._handle_repeat(self.recorder, client, message)
             if repeat_result is not None:
                 return repeat_result
+        # Checked again: the id may have been used, or the class removed, while the body was being received.
         class_number = self._class_number(message.target)
+        self._check_id_is_unused(message.headers[REQUEST_ID], class_number)
         timeout = self._timeout(message, class_number)
         slots = clients.requested_slots(message.headers)
         work_hint = clients.work_hint(message.headers)
-        exceeded = self._exceeded_limit()
+        exceeded = self._exceeded_limit() or self._claim_id(message.headers[REQUEST_ID], class_number)
         if exceeded is not None:
             self.counters.count_rejected(self.settings.class_name(class_number))
             self.request_journal.rejected_for_capacity(exceeded)
@@ -122,10 +125,23 @@
         """Whether there is a store that knows the id; its class may have been removed since."""
         return self.recorder is not None and self.recorder.is_recorded(headers.get(REQUEST_ID, ""))
 
-    def _check_id_is_unused(self, request_id: str) -> None:
+    def _check_id_is_unused(self, request_id: str, class_number: int) -> None:
         # With a store, the request log tells a retry of the same request from a different request.
-        if request_id in self.requests.recent_ids and self.recorder is None:
+        idempotency = self.settings.idempotency(class_number)
+        if self.recorder is None and self.request_ids.is_used(request_id, idempotency):
+            raise RequestIdInUseError(reason="request-id is in use")
+
+    def _claim_id(self, request_id: str, class_number: int) -> CapacityLimit | None:
+        """Remember the id; returns a limit if it cannot be known whether it was used.
+
+        Raises RequestIdInUseError if another process has used it since it was checked.
+        """
+        if self.recorder is not None:
+            return None
+        claim = self.request_ids.claim(request_id, self.settings.idempotency(class_number))
+        if claim is IdClaim.KNOWN:
             raise RequestIdInUseError(reason="request-id is in use")
+        return CapacityLimit.REQUEST_IDS if claim is IdClaim.NOT_KNOWABLE else None
 
     def _timeout(self, message: HttpRequest, class_number: int) -> int:
         """The client's timeout in ns, limited to the deadline of the request class."""
--- a/ploverspoke/routing/request_table.py
+++ b/ploverspoke/routing/request_table.py
@@ -1,6 +1,5 @@
-"""Requests that are open or still have an active attempt, and recent ids that must not be reused."""
+"""Requests that are open or still have an active attempt."""
 
-from collections import deque
 from collections.abc import Iterator
 
 from ploverspoke.protocol.message_costs import message_cost
@@ -10,18 +9,15 @@
 from .requests import Request
 
 REQUEST_BYTES = 4 * 1024  # of the objects of a request here and in the decision logic, without its message
-MIN_RECENT_IDS = 4096  # at least the ids of this many recent requests are kept
 
 
 class RequestTable:
-    """Numbers each request, and remembers the ids of the latest ones, ended or not."""
+    """Numbers each request."""
 
     def __init__(self, memory: MemoryAccount | None = None) -> None:
         """Create an empty table, whose requests are counted in `memory`."""
         self.memory = memory or MemoryAccount()
         self.slots: SlotTable[Request] = SlotTable()
-        self.recent_ids: set[str] = set()
-        self.recent_id_order: deque[str] = deque()
 
     def __len__(self) -> int:
         """The number of requests in the table."""
@@ -39,12 +35,6 @@
         """Give the request its number."""
         request.number = self.slots.add(request)
         self.memory.add(MemoryKind.OPEN_REQUESTS, _cost(request))
-        # A duplicate may arrive just after the answer, so the id is kept longer than the request.
-        self.recent_ids.add(request.request_id)
-        self.recent_id_order.append(request.request_id)
-        id_count = len(self.recent_id_order)
-        if id_count > MIN_RECENT_IDS and id_count > 2 * len(self.slots):
-            self.recent_ids.discard(self.recent_id_order.popleft())
 
     def remove_if_ended(self, request: Request) -> None:
         """Remove the request once it has no client and no attempt."""
--- a/ploverspoke/service/service.py
+++ b/ploverspoke/service/service.py
@@ -15,6 +15,7 @@
 from ploverspoke.routing.admin_server import AdminServer
 from ploverspoke.routing.client_server import ClientServer
 from ploverspoke.routing.load_gossip import GossipSocket
+from ploverspoke.routing.request_ids import MIN_AGE
 from ploverspoke.routing.request_log import RequestLog
 from ploverspoke.routing.router import Router
 from ploverspoke.transport.allocator import MemoryTrimmer
@@ -25,7 +26,7 @@
 from ploverspoke.transport.loop_meter import ConnectionKind
 from ploverspoke.transport.memory_account import MemoryAccount
 from ploverspoke.transport.rate_limited_log import log_line
-from ploverspoke.transport.resource_limits import split_resources
+from ploverspoke.transport.resource_limits import request_id_bytes, split_resources
 from ploverspoke.transport.units import MILLISECOND, SECOND
 
 from .config import NO_PEERS_MESSAGE, Config, read_config
@@ -34,6 +35,7 @@
 from .exit_codes import run_with_exit_code
 from .handover import ProcessRegistry
 from .inherited_socket import open_inherited_socket
+from .shared_request_ids import open_request_ids
 from .shutdown import ShutdownSchedule, shutdown_schedule
 from .startup import BLOCKED_SIGNALS, block_signals
 
@@ -91,6 +93,8 @@
         self.listening_socket: socket.socket | None = None
         self.process_registry = ProcessRegistry(None)
         self.on_ready: Callable[[], None] = lambda: None
+        self.shared_directory: str | None = None  # that other processes of this dispatcher use as well
+        self.may_lack_ids = True  # other processes may have used ids that this one does not know
         self.shutdown_started_at = 0  # monotonic ns; 0 if it has not started
         self.stopped = asyncio.Event()
 
@@ -100,6 +104,7 @@
         Raises ConfigError if it is not a listening socket.
         """
         self.listening_socket = open_inherited_socket(environment)
+        self.shared_directory = environment.get("TMPDIR")
         if self.listening_socket is not None:
             self.process_registry = ProcessRegistry(environment.get("TMPDIR"))
 
@@ -109,7 +114,9 @@
         self.memory_trimmer = MemoryTrimmer(self.deadlines, self.memory)
         if self.config.admin_address is not None:
             self.admin_server.listener.open(*self.config.admin_address)
-        if self.process_registry.register():
+        is_registered = self.process_registry.register()
+        self._open_request_ids()
+        if is_registered:
             self._update_process_count()
         if self.router.load_gossip is not None:
             await self.router.load_gossip.open(self.loop)
@@ -126,6 +133,19 @@
         await self.stopped.wait()
         self.process_registry.unregister()
 
+    def _open_request_ids(self) -> None:
+        """Open the table of ids, which a predecessor or successor with the same address shares."""
+        longest_deadline = max(request_class.deadline for request_class in self.config.settings.classes)
+        opened = open_request_ids(
+            self.shared_directory,
+            ":".join(map(str, self.config.listen)),
+            request_id_bytes(self.config.memory_limit),
+            max(MIN_AGE, 2 * longest_deadline),
+        )
+        self.router.admission.request_ids.table = opened.table
+        has_predecessor = self.process_registry.count_others() > 0
+        self.may_lack_ids = not opened.is_shared or (opened.is_new and has_predecessor)
+
     def _handle_signals(self) -> None:
         for number in (signal.SIGTERM, signal.SIGINT):
             self.loop.add_signal_handler(number, self.shut_down)
@@ -152,6 +172,10 @@
     def _update_process_count(self) -> None:
         """Divide the limits of the dispatcher among its current processes."""
         process_count = 1 + self.process_registry.count_others()
+        if process_count > 1 and self.may_lack_ids:
+            settings = self.router.settings
+            longest_deadline = max(settings.classes[number].deadline for number in settings.active_classes)
+            self.router.admission.request_ids.unknown_until = self.deadlines.now() + longest_deadline
         if process_count != self.process_count:
             log_line(f"processes={process_count}: each gets an equal share of the descriptors and the memory")
             self.process_count = process_count
--- a/ploverspoke/supervisor/child.py
+++ b/ploverspoke/supervisor/child.py
@@ -31,6 +31,7 @@
         return EXIT_UNUSABLE
     service = create_service(config)
     service.load_config = load_config
+    service.shared_directory = os.environ.get("TMPDIR")
     service.listening_socket = socket.socket(fileno=child.socket_descriptor)
     service.on_ready = lambda: print("ready", flush=True)  # the supervisor waits for this line
     service.loop.run_until_complete(service.run())
--- a/ploverspoke/transport/resource_limits.py
+++ b/ploverspoke/transport/resource_limits.py
@@ -19,6 +19,9 @@
 WORKER_CONNECTION_SHARE = 0.3
 
 
+REQUEST_ID_SHARE = 64  # this part of the memory is for the ids of requests that must not run twice
+
+
 class ResourceLimits(NamedTuple):
     """The limits of one process."""
 
@@ -27,10 +30,15 @@
     held_bytes: int  # the limit of the memory account
 
 
+def request_id_bytes(memory: int) -> int:
+    """Return the size of the table of request ids, which all processes of a dispatcher share."""
+    return memory // REQUEST_ID_SHARE
+
+
 def split_resources(descriptors: int, memory: int, processes: int = 1) -> ResourceLimits:
     """Return the limits of one of `processes` equal processes that share `descriptors` and `memory` bytes."""
     descriptors, memory = descriptors // processes, memory // processes
-    held = max(MIN_HELD, int((memory - BASE_MEMORY) * HELD_FRACTION))
+    held = max(MIN_HELD, int((memory - BASE_MEMORY - request_id_bytes(memory)) * HELD_FRACTION))
     available = max(0, descriptors - RESERVED_DESCRIPTORS)
     workers = int(available * WORKER_FRACTION)
     clients = int((available - workers) * CLIENT_FRACTION)
