Tables by names and numbers of others are bounded: queues, workers, zones, keys

A queue was kept for each value of slots and visited by each decision, gone workers and their addresses for good, keys of 16 KiB in three places and hashed once for each worker.

--- a/ploverspoke/decisions/components.py
+++ b/ploverspoke/decisions/components.py
@@ -13,6 +13,7 @@
 from .load_probes import LoadProbes
 from .observations import LoadReports, Observations, StartLateness
 from .outlier_ejection import OutlierEjection
+from .queue_table import QueueTable
 from .queues import QueueService, SharedClock
 from .settings import Settings
 from .state import Request, RequestQueue, Worker
@@ -28,6 +29,7 @@
         self.queues: dict[tuple[float, int], RequestQueue] = {}
         self.open_requests: dict[int, Request] = {}
         workers, queues, requests = self.workers, self.queues, self.open_requests
+        self.queue_table = QueueTable(queues, requests, workers)
         self.context = context = Context(actions, seed, settings)
         self.observations = observations = Observations(queues)
         self.reports = LoadReports()
--- a/ploverspoke/decisions/dispatcher.py
+++ b/ploverspoke/decisions/dispatcher.py
@@ -63,10 +63,7 @@
     ) -> None:
         """Process a request to answer by `deadline`; `work_hint`: its running time in ns, 0 if unknown."""
         rules = self.components.context.settings.classes[request_class]
-        queue = self.components.queues.get((slots, rules.machine_kind))
-        if queue is None:
-            queue = RequestQueue(slots, rules.machine_kind)
-            self.components.queues[slots, rules.machine_kind] = queue
+        queue = self.components.queue_table.queue_for(slots, rules.machine_kind)
         request = Request(request_id, request_class, rules, queue, self.actions.now())
         self.request_path.arrived(request, affinity_key, deadline, work_hint)
 
@@ -119,6 +116,7 @@
         self.components.polling.record_answer()
         for endpoint in endpoints:
             self.components.endpoints.update(endpoint, now)
+        self.components.endpoints.forget_gone()
 
     def endpoint_list_confirmed(self, as_of: int) -> None:
         """Renew the endpoint list: all that service discovery had at `as_of` has been reported before.
@@ -148,7 +146,9 @@
         self, worker_name: str, outcome: AttemptOutcome, elapsed: int, load: LoadReport | None
     ) -> None:
         """Process the result of a probe according to its purpose."""
-        components, worker, now = self.components, self.workers[worker_name], self.actions.now()
+        components, worker, now = self.components, self.workers.get(worker_name), self.actions.now()
+        if worker is None:
+            return  # forgotten since
         purpose, worker.probe = worker.probe, None
         components.confirmation.completed(worker)
         if outcome is AttemptOutcome.SUCCEEDED:
--- a/ploverspoke/decisions/endpoint_updates.py
+++ b/ploverspoke/decisions/endpoint_updates.py
@@ -9,6 +9,14 @@
 from .state import Worker
 from .worker_choice import WorkerChoice
 
+MAX_GONE_WORKERS = 1000  # remembered in case that they return
+
+
+def _may_be_forgotten(worker: Worker) -> bool:
+    is_gone = worker.endpoint.condition is EndpointCondition.GONE and (worker.ejected or not worker.ready)
+    is_used = worker.attempts or worker.placeholders or worker.probe is not None or worker.peer_slots
+    return is_gone and not is_used
+
 
 @dataclass(eq=False)
 class EndpointUpdates:
@@ -20,6 +28,14 @@
     slow_start: SlowStart
     ejection: OutlierEjection
 
+    def forget_gone(self) -> None:
+        """Forget the workers that have been gone for the longest time, if there are many."""
+        gone = [worker for worker in self.workers.values() if _may_be_forgotten(worker)]
+        for worker in gone[: max(0, len(gone) - MAX_GONE_WORKERS)]:
+            worker.ejected = False  # for its timer
+            del self.workers[worker.name]
+            self.choice.clear_cached_tiers()
+
     def update(self, endpoint: Endpoint, now: int) -> None:
         """Apply the current list entry of a worker."""
         worker = self.workers.get(endpoint.worker)
--- a/ploverspoke/routing/active_settings.py
+++ b/ploverspoke/routing/active_settings.py
@@ -9,6 +9,8 @@
 from .request_classes import RequestClassTable
 from .watch_pace import PaceLimits
 
+MAX_NAMES = 1024  # of zones and of machine kinds; discovery may name ever new ones
+
 
 class ActiveSettings:
     """The current settings; the numbers of classes, zones and machine kinds never change their meaning."""
@@ -47,11 +49,11 @@
 
     def zone_number(self, name: str) -> int:
         """The number of a zone; a new name gets the next one."""
-        return self.zones.setdefault(name, len(self.zones))
+        return _number_of(name, self.zones)
 
     def machine_kind_number(self, name: str) -> int:
         """The number of a machine kind; a new name gets the next one."""
-        return self.machine_kinds.setdefault(name, len(self.machine_kinds))
+        return _number_of(name, self.machine_kinds)
 
     def class_name(self, class_number: int) -> str:
         """The name of a request class, including a class that only open requests still use."""
@@ -74,5 +76,12 @@
         return self.machine_kind_number(names[index]) if 0 <= index < len(names) else index
 
 
+def _number_of(name: str, numbers: dict[str, int]) -> int:
+    """The number of a name; a new one gets the next number, or the last one if there are very many."""
+    return (
+        numbers.get(name, MAX_NAMES) if len(numbers) >= MAX_NAMES else numbers.setdefault(name, len(numbers))
+    )
+
+
 def _x0_name(settings: Settings) -> str:
     return "free_slots" if "free_slots" in settings.load_fields else "x0"
--- a/ploverspoke/routing/endpoint_directory.py
+++ b/ploverspoke/routing/endpoint_directory.py
@@ -1,6 +1,6 @@
 """The directory of worker addresses from discovery, and the watch that keeps it up to date."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from functools import partial
 
 from ploverspoke.decisions.interface import Endpoint, EndpointCondition
@@ -10,6 +10,7 @@
     InvalidEntryError,
     read_endpoint_list,
 )
+from ploverspoke.protocol.errors import EndpointListError
 from ploverspoke.protocol.wire_names import ENDPOINT_STATES
 from ploverspoke.transport.loop_meter import ConnectionKind
 
@@ -19,6 +20,9 @@
 from .watch_journal import CallOutcome, CallReason, WatchJournal
 from .watch_pace import WatchPace
 
+PARSED_BYTES = 30  # of memory for each byte of a list while it is parsed, at the most
+WORKER_BYTES = 5 * 1024  # of memory for what is known of a worker
+
 
 class EndpointDirectory(RouterPart):
     """Watches discovery, stores the workers' addresses and reports each change to the decision logic."""
@@ -47,8 +51,13 @@
 
         Raises EndpointListError for an invalid list; no part of it is reported to the decision logic.
         """
+        memory = self.pool.monitor.memory
+        if len(body) * PARSED_BYTES > memory.available():
+            raise EndpointListError(reason=f"no memory for a list of {len(body)} bytes")
         try:
             received = read_endpoint_list(body)
+            if len(received.entries) * WORKER_BYTES > memory.limit // 2:
+                raise EndpointListError(reason=f"no memory for {len(received.entries)} workers")
         except InvalidEntryError as error:
             # The entries before the invalid one are valid, so the addresses in them are stored.
             for entry in error.entries_before:
@@ -118,6 +127,15 @@
             self.events.emit(partial(self.dispatcher.endpoint_list_received, endpoints))
         else:
             self.events.emit(partial(self.dispatcher.endpoints_changed, endpoints))
+        self._forget_unknown({endpoint.worker for endpoint in endpoints})
+
+    def _forget_unknown(self, listed_names: Collection[str]) -> None:
+        """Forget the addresses of workers that the decision logic has forgotten."""
+        workers = self.dispatcher.workers
+        if len(self.addresses) > len(workers):
+            for name in [name for name in self.addresses if name not in workers and name not in listed_names]:
+                del self.addresses[name]
+                self.start_times.forget(name)
 
     def _store_entry(self, entry: EndpointEntry) -> Endpoint:
         """Store the worker's address, and retire the connections to its previous address."""
--- a/ploverspoke/routing/request_admission.py
+++ b/ploverspoke/routing/request_admission.py
@@ -2,6 +2,7 @@
 
 from enum import Enum, auto
 from functools import partial
+from hashlib import blake2b
 
 from ploverspoke.protocol import clients
 from ploverspoke.protocol.clients import HttpRequest
@@ -26,6 +27,8 @@
 # The final answer is due this long before the client times out, or a tenth of its timeout if that is less.
 MAX_ANSWER_MARGIN_NS = 20 * MILLISECOND
 ANSWER_MARGIN_DIVISOR = 10
+MAX_KEY_LENGTH = 128  # characters; of a longer affinity key the decisions get a hash
+KEY_DIGEST_BYTES = 32
 
 
 class NotAdmitted(Enum):
@@ -82,7 +85,7 @@
         due_at = self.deadlines.now() + timeout - min(MAX_ANSWER_MARGIN_NS, timeout // ANSWER_MARGIN_DIVISOR)
         request = Request(client, class_number, message, due_at)
         self._register(request)
-        affinity_key = message.headers.get(AFFINITY_KEY, "")
+        affinity_key = _bounded_key(message.headers.get(AFFINITY_KEY, ""))
         event = partial(
             self.dispatcher.request_arrived,
             request.number,
@@ -171,3 +174,10 @@
         # The decision logic should answer before this; the timer answers the client if a fault prevents that.
         on_deadline = partial(self.completion.on_deadline, request)
         request.answer_deadline = self.deadlines.schedule(request.deadline, on_deadline)
+
+
+def _bounded_key(affinity_key: str) -> str:
+    """Return the key itself, or a hash of it if it is long: it is stored, and hashed once for each worker."""
+    if len(affinity_key) <= MAX_KEY_LENGTH:
+        return affinity_key
+    return blake2b(affinity_key.encode("latin-1", "replace"), digest_size=KEY_DIGEST_BYTES).hexdigest()
--- a/ploverspoke/routing/start_times.py
+++ b/ploverspoke/routing/start_times.py
@@ -24,6 +24,10 @@
         # By worker: its start as listed (Unix ms) and as converted (monotonic ns).
         self.known: dict[str, tuple[int, int]] = {}
 
+    def forget(self, worker: str) -> None:
+        """Forget a worker that is gone."""
+        self.known.pop(worker, None)
+
     def convert(self, worker: str, started_ms: int, confirmed_at: int | None) -> int:
         """The monotonic time (ns) of a start, 0 if it is unknown.
 
--- a/ploverspoke/transport/memory_account.py
+++ b/ploverspoke/transport/memory_account.py
@@ -49,6 +49,10 @@
         self.limit = limit
         self.client_limit = limit - limit // RESPONSE_SHARE
 
+    def available(self) -> int:
+        """The bytes that may still be held, negative beyond the limit."""
+        return self.limit - self.total
+
     def is_full_for_clients(self) -> bool:
         """Whether nothing more may be held for clients' requests."""
         return self.total >= self.client_limit
