--- a/ploverspoke/protocol/discovery.py
+++ b/ploverspoke/protocol/discovery.py
@@ -75,6 +75,12 @@
         super().__init__(httptools.HttpResponseParser)
         self.on_complete = on_complete
 
+    def close(self) -> None:
+        """Break the reference cycles with the parser and the listener, which would delay the release."""
+        self.drop_message()
+        del self.parser
+        del self.on_complete
+
     def on_message_complete(self) -> None:
         """Pass on the body. Raises WatchRejectedError or HttpSyntaxError if the status is not 200."""
         status = self.parser.get_status_code()
--- a/ploverspoke/protocol/workers.py
+++ b/ploverspoke/protocol/workers.py
@@ -101,6 +101,8 @@
         self.listener = listener
         self.x0_name = x0_name
         self.status = 0
+        self.parsed_header_load: LoadReport | None = None
+        self.progress: float | None = None  # latest that was not reported yet
         self.has_outcome = False
         self.is_complete = False
 
@@ -110,10 +112,22 @@
             self.has_outcome = True
             self.listener.on_outcome(outcome, result, load)
 
+    def feed(self, data: memoryview) -> None:
+        """Parse the bytes, and report the latest progress in them. Raises HttpSyntaxError."""
+        super().feed(data)
+        progress, self.progress = self.progress, None
+        if progress is not None and not self.has_outcome:
+            self.listener.on_progress(progress)
+
+    def close(self) -> None:
+        """Break the reference cycles with the parser and the listener, which would delay the release."""
+        self.drop_message()
+        del self.parser
+        del self.listener
+
     def header_load(self) -> LoadReport | None:
         """Return the load report in the header, if any."""
-        text = self.headers.get(wire.LOAD_HEADER)
-        return None if text is None else parse_load_report(parse_json(text), self.x0_name)
+        return self.parsed_header_load
 
     def on_message_begin(self) -> None:
         """Begin the response. Raises HttpSyntaxError if there was one already."""
@@ -122,9 +136,11 @@
         super().on_message_begin()
 
     def on_headers_complete(self) -> None:
-        """Record the status."""
+        """Record the status and the load report."""
         super().on_headers_complete()
         self.status = self.parser.get_status_code()
+        text = self.headers.get(wire.LOAD_HEADER)
+        self.parsed_header_load = None if text is None else parse_load_report(parse_json(text), self.x0_name)
 
     def on_message_complete(self) -> None:
         """End the response, unless it is an interim one (1xx)."""
@@ -145,6 +161,7 @@
         """A line with an id other than `request_id` is treated as malformed."""
         super().__init__(listener, x0_name)
         self.request_id = request_id
+        self.is_started = False
 
     def on_headers_complete(self) -> None:
         """Report the outcome if the status determines it."""
@@ -163,13 +180,14 @@
         """Parse all complete lines."""
         if self.status != 200 or self.has_outcome:
             return
-        self.body += part
-        while not self.has_outcome:
-            line, newline, rest = self.body.partition(b"\n")
-            if not newline:
-                break
-            self.body = rest
-            self._read_line(line)
+        *lines, rest = part.split(b"\n")
+        for line in lines:
+            self.body += line
+            complete_line, self.body = self.body, bytearray()
+            self._read_line(complete_line)
+            if self.has_outcome:
+                return
+        self.body += rest
         if len(self.body) > MAX_LINE_SIZE:
             self.finish(ExchangeOutcome.MALFORMED_RESPONSE)
 
@@ -190,9 +208,11 @@
         load = parse_load_report(line.get(wire.LINE_LOAD), self.x0_name) or self.header_load()
         result = line.get(wire.LINE_RESULT)
         if state == wire.STATE_STARTED:
-            self.listener.on_started()
+            if not self.is_started:
+                self.is_started = True
+                self.listener.on_started()
         elif state == wire.STATE_RUNNING:
-            self.listener.on_progress(_fraction_done(line.get(wire.LINE_PROGRESS)))
+            self.progress = _fraction_done(line.get(wire.LINE_PROGRESS))
         elif state == wire.STATE_DONE and isinstance(result, str):
             self.finish(ExchangeOutcome.SUCCEEDED, result, load)
         elif isinstance(state, str) and state in FINAL_STATES:
--- a/ploverspoke/routing/endpoint_watch.py
+++ b/ploverspoke/routing/endpoint_watch.py
@@ -65,6 +65,7 @@
         self.reader = discovery.EndpointListReader(self._on_complete)
         self.body: bytes | None = None  # of the complete response
         self.response_held = MemoryHolding(watch.pool.monitor.memory, MemoryKind.RESPONSES)
+        self.is_released = False  # the request has ended
         self.is_reusable = False  # whether the connection can carry another request
         self.is_timeout_extended = False  # at most once, to read data that has already arrived
 
@@ -79,6 +80,10 @@
         """End the request and return its connection, if it has one; the caller then owns the connection."""
         self.watch.deadlines.cancel(self.deadline)
         self.response_held.set(0)
+        if not self.is_released:
+            self.is_released = True
+            self.body = None
+            self.reader.close()
         if self.pending_connection is not None:
             self.pending_connection.cancel()
             self.pending_connection = None
--- a/ploverspoke/routing/worker_calls.py
+++ b/ploverspoke/routing/worker_calls.py
@@ -1,5 +1,6 @@
 """Worker calls: each sends one request to a worker and reports its single outcome."""
 
+from functools import partial
 from typing import Protocol
 
 from ploverspoke.protocol.errors import HttpSyntaxError
@@ -12,6 +13,7 @@
 
 RESPONSE_END_TIMEOUT_NS = 500 * MILLISECOND  # to read the rest of a response whose outcome is known
 # A worker that has closed the connection, or rejects it, is noticed within this time after the first bytes.
+MEMORY_RETRY_DELAY_NS = 20 * MILLISECOND  # before a response is read on that there was no memory for
 LAST_BYTE_DELAY_NS = 2 * MILLISECOND
 
 
@@ -120,6 +122,9 @@
             # The worker has not received the whole request: this is a second response to the one before.
             self._stop(ExchangeOutcome.SEND_INCOMPLETE, ExchangeOutcome.SEND_INCOMPLETE)
             return
+        if self.connection.monitor.memory.is_full():
+            self._wait_for_memory(self.connection)
+            return
         try:
             self.connection.feed(self.reader)
         except HttpSyntaxError:
@@ -129,7 +134,7 @@
             self.connection.abort()
         elif self.reader.is_complete:
             connection, self.connection = self.connection, None
-            self.response_held.set(0)
+            self._release_response()
             self.deadlines.cancel(self.deadline)
             if self.is_reusable and not connection.has_unsent_data:
                 self.pool.release(connection)
@@ -137,12 +142,27 @@
                 connection.user = None
                 connection.close()
 
+    def _wait_for_memory(self, connection: Connection) -> None:
+        """Read no more of the response until there is memory for it; the call's deadline holds."""
+        connection.set_reading_paused(True)
+        retry_at = self.deadlines.now() + MEMORY_RETRY_DELAY_NS
+        self.deadlines.schedule(retry_at, partial(self._read_after_wait, connection))
+
+    def _read_after_wait(self, connection: Connection) -> None:
+        if self.connection is connection:
+            connection.set_reading_paused(False)
+            self.on_data_available()
+
+    def _release_response(self) -> None:
+        self.response_held.set(0)
+        self.reader.close()
+
     def on_disconnected(self) -> None:
         """End the call."""
         if self.connection is None:
             return
-        self.response_held.set(0)
         has_status = bool(self.reader.status)
+        self._release_response()
         # A request has certainly not run only if a part of it is certainly still in this process.
         is_incomplete = self.last_byte is not None or (self.connection.has_unsent_data and not has_status)
         if self.abort_outcome is None and not has_status:
