A usual request is not rejected for memory that older, slower ones hold

Seen: beside 480 heads without end at 40 MiB half of another client's requests got 503: connections filled the account between two turns, and admission looked at it before anybody gave memory up. Room is now made at each accept and before each admission.

--- a/ploverspoke/routing/client_server.py
+++ b/ploverspoke/routing/client_server.py
@@ -66,6 +66,10 @@
             self.holding.setdefault(session)
         else:
             self.holding.pop(session, None)
+        self.make_room()
+
+    def make_room(self) -> None:
+        """Let the sessions that have held memory longest give it up, while the limit is reached."""
         if self.is_making_room:
             return  # a session that gives up its memory notes that, too
         self.is_making_room = True
@@ -108,6 +112,7 @@
         if len(self.sessions) > self.max_sessions:
             log_line(f"{len(self.sessions)} client connections and none idle: rejecting the newest")
             session.is_excess = True
+        self.make_room()
 
     def _may_accept(self, pending_count: int) -> bool:
         """Whether to accept one more connection, even if only to reject its request; else it must wait."""
--- a/ploverspoke/routing/client_session.py
+++ b/ploverspoke/routing/client_session.py
@@ -226,6 +226,7 @@
             admission.count_rejected(message.target, CapacityLimit.CONNECTIONS)
             self.answer(FinalAnswer.REJECTED)
             return
+        self.server.note_memory(self, is_holding=False)  # others give up theirs first
         admitted = admission.admit(self, message)
         if admitted is NotAdmitted.NO_CAPACITY:
             self.answer(FinalAnswer.REJECTED)
--- a/ploverspoke/routing/client_session_owner.py
+++ b/ploverspoke/routing/client_session_owner.py
@@ -26,5 +26,8 @@
     def note_memory(self, session: Session, is_holding: bool) -> None:
         """Record whether the session holds memory, and make room if there is no more for clients."""
 
+    def make_room(self) -> None:
+        """Let the sessions that have held memory longest give it up, while the limit is reached."""
+
     def remove_session(self, session: Session) -> None:
         """Remove a session that has ended."""
