--- a/ploverspoke/routing/completion.py
+++ b/ploverspoke/routing/completion.py
@@ -1,5 +1,6 @@
 """Ends requests: by the final answer, when a client disconnects, or when the leader steps down."""
 
+import traceback
 from functools import partial
 
 from ploverspoke.decisions.interface import EndReason
@@ -111,7 +112,10 @@
     def answer_all(self) -> None:
         """Answer every open request because the process is about to exit."""
         for request in self.requests:
-            self.answer_without_decision(request)
+            try:
+                self.answer_without_decision(request)
+            except Exception:  # the others still wait for their answers
+                log_line(f"request {request.request_id} could not be answered: {traceback.format_exc()}")
 
     def leave_all_to_leader(self) -> None:
         """Leave all open requests to the leader. Sent attempts continue; their outcomes are not needed."""
--- a/ploverspoke/routing/event_queue.py
+++ b/ploverspoke/routing/event_queue.py
@@ -33,6 +33,13 @@
             except Exception:  # any fault of the decision logic: later events must be delivered
                 name = getattr(event.func, "__name__", event.func)
                 log_line(f"a decision failed in {name}: {traceback.format_exc()}")
-                if request_number is not None:
-                    self.on_failure(request_number)
+                self._report_failure(request_number)
         self.is_delivering = False
+
+    def _report_failure(self, request_number: int | None) -> None:
+        if request_number is None:
+            return
+        try:
+            self.on_failure(request_number)
+        except Exception:  # the timer at the request's deadline is left; later events must be delivered
+            log_line(f"a request could not be answered after a failure: {traceback.format_exc()}")
--- a/ploverspoke/service/service.py
+++ b/ploverspoke/service/service.py
@@ -4,9 +4,11 @@
 import os
 import signal
 import socket
+import traceback
 from collections.abc import Callable, Mapping
 from dataclasses import replace
 from functools import partial
+from typing import Any
 
 import uvloop
 
@@ -171,6 +173,8 @@
 
     def _update_process_count(self) -> None:
         """Divide the limits of the dispatcher among its current processes."""
+        # First, since an error below must not be the last look at the other processes.
+        self.deadlines.schedule(self.deadlines.now() + PROCESS_COUNT_INTERVAL, self._update_process_count)
         process_count = 1 + self.process_registry.count_others()
         if process_count > 1 and self.may_lack_ids:
             settings = self.router.settings
@@ -183,7 +187,6 @@
             self.pool.resize(resources.worker_connections)
             self.client_server.max_sessions = resources.client_connections
             self.memory.set_limit(resources.held_bytes)
-        self.deadlines.schedule(self.deadlines.now() + PROCESS_COUNT_INTERVAL, self._update_process_count)
 
     # ---- Changes of the configuration ----
 
@@ -243,16 +246,22 @@
     def _continue_shutdown(self, schedule: ShutdownSchedule) -> None:
         now = self.deadlines.now()
         elapsed = now - self.shutdown_started_at
+        try:
+            self._take_shutdown_steps(schedule, elapsed)
+        finally:  # an error in one step must not leave the process running for good
+            is_finished = self.client_server.is_accepting_stopped and self.client_server.is_empty()
+            if is_finished or elapsed >= schedule.exit_at:
+                self.stopped.set()
+            else:
+                next_check = partial(self._continue_shutdown, schedule)
+                self.deadlines.schedule(now + schedule.check_interval, next_check)
+
+    def _take_shutdown_steps(self, schedule: ShutdownSchedule, elapsed: int) -> None:
         is_empty = self.client_server.is_empty()
         if elapsed >= (schedule.accept_until if is_empty else schedule.serve_until):
             self.client_server.stop_accepting()
         if elapsed >= schedule.answer_at:
             self.router.completion.answer_all()
-        is_finished = self.client_server.is_accepting_stopped and self.client_server.is_empty()
-        if is_finished or elapsed >= schedule.exit_at:
-            self.stopped.set()
-        else:
-            self.deadlines.schedule(now + schedule.check_interval, partial(self._continue_shutdown, schedule))
 
 
 def _log_unapplied_keys(old: Config, new: Config, settings_unapplied: bool) -> None:
@@ -272,10 +281,18 @@
             log_line(f"new configuration: {key} stays as it was until the next start")
 
 
+def log_loop_error(loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+    """Log an exception that no callback handled; the default handler writes without a limit on the rate."""
+    error = context.get("exception")
+    trace = "".join(traceback.format_exception(error)) if isinstance(error, BaseException) else ""
+    log_line(f"an error in the event loop: {context.get('message')} {trace}")
+
+
 def create_service(config: Config) -> Service:
     """Build a dispatcher on a new event loop, which becomes the current event loop of this thread."""
     loop = uvloop.new_event_loop()
     asyncio.set_event_loop(loop)
+    loop.set_exception_handler(log_loop_error)
     return Service(loop, config)
 
 
--- a/tests/limits/crowd_harness.py
+++ b/tests/limits/crowd_harness.py
@@ -7,6 +7,7 @@
 import sys
 import time
 import tomllib
+from collections.abc import Callable, Coroutine
 from pathlib import Path
 from typing import NamedTuple
 
@@ -41,6 +42,8 @@
         self.harness = ServiceHarness()
         self.exchanges: list[Exchange] = []
         self.is_crowd_over = False
+        self.on_spawned: Callable[[], Coroutine[None, None, None]] | None = None
+        self.tasks: list[asyncio.Future[None]] = []
 
     async def start(self) -> None:
         """Start workers, discovery and the program, and wait until it is ready."""
@@ -66,6 +69,8 @@
                 env={**os.environ, "RELAY_CONFIG": str(path), "TMPDIR": str(self.folder)},
                 stderr=log,
             )
+        if self.on_spawned is not None:
+            self.tasks.append(asyncio.ensure_future(self.on_spawned()))
         for _ in range(1000):
             if " serves at " in self.log.read_text():
                 return
@@ -129,6 +134,8 @@
 
     async def stop(self) -> None:
         """End the program and all around it."""
+        for task in self.tasks:
+            task.cancel()
         if self.process.returncode is None:
             self.process.kill()
             await self.process.wait()
