Replicas, lease servers: connections without a greeting end, unread replies are bounded

Same class elsewhere: a replica kept connections of which nothing came for good and as many as came, and the replies of a tool that reads none; a lease server the former. Now 5 s and 64 (256) of them, and 8 MiB. A deeply nested message is refused like other nonsense. Config servers had such limits. Looked at and left: frames are bounded by their length, a buffer by one frame, watchers by status. consensus, leases, config_distribution, store: 326 passed; both new tests failed before.

--- a/ploverspoke/consensus/framed_server.py
+++ b/ploverspoke/consensus/framed_server.py
@@ -24,6 +24,7 @@
 
     timeout_s: float  # seconds from accepting a connection to its registration
     max_unregistered: int  # unregistered connections at the same time
+    until_greeting: bool = False  # a greeting, which proves the secret, is enough
 
 
 class FramedConnection(StreamProtocol, asyncio.Protocol):
@@ -59,6 +60,8 @@
             messages = self.frames.decode(data)
             if self.frames.peer_greeting is not None and not self.greeted:
                 self.greeted = True
+                if self.server.limits is not None and self.server.limits.until_greeting:
+                    self.cancel_registration_timer()
                 self.server.handle_greeting(self, self.frames.peer_greeting)
             for message in messages:
                 self.server.handle_message(self, message)
@@ -186,10 +189,15 @@
         """Add a new connection; abort it if too many others are not registered yet."""
         self.connections.add(connection)
         if self.limits is not None:
-            if len(self.connections) - len(self.clients) > self.limits.max_unregistered:
+            if self._unregistered_count(self.limits) > self.limits.max_unregistered:
                 connection.abort()
             connection.start_registration_timer(self.limits.timeout_s)
 
+    def _unregistered_count(self, limits: RegistrationLimits) -> int:
+        if limits.until_greeting:
+            return sum(not connection.greeted for connection in self.connections)
+        return len(self.connections) - len(self.clients)
+
     def remove_connection(self, connection: FramedConnection) -> None:
         """Remove a lost connection; report its client as disconnected if the connection was its latest."""
         self.connections.discard(connection)
--- a/ploverspoke/consensus/peer_links.py
+++ b/ploverspoke/consensus/peer_links.py
@@ -21,6 +21,8 @@
 from .wire_messages import Message, decode_message
 
 RECONNECT_DELAY_S = 0.1
+GREETING_TIMEOUT_S = 5.0  # from accepting a connection to the greeting of a replica or tool
+MAX_WITHOUT_GREETING = 64  # accepted connections that have sent no greeting yet
 MAX_UNSENT_BYTES = 8 * 1024 * 1024  # for a peer that does not read; above this messages are dropped
 # A connection is closed after this time without progress: its unsent messages are stale, and would be sent
 # before any new ones.
@@ -147,15 +149,23 @@
         self.links = links
         self.frames = FrameCodec(links.secret, links.identity.greeting())
         self.sender = ""  # "": not known yet
+        self.greeting_timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Send the greeting."""
         self.transport = cast(asyncio.Transport, transport)
         self.links.inbound.add(self)
         self.transport.write(self.frames.greeting_frame())
+        self.greeting_timer = asyncio.get_running_loop().call_later(GREETING_TIMEOUT_S, self._on_silent)
+        without_greeting = sum(not connection.has_greeted() for connection in self.links.inbound)
+        if without_greeting > MAX_WITHOUT_GREETING:
+            self.links.refused_connections += 1
+            self.abort()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Remove the connection."""
+        if self.greeting_timer is not None:
+            self.greeting_timer.cancel()
         self.links.inbound.discard(self)
         self.transport = None
 
@@ -164,7 +174,7 @@
         try:
             for body in self.frames.decode_bodies(data):
                 self._handle(body)
-        except (ConsensusError, KeyError, TypeError, msgspec.DecodeError) as error:
+        except (ConsensusError, KeyError, TypeError, RecursionError, msgspec.DecodeError) as error:
             self.links.refused_connections += 1
             log_line(f"store: a connection is refused: {error}")
             self.abort()
@@ -173,6 +183,10 @@
         """Send a reply to a tool, if it is still connected; in place of one without a frame, the reason."""
         if self.transport is None:
             return
+        if self.transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
+            log_line("store: a tool that reads no replies is disconnected")
+            self.abort()
+            return
         try:
             frame = self.frames.encode(message)
         except FrameError as error:
@@ -180,6 +194,16 @@
             frame = self.frames.encode(encode_reply(ResultReply(done=False, why=str(error))))
         self.transport.write(frame)
 
+    def has_greeted(self) -> bool:
+        """Whether the other side has proved that it has the secret."""
+        return self.frames.peer_greeting is not None
+
+    def _on_silent(self) -> None:
+        """Close a connection of which nothing is known: others need its descriptor."""
+        if not self.has_greeted():
+            self.links.refused_connections += 1
+            self.abort()
+
     def _handle(self, body: bytes) -> None:
         if not self.sender:
             self.sender = self._verify_sender()
--- a/ploverspoke/leases/server.py
+++ b/ploverspoke/leases/server.py
@@ -1,6 +1,6 @@
 """The server for holders: authenticated frames, and one current connection for each holder."""
 
-from ploverspoke.consensus.framed_server import FramedConnection, FramedServer
+from ploverspoke.consensus.framed_server import FramedConnection, FramedServer, RegistrationLimits
 from ploverspoke.consensus.framing import FrameError
 
 from .errors import HolderIdError, LeaseMessageError
@@ -8,6 +8,8 @@
 from .server_node import LeaseServerNode
 
 MAX_HOLDER_ID_LENGTH = 128  # characters
+GREETING_TIMEOUT_S = 5.0  # from accepting a connection to its greeting; a holder may have no request for long
+MAX_WITHOUT_GREETING = 256  # connections
 
 
 class LeaseServer(FramedServer):
@@ -18,7 +20,8 @@
 
     def __init__(self, node: LeaseServerNode) -> None:
         """Register this server as the one through which the node's manager responds."""
-        super().__init__(node.config.secret)
+        limits = RegistrationLimits(GREETING_TIMEOUT_S, MAX_WITHOUT_GREETING, until_greeting=True)
+        super().__init__(node.config.secret, limits)
         self.node = node
         node.send_to_holder = self.send_response
 
--- a/tests/consensus/test_peer_links.py
+++ b/tests/consensus/test_peer_links.py
@@ -86,3 +86,48 @@
         receiver.close()
 
     uvloop.run(asyncio.wait_for(scenario(), 20))
+
+
+def test_connections_without_a_greeting_are_closed_and_leave_room_for_tools(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(peer_links, "GREETING_TIMEOUT_S", 0.2)
+    secret = b"a secret of the test"
+
+    async def scenario() -> None:
+        port = reserve_ports(1)[0]
+        links = peer_links.PeerLinks(secret, peer_links.PeerIdentity("b.1", "s"), print, print)
+        await links.open("127.0.0.1", port)
+        silent = [await asyncio.open_connection("127.0.0.1", port) for _ in range(100)]
+        await until(lambda: len(links.inbound) <= peer_links.MAX_WITHOUT_GREETING)
+        sender = peer_links.PeerLinks(secret, peer_links.PeerIdentity("a.1", "s"), print, print)
+        await until(lambda: not links.inbound)
+        sender.set_peers({"b.1": f"127.0.0.1:{port}"})
+        await until(lambda: "b.1" in sender.outbound and sender.outbound["b.1"].ready)
+        await asyncio.sleep(0.4)
+        assert len(links.inbound) == 1 and sender.outbound["b.1"].ready, "silent after its greeting"
+        for _, writer in silent:
+            writer.close()
+        sender.close()
+        links.close()
+
+    uvloop.run(asyncio.wait_for(scenario(), 20))
+
+
+def test_a_tool_that_reads_no_replies_is_disconnected() -> None:
+    secret = b"a secret of the test"
+
+    async def scenario() -> None:
+        port = reserve_ports(1)[0]
+        identity = peer_links.PeerIdentity("b.1", "s")
+        links = peer_links.PeerLinks(secret, identity, print, lambda _, reply: reply(["x" * 1_000_000]))
+        await links.open("127.0.0.1", port)
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        frames = FrameCodec(secret, {"id": peer_links.ADMIN_CLIENT_ID, "store": ""})
+        frames.decode_bodies(await reader.read(4096))
+        writer.write(frames.greeting_frame() + b"".join(frames.encode(["status"]) for _ in range(100)))
+        await until(lambda: not links.inbound)
+        writer.close()
+        links.close()
+
+    uvloop.run(asyncio.wait_for(scenario(), 20))
