--- a/ploverspoke/service/service.py
+++ b/ploverspoke/service/service.py
@@ -187,6 +187,7 @@
             self.pool.resize(resources.worker_connections)
             self.client_server.max_sessions = resources.client_connections
             self.memory.set_limit(resources.held_bytes)
+            self.client_server.make_room()
 
     # ---- Changes of the configuration ----
 
--- a/tests/limits/crowd_harness.py
+++ b/tests/limits/crowd_harness.py
@@ -49,7 +49,7 @@
         """Start workers, discovery and the program, and wait until it is ready."""
         discovery = await self.harness.start_workers_and_discovery(3)
         self.harness.behaviours = dict.fromkeys(("w0", "w1", "w2"), self._serve)
-        path = self.folder / "config.json"
+        self.config_path = self.folder / "config.json"
         self.log = self.folder / "log.txt"
         grades = [*SETTINGS["ServiceGrades"], WAIT_CLASS]
         document = {
@@ -59,14 +59,18 @@
             "limits": self.limits,
             "settings": {**SETTINGS, "ServiceGrades": grades},
         }
-        path.write_text(json.dumps(document))
+        self.config_path.write_text(json.dumps(document))
+        await self.start_program()
+
+    async def start_program(self) -> None:
+        """Start the program, and wait until it is ready."""
         run = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
         set_limit = f"ulimit -n {self.limits['sockets']}"
         with self.log.open("wb") as log:
             self.process = await asyncio.create_subprocess_exec(
                 *("/bin/sh", "-c", f"{set_limit}; {run}"),
                 cwd=ROOT,
-                env={**os.environ, "RELAY_CONFIG": str(path), "TMPDIR": str(self.folder)},
+                env={**os.environ, "RELAY_CONFIG": str(self.config_path), "TMPDIR": str(self.folder)},
                 stderr=log,
             )
         if self.on_spawned is not None:
--- a/tests/limits/test_repeated_ids.py
+++ b/tests/limits/test_repeated_ids.py
@@ -9,7 +9,8 @@
 
 import pytest
 
-from tests.routing.harness import ServiceHarness, run_script
+from tests.limits.crowd_harness import CrowdedDispatcher
+from tests.routing.harness import ServiceHarness, run_on_loop, run_script
 from tests.routing.http_messages import Headers, chunk
 from tests.routing.worker_behaviours import stay_silent
 from tests.service.handover_harness import ReplacedDispatcher, exit_code
@@ -106,6 +107,25 @@
     run_replacements(listening, tmp_path, script)
 
 
+def test_restarted_program_with_the_same_folder_refuses_an_id_that_was_sent_before(tmp_path: Path) -> None:
+    async def run() -> None:
+        dispatcher = CrowdedDispatcher(tmp_path, 64, descriptors=256)
+        await dispatcher.start()
+        harness = dispatcher.harness
+        try:
+            await send_and_leave(harness, "again")
+            dispatcher.process.kill()
+            await dispatcher.process.wait()
+            await dispatcher.start_program()
+            assert await status_of(harness, "again") == 409
+            assert await status_of(harness, "another") == 200
+            assert harness.attempt_count("again") == 1
+        finally:
+            await dispatcher.stop()
+
+    run_on_loop(run)
+
+
 @pytest.mark.parametrize("unread_mib", [1, 12])
 def test_nothing_is_sent_for_a_client_that_closed_with_much_unread(unread_mib: int) -> None:
     async def script(harness: ServiceHarness) -> None:
