--- a/ploverspoke/service/service.py
+++ b/ploverspoke/service/service.py
@@ -28,7 +28,11 @@
 from ploverspoke.transport.loop_meter import ConnectionKind
 from ploverspoke.transport.memory_account import MemoryAccount
 from ploverspoke.transport.rate_limited_log import log_line
-from ploverspoke.transport.resource_limits import request_id_bytes, split_resources
+from ploverspoke.transport.resource_limits import (
+    held_bytes_beside_successor,
+    request_id_bytes,
+    split_resources,
+)
 from ploverspoke.transport.units import MILLISECOND, SECOND
 
 from .config import NO_PEERS_MESSAGE, Config, read_config
@@ -109,6 +113,7 @@
         self.shared_directory = environment.get("TMPDIR")
         if self.listening_socket is not None:
             self.process_registry = ProcessRegistry(environment.get("TMPDIR"))
+            self._set_memory_limit(self.memory.limit)
 
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT. Raises OSError if an address cannot be listened on."""
@@ -171,6 +176,13 @@
         ):
             await asyncio.sleep(FIRST_LIST_CHECK_INTERVAL / SECOND)
 
+    def _set_memory_limit(self, held_bytes: int) -> None:
+        """Set the limit of the account, and leave room for a successor where the socket is passed to one."""
+        if self.listening_socket is not None and self.process_count == 1:
+            held_bytes = min(held_bytes, held_bytes_beside_successor(self.config.memory_limit))
+        self.memory.set_limit(held_bytes)
+        self.client_server.make_room()
+
     def _update_process_count(self) -> None:
         """Divide the limits of the dispatcher among its current processes."""
         # First, since an error below must not be the last look at the other processes.
@@ -186,8 +198,7 @@
             resources = split_resources(self.descriptor_limit, self.config.memory_limit, process_count)
             self.pool.resize(resources.worker_connections)
             self.client_server.max_sessions = resources.client_connections
-            self.memory.set_limit(resources.held_bytes)
-            self.client_server.make_room()
+            self._set_memory_limit(resources.held_bytes)
 
     # ---- Changes of the configuration ----
 
--- a/ploverspoke/transport/resource_limits.py
+++ b/ploverspoke/transport/resource_limits.py
@@ -35,6 +35,14 @@
     return memory // REQUEST_ID_SHARE
 
 
+def held_bytes_beside_successor(memory: int) -> int:
+    """Return the limit of the memory account of a process that a second one may join at any moment.
+
+    The second one has its base memory before the first one sees it and halves its limits.
+    """
+    return max(MIN_HELD, int((memory - 2 * BASE_MEMORY - request_id_bytes(memory)) * HELD_FRACTION))
+
+
 def split_resources(descriptors: int, memory: int, processes: int = 1) -> ResourceLimits:
     """Return the limits of one of `processes` equal processes that share `descriptors` and `memory` bytes."""
     descriptors, memory = descriptors // processes, memory // processes
