--- a/ploverspoke/consensus/node.py
+++ b/ploverspoke/consensus/node.py
@@ -21,7 +21,8 @@
 from .isolated_callbacks import isolated
 from .log import PlainValue, StateMachine
 from .membership import Member, Members, find_by_name
-from .peer_links import PeerIdentity, PeerLinks, Reply
+from .peer_identity import PeerIdentity
+from .peer_links import PeerLinks, Reply
 from .proposal_queue import Command, CommitCallback, ProposalQueue
 from .raft_state import RaftTimeouts, Role
 from .replica import Replica, RoleListener, Runtime
--- a/ploverspoke/consensus/peer_links.py
+++ b/ploverspoke/consensus/peer_links.py
@@ -18,6 +18,7 @@
 from .admin_messages import ResultReply, encode_reply
 from .errors import ConsensusError
 from .framing import FrameCodec, FrameError
+from .peer_identity import GreetingError, PeerIdentity, peer_identity, wrong_cluster_reason
 from .wire_messages import Message, decode_message
 
 RECONNECT_DELAY_S = 0.1
@@ -35,17 +36,6 @@
 AdminRequestHandler = Callable[[object, Reply], None]
 
 
-class PeerIdentity(NamedTuple):
-    """How a replica identifies itself in its greeting."""
-
-    replica_id: str
-    cluster_fingerprint: str
-
-    def greeting(self) -> dict[str, str]:
-        """Return the fields of the greeting that is sent."""
-        return {"id": self.replica_id, "store": self.cluster_fingerprint}
-
-
 class ConnectedPeer(NamedTuple):
     """A peer that this replica connects to."""
 
@@ -53,15 +43,6 @@
     task: asyncio.Task[None]  # reconnects whenever the connection is lost
 
 
-class GreetingError(ConsensusError):
-    """The greeting of the other side is incomplete, or not from the expected replica or cluster."""
-
-    def __init__(self, reason: str) -> None:
-        """Keep the reason."""
-        super().__init__(reason)
-        self.reason = reason
-
-
 class PeerLinks:
     """All connections of one replica with its peers and with tools."""
 
@@ -306,16 +287,3 @@
         assert self.transport is not None
         self._written_bytes += len(data)
         self.transport.write(data)
-
-
-def peer_identity(frames: FrameCodec) -> PeerIdentity:
-    """Return the identity in the greeting of the other side. Raises GreetingError."""
-    greeting = frames.peer_greeting
-    if greeting is None or "id" not in greeting or "store" not in greeting:
-        raise GreetingError(reason="the greeting lacks id or store")
-    return PeerIdentity(str(greeting["id"]), str(greeting["store"]))
-
-
-def wrong_cluster_reason(replica_id: str) -> str:
-    """Return the reason for refusing a replica of another cluster."""
-    return f"{replica_id} belongs to another store, or was started with other replicas"
--- a/ploverspoke/routing/client_input.py
+++ b/ploverspoke/routing/client_input.py
@@ -1,9 +1,11 @@
 """What a client has sent: unparsed bytes, parsed requests that wait to be handled, and what was dropped."""
 
 from collections import deque
+from collections.abc import Callable
 
-from ploverspoke.protocol.clients import HttpRequest, RequestListener, RequestReader
+from ploverspoke.protocol.clients import CONTINUE_RESPONSE, HttpRequest, RequestReader
 from ploverspoke.protocol.errors import HttpSyntaxError
+from ploverspoke.protocol.http_messages import Headers
 from ploverspoke.protocol.message_costs import message_cost
 from ploverspoke.transport.connections import Connection
 from ploverspoke.transport.memory_account import MemoryHolding, MemoryKind
@@ -14,13 +16,17 @@
 MAX_DROPPED_BYTES = 8 * 1024 * 1024  # read and dropped beyond that; then the open request is given up
 
 
+HeadCheck = Callable[[str, str, Headers], None]  # of method, target and headers; raises HttpSyntaxError
+
+
 class ClientInput:
-    """The input of one connection; what it holds is counted in the account of the connection."""
+    """The input of one connection, counted in the connection's account; implements `RequestListener`."""
 
-    def __init__(self, connection: Connection, listener: RequestListener) -> None:
-        """The reader reports to `listener`, which adds complete requests with `add_request`."""
+    def __init__(self, connection: Connection, check_head: HeadCheck) -> None:
+        """`check_head` may refuse a request before its body is read."""
         self.connection = connection
-        self.reader = RequestReader(listener)
+        self.check_head = check_head
+        self.reader = RequestReader(self)
         self.queue: deque[HttpRequest] = deque()  # read but not handled yet
         self.queue_cost = 0  # bytes
         self.failure: HttpSyntaxError | None = None  # from the reader; sent after all earlier responses
@@ -39,11 +45,31 @@
         """Whether memory is held beyond that of an idle connection."""
         return self.reader.in_message or self.has_work()
 
-    def add_request(self, request: HttpRequest) -> None:
+    # ---- Reports of the reader ----
+
+    def on_request_head(self, method: str, target: str, headers: Headers) -> None:
+        """Check a request before its body is read. Raises HttpSyntaxError."""
+        self.check_head(method, target, headers)
+
+    def on_continue_expected(self) -> None:
+        """Ask for the body, unless a response must be sent first."""
+        if not self.queue:
+            self.connection.write(CONTINUE_RESPONSE)
+
+    def on_request(self, request: HttpRequest) -> None:
         """Queue a complete request."""
         self.queue.append(request)
         self.queue_cost += _cost(request)
 
+    # ---- What the session does ----
+
+    def known_targets(self) -> list[str]:
+        """The targets of the requests that are read, at least their heads, and not handled."""
+        targets = [request.target for request in self.queue]
+        if self.reader.in_message and not self.reader.in_head:
+            targets.append(self.reader.request_target)
+        return targets
+
     def next_request(self) -> HttpRequest:
         """Remove and return the oldest queued request."""
         request = self.queue.popleft()
@@ -100,6 +126,7 @@
         """Drop everything: the connection has ended."""
         self.clear()
         self.reader.close()
+        del self.check_head
 
     def _update_holding(self) -> None:
         self.holding.set(self.reader.held_bytes() + self.queue_cost)
--- a/ploverspoke/routing/client_session.py
+++ b/ploverspoke/routing/client_session.py
@@ -6,33 +6,27 @@
 from ploverspoke.protocol.clients import HttpRequest
 from ploverspoke.protocol.errors import HttpSyntaxError, MessageTooLongError
 from ploverspoke.transport.connections import Connection
-from ploverspoke.transport.deadlines import Deadline
 from ploverspoke.transport.rate_limited_log import log_line
-from ploverspoke.transport.units import MILLISECOND, SECOND
 
 from .answers import FinalAnswer
 from .client_input import ClientInput
 from .client_session_owner import ClientSessionOwner
+from .client_timeouts import ClientTimeout, ClientTimeouts, InputState
 from .close_reasons import CloseReason, reason_after_response
 from .request_admission import NotAdmitted
 from .request_journal import CapacityLimit
 from .requests import Request
 from .responses import OWN_TARGET_PREFIX, UNSUCCESSFUL_RESPONSES, redirect_response, status_response
 
-REQUEST_TIMEOUT_NS = 2500 * MILLISECOND  # to receive a whole request; the first is timed from the connect
-RESPONSE_TIMEOUT_NS = 10 * SECOND  # for the client to read a response
-CLOSE_TIMEOUT_NS = SECOND  # for the client to read the last response
-INPUT_DELAY_NS = 300 * MILLISECOND  # added once if a request has been received and is not parsed yet
-
 
 class ClientSession:
-    """Owner of one client's connection; implements `Client`, `RequestListener` and `TurnUser`."""
+    """Owner of one client's connection; implements `Client` and `TurnUser`."""
 
     def __init__(self, server: "ClientSessionOwner[ClientSession]", connection: Connection) -> None:
         """Start reading; the server is notified when the connection has ended."""
         self.server = server
         self.connection = connection
-        self.input = ClientInput(connection, self)
+        self.input = ClientInput(connection, server.router.admission.check_head)
         self.request: Request | None = None  # admitted but not answered yet
         self.is_answering = False  # a request is being handled
         self.is_draining = False  # a request waits until all that was sent behind it is read
@@ -42,10 +36,9 @@
         self.was_served = False  # a request of this session was admitted
         self.is_excess = False  # beyond the limit on sessions: its request is rejected
         self.idle_since = server.deadlines.now()
-        self.is_deadline_extended = False
-        self.deadline: Deadline | None = None  # for the client to send a request or read its response
+        self.timeouts = ClientTimeouts(server.deadlines, self._input_state, self._on_timeout)
         connection.user = self
-        self._update_deadline()
+        self._update_timeouts()
 
     def is_idle(self) -> bool:
         """Whether the client has received all its responses and has sent nothing since."""
@@ -73,7 +66,7 @@
             self._read_ahead()
         else:
             self.input.limit_reading()
-            self._want_turn()
+            self.server.turns.add(self)
         self._note_memory()
 
     def on_disconnected(self) -> None:
@@ -81,7 +74,7 @@
         self.is_closing = True
         self.server.remove_session(self)
         self.input.close()
-        self.server.deadlines.cancel(self.deadline)
+        self.timeouts.close()
         request, self.request = self.request, None
         self.server.router.request_journal.client_closed(self.close_reason, request)
         if request is not None:
@@ -97,7 +90,7 @@
         if self.is_draining and self.input.is_dropping():
             self.reject_input(CapacityLimit.MEMORY)
         elif self.is_draining:
-            self._want_turn()
+            self.server.turns.add(self)
         elif self.input.has_sent_far_too_much() and self.request is not None:
             # The client's end could not be noticed behind its data: the request is not waited for any longer.
             self.server.router.completion.give_up(self.request)
@@ -118,27 +111,23 @@
             self._refuse(self.input.failure)
         elif len(self.connection.buffer):
             self.input.parse_some()
-        self._update_deadline()
+        self._update_timeouts()
         self._note_memory()
-        is_waiting = self.is_answering or self.is_closing or self.is_draining
-        return not is_waiting and self.input.has_work()
+        return self.input.has_work() and not (self.is_answering or self.is_closing or self.is_draining)
 
     def on_turn_failed(self) -> None:
-        """Answer the request whose handling failed, and close."""
-        if not self.is_closing:
+        """Answer, and close; a request that was admitted before the failure gets its answer as usual."""
+        if not self.is_closing and self.request is None:
             self.keep_alive = False
             self._respond(500, b"a fault of ours")
 
-    def _want_turn(self) -> None:
-        self.server.turns.add(self)
-
     def _continue(self) -> None:
         """Read and handle what the client sends next."""
         if self.input.has_work() or self.input.is_dropping():
-            self._want_turn()
+            self.server.turns.add(self)
         else:
             self.connection.set_reading_paused(False)
-        self._update_deadline()
+        self._update_timeouts()
 
     def _take_request(self) -> None:
         """Handle the next request once all that the client has sent is read.
@@ -160,26 +149,22 @@
     def _note_memory(self) -> None:
         """Tell the server whether this session holds memory that it may be asked to give up."""
         has_input = self.input.is_holding() and not self.is_closing
-        is_holding = has_input or self.connection.has_unsent_data
-        self.server.note_memory(self, is_holding and self.connection.is_open)
+        is_holding = self.connection.is_open and (has_input or self.connection.has_unsent_data)
+        self.server.note_memory(self, is_holding)
 
     def give_up_memory(self) -> None:
         """Give back what this session holds, since the limit is reached; its client gets an answer."""
         if self.is_answering:
             self.input.drop_ahead()
         elif self.is_closing or self.connection.has_unsent_data:
-            self.close_reason = CloseReason.RESPONSE_NOT_READ
-            self.connection.abort()
+            self._abort(CloseReason.RESPONSE_NOT_READ)
         else:
             self.reject_input(CapacityLimit.MEMORY)
 
     def reject_input(self, limit: CapacityLimit) -> None:
         """Reject the requests that were read, and close."""
-        reader, admission = self.input.reader, self.server.router.admission
-        for message in self.input.queue:
-            admission.count_rejected(message.target, limit)
-        if reader.in_message and not reader.in_head:
-            admission.count_rejected(reader.request_target, limit)
+        for target in self.input.known_targets():
+            self.server.router.admission.count_rejected(target, limit)
         self.input.drop_ahead()
         self.is_draining = False
         self.keep_alive = False
@@ -188,20 +173,6 @@
 
     # ---- Requests ----
 
-    def on_request_head(self, method: str, target: str, headers: dict[str, str]) -> None:
-        """Check a request before its body is read. Raises HttpSyntaxError."""
-        if not target.startswith(OWN_TARGET_PREFIX):
-            self.server.router.admission.check_head(method, target, headers)
-
-    def on_request(self, request: HttpRequest) -> None:
-        """Queue a complete request."""
-        self.input.add_request(request)
-
-    def on_continue_expected(self) -> None:
-        """Ask for the body, unless a response must be sent first."""
-        if not self.is_answering and not self.input.queue:
-            self.connection.write(clients.CONTINUE_RESPONSE)
-
     def _handle(self, message: HttpRequest) -> None:
         self.keep_alive = message.keep_alive and not self.is_excess
         if message.target.startswith(OWN_TARGET_PREFIX):
@@ -254,11 +225,11 @@
 
     def has_disconnected(self) -> bool:
         """Whether the client has closed its connection; if so, this side closes it as well."""
-        is_closed = self.connection.is_closed_by_peer()
-        if is_closed:
-            # While reading is paused, or before the loop runs again, the disconnect would be seen too late.
-            self.connection.abort()
-        return is_closed
+        if not self.connection.is_closed_by_peer():
+            return False
+        # While reading is paused, or before the loop runs again, the disconnect would be seen too late.
+        self.connection.abort()
+        return True
 
     def disconnect(self) -> None:
         """Close the connection without an answer."""
@@ -291,55 +262,36 @@
         if isinstance(self.input.failure, MessageTooLongError):
             self.connection.set_reading_paused(True)  # the client may have much more to send
         self.connection.shut_down_writing()
-        self.server.deadlines.cancel(self.deadline)
-        abort_at = self.server.deadlines.now() + CLOSE_TIMEOUT_NS
-        self.deadline = self.server.deadlines.schedule(abort_at, self.connection.abort)
+        self.timeouts.abort_later(self.connection.abort)
 
     # ---- Slow clients ----
 
-    def _update_deadline(self) -> None:
-        """Set a deadline while the client has to send a whole request or to read its response."""
-        if self.is_closing:
-            return
-        has_to_send = (self.input.reader.in_message or not self.was_served) and not self.is_answering
-        if not has_to_send and not self.connection.has_unsent_data:
-            self.server.deadlines.cancel(self.deadline)
-            self.deadline = None
-        elif self.deadline is None:
-            # Set only once, so that a client that sends byte by byte does not extend it.
-            self.is_deadline_extended = False
-            self._set_deadline(REQUEST_TIMEOUT_NS if has_to_send else RESPONSE_TIMEOUT_NS)
-
-    def _set_deadline(self, timeout: int) -> None:
-        now = self.server.deadlines.now()
-        self.deadline = self.server.deadlines.schedule(now + timeout, self._on_timeout)
-
-    def _on_timeout(self) -> None:
-        self.deadline = None
+    def _update_timeouts(self) -> None:
+        if not self.is_closing:
+            self.timeouts.update(self._has_to_send(), self.connection.has_unsent_data)
+
+    def _has_to_send(self) -> bool:
+        """Whether the client has begun a request, or has sent none at all."""
+        return (self.input.reader.in_message or not self.was_served) and not self.is_answering
+
+    def _input_state(self) -> InputState:
+        has_input = self.input.has_work() or self.connection.has_unread_data()
+        is_behind = has_input and not self.is_answering
+        return InputState(self._has_to_send(), self.connection.has_unsent_data, is_behind)
+
+    def _on_timeout(self, timeout: ClientTimeout) -> None:
         if self.is_closing:
             return
-        if self.connection.has_unsent_data:
+        if timeout is ClientTimeout.RESPONSE_NOT_READ:
             self._abort(CloseReason.RESPONSE_NOT_READ)
-        elif self.is_answering:
-            return
-        elif self._is_behind():
-            self._extend_deadline()
+        elif timeout is ClientTimeout.REQUEST_NOT_PARSED:
+            self.reject_input(CapacityLimit.PROCESSOR)
         elif self.input.reader.in_message:
             self._respond(408, b"the request did not come whole")
         else:
             self._abort(CloseReason.NOTHING_SENT)
 
-    def _is_behind(self) -> bool:
-        """Whether the client may have sent its request in time, and only this side is late."""
-        return self.input.has_work() or self.connection.has_unread_data()
-
-    def _extend_deadline(self) -> None:
-        if self.is_deadline_extended:
-            self.reject_input(CapacityLimit.PROCESSOR)
-        else:
-            self.is_deadline_extended = True
-            self._set_deadline(INPUT_DELAY_NS)
-
     def _abort(self, reason: CloseReason) -> None:
+        """Close the connection at once."""
         self.close_reason = reason
         self.connection.abort()
--- a/ploverspoke/routing/endpoint_watch.py
+++ b/ploverspoke/routing/endpoint_watch.py
@@ -1,7 +1,5 @@
 """A long-polling watch on one address of discovery: one request at a time, until a request fails."""
 
-from typing import Protocol
-
 from ploverspoke.protocol import discovery
 from ploverspoke.protocol.discovery import EndpointList
 from ploverspoke.protocol.errors import HttpSyntaxError, WatchRejectedError
@@ -13,6 +11,7 @@
 from ploverspoke.transport.units import MILLISECOND, SECOND
 
 from .watch_journal import CallOutcome, CallReason, WatchJournal
+from .watch_listener import WatchListener
 from .watch_pace import WatchPace
 
 MAX_CONNECTIONS = 2  # the next request may connect before the previous connection has closed completely
@@ -26,25 +25,6 @@
 MIN_IMMEDIATE_RETRY_INTERVAL_NS = SECOND  # for restarts of a broken watch that skip the backoff
 
 
-class WatchListener(Protocol):
-    """Receives the lists and the failures of a watch."""
-
-    def receive_list(self, body: bytes) -> EndpointList:
-        """Apply the list in a response body. Raises EndpointListError."""
-
-    def list_confirmed(self, as_of: int) -> None:
-        """Everything that discovery had at `as_of` (monotonic ns) has been received."""
-
-    def list_time_left(self) -> int | None:
-        """Time in ns until the list expires, negative after the expiry; None if it never expires."""
-
-    def call_timed_out(self, as_of: int) -> None:
-        """A call that began at `as_of` (ns) and requested an immediate response has timed out."""
-
-    def watch_failed(self, outcome: CallOutcome) -> None:
-        """The watch has ended with a failure."""
-
-
 class WatchRequest:
     """One watch request, from acquiring a connection to its end.
 
--- a/ploverspoke/routing/request_admission.py
+++ b/ploverspoke/routing/request_admission.py
@@ -23,6 +23,7 @@
 from .request_journal import CapacityLimit
 from .request_recorder import RequestRecorder
 from .requests import Request
+from .responses import OWN_TARGET_PREFIX
 
 # The final answer is due this long before the client times out, or a tenth of its timeout if that is less.
 MAX_ANSWER_MARGIN_NS = 20 * MILLISECOND
@@ -51,7 +52,12 @@
         self.request_ids = RequestIds(context.deadlines)
 
     def check_head(self, method: str, target: str, headers: dict[str, str]) -> None:
-        """Check whether a request with this head can be admitted at all. Raises HttpSyntaxError."""
+        """Check whether a request with this head can be admitted at all. Raises HttpSyntaxError.
+
+        A request that the dispatcher itself answers is not checked here.
+        """
+        if target.startswith(OWN_TARGET_PREFIX):
+            return
         class_number = None if self._is_recorded(headers) else self._class_number(target)
         if method != "POST":
             raise MethodNotAllowedError(reason="submissions come by POST")
--- a/ploverspoke/service/service.py
+++ b/ploverspoke/service/service.py
@@ -4,13 +4,9 @@
 import os
 import signal
 import socket
-import traceback
 from collections.abc import Callable, Mapping
 from dataclasses import replace
 from functools import partial
-from typing import Any
-
-import uvloop
 
 from ploverspoke.protocol.discovery import parse_endpoint_list
 from ploverspoke.routing.active_settings import ActiveSettings
@@ -36,13 +32,15 @@
 from ploverspoke.transport.units import MILLISECOND, SECOND
 
 from .config import NO_PEERS_MESSAGE, Config, read_config
+from .config_changes import log_unapplied_keys
 from .config_reader import ConfigError, InvalidValueError, first_missing_key
 from .descriptor_limit import usable_descriptors
+from .event_loop import new_event_loop
 from .exit_codes import run_with_exit_code
 from .handover import ProcessRegistry
 from .inherited_socket import open_inherited_socket
 from .shared_request_ids import open_request_ids
-from .shutdown import ShutdownSchedule, shutdown_schedule
+from .shutdown import ShutdownSchedule, longest_deadline, shutdown_schedule
 from .startup import BLOCKED_SIGNALS, block_signals
 
 FIRST_LIST_TIMEOUT = 1500 * MILLISECOND  # wait for discovery's first answer while a predecessor serves
@@ -142,12 +140,11 @@
 
     def _open_request_ids(self) -> None:
         """Open the table of ids, which a predecessor or successor with the same address shares."""
-        longest_deadline = max(request_class.deadline for request_class in self.config.settings.classes)
         opened = open_request_ids(
             self.shared_directory,
             ":".join(map(str, self.config.listen)),
             request_id_bytes(self.config.memory_limit),
-            max(MIN_AGE, 2 * longest_deadline),
+            max(MIN_AGE, 2 * longest_deadline(self.router.settings)),
         )
         self.router.admission.request_ids.table = opened.table
         has_predecessor = self.process_registry.count_others() > 0
@@ -189,9 +186,8 @@
         self.deadlines.schedule(self.deadlines.now() + PROCESS_COUNT_INTERVAL, self._update_process_count)
         process_count = 1 + self.process_registry.count_others()
         if process_count > 1 and self.may_lack_ids:
-            settings = self.router.settings
-            longest_deadline = max(settings.classes[number].deadline for number in settings.active_classes)
-            self.router.admission.request_ids.unknown_until = self.deadlines.now() + longest_deadline
+            unknown_until = self.deadlines.now() + longest_deadline(self.router.settings)
+            self.router.admission.request_ids.unknown_until = unknown_until
         if process_count != self.process_count:
             log_line(f"processes={process_count}: each gets an equal share of the descriptors and the memory")
             self.process_count = process_count
@@ -226,7 +222,7 @@
         settings_differ = new.settings != old.settings or new.names != old.names
         # A store records requests with their class numbers, so these must not change while it is in use.
         settings_are_fixed = self.router.recorder is not None
-        _log_unapplied_keys(old, new, settings_differ and settings_are_fixed)
+        log_unapplied_keys(old, new, settings_differ and settings_are_fixed)
         if new.discovery != old.discovery:
             log_line(f"new configuration: discovery is at {new.discovery} now")
             self.router.endpoints.change_address(new.discovery)
@@ -276,36 +272,9 @@
             self.router.completion.answer_all()
 
 
-def _log_unapplied_keys(old: Config, new: Config, settings_unapplied: bool) -> None:
-    """Log the changed keys that take effect only at the next start."""
-    for key, is_unapplied in (
-        ("name", new.name != old.name),
-        ("listen", new.listen != old.listen),
-        ("admin_addr", new.admin_address != old.admin_address),
-        ("peers", new.peers != old.peers),
-        (
-            "limits",
-            (new.descriptor_limit, new.memory_limit) != (old.descriptor_limit, old.memory_limit),
-        ),
-        ("settings", settings_unapplied),
-    ):
-        if is_unapplied:
-            log_line(f"new configuration: {key} stays as it was until the next start")
-
-
-def log_loop_error(loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
-    """Log an exception that no callback handled; the default handler writes without a limit on the rate."""
-    error = context.get("exception")
-    trace = "".join(traceback.format_exception(error)) if isinstance(error, BaseException) else ""
-    log_line(f"an error in the event loop: {context.get('message')} {trace}")
-
-
 def create_service(config: Config) -> Service:
     """Build a dispatcher on a new event loop, which becomes the current event loop of this thread."""
-    loop = uvloop.new_event_loop()
-    asyncio.set_event_loop(loop)
-    loop.set_exception_handler(log_loop_error)
-    return Service(loop, config)
+    return Service(new_event_loop(), config)
 
 
 def run_service(service: Service) -> None:
--- a/ploverspoke/service/shutdown.py
+++ b/ploverspoke/service/shutdown.py
@@ -27,6 +27,11 @@
     check_interval: int  # between two checks for remaining clients
 
 
+def longest_deadline(settings: Settings) -> int:
+    """Return the longest deadline of the active classes, in ns."""
+    return max(settings.classes[number].deadline for number in settings.active_classes)
+
+
 def shutdown_schedule(settings: Settings, shares_socket: bool) -> ShutdownSchedule:
     """Return the schedule for these settings.
 
@@ -34,8 +39,7 @@
     request, so the shutdown ends before that. `shares_socket`: another process has the same listening socket,
     and each answer makes its client reconnect to that process.
     """
-    longest_deadline = max(settings.classes[number].deadline for number in settings.active_classes)
-    finish_time = min(MAX_FINISH_TIME, longest_deadline)
+    finish_time = min(MAX_FINISH_TIME, longest_deadline(settings))
     return ShutdownSchedule(
         accept_until=0 if shares_socket else ACCEPT_TIME,
         serve_until=HANDOVER_SERVE_TIME if shares_socket else ACCEPT_TIME + finish_time // 2,
--- a/tests/consensus/test_peer_links.py
+++ b/tests/consensus/test_peer_links.py
@@ -9,6 +9,7 @@
 from ploverspoke.consensus import peer_links
 from ploverspoke.consensus.admin_messages import StatusRequest
 from ploverspoke.consensus.framing import MAX_BODY_BYTES, FrameCodec
+from ploverspoke.consensus.peer_identity import PeerIdentity
 from ploverspoke.consensus.replica_client import RequestRejectedError, call_replica
 from ploverspoke.consensus.wire_messages import TimeoutNow
 from ploverspoke.testbed.processes.addresses import reserve_ports
@@ -33,7 +34,7 @@
     async def scenario() -> None:
         loop = asyncio.get_running_loop()
         server = await loop.create_server(PeerThatDoesNotRead, "127.0.0.1", 0)
-        identity = peer_links.PeerIdentity("a.1", "s")
+        identity = PeerIdentity("a.1", "s")
         links = peer_links.PeerLinks(secret, identity, lambda *_: None, lambda *_: None)
         links.set_peers({"b.1": f"127.0.0.1:{server.sockets[0].getsockname()[1]}"})
         await until(lambda: "b.1" in links.outbound and links.outbound["b.1"].ready)
@@ -67,12 +68,12 @@
         port = reserve_ports(1)[0]
         receiver = peer_links.PeerLinks(
             secret,
-            peer_links.PeerIdentity("b.1", "s"),
+            PeerIdentity("b.1", "s"),
             lambda _, message: received.append(message),
             lambda _, reply: reply(["x" * MAX_BODY_BYTES]),
         )
         await receiver.open("127.0.0.1", port)
-        sender = peer_links.PeerLinks(secret, peer_links.PeerIdentity("a.1", "s"), print, print)
+        sender = peer_links.PeerLinks(secret, PeerIdentity("a.1", "s"), print, print)
         sender.set_peers({"b.1": f"127.0.0.1:{port}"})
         await until(lambda: "b.1" in sender.outbound and sender.outbound["b.1"].ready)
         for too_much in ("\ud83d", "x" * MAX_BODY_BYTES):
@@ -96,11 +97,11 @@
 
     async def scenario() -> None:
         port = reserve_ports(1)[0]
-        links = peer_links.PeerLinks(secret, peer_links.PeerIdentity("b.1", "s"), print, print)
+        links = peer_links.PeerLinks(secret, PeerIdentity("b.1", "s"), print, print)
         await links.open("127.0.0.1", port)
         silent = [await asyncio.open_connection("127.0.0.1", port) for _ in range(100)]
         await until(lambda: len(links.inbound) <= peer_links.MAX_WITHOUT_GREETING)
-        sender = peer_links.PeerLinks(secret, peer_links.PeerIdentity("a.1", "s"), print, print)
+        sender = peer_links.PeerLinks(secret, PeerIdentity("a.1", "s"), print, print)
         await until(lambda: not links.inbound)
         sender.set_peers({"b.1": f"127.0.0.1:{port}"})
         await until(lambda: "b.1" in sender.outbound and sender.outbound["b.1"].ready)
@@ -119,7 +120,7 @@
 
     async def scenario() -> None:
         port = reserve_ports(1)[0]
-        identity = peer_links.PeerIdentity("b.1", "s")
+        identity = PeerIdentity("b.1", "s")
         links = peer_links.PeerLinks(secret, identity, print, lambda _, reply: reply(["x" * 1_000_000]))
         await links.open("127.0.0.1", port)
         reader, writer = await asyncio.open_connection("127.0.0.1", port)
--- a/tests/consensus/test_wire_messages.py
+++ b/tests/consensus/test_wire_messages.py
@@ -9,7 +9,8 @@
 from ploverspoke.consensus.framing import FrameCodec
 from ploverspoke.consensus.log import Entry, EntryKind
 from ploverspoke.consensus.membership import Member
-from ploverspoke.consensus.peer_links import InboundConnection, PeerIdentity, PeerLinks
+from ploverspoke.consensus.peer_identity import PeerIdentity
+from ploverspoke.consensus.peer_links import InboundConnection, PeerLinks
 from ploverspoke.consensus.wire_messages import (
     AppendEntries,
     MessageError,
