--- a/ploverspoke/protocol/clients.py
+++ b/ploverspoke/protocol/clients.py
@@ -7,7 +7,7 @@
 from ploverspoke.transport.units import MICROSECOND, MILLISECOND, SECOND
 
 from .errors import HttpSyntaxError, MessageTooLongError
-from .http_messages import MAX_BODY_SIZE, Headers, HttpMessageReader, encode_head
+from .http_messages import MAX_BODY_SIZE, MESSAGE_BYTES, Headers, HttpMessageReader, encode_head
 from .wire_names import REQUEST_INFO, REQUEST_TIMEOUT, SLOTS, WORK_HINT
 
 REASON_PHRASES = {
@@ -39,6 +39,7 @@
     headers: Headers
     body: bytes
     keep_alive: bool  # the client wants to reuse the connection
+    cost: int = 0  # of memory, in bytes
 
 
 class RequestListener(Protocol):
@@ -127,11 +128,10 @@
     def on_message_complete(self) -> None:
         """Report the complete request to the listener."""
         self.in_message = False
-        headers, body = self.headers, bytes(self.body)
+        headers, body, cost = self.headers, bytes(self.body), MESSAGE_BYTES + self.held_bytes()
         self.drop_message()
-        self.listener.on_request(
-            HttpRequest(self.request_method, self.request_target, headers, body, self.keeps_alive())
-        )
+        method, target = self.request_method, self.request_target
+        self.listener.on_request(HttpRequest(method, target, headers, body, self.keeps_alive(), cost))
 
 
 def request_class_name(target: str) -> str:
--- a/ploverspoke/protocol/http_messages.py
+++ b/ploverspoke/protocol/http_messages.py
@@ -11,6 +11,7 @@
 MAX_BODY_SIZE = 64 * 1024  # bytes
 TEXT_OBJECT_BYTES = 80  # of a string in the interpreter, beside its characters
 FIELD_BYTES = 2 * TEXT_OBJECT_BYTES + 64  # of a name and its value, with their place in a dictionary
+MESSAGE_BYTES = 1024  # of a message with its dictionary, method, target and place in a queue
 CHUNKING_OVERHEAD = 8  # bytes received for each byte of a body sent in the smallest possible chunks
 
 Headers: TypeAlias = dict[str, str]  # by header name; received names are in lower case
--- a/ploverspoke/routing/client_input.py
+++ b/ploverspoke/routing/client_input.py
@@ -6,7 +6,6 @@
 from ploverspoke.protocol.clients import CONTINUE_RESPONSE, HttpRequest, RequestReader
 from ploverspoke.protocol.errors import HttpSyntaxError
 from ploverspoke.protocol.http_messages import Headers
-from ploverspoke.protocol.message_costs import message_cost
 from ploverspoke.transport.connections import Connection
 from ploverspoke.transport.memory_account import MemoryHolding, MemoryKind
 
@@ -59,7 +58,7 @@
     def on_request(self, request: HttpRequest) -> None:
         """Queue a complete request."""
         self.queue.append(request)
-        self.queue_cost += _cost(request)
+        self.queue_cost += request.cost
 
     # ---- What the session does ----
 
@@ -73,7 +72,7 @@
     def next_request(self) -> HttpRequest:
         """Remove and return the oldest queued request."""
         request = self.queue.popleft()
-        self.queue_cost -= _cost(request)
+        self.queue_cost -= request.cost
         self._update_holding()
         return request
 
@@ -130,7 +129,3 @@
 
     def _update_holding(self) -> None:
         self.holding.set(self.reader.held_bytes() + self.queue_cost)
-
-
-def _cost(request: HttpRequest) -> int:
-    return message_cost(request.target, request.headers, request.body)
--- a/ploverspoke/routing/request_admission.py
+++ b/ploverspoke/routing/request_admission.py
@@ -77,9 +77,8 @@
             repeat_result = self._handle_repeat(self.recorder, client, message)
             if repeat_result is not None:
                 return repeat_result
-        # Checked again: the id may have been used, or the class removed, while the body was being received.
+        # Again, as below for the id: the class may have been removed while the body was being received.
         class_number = self._class_number(message.target)
-        self._check_id_is_unused(message.headers[REQUEST_ID], class_number)
         timeout = self._timeout(message, class_number)
         slots = clients.requested_slots(message.headers)
         work_hint = clients.work_hint(message.headers)
--- a/ploverspoke/routing/request_id_table.py
+++ b/ploverspoke/routing/request_id_table.py
@@ -77,7 +77,8 @@
         """Ids are kept for `min_age` ns at least. Raises IdTableError or another OSError."""
         self.storage = storage
         self.min_age = min_age
-        self._header()
+        header = self._header()
+        self.key, self.buckets = header.key, header.buckets  # they never change
 
     @classmethod
     def in_memory(cls, size: int, min_age: int) -> "RequestIdTable":
@@ -89,8 +90,8 @@
 
     def knows(self, request_id: str) -> bool:
         """Whether the id was claimed before. Raises OSError."""
-        header = self._header()
-        return self._contains(header, _hash(header, request_id))
+        value = self._hash(request_id)
+        return any(self._find(generation, value)[1] for generation in range(GENERATIONS))
 
     def claim(self, request_id: str) -> IdClaim:
         """Remember an id, unless it is known already."""
@@ -101,50 +102,45 @@
             return IdClaim.NOT_KNOWABLE
 
     def _claim(self, request_id: str) -> IdClaim:
-        header = self._header()
-        value = _hash(header, request_id)
-        if self._contains(header, value):
+        header, value = self._header(), self._hash(request_id)
+        places = [self._find(generation, value) for generation in range(GENERATIONS)]
+        if any(is_known for _, is_known in places):
             return IdClaim.KNOWN
+        offset, _ = places[header.current]
         counts = [header.count_0, header.count_1]
-        if counts[header.current] >= int(header.buckets * SLOTS_PER_BUCKET * MAX_LOAD):
+        if counts[header.current] >= int(self.buckets * SLOTS_PER_BUCKET * MAX_LOAD):
             now = time.monotonic_ns()
             # A time in the future was noted before the machine was started again.
             if header.filled_at and 0 <= now - header.filled_at < self.min_age:
                 return IdClaim.NOT_KNOWABLE
             header = self._begin_generation(header, now)
             counts = [header.count_0, header.count_1]
-        self._insert(header, value)
+            offset, _ = self._find(header.current, value)
+        self.storage.write(offset, value.to_bytes(HASH_BYTES, "little"))
         counts[header.current] += 1
         self._write_header(header._replace(count_0=counts[0], count_1=counts[1]))
         return IdClaim.NEW
 
     def _begin_generation(self, header: TableHeader, now: int) -> TableHeader:
         current = 1 - header.current
-        self.storage.write(self._offset(header, current, 0), bytes(header.buckets * BUCKET.size))
+        self.storage.write(self._offset(current, 0), bytes(self.buckets * BUCKET.size))
         header = header._replace(current=current, filled_at=now)
         header = header._replace(count_0=0) if current == 0 else header._replace(count_1=0)
         self._write_header(header)
         return header
 
-    def _contains(self, header: TableHeader, value: int) -> bool:
-        return any(self._find(header, generation, value)[1] for generation in range(GENERATIONS))
-
-    def _insert(self, header: TableHeader, value: int) -> None:
-        offset, _ = self._find(header, header.current, value)
-        self.storage.write(offset, value.to_bytes(HASH_BYTES, "little"))
-
-    def _find(self, header: TableHeader, generation: int, value: int) -> tuple[int, bool]:
+    def _find(self, generation: int, value: int) -> tuple[int, bool]:
         """Return the offset of the value, or of the empty slot for it, and whether it is there."""
-        for step in range(header.buckets):
-            offset = self._offset(header, generation, (value + step) % header.buckets)
+        for step in range(self.buckets):
+            offset = self._offset(generation, (value + step) % self.buckets)
             slots = BUCKET.unpack(self.storage.read(offset, BUCKET.size))
             for index, slot in enumerate(slots):
                 if slot in (value, EMPTY):
                     return offset + index * HASH_BYTES, slot == value
         raise IdTableError(reason="the table of request ids has no empty slot")
 
-    def _offset(self, header: TableHeader, generation: int, bucket: int) -> int:
-        return HEADER_BYTES + (generation * header.buckets + bucket) * BUCKET.size
+    def _offset(self, generation: int, bucket: int) -> int:
+        return HEADER_BYTES + (generation * self.buckets + bucket) * BUCKET.size
 
     def _header(self) -> TableHeader:
         header = TableHeader(*HEADER.unpack(self.storage.read(0, HEADER.size)))
@@ -155,7 +151,7 @@
     def _write_header(self, header: TableHeader) -> None:
         self.storage.write(0, HEADER.pack(*header))
 
-
-def _hash(header: TableHeader, request_id: str) -> int:
-    digest = blake2b(request_id.encode("latin-1", "replace"), digest_size=HASH_BYTES, key=header.key).digest()
-    return int.from_bytes(digest, "little") or 1
+    def _hash(self, request_id: str) -> int:
+        data = request_id.encode("latin-1", "replace")
+        digest = blake2b(data, digest_size=HASH_BYTES, key=self.key).digest()
+        return int.from_bytes(digest, "little") or 1
--- a/ploverspoke/routing/request_table.py
+++ b/ploverspoke/routing/request_table.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Iterator
 
-from ploverspoke.protocol.message_costs import message_cost
 from ploverspoke.transport.memory_account import MemoryAccount, MemoryKind
 from ploverspoke.transport.slot_table import SlotTable
 
@@ -53,5 +52,4 @@
 
 def _cost(request: Request) -> int:
     """The bytes that an admitted request costs in memory."""
-    message = request.message
-    return REQUEST_BYTES + message_cost(message.target, message.headers, message.body)
+    return REQUEST_BYTES + request.message.cost
