--- a/ploverspoke/service/service.py
+++ b/ploverspoke/service/service.py
@@ -16,6 +16,7 @@
 from ploverspoke.routing.request_ids import MIN_AGE
 from ploverspoke.routing.request_log import RequestLog
 from ploverspoke.routing.router import Router
+from ploverspoke.transport import resource_limits
 from ploverspoke.transport.allocator import MemoryTrimmer
 from ploverspoke.transport.connection_pool import ConnectionPool, max_idle_time_for
 from ploverspoke.transport.connections import ConnectionMonitor
@@ -24,11 +25,6 @@
 from ploverspoke.transport.loop_meter import ConnectionKind
 from ploverspoke.transport.memory_account import MemoryAccount
 from ploverspoke.transport.rate_limited_log import log_line
-from ploverspoke.transport.resource_limits import (
-    held_bytes_beside_successor,
-    request_id_bytes,
-    split_resources,
-)
 from ploverspoke.transport.units import MILLISECOND, SECOND
 
 from .config import NO_PEERS_MESSAGE, Config, read_config
@@ -68,7 +64,9 @@
         self.deadlines = Deadlines(loop)
         self.descriptor_limit = usable_descriptors(config.descriptor_limit)
         self.process_count = 1  # processes of this dispatcher, including this one
-        resources = split_resources(self.descriptor_limit, config.memory_limit)
+        replica_memory = 0 if request_log is None else resource_limits.REQUEST_LOG_MEMORY
+        self.memory_limit = config.memory_limit - replica_memory  # of the dispatcher itself
+        resources = resource_limits.split_resources(self.descriptor_limit, self.memory_limit)
         settings = config.settings
         idle_timeout, connect_timeout = settings.idle_timeout, settings.connect_timeout
         self.memory = MemoryAccount(resources.held_bytes)
@@ -143,7 +141,7 @@
         opened = open_request_ids(
             self.shared_directory,
             ":".join(map(str, self.config.listen)),
-            request_id_bytes(self.config.memory_limit),
+            resource_limits.request_id_bytes(self.memory_limit),
             max(MIN_AGE, 2 * longest_deadline(self.router.settings)),
         )
         self.router.admission.request_ids.table = opened.table
@@ -176,7 +174,7 @@
     def _set_memory_limit(self, held_bytes: int) -> None:
         """Set the limit of the account, and leave room for a successor where the socket is passed to one."""
         if self.listening_socket is not None and self.process_count == 1:
-            held_bytes = min(held_bytes, held_bytes_beside_successor(self.config.memory_limit))
+            held_bytes = min(held_bytes, resource_limits.held_bytes_beside_successor(self.memory_limit))
         self.memory.set_limit(held_bytes)
         self.client_server.make_room()
 
@@ -191,7 +189,9 @@
         if process_count != self.process_count:
             log_line(f"processes={process_count}: each gets an equal share of the descriptors and the memory")
             self.process_count = process_count
-            resources = split_resources(self.descriptor_limit, self.config.memory_limit, process_count)
+            resources = resource_limits.split_resources(
+                self.descriptor_limit, self.memory_limit, process_count
+            )
             self.pool.resize(resources.worker_connections)
             self.client_server.max_sessions = resources.client_connections
             self._set_memory_limit(resources.held_bytes)
--- a/ploverspoke/transport/resource_limits.py
+++ b/ploverspoke/transport/resource_limits.py
@@ -12,6 +12,7 @@
 # answer.
 CLIENT_FRACTION = 7 / 8
 BASE_MEMORY = 28 * MEBIBYTE  # used by a process without connections
+REQUEST_LOG_MEMORY = 12 * MEBIBYTE  # of the replica of a store in the same process
 HELD_FRACTION = 0.6  # share of the remaining memory for the account: the interpreter keeps some that is free
 MIN_HELD = MEBIBYTE  # for each of two processes that share the smallest allowed memory
 # Shares of the account that open connections may take, even if nothing is received on them.
