The read buffer moves its bytes together, and keeps its earlier bound again

Cause: a block whose end has less than 2 KiB left is not written to any more, and the consumed part of the first block is kept. Three blocks (12,288 bytes) could hold at most 3,876 unread bytes, where twice the peak and the least space for a read allow 11,848. The test's bound had been raised by one block for that.

Change: before a further block is taken, the unread bytes are moved together if they fill less than half of the blocks held. A read moves less than half of what is held, so the cost stays linear in what is received. The test asserts the earlier bound again, max(block, 2 * (peak + least space)), on ten seeds in place of five.

--- a/ploverspoke/transport/buffers.py
+++ b/ploverspoke/transport/buffers.py
@@ -25,10 +25,12 @@
 
     def writable_space(self) -> memoryview:
         """Return the space for the next bytes from the socket, at least `MIN_WRITABLE` bytes."""
-        if not self.blocks or BLOCK_SIZE - self.ends[-1] < MIN_WRITABLE:
+        if self._writable_size() < MIN_WRITABLE and self.size < MIN_WRITABLE * len(self.blocks):
+            self._move_together()
+        if self._writable_size() < MIN_WRITABLE:
             self.blocks.append(bytearray(BLOCK_SIZE))
             self.ends.append(0)
-            self._update_holding()
+        self._update_holding()
         return memoryview(self.blocks[-1])[self.ends[-1] :]
 
     def commit(self, count: int) -> None:
@@ -61,5 +63,20 @@
         self.start = self.size = 0
         self.holding.set(0)
 
+    def _writable_size(self) -> int:
+        return BLOCK_SIZE - self.ends[-1] if self.blocks else 0
+
+    def _move_together(self) -> None:
+        """Move the unread bytes to as few blocks as they need."""
+        received = zip(self.blocks, self.ends, strict=True)
+        unread = b"".join([memoryview(block)[:end] for block, end in received])[self.start :]
+        pieces = [unread[at : at + BLOCK_SIZE] for at in range(0, len(unread), BLOCK_SIZE)]
+        while len(self.blocks) > len(pieces):
+            self.blocks.pop()
+        for block, piece in zip(self.blocks, pieces, strict=True):
+            block[: len(piece)] = piece
+        self.ends = deque(len(piece) for piece in pieces)
+        self.start = 0
+
     def _update_holding(self) -> None:
         self.holding.set(len(self.blocks) * BLOCK_SIZE)
--- a/tests/transport/test_read_buffer.py
+++ b/tests/transport/test_read_buffer.py
@@ -14,7 +14,7 @@
     return received[buffer.start :]
 
 
-@pytest.mark.parametrize("seed", range(5))
+@pytest.mark.parametrize("seed", range(10))
 def test_a_buffer_keeps_all_bytes_and_little_memory_beyond_them(seed: int) -> None:
     random_numbers, memory, unconsumed = random.Random(seed), MemoryAccount(), b""
     buffer = ReadBuffer(memory)
@@ -30,7 +30,7 @@
         buffer.commit(len(part))
         peak_size = max(peak_size, len(unconsumed) + len(part)) if unconsumed else len(part)
         unconsumed += part
-        assert memory.total <= BLOCK_SIZE + max(BLOCK_SIZE, 2 * (peak_size + MIN_WRITABLE))
+        assert memory.total <= max(BLOCK_SIZE, 2 * (peak_size + MIN_WRITABLE))
         assert memory.total == len(buffer.blocks) * BLOCK_SIZE <= 2 * len(unconsumed) + 2 * BLOCK_SIZE
         assert len(buffer) == len(unconsumed) and all_unread(buffer) == unconsumed
         count = random_numbers.choice([0, len(unconsumed) // 2, len(unconsumed)])
