The end of a refused client's session is awaited in time, not in turns of the loop

Cause: after an answer of 413 nothing more is read, so a client that has left is noticed when the time limit for closing (1 s) has passed. The test gave that 400,000 turns of the event loop, which take 0.77 s on an idle machine of ten cores: it failed whenever the turns were quicker than the second.

Change: the test waits in time, for the limit and one second more; that everything is freed without the garbage collector is asserted as before.

--- a/tests/routing/test_released_memory.py
+++ b/tests/routing/test_released_memory.py
@@ -7,9 +7,14 @@
 import pytest
 
 from ploverspoke.routing.client_session import ClientSession
+from ploverspoke.routing.client_timeouts import CLOSE_TIMEOUT_NS
+from ploverspoke.transport.units import SECOND
+from tests.polling import until
 from tests.routing.harness import ServiceHarness, run_script
 from tests.routing.race_harness import wait_until
 
+END_SEEN_WITHIN_S = CLOSE_TIMEOUT_NS / SECOND + 1  # after an answer of 413 nothing is read any more
+
 
 @pytest.mark.parametrize(
     "data",
@@ -35,7 +40,7 @@
         writer.write(data)
         await asyncio.sleep(0.1)
         writer.transport.abort()
-        await wait_until(lambda: not server.sessions)
+        await until(lambda: not server.sessions, END_SEEN_WITHIN_S)
         await wait_until(lambda: reference() is None and not any(part() for part in freed))
 
     gc.disable()
