Failing tests: a lease holder that sends at full speed, and connections that take a whole turn

What callers see: beside one holder that sends requests of 1,000 leases at full speed under new names, another holder waits 5.2 to 5.6 s for its answer, beside twelve more than 20 s, so it loses its lease; the server grows from 32 to 195 MB and more afterwards (by hand, 5 s).

Causes, by reading: all messages that one read brings are handled in one turn, on the connections of holders, watchers and tools; requests that wait for a majority are kept without a bound; a lease's grant stays in the state after its end until somebody wants the same name.

--- a/tests/consensus/test_framed_connections.py
+++ b/tests/consensus/test_framed_connections.py
@@ -1,6 +1,7 @@
 """`FramedServer` and `FramedClientConnection` on in-memory transports."""
 
 import asyncio
+import time
 
 import pytest
 
@@ -24,6 +25,7 @@
         self.written = b""
         self.unsent = 0
         self.closed = ""
+        self.is_reading = True
 
     def write(self, data: bytes | bytearray | memoryview) -> None:
         self.written += data
@@ -34,6 +36,12 @@
     def is_closing(self) -> bool:
         return bool(self.closed)
 
+    def pause_reading(self) -> None:
+        self.is_reading = False
+
+    def resume_reading(self) -> None:
+        self.is_reading = True
+
     def close(self) -> None:
         self.closed = self.closed or "close"
 
@@ -206,3 +214,49 @@
     assert server.send("c", "after") > 0
     link.exchange()
     assert link.client.events == ["connected", "hello", "after"]
+
+
+class SlowServer(EchoServer):
+    """Takes a while for each message, and records whose it was."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.handled: list[object] = []
+
+    def handle_message(self, connection: FramedConnection, message: object) -> None:
+        super().handle_message(connection, message)
+        self.handled.append(message)
+        time.sleep(0.001)
+
+
+@pytest.mark.parametrize("ending", ["", "lost", "aborted"])
+def test_connection_that_sends_much_at_once_does_not_hold_up_another(ending: str) -> None:
+    messages = [f"much {number}" for number in range(300)]
+
+    async def run() -> SlowServer:
+        server = SlowServer()
+        much, other = Link(server, RecordingClient("much")), Link(server, RecordingClient("other"))
+        for link in (much, other):
+            link.exchange()
+        for message in messages:
+            much.client.write(message)
+        much.connection.data_received(much.client_transport.written)
+        assert not much.server_transport.is_reading
+        if ending == "lost":
+            much.connection.connection_lost(None)
+        elif ending == "aborted":
+            much.connection.abort()
+        other.client.write("other")
+        other.exchange()
+        began = time.monotonic()
+        while len(server.handled) < len(messages) + 1 and time.monotonic() < began + 3:
+            await asyncio.sleep(0)
+        assert much.server_transport.is_reading or ending
+        assert server.disconnected == (["much"] if ending == "lost" else [])
+        return server
+
+    handled = asyncio.run(run()).handled
+    assert handled.index("other") < 30
+    handled.remove("other")
+    assert handled == messages[: len(handled)]
+    assert len(handled) < 30 if ending == "aborted" else len(handled) == len(messages)
--- a/tests/consensus/test_peer_links.py
+++ b/tests/consensus/test_peer_links.py
@@ -1,6 +1,7 @@
 """Connections between replicas on real sockets."""
 
 import asyncio
+import time
 from typing import cast
 
 import pytest
@@ -132,3 +133,35 @@
         links.close()
 
     uvloop.run(asyncio.wait_for(scenario(), 20))
+
+
+def test_a_tool_that_sends_much_at_once_does_not_hold_up_another() -> None:
+    secret = b"a secret of the test"
+    handled: list[object] = []
+
+    def handle(request: object, reply: peer_links.Reply) -> None:
+        handled.append(request)
+        time.sleep(0.001)
+
+    async def connect(port: int) -> tuple[FrameCodec, asyncio.StreamWriter]:
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        frames = FrameCodec(secret, {"id": peer_links.ADMIN_CLIENT_ID, "store": ""})
+        frames.decode_bodies(await reader.read(4096))
+        writer.write(frames.greeting_frame())
+        return frames, writer
+
+    async def scenario() -> None:
+        port = reserve_ports(1)[0]
+        links = peer_links.PeerLinks(secret, PeerIdentity("b.1", "s"), print, handle)
+        await links.open("127.0.0.1", port)
+        (much_frames, much), (other_frames, other) = await connect(port), await connect(port)
+        await until(lambda: sum(connection.has_greeted() for connection in links.inbound) == 2)
+        much.write(b"".join(much_frames.encode(["much"]) for _ in range(1000)))
+        other.write(other_frames.encode(["other"]))
+        await until(lambda: len(handled) == 1001)
+        assert handled.index(["other"]) < 100
+        for writer in (much, other):
+            writer.close()
+        links.close()
+
+    uvloop.run(asyncio.wait_for(scenario(), 20))
