Messages of holders, watchers, tools and replicas are handled in turns

What callers saw: while one lease holder sent requests of 1,000 leases at full speed, another waited 5.2 s for its answer. Watchers of config servers and tools of store replicas used the same loops; a replica may live in a dispatcher, whose clients then waited as well.

Cause: `data_received` handled every message that one read had brought, up to 256 KB of them.

Nothing more is read meanwhile. The end of a connection is reported after its last message.

--- a/ploverspoke/consensus/framed_server.py
+++ b/ploverspoke/consensus/framed_server.py
@@ -13,7 +13,8 @@
 from ploverspoke.transport.stream_protocol import StreamProtocol
 
 from .cluster_config import split_address
-from .framing import FrameCodec, FrameError
+from .framing import FrameCodec, FrameError, decode_body
+from .message_turns import MessageTurnQueue, ReceivedMessages
 
 BACKLOG = 1024
 MAX_UNSENT_BYTES = 1 << 20  # for a client that does not read; above this its connection is aborted
@@ -38,6 +39,7 @@
         self.client_name = ""  # set by the server once the client has sent it
         self.registered = False
         self.greeted = False
+        self.received = ReceivedMessages(server.turns, self._handle_body, self.abort)
         self.registration_timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -47,27 +49,42 @@
         self.transport.write(self.frames.greeting_frame())
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Report the end of the connection to the server; called by asyncio."""
+        """Report the end of the connection to the server, after its last message; called by asyncio."""
         self.transport = None
         self.cancel_registration_timer()
-        self.server.remove_connection(self)
+        self.received.finish(lambda: self.server.remove_connection(self))
+
+    def abort(self) -> None:
+        """Close the connection immediately, and handle no message that waits."""
+        self.received.drop()
+        super().abort()
 
     def data_received(self, data: bytes) -> None:
         """Pass the greeting and each complete message to the server; called by asyncio."""
-        if not self.is_open():
+        if self.transport is None or not self.is_open():
             return
         try:
-            messages = self.frames.decode(data)
+            bodies = self.frames.decode_bodies(data)
             if self.frames.peer_greeting is not None and not self.greeted:
                 self.greeted = True
                 if self.server.limits is not None and self.server.limits.until_greeting:
                     self.cancel_registration_timer()
                 self.server.handle_greeting(self, self.frames.peer_greeting)
-            for message in messages:
-                self.server.handle_message(self, message)
         except self.server.client_errors as error:
-            self.server.refused_connections += 1
-            self.server.handle_client_error(self, error)
+            self._refuse(error)
+        else:
+            self.received.receive(bodies, self.transport)
+
+    def _handle_body(self, body: bytes) -> None:
+        try:
+            self.server.handle_message(self, decode_body(body))
+        except self.server.client_errors as error:
+            self._refuse(error)
+
+    def _refuse(self, error: Exception) -> None:
+        self.received.drop()
+        self.server.refused_connections += 1
+        self.server.handle_client_error(self, error)
 
     def is_open(self) -> bool:
         """Return whether messages are still received and sent."""
@@ -116,6 +133,7 @@
         """`secret` is shared with the clients; without `limits` a connection may stay unregistered."""
         self.secret = secret
         self.limits = limits
+        self.turns = MessageTurnQueue()
         self.connections: set[FramedConnection] = set()
         self.clients: dict[str, FramedConnection] = {}  # the latest connection of each client, by name
         self.listener: asyncio.Server | None = None
--- a/ploverspoke/consensus/framing.py
+++ b/ploverspoke/consensus/framing.py
@@ -109,7 +109,7 @@
 
         The greeting is not returned, but stored in `peer_greeting`.
         """
-        return [_decode_body(body) for body in self.decode_bodies(data)]
+        return [decode_body(body) for body in self.decode_bodies(data)]
 
     def decode_bodies(self, data: bytes) -> list[bytes]:
         """Return the bodies of the frames that `data` completes, for a typed decoder. Raises FrameError."""
@@ -136,7 +136,7 @@
 
     def _accept_greeting(self, mac: bytes, body: bytes) -> None:
         _check_mac(mac, _compute_mac(derive_key(self.secret), 0, body))
-        greeting = _decode_body(body)
+        greeting = decode_body(body)
         if not isinstance(greeting, dict) or not isinstance(greeting.get("nonce"), bytes):
             raise FrameDecodeError(reason="the first frame is not a greeting")
         peer_nonce: bytes = greeting["nonce"]
@@ -166,7 +166,8 @@
         raise FrameAuthenticationError
 
 
-def _decode_body(body: bytes) -> object:
+def decode_body(body: bytes) -> object:
+    """Return the message in the body of a frame. Raises FrameDecodeError."""
     try:
         return msgspec.msgpack.decode(body)
     except msgspec.DecodeError as error:
--- /dev/null
+++ b/ploverspoke/consensus/message_turns.py
@@ -0,0 +1,122 @@
+"""Handles the messages of framed connections in turns, so that one that sends many does not delay others."""
+
+import asyncio
+import time
+from collections import deque
+from collections.abc import Callable
+from typing import Protocol
+
+from ploverspoke.transport.turn_queue import TurnQueue
+from ploverspoke.transport.units import MILLISECOND
+
+MAX_TIME_PER_READ = MILLISECOND  # for messages that are handled at once, before the rest takes turns
+
+
+class ReadableTransport(Protocol):
+    """The part of a transport that is used here."""
+
+    def pause_reading(self) -> None:
+        """Read nothing more until `resume_reading`."""
+
+    def resume_reading(self) -> None:
+        """Read again."""
+
+    def is_closing(self) -> bool:
+        """Whether the connection is closed or about to be."""
+
+
+class MessageTurnQueue:
+    """The turns of all connections of one server."""
+
+    def __init__(self) -> None:
+        """Create the queue itself with the first message that has to wait, on the running event loop."""
+        self._turns: TurnQueue | None = None
+
+    def is_empty(self) -> bool:
+        """Whether no message waits."""
+        return self._turns is None or not self._turns.waiting
+
+    def add(self, messages: "ReceivedMessages") -> None:
+        """Give a connection a turn after all that wait."""
+        if self._turns is None:
+            self._turns = TurnQueue(asyncio.get_running_loop())
+        self._turns.add(messages)
+
+
+class ReceivedMessages:
+    """The messages that one connection has received, in their order; implements `TurnUser`.
+
+    Nothing more is read while messages wait, so no more than those of one read are kept.
+    """
+
+    def __init__(
+        self,
+        turns: MessageTurnQueue,
+        handle: Callable[[bytes], None],
+        on_failed: Callable[[], None],
+    ) -> None:
+        """`handle` is called with the body of each message, and handles the errors of its sender.
+
+        `on_failed` is called after `handle` raised any other error, which was logged.
+        """
+        self.turns = turns
+        self.handle = handle
+        self.on_failed = on_failed
+        self.waiting: deque[bytes] = deque()
+        self.on_end: Callable[[], None] | None = None
+        self.paused: ReadableTransport | None = None
+
+    def receive(self, bodies: list[bytes], transport: ReadableTransport) -> None:
+        """Handle messages at once while there is time and no other connection waits, the rest in turns."""
+        self.waiting.extend(bodies)
+        try:
+            self._handle_some()
+        except Exception:  # the event loop logs it and closes the connection
+            self.drop()
+            raise
+        if self.waiting and self.paused is None:
+            self.paused = transport
+            transport.pause_reading()
+            self.turns.add(self)
+
+    def finish(self, on_end: Callable[[], None]) -> None:
+        """Call `on_end` once all messages that were received are handled: nothing follows them."""
+        self.paused = None
+        if self.waiting:
+            self.on_end = on_end
+        else:
+            on_end()
+
+    def drop(self) -> None:
+        """Handle no message that waits."""
+        self.waiting.clear()
+
+    def _handle_some(self) -> None:
+        ends_at = time.monotonic_ns() + MAX_TIME_PER_READ
+        while self.waiting and self.turns.is_empty() and time.monotonic_ns() < ends_at:
+            self.handle(self.waiting.popleft())
+
+    # ---- Turns ----
+
+    def take_turn(self) -> bool:
+        """Handle one message; returns whether others wait."""
+        if self.waiting:
+            self.handle(self.waiting.popleft())
+        if self.waiting:
+            return True
+        self._on_all_handled()
+        return False
+
+    def on_turn_failed(self) -> None:
+        """Drop what waits: the connection is closed."""
+        self.drop()
+        self.on_failed()
+        self._on_all_handled()
+
+    def _on_all_handled(self) -> None:
+        paused, self.paused = self.paused, None
+        on_end, self.on_end = self.on_end, None
+        if on_end is not None:
+            on_end()
+        elif paused is not None and not paused.is_closing():
+            paused.resume_reading()
--- a/ploverspoke/consensus/peer_links.py
+++ b/ploverspoke/consensus/peer_links.py
@@ -18,6 +18,7 @@
 from .admin_messages import ResultReply, encode_reply
 from .errors import ConsensusError
 from .framing import FrameCodec, FrameError
+from .message_turns import MessageTurnQueue, ReceivedMessages
 from .peer_identity import GreetingError, PeerIdentity, peer_identity, wrong_cluster_reason
 from .wire_messages import Message, decode_message
 
@@ -58,6 +59,7 @@
         self.identity = identity
         self.on_message = on_message
         self.on_admin_request = on_admin_request
+        self.turns = MessageTurnQueue()
         self.inbound: set[InboundConnection] = set()
         self.outbound: dict[str, OutboundConnection] = {}  # by replica id
         self.refused_connections = 0
@@ -129,6 +131,7 @@
         super().__init__()
         self.links = links
         self.frames = FrameCodec(links.secret, links.identity.greeting())
+        self.received = ReceivedMessages(links.turns, self._handle_body, self.abort)
         self.sender = ""  # "": not known yet
         self.greeting_timer: asyncio.TimerHandle | None = None
 
@@ -149,16 +152,23 @@
             self.greeting_timer.cancel()
         self.links.inbound.discard(self)
         self.transport = None
+        self.received.finish(lambda: None)
+
+    def abort(self) -> None:
+        """Close the connection immediately, and handle no message that waits."""
+        self.received.drop()
+        super().abort()
 
     def data_received(self, data: bytes) -> None:
         """Handle each complete message; abort the connection at the first invalid one."""
+        if self.transport is None:
+            return
         try:
-            for body in self.frames.decode_bodies(data):
-                self._handle(body)
-        except (ConsensusError, KeyError, TypeError, RecursionError, msgspec.DecodeError) as error:
-            self.links.refused_connections += 1
-            log_line(f"store: a connection is refused: {error}")
-            self.abort()
+            bodies = self.frames.decode_bodies(data)
+        except FrameError as error:
+            self._refuse(error)
+        else:
+            self.received.receive(bodies, self.transport)
 
     def reply(self, message: object) -> None:
         """Send a reply to a tool, if it is still connected; in place of one without a frame, the reason."""
@@ -185,6 +195,17 @@
             self.links.refused_connections += 1
             self.abort()
 
+    def _handle_body(self, body: bytes) -> None:
+        try:
+            self._handle(body)
+        except (ConsensusError, KeyError, TypeError, RecursionError, msgspec.DecodeError) as error:
+            self._refuse(error)
+
+    def _refuse(self, error: Exception) -> None:
+        self.links.refused_connections += 1
+        log_line(f"store: a connection is refused: {error}")
+        self.abort()
+
     def _handle(self, body: bytes) -> None:
         if not self.sender:
             self.sender = self._verify_sender()
--- a/tests/consensus/test_framed_connections.py
+++ b/tests/consensus/test_framed_connections.py
@@ -25,7 +25,7 @@
         self.written = b""
         self.unsent = 0
         self.closed = ""
-        self.is_reading = True
+        self.reads = True
 
     def write(self, data: bytes | bytearray | memoryview) -> None:
         self.written += data
@@ -37,10 +37,10 @@
         return bool(self.closed)
 
     def pause_reading(self) -> None:
-        self.is_reading = False
+        self.reads = False
 
     def resume_reading(self) -> None:
-        self.is_reading = True
+        self.reads = True
 
     def close(self) -> None:
         self.closed = self.closed or "close"
@@ -241,7 +241,7 @@
         for message in messages:
             much.client.write(message)
         much.connection.data_received(much.client_transport.written)
-        assert not much.server_transport.is_reading
+        assert not much.server_transport.reads
         if ending == "lost":
             much.connection.connection_lost(None)
         elif ending == "aborted":
@@ -251,7 +251,7 @@
         began = time.monotonic()
         while len(server.handled) < len(messages) + 1 and time.monotonic() < began + 3:
             await asyncio.sleep(0)
-        assert much.server_transport.is_reading or ending
+        assert much.server_transport.reads or ending
         assert server.disconnected == (["much"] if ending == "lost" else [])
         return server
 
@@ -260,3 +260,16 @@
     handled.remove("other")
     assert handled == messages[: len(handled)]
     assert len(handled) < 30 if ending == "aborted" else len(handled) == len(messages)
+
+
+def test_connection_whose_message_raises_an_error_is_removed_when_it_ends() -> None:
+    server = EchoServer()
+    link = Link(server, RecordingClient())
+    link.exchange()
+    server.handle_message = lambda connection, message: 1 // 0  # type: ignore[method-assign, assignment]
+    link.client.write("one")
+    link.client.write("two")
+    with pytest.raises(ZeroDivisionError):
+        link.exchange()
+    link.connection.connection_lost(None)
+    assert not server.connections
--- a/tests/leases/test_lease_limits.py
+++ b/tests/leases/test_lease_limits.py
@@ -45,10 +45,12 @@
     assert len(server.holders("team-100")) == 1
 
 
-def test_requests_that_no_majority_confirms_are_kept_once_for_each_holder() -> None:
+def test_requests_that_no_majority_confirms_are_kept_once_for_each_holder(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     server = SingleLeaseServer()
     undecided: list[Callable[[bool], None]] = []
-    server.confirm_leadership = undecided.append  # type: ignore[method-assign]
+    monkeypatch.setattr(server, "confirm_leadership", undecided.append)
     for number in range(1, 200):
         for holder in ("a", "b"):
             request = LeaseRequest(number, [RequestedLease("three", DURATION, 0, 0)], [])
