Lease servers limit what holders make them keep, and answer others beside a flood

What callers saw: a holder that wanted 1,000 leases under new names in each request made the server grow from 32 to 195 MB in 5 s and to 224 MB after it; the memory never came back. Beside twelve of them another holder waited more than 20 s, and lost its lease.

Cause: an expired grant stays in the state until somebody wants the same name; requests that wait for a majority were kept one by one; each request went through the names that all holders wait for; and thousands of grants were proposed, and later applied, in one step.

Change: 1,000 leases for a holder and 20,000 for all are granted at once; the leader ends what expired one duration ago and nobody waits for; the latest unconfirmed request of each holder is kept, since its answer covers the earlier ones; the names that a holder waits for are known by holder; 256 grants are proposed at once. The simulation's variant that renews without a majority follows the new form of the kept requests.

--- a/ploverspoke/leases/definitions.py
+++ b/ploverspoke/leases/definitions.py
@@ -45,10 +45,12 @@
     def find(self, name: str) -> LeaseDefinition | None:
         """Return the definition that applies to a lease; None if the lease is not declared."""
         definition = self.exact.get(name)
-        if definition is None:
-            matching = (definition for prefix, definition in self.prefixes if name.startswith(prefix))
-            definition = next(matching, None)
-        return definition
+        if definition is not None:
+            return definition
+        for prefix, prefix_definition in self.prefixes:
+            if name.startswith(prefix):
+                return prefix_definition
+        return None
 
     def rejection_reason(self, name: str, duration: int) -> str | None:
         """Return why the lease can never be granted for `duration` ns; None if it can be."""
--- a/ploverspoke/leases/manager.py
+++ b/ploverspoke/leases/manager.py
@@ -12,9 +12,10 @@
 duration. Duplicate and late requests are ignored: their number is not above the holder's latest one.
 """
 
-from ploverspoke.transport.units import NEVER
+from ploverspoke.transport.units import NEVER, SECOND
 
 from .definitions import LeaseDefinition, LeaseDefinitions
+from .grant_limits import MAX_LEASES_PER_HOLDER, GrantCounts, GrantProposals, unwanted_grants
 from .manager_environment import LeaseManagerEnvironment
 from .messages import (
     GrantedLease,
@@ -35,7 +36,8 @@
 )
 from .waiting_queue import WaitingHolder, WaitingQueues
 
-MAX_WANTED_LEASES = 1000  # per holder
+MAX_WANTED_LEASES = MAX_LEASES_PER_HOLDER  # in one request
+CLEANUP_INTERVAL_NS = SECOND
 
 
 class LeaseManager:
@@ -57,12 +59,14 @@
         self.expires_at: dict[int, int] = {}  # times by token
         self.ended_tokens: set[int] = set()  # tokens of grants whose end is in the log or proposed
         self.queues = WaitingQueues()
-        self.proposed_grants: set[str] = set()  # names of leases that have a grant proposed
+        self.counts = GrantCounts()
+        self.proposals = GrantProposals(self.counts)
         self.latest_request_numbers: dict[str, int] = {}  # by holder
-        # Requests for which no round of confirmation has begun, each with its holder.
-        self.unconfirmed_requests: list[tuple[str, LeaseRequest]] = []
+        # The latest request of each holder for which no round of confirmation has begun.
+        self.unconfirmed_requests: dict[str, LeaseRequest] = {}
         self.is_confirming = False
         self.next_tick = NEVER
+        self.next_cleanup = 0
         self.granted = self.renewed = 0  # counts since the start
         state.on_granted = self._on_granted
         state.on_ended = self._on_ended
@@ -82,6 +86,7 @@
         self.no_grants_until = now + self.definitions.max_duration
         for grants in self.state.grants.values():
             for grant in grants:
+                self.counts.add(grant.holder)
                 self.expires_at[grant.token] = now + grant.duration
                 if self.is_restored():
                     self.ended_tokens.add(grant.token)
@@ -101,7 +106,8 @@
         self.expires_at.clear()
         self.ended_tokens.clear()
         self.queues.clear()
-        self.proposed_grants.clear()
+        self.counts.clear()
+        self.proposals.clear()
         self.latest_request_numbers.clear()
         self.unconfirmed_requests.clear()
         self.is_confirming = False
@@ -120,20 +126,26 @@
         self.queues.remove_from_all(holder, keep={lease.name for lease in wanted})
         for lease in wanted:
             self._renew_or_enqueue(holder, lease, now)
-        self.unconfirmed_requests.append((holder, request))
+        self.unconfirmed_requests[holder] = request
         self._confirm_requests()
 
     def forget_holder(self, holder: str) -> None:
         """Remove a disconnected holder from the queues. It may still act under the leases that it holds."""
         self.latest_request_numbers.pop(holder, None)
+        self.unconfirmed_requests.pop(holder, None)
         self.queues.remove_from_all(holder)
 
     def tick(self) -> None:
         """Grant expired leases to the next holders; to be called from the time `next_tick` on."""
-        if not self.is_leader or self.environment.now() < self.next_tick:
+        now = self.environment.now()
+        if not self.is_leader:
             return
-        self.next_tick = NEVER
-        self._grant_all()
+        if now >= self.next_cleanup:
+            self.next_cleanup = now + CLEANUP_INTERVAL_NS
+            self._end_unwanted_grants(now)
+        if now >= self.next_tick:
+            self.next_tick = NEVER
+            self._grant_all()
 
     # ---- Responses ----
 
@@ -142,13 +154,13 @@
         if self.is_confirming or not self.unconfirmed_requests:
             return
         self.is_confirming = True
-        pending, self.unconfirmed_requests = self.unconfirmed_requests, []
+        pending, self.unconfirmed_requests = self.unconfirmed_requests, {}
 
         def on_decided(leads: bool) -> None:
             """Respond to the requests if this server leads, then confirm those that arrived meanwhile."""
             self.is_confirming = False
             if leads and self.is_leader:
-                for holder, request in pending:
+                for holder, request in pending.items():
                     self._respond(holder, request)
             if self.is_leader:
                 self._confirm_requests()
@@ -182,7 +194,8 @@
         if not self.is_leader:
             return
         self.granted += 1
-        self.proposed_grants.discard(name)
+        self._end_proposal(name)
+        self.counts.add(grant.holder)
         self.expires_at[grant.token] = self.environment.now() + grant.duration
         self.queues.remove(name, grant.holder)
         number = self.latest_request_numbers.get(grant.holder)
@@ -196,6 +209,7 @@
         self.expires_at.pop(grant.token, None)
         self.ended_tokens.discard(grant.token)
         if self.is_leader:
+            self.counts.remove(grant.holder)
             self._grant_next(name)
 
     # ---- Requests ----
@@ -207,7 +221,7 @@
         if grant is not None:
             # Extending the grant here is always safe; the response waits for the confirmation by a majority.
             self.expires_at[grant.token] = now + grant.duration
-        else:
+        elif self.counts.has_room(holder):  # if not, a later request adds it, and says how long it has waited
             waiting = WaitingHolder(holder, lease.duration, now - lease.waited, now)
             self.queues.add(lease.name, waiting)
             self._grant_next(lease.name)
@@ -222,8 +236,7 @@
             tokens.append(ReleasedToken(lease.name, lease.token))
             self.ended_tokens.add(lease.token)
             self.queues.move_to_front(lease.name, lease.hand_over_to)
-        if tokens:
-            self.environment.propose(ReleaseCommand(tokens), lambda committed: None)
+        self._propose_release(tokens)
 
     # ---- Grants ----
 
@@ -234,18 +247,21 @@
     def _grant_next(self, name: str) -> None:
         """Propose a grant to the next holder if one is possible, else schedule the next attempt."""
         definition = self.definitions.find(name)
-        if name not in self.queues.by_name or definition is None or name in self.proposed_grants:
+        if name not in self.queues.by_name or definition is None or name in self.proposals.holders:
             return
         now = self.environment.now()
         if self.is_restored():
             self._begin_epoch(now)
             return
+        if self.proposals.is_full():
+            self.proposals.defer(name)
+            return
         active, expired = self._split_expired(name, now)
         if len(active) >= definition.max_holders:
             self.next_tick = min(self.next_tick, *(self.expires_at[grant.token] for grant in active))
             return
         waiting = self.queues.next_waiting(name, {grant.holder for grant in active}, now)
-        if waiting is not None:
+        if waiting is not None and self.counts.has_room(waiting.holder):
             self._propose_grant(name, waiting, definition, expired)
 
     def _split_expired(self, name: str, now: int) -> tuple[list[LeaseGrant], list[int]]:
@@ -263,16 +279,33 @@
     ) -> None:
         def on_decided(committed: bool) -> None:
             """Grant to the next holder. If the state rejected the grant, its holder keeps waiting."""
-            if self.is_leader and name in self.proposed_grants:
-                self.proposed_grants.discard(name)
+            if self.is_leader and name in self.proposals.holders:
+                self._end_proposal(name)
                 if committed:
                     self._grant_next(name)
 
-        self.proposed_grants.add(name)
+        self.proposals.add(name, waiting.holder)
         self.ended_tokens.update(expired)
         command = GrantCommand(name, waiting.holder, waiting.duration, definition.max_holders, expired)
         self.environment.propose(command, on_decided)
 
+    def _end_proposal(self, name: str) -> None:
+        self.proposals.remove(name)
+        while (deferred := self.proposals.next_deferred()) is not None:
+            self._grant_next(deferred)
+
+    def _end_unwanted_grants(self, now: int) -> None:
+        """End grants that expired long ago and that nobody waits for; any that have expired, at a limit."""
+        has_grace = not self.counts.clear_limited()
+        self._propose_release(
+            unwanted_grants(self.state.grants, self.expires_at, self.ended_tokens, now, has_grace)
+        )
+
+    def _propose_release(self, tokens: list[ReleasedToken]) -> None:
+        if tokens:
+            self.ended_tokens.update(released.token for released in tokens)
+            self.environment.propose(ReleaseCommand(tokens), lambda committed: None)
+
     def _begin_epoch(self, now: int) -> None:
         if now < self.no_grants_until:
             self.next_tick = min(self.next_tick, self.no_grants_until)
--- a/ploverspoke/leases/waiting_queue.py
+++ b/ploverspoke/leases/waiting_queue.py
@@ -1,5 +1,6 @@
 """The holders that wait for each lease, in the order of the next grants. No I/O; times are nanoseconds."""
 
+from collections import defaultdict
 from collections.abc import Collection
 
 from ploverspoke.transport.units import LONG_AGO
@@ -29,6 +30,7 @@
     def __init__(self) -> None:
         """Begin without any waiting holders."""
         self.by_name: dict[str, list[WaitingHolder]] = {}
+        self.names_by_holder: defaultdict[str, dict[str, None]] = defaultdict(dict)  # in order of arrival
 
     def names(self) -> list[str]:
         """Return the names of the leases that holders wait for."""
@@ -45,6 +47,7 @@
     def clear(self) -> None:
         """Remove all waiting holders."""
         self.by_name.clear()
+        self.names_by_holder.clear()
 
     def add(self, name: str, waiting: WaitingHolder) -> None:
         """Add a holder, or update the entry of a holder that already waits."""
@@ -56,18 +59,25 @@
         # Ordered by when the holders began to wait, even if another lease server led at that time.
         later = (i for i, other in enumerate(queue) if other.waiting_since > waiting.waiting_since)
         queue.insert(next(later, len(queue)), waiting)
+        self.names_by_holder[waiting.holder][name] = None
 
     def remove(self, name: str, holder: str) -> None:
         """Remove a holder from the queue of a lease, if it waits there."""
-        remaining = [waiting for waiting in self.by_name.get(name, ()) if waiting.holder != holder]
+        names = self.names_by_holder.get(holder, {})
+        if name not in names:
+            return
+        del names[name]
+        if not names:
+            del self.names_by_holder[holder]
+        remaining = [waiting for waiting in self.by_name[name] if waiting.holder != holder]
         if remaining:
             self.by_name[name] = remaining
         else:
-            self.by_name.pop(name, None)
+            del self.by_name[name]
 
     def remove_from_all(self, holder: str, keep: Collection[str] = ()) -> None:
         """Remove a holder from all queues except those of the leases in `keep`."""
-        for name in self.names():
+        for name in list(self.names_by_holder.get(holder, ())):
             if name not in keep:
                 self.remove(name, holder)
 
--- a/tests/leases/faulty_variants.py
+++ b/tests/leases/faulty_variants.py
@@ -77,8 +77,8 @@
 
 class FaultyRenewsWithoutMajority(LeaseManager):
     def _confirm_requests(self) -> None:
-        unconfirmed_requests, self.unconfirmed_requests = self.unconfirmed_requests, []
-        for holder, request in unconfirmed_requests:
+        unconfirmed_requests, self.unconfirmed_requests = self.unconfirmed_requests, {}
+        for holder, request in unconfirmed_requests.items():
             self._respond(holder, request)
 
 
--- a/tests/leases/test_lease_limits.py
+++ b/tests/leases/test_lease_limits.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from ploverspoke.leases import manager as lease_manager
+from ploverspoke.leases import grant_limits
 from ploverspoke.leases.manager import MAX_WANTED_LEASES
 from ploverspoke.leases.messages import LeaseRequest, RequestedLease
 from ploverspoke.transport.units import SECOND
@@ -33,7 +33,7 @@
 def test_holders_under_ever_new_names_get_no_more_than_the_server_keeps(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(lease_manager, "MAX_HELD_LEASES", 10, raising=False)
+    monkeypatch.setattr(grant_limits, "MAX_HELD_LEASES", 10)
     server = SingleLeaseServer()
     for holder in range(8):
         want(server, f"h{holder}", first=holder * 4, count=4)
