--- a/tests/limits/test_upstream_limits.py
+++ b/tests/limits/test_upstream_limits.py
@@ -91,6 +91,20 @@
         yield json.dumps({"version": version, "full": True, "servers": entries}).encode()
 
 
+def ever_more_workers() -> Iterator[bytes]:
+    """Changes that only ever add workers."""
+    for version in itertools.count(2):
+        entries = [endpoint_entry(f"v{version}-{number}", 9) for number in range(1000)]
+        yield json.dumps({"version": version, "full": False, "servers": entries}).encode()
+
+
+def workers_with_long_names() -> Iterator[bytes]:
+    """Changes that add workers whose names and addresses are long."""
+    for version in itertools.count(2):
+        entries = [endpoint_entry(f"v{version}-{number}-" + "x" * 10_000, 9) for number in range(20)]
+        yield json.dumps({"version": version, "full": False, "servers": entries}).encode()
+
+
 def nested_values() -> Iterator[bytes]:
     """Lists that take far more memory than bytes."""
     for version in itertools.count(2):
@@ -98,7 +112,9 @@
         yield b'{"version":%d,"full":true,"servers":%b}' % (version, values)
 
 
-@pytest.mark.parametrize("lists", [ever_new_workers, nested_values])
+@pytest.mark.parametrize(
+    "lists", [ever_new_workers, ever_more_workers, workers_with_long_names, nested_values]
+)
 def test_lists_of_any_size_and_content_stay_within_the_memory_limit(lists, tmp_path: Path) -> None:  # type: ignore[no-untyped-def]
     async def run() -> None:
         dispatcher = CrowdedDispatcher(tmp_path, MEMORY_MB, descriptors=1024)
