The workers of all lists together are in the account of memory, and limited by it

Cause: each list was limited by the memory that was left, the workers known from all lists were not; a name or address could be as long as a list.

Change: what is known of workers is a kind of the account (`workers`). Listed workers may take a quarter of it, those that are gone another quarter (1,000 at most, as before). Known workers always get their changes; new ones beyond that, or with a name and address over 1,024 characters, are left out with a line in the log; before, a whole list that was too large was refused, drains included.

--- a/ploverspoke/decisions/dispatcher.py
+++ b/ploverspoke/decisions/dispatcher.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterable, Mapping
 
 from .components import DispatcherComponents
+from .endpoint_updates import MAX_GONE_WORKERS
 from .interface import (
     AttemptOutcome,
     AttemptResult,
@@ -110,6 +111,10 @@
         absent = [worker.endpoint for worker in self.listed_workers() if worker.name not in names]
         self.endpoints_changed([endpoint._replace(condition=EndpointCondition.GONE) for endpoint in absent])
 
+    def limit_gone_workers(self, count: int) -> None:
+        """Remember at most `count` of the workers that are gone, and never more than `MAX_GONE_WORKERS`."""
+        self.components.endpoints.max_gone_workers = min(MAX_GONE_WORKERS, count)
+
     def endpoints_changed(self, endpoints: Iterable[Endpoint]) -> None:
         """Apply changes of the list, in order."""
         now = self.actions.now()
--- a/ploverspoke/decisions/endpoint_updates.py
+++ b/ploverspoke/decisions/endpoint_updates.py
@@ -27,11 +27,12 @@
     choice: WorkerChoice
     slow_start: SlowStart
     ejection: OutlierEjection
+    max_gone_workers: int = MAX_GONE_WORKERS  # lower where memory is short
 
     def forget_gone(self) -> None:
         """Forget the workers that have been gone for the longest time, if there are many."""
         gone = [worker for worker in self.workers.values() if _may_be_forgotten(worker)]
-        for worker in gone[: max(0, len(gone) - MAX_GONE_WORKERS)]:
+        for worker in gone[: max(0, len(gone) - self.max_gone_workers)]:
             worker.ejected = False  # for its timer
             del self.workers[worker.name]
             self.choice.clear_cached_tiers()
--- a/ploverspoke/routing/endpoint_directory.py
+++ b/ploverspoke/routing/endpoint_directory.py
@@ -13,6 +13,8 @@
 from ploverspoke.protocol.errors import EndpointListError
 from ploverspoke.protocol.wire_names import ENDPOINT_STATES
 from ploverspoke.transport.loop_meter import ConnectionKind
+from ploverspoke.transport.memory_account import MemoryHolding, MemoryKind
+from ploverspoke.transport.rate_limited_log import log_line
 
 from .context import RouterPart, RoutingContext
 from .endpoint_watch import EndpointWatch
@@ -22,6 +24,9 @@
 
 PARSED_BYTES = 30  # of memory for each byte of a list while it is parsed, at the most
 WORKER_BYTES = 5 * 1024  # of memory for what is known of a worker
+MAX_ENTRY_TEXT = 1024  # characters of a worker's name and address
+# This part of the memory account may be held for listed workers, and as much for those that are gone.
+WORKERS_SHARE = 4
 
 
 class EndpointDirectory(RouterPart):
@@ -31,6 +36,7 @@
         """`discovery_address` is "host:port"; the first call is made when the watch is started."""
         super().__init__(context)
         self.addresses: dict[str, str] = {}  # by worker name, including workers that are gone
+        self.workers_held = MemoryHolding(self.pool.monitor.memory, MemoryKind.WORKERS)
         self.lists_received = 0  # from discovery, since this process started
         self.on_list_received: Callable[[bytes], None] | None = None  # called with the body of each list
         self.start_times = StartTimes(self.deadlines.now)
@@ -56,12 +62,11 @@
             raise EndpointListError(reason=f"no memory for a list of {len(body)} bytes")
         try:
             received = read_endpoint_list(body)
-            if len(received.entries) * WORKER_BYTES > memory.limit // 2:
-                raise EndpointListError(reason=f"no memory for {len(received.entries)} workers")
         except InvalidEntryError as error:
             # The entries before the invalid one are valid, so the addresses in them are stored.
             for entry in error.entries_before:
-                self._store_entry(entry)
+                if entry.name in self.addresses:
+                    self._store_entry(entry)
             raise
         self._report(received, received.is_complete)
         self.lists_received += 1
@@ -122,13 +127,33 @@
         self.events.emit(event)
 
     def _report(self, received: EndpointList, is_complete: bool) -> None:
-        endpoints = [self._store_entry(entry) for entry in received.entries]
+        endpoints = [self._store_entry(entry) for entry in self._entries_with_memory(received)]
         if is_complete:
             self.events.emit(partial(self.dispatcher.endpoint_list_received, endpoints))
         else:
             self.events.emit(partial(self.dispatcher.endpoints_changed, endpoints))
         self._forget_unknown({endpoint.worker for endpoint in endpoints})
 
+    def _entries_with_memory(self, received: EndpointList) -> list[EndpointEntry]:
+        """The entries of all known workers, and of new ones as far as there is memory."""
+        workers = self.dispatcher.workers
+        known_count = sum(entry.name in workers for entry in received.entries)
+        kept_count = known_count if received.is_complete else len(self.dispatcher.listed_workers())
+        capacity = self.pool.monitor.memory.limit // WORKERS_SHARE // WORKER_BYTES
+        self.dispatcher.limit_gone_workers(capacity)
+        room = capacity - kept_count
+        entries: list[EndpointEntry] = []
+        for entry in received.entries:
+            is_new = entry.name not in workers
+            if is_new and (room <= 0 or len(entry.name) + len(entry.address) > MAX_ENTRY_TEXT):
+                continue
+            room -= is_new
+            entries.append(entry)
+        if len(entries) < len(received.entries):
+            left_out = len(received.entries) - len(entries)
+            log_line(f"endpoint list: no memory for {left_out} new workers, which get no requests")
+        return entries
+
     def _forget_unknown(self, listed_names: Collection[str]) -> None:
         """Forget the addresses of workers that the decision logic has forgotten."""
         workers = self.dispatcher.workers
@@ -136,6 +161,7 @@
             for name in [name for name in self.addresses if name not in workers and name not in listed_names]:
                 del self.addresses[name]
                 self.start_times.forget(name)
+        self.workers_held.set(max(len(workers), len(self.addresses)) * WORKER_BYTES)
 
     def _store_entry(self, entry: EndpointEntry) -> Endpoint:
         """Store the worker's address, and retire the connections to its previous address."""
--- a/ploverspoke/transport/memory_account.py
+++ b/ploverspoke/transport/memory_account.py
@@ -18,6 +18,7 @@
     OPEN_REQUESTS = "open_requests"  # admitted requests, until their last attempt has ended
     RESPONSES = "responses"  # incomplete responses of workers and discovery
     UNSENT = "unsent"  # written bytes that the kernel has not accepted
+    WORKERS = "workers"  # what is known of each worker
 
 
 class MemoryAccount:
--- a/tests/decisions/test_bounded_tables.py
+++ b/tests/decisions/test_bounded_tables.py
@@ -34,3 +34,13 @@
     assert harness.worker_of(1) == "kept"
     harness.end_attempt(1, AttemptOutcome.SUCCEEDED)
     assert set(harness.answers) == {1}
+
+
+def test_fewer_workers_that_are_gone_are_remembered_where_memory_is_short() -> None:
+    harness = DispatchHarness([endpoint("kept")])
+    for limit, expected in ((5, 5), (2 * MAX_GONE_WORKERS, MAX_GONE_WORKERS)):
+        harness.dispatcher.limit_gone_workers(limit)
+        for number in range(MAX_GONE_WORKERS + 10):
+            harness.dispatcher.endpoints_changed([endpoint(f"w{number}")])
+            harness.dispatcher.endpoints_changed([endpoint(f"w{number}", EndpointCondition.GONE)])
+        assert len(harness.dispatcher.workers) == expected + 1
