The connection pool forgets addresses without connections

Cause: the list of idle connections of an address stayed, empty, when its connections were closed; with workers at ever new addresses the table grew, and each clean-up went through all of it.

Change: empty lists are dropped at each clean-up.

--- a/ploverspoke/transport/connection_pool.py
+++ b/ploverspoke/transport/connection_pool.py
@@ -279,6 +279,8 @@
         for idle in self.idle.values():
             while idle and now - idle[0].since >= self.max_idle_time:
                 self._close(idle.pop(0).number)
+        for unused_address in [address for address, idle in self.idle.items() if not idle]:
+            del self.idle[unused_address]
         self.cleanup_deadline = None
         address = self._longest_idle_address()
         if address is not None:
--- a/tests/transport/test_connection_pool.py
+++ b/tests/transport/test_connection_pool.py
@@ -62,6 +62,7 @@
         # The idle connection was closed before the other side's limit: a request that is sent while the other
         # side closes the connection would be reset.
         assert not second.connection.is_open and pool.connection_count() == 0
+        assert not pool.idle, "addresses without connections are forgotten"
         server.close()
 
     loop.run_until_complete(script())
