An accept at the limit of connections looks at few sessions

Change: sessions are kept in the order of their latest answers. An accept looks at the first 32 at most; one that is busy goes to the end.

Result: the test accepts half as many connections again as the limit allows, and counts: 6,903 looks at sessions for 59 accepts before, at most 4 for each now; it failed before and passes. The oldest sessions are closed and no others, as before. Tests of routing and transport: 429 passed.

--- a/ploverspoke/routing/client_server.py
+++ b/ploverspoke/routing/client_server.py
@@ -17,6 +17,7 @@
 
 # Beyond the limit on sessions, one more is accepted for every seven, only to reject its request.
 SESSIONS_WITH_EXCESS, SESSIONS_WITHOUT_EXCESS = 8, 7
+MAX_LOOKS_PER_ACCEPT = 32  # at sessions that might be idle
 
 
 class ClientServer:
@@ -40,6 +41,7 @@
         self.connections: SlotTable[Connection] = SlotTable()
         self.sessions: dict[int, ClientSession] = {}  # by connection number, oldest first
         self.unserved: dict[int, ClientSession] = {}  # sessions without an admitted request, oldest first
+        self.answered: OrderedDict[int, ClientSession] = OrderedDict()  # latest answer last; may be busy
         self.is_making_room = False  # in memory
         self.is_marked_not_ready = False  # not ready for new clients
         self.is_handing_over = False  # other processes accept new connections
@@ -54,6 +56,7 @@
         """Remove a session that has ended or is about to end."""
         self.sessions.pop(session.connection.number, None)
         self.unserved.pop(session.connection.number, None)
+        self.answered.pop(session.connection.number, None)
         if session.is_closing:
             self.turns.remove(session)
             self.holding.pop(session, None)
@@ -149,7 +152,17 @@
         has_input = session.input.has_work() or session.connection.has_unread_data()
         return age >= EVICTION_MIN_AGE and not has_input
 
+    def note_answered(self, session: ClientSession) -> None:
+        """Record that the client has received all that it asked for, so that the session may be idle."""
+        if session.connection.number in self.sessions:
+            self.answered[session.connection.number] = session
+            self.answered.move_to_end(session.connection.number)
+
     def _longest_idle(self) -> ClientSession | None:
-        idle = [session for session in self.sessions.values() if session.was_served and session.is_idle()]
-        idle.sort(key=lambda session: session.idle_since)
-        return next((session for session in idle if not session.connection.has_unread_data()), None)
+        """The idle session with the earliest answer among the first few, None if there is none."""
+        for _ in range(min(MAX_LOOKS_PER_ACCEPT, len(self.answered))):
+            number, session = next(iter(self.answered.items()))
+            self.answered.move_to_end(number)
+            if session.was_served and session.is_idle() and not session.connection.has_unread_data():
+                return session
+        return None
--- a/ploverspoke/routing/client_session.py
+++ b/ploverspoke/routing/client_session.py
@@ -83,6 +83,7 @@
     def on_write_drained(self) -> None:
         """Continue reading, as the response has been sent."""
         if not self.is_answering and not self.is_closing:
+            self.server.note_answered(self)
             self._continue()
 
     def _read_ahead(self) -> None:
@@ -250,6 +251,7 @@
         if not keep_alive:
             self._close(reason_after_response(status, has_dropped, is_ending, not self.is_excess))
         else:
+            self.server.note_answered(self)
             self._continue()
         self._note_memory()
 
--- a/ploverspoke/routing/client_session_owner.py
+++ b/ploverspoke/routing/client_session_owner.py
@@ -29,5 +29,8 @@
     def make_room(self) -> None:
         """Let the sessions that have held memory longest give it up, while the limit is reached."""
 
+    def note_answered(self, session: Session) -> None:
+        """Record that the client has received all that it asked for, so that the session may be idle."""
+
     def remove_session(self, session: Session) -> None:
         """Remove a session that has ended."""
