Tests do not depend on how much the tests before them logged

Cause: the log of a process is limited to 50 lines and 5 more a second, and a test process runs many tests. `test_exception_in_a_decision_is_logged_and_its_request_answered` failed once in a run of six processes with tests in any order: its line, and "n0 serves at" before it, were suppressed, while lines of the request log, which has a limit of its own, were there.

Change: each test begins with a full bucket, as a process that has just started.

--- a/ploverspoke/transport/rate_limited_log.py
+++ b/ploverspoke/transport/rate_limited_log.py
@@ -61,5 +61,5 @@
     return bool(poll.poll(0))
 
 
-_default_log = RateLimitedLog()
-log_line = _default_log.write
+default_log = RateLimitedLog()
+log_line = default_log.write
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -12,6 +12,7 @@
 import pytest
 
 from ploverspoke.testbed.processes.capacity_check import memory_backed_folder
+from ploverspoke.transport.rate_limited_log import default_log
 from tests.expected_failures import ExpectedFailures
 
 # Most tests wait for processes and sockets; the tests that explore many runs start processes of their own.
@@ -19,6 +20,12 @@
 RUNS_LONG = "RUNS_LONG"  # attribute of test modules that take over 20 s, which are scheduled first
 
 
+@pytest.fixture(autouse=True)
+def full_log_bucket() -> None:
+    """Let each test log as much as a process that has just started, whatever the tests before it logged."""
+    default_log.tokens = float(default_log.burst)
+
+
 def pytest_configure(config: pytest.Config) -> None:
     memory_folder = memory_backed_folder()
     if memory_folder is not None and config.option.basetemp is None:
