A lease holder at its limit does not keep a lease from those behind it

Change: holders without room are passed over when the next one is chosen.

Result: the new test failed before (nobody has the lease) and passes.

--- a/ploverspoke/leases/manager.py
+++ b/ploverspoke/leases/manager.py
@@ -260,8 +260,9 @@
         if len(active) >= definition.max_holders:
             self.next_tick = min(self.next_tick, *(self.expires_at[grant.token] for grant in active))
             return
-        waiting = self.queues.next_waiting(name, {grant.holder for grant in active}, now)
-        if waiting is not None and self.counts.has_room(waiting.holder):
+        holders = {grant.holder for grant in active}
+        waiting = self.queues.next_waiting(name, holders, self.counts.has_room, now)
+        if waiting is not None:
             self._propose_grant(name, waiting, definition, expired)
 
     def _split_expired(self, name: str, now: int) -> tuple[list[LeaseGrant], list[int]]:
--- a/ploverspoke/leases/waiting_queue.py
+++ b/ploverspoke/leases/waiting_queue.py
@@ -1,7 +1,7 @@
 """The holders that wait for each lease, in the order of the next grants. No I/O; times are nanoseconds."""
 
 from collections import defaultdict
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 
 from ploverspoke.transport.units import LONG_AGO
 
@@ -89,10 +89,15 @@
                 waiting.waiting_since = LONG_AGO
         queue.sort(key=lambda waiting: waiting.waiting_since)
 
-    def next_waiting(self, name: str, exclude: Collection[str], now: int) -> WaitingHolder | None:
-        """Return the first holder that is not in `exclude`, and remove silent holders before it."""
+    def next_waiting(
+        self, name: str, exclude: Collection[str], has_room: Callable[[str], bool], now: int
+    ) -> WaitingHolder | None:
+        """Return the first holder that is not in `exclude` and has room for one more lease.
+
+        Silent holders before it are removed.
+        """
         for waiting in list(self.by_name.get(name, ())):
-            if waiting.holder in exclude:
+            if waiting.holder in exclude or not has_room(waiting.holder):
                 continue
             if not waiting.is_silent(now):
                 return waiting
--- a/tests/leases/test_lease_limits.py
+++ b/tests/leases/test_lease_limits.py
@@ -62,3 +62,16 @@
     undecided.pop()(True)
     latest = {holder: response.number for holder, response in server.sent}
     assert latest == {"a": 199, "b": 199}
+
+
+def test_holder_at_its_limit_does_not_keep_a_lease_from_those_behind_it(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(grant_limits, "MAX_LEASES_PER_HOLDER", 2)
+    server = SingleLeaseServer()
+    server.request("first", ("one", DURATION, 0))
+    server.request("greedy", ("one", DURATION, 0), ("team-1", DURATION, 0))
+    server.request("greedy", ("one", DURATION, 0), ("team-2", DURATION, 0))  # waits, and is at its limit
+    server.request("behind", ("one", DURATION, 0))
+    server.request("first", released=(("one", server.state.grants["one"][0].token, ""),))
+    assert server.holders("one") == ["behind"]
