With a store, the request log is limited by the memory of the dispatcher

Change: the state estimates what it holds, which is a kind of the account (`request_log`). Beyond 0.8 of the account requests get 503, but for one a second, since only new answers make the log forget old ones. Ids of over 256 characters get 400 where there is a store. What replicas agree on, and its form, is the same.

--- a/ploverspoke/consensus/replica_driver.py
+++ b/ploverspoke/consensus/replica_driver.py
@@ -13,12 +13,14 @@
 from ploverspoke.transport.loop_timer import LoopTimer
 from ploverspoke.transport.rate_limited_log import log_line
 
-from .log import EntryKind
+from .log import EntryKind, encoded_entry_bytes
 from .persisted_state import WriteBatch
 from .replica import Replica
 from .storage import ReplicaStorage
 from .storage_thread import StorageThread
 
+MAX_LOG_BYTES = 8 * 1024 * 1024  # of encoded entries that are kept in memory; then a snapshot is taken early
+
 
 @dataclass
 class WriteCounters:
@@ -52,6 +54,7 @@
         self.storage = storage
         self.storage_thread = storage_thread
         self.snapshot_every = snapshot_every
+        self._log_bytes = 0  # written since the last snapshot
         self.counters = counters
         self.callbacks = callbacks
         self._loop = asyncio.get_running_loop()
@@ -109,6 +112,7 @@
             return
         self.counters.batches += 1
         self.counters.entries += len(batch.entries)
+        self._log_bytes += sum(map(encoded_entry_bytes, batch.entries))
         if batch.snapshot is not None or any(entry.kind is EntryKind.MEMBERS for entry in batch.entries):
             self.callbacks.on_members_written()
         self.replica.on_batch_written(batch)
@@ -117,8 +121,10 @@
 
     def _take_snapshot_if_due(self) -> None:
         entries_since_snapshot = self.replica.applied_index - self.replica.raft.log.snapshot_index
-        if self._is_taking_snapshot or entries_since_snapshot < self.snapshot_every:
+        is_due = entries_since_snapshot >= self.snapshot_every or self._log_bytes > MAX_LOG_BYTES
+        if self._is_taking_snapshot or not is_due or not entries_since_snapshot:
             return
+        self._log_bytes = 0
         snapshot = self.replica.take_snapshot()
         self._is_taking_snapshot = True
 
--- a/ploverspoke/routing/request_admission.py
+++ b/ploverspoke/routing/request_admission.py
@@ -28,6 +28,7 @@
 # The final answer is due this long before the client times out, or a tenth of its timeout if that is less.
 MAX_ANSWER_MARGIN_NS = 20 * MILLISECOND
 ANSWER_MARGIN_DIVISOR = 10
+MAX_RECORDED_ID_LENGTH = 256  # characters; with a store each entry of the log holds the id
 MAX_KEY_LENGTH = 128  # characters; of a longer affinity key the decisions get a hash
 KEY_DIGEST_BYTES = 32
 
@@ -63,6 +64,8 @@
             raise MethodNotAllowedError(reason="submissions come by POST")
         if not headers.get(REQUEST_ID):
             raise HttpSyntaxError(reason="request-id is missing")
+        if self.recorder is not None and len(headers[REQUEST_ID]) > MAX_RECORDED_ID_LENGTH:
+            raise HttpSyntaxError(reason=f"request-id is over {MAX_RECORDED_ID_LENGTH} characters")
         if class_number is not None:
             self._check_id_is_unused(headers[REQUEST_ID], class_number)
         for parse_header in (clients.request_timeout, clients.requested_slots, clients.work_hint):
@@ -117,6 +120,8 @@
 
     def _exceeded_limit(self) -> CapacityLimit | None:
         """The limit that one more open request would exceed, if any."""
+        if self.recorder is not None and not self.recorder.has_room():
+            return CapacityLimit.REQUEST_LOG
         if len(self.requests) >= self.settings.current.max_open_requests:
             return CapacityLimit.OPEN_REQUESTS
         if self.pool.monitor.memory.is_full_for_clients():
--- a/ploverspoke/routing/request_journal.py
+++ b/ploverspoke/routing/request_journal.py
@@ -20,6 +20,7 @@
     OPEN_REQUESTS = "open_requests"
     CONNECTIONS = "connections"
     MEMORY = "memory"
+    REQUEST_LOG = "request_log"  # a store has recorded too much
     REQUEST_IDS = "request_ids"  # it cannot be known whether the request has run before
     PROCESSOR = "processor"  # the request was received and could not be parsed in time
 
--- a/ploverspoke/routing/request_log.py
+++ b/ploverspoke/routing/request_log.py
@@ -33,6 +33,9 @@
     def leader_address(self) -> str:
         """The address to redirect clients to; "" if no leader is known."""
 
+    def held_bytes(self) -> int:
+        """Estimate the memory that the recorded requests and answers take."""
+
     def digest(self, method: str, target: str, body: bytes) -> bytes:
         """A digest that distinguishes different requests with the same id."""
 
--- a/ploverspoke/routing/request_recorder.py
+++ b/ploverspoke/routing/request_recorder.py
@@ -8,12 +8,18 @@
 from ploverspoke.protocol.clients import HttpRequest
 from ploverspoke.protocol.errors import RequestIdInUseError
 from ploverspoke.protocol.wire_names import REQUEST_ID
+from ploverspoke.transport.memory_account import MemoryHolding, MemoryKind
+from ploverspoke.transport.units import LONG_AGO, SECOND
 
 from .answers import Client, RecordedAnswer
 from .context import RouterPart, RoutingContext
 from .request_log import CommitCallback, PreviousOutcome, RequestLog, WaitingClients
 from .requests import Request
 
+LOG_SHARE = 0.8  # of the account of memory, for the log
+COUNTED_SHARE = 0.5  # of the account: clients may use the rest even if the log is full
+FULL_LOG_INTERVAL_NS = SECOND  # between requests that are let through while the log is full
+
 
 class RequestRecorder(RouterPart):
     """The router's side of the request log; exists only where there is a store."""
@@ -22,6 +28,8 @@
         """`request_log` is the log of the store."""
         super().__init__(context)
         self.request_log = request_log
+        self.memory_held = MemoryHolding(self.pool.monitor.memory, MemoryKind.REQUEST_LOG)
+        self.admitted_at = LONG_AGO
         self.open_requests: dict[str, Request] = {}  # by request id, until the answer is committed
 
     def is_leader(self) -> bool:
@@ -36,6 +44,19 @@
         """Whether attempts are recorded; attempts of idempotent requests need no record."""
         return self.settings.idempotency(request.class_number) is not Idempotency.IDEMPOTENT
 
+    def has_room(self) -> bool:
+        """Whether the log may record one more request; counts what it holds in the account of memory.
+
+        Only new answers make the log forget old ones, so a few requests are let through beyond its limit.
+        """
+        account_limit = self.pool.monitor.memory.limit
+        held, now = self.request_log.held_bytes(), self.deadlines.now()
+        self.memory_held.set(min(held, int(account_limit * COUNTED_SHARE)))
+        if held >= account_limit * LOG_SHARE and now - self.admitted_at < FULL_LOG_INTERVAL_NS:
+            return False
+        self.admitted_at = now
+        return True
+
     # ---- Requests ----
 
     def join_open_request(self, client: Client, message: HttpRequest) -> Request | None:
--- a/ploverspoke/store/request_log.py
+++ b/ploverspoke/store/request_log.py
@@ -67,6 +67,10 @@
         leader_address = self.node.leader_client_address()
         return "" if leader_address == own_address else leader_address
 
+    def held_bytes(self) -> int:
+        """Estimate the memory that the recorded requests and answers take."""
+        return self.node.requests.held_bytes()
+
     def digest(self, method: str, target: str, body: bytes) -> bytes:
         """Return a digest that distinguishes different requests with the same id."""
         head = f"{method} {target}\n".encode("utf-8", "surrogatepass")
--- a/ploverspoke/store/state_machine.py
+++ b/ploverspoke/store/state_machine.py
@@ -39,6 +39,8 @@
 MAX_RESULT_BYTES = 64 * 1024 * 1024
 ANSWER_RETENTION = 15 * MINUTE  # after the deadline or the answer, whichever is later
 MAX_CONFIGURATIONS = 20
+REQUEST_BYTES = 1024  # of memory for each request, besides its id and its result
+COPIES = 2  # of each id and result: in the state, and in its latest snapshot
 
 
 class RequestStateMachine:
@@ -52,6 +54,7 @@
         self.answered: OrderedDict[str, AnsweredRequest] = OrderedDict()
         self.encoded_results: dict[str, bytes] = {}  # of those among `answered` that need it
         self.result_bytes = 0
+        self.id_bytes = 0  # of all requests
         self.configurations: list[SharedConfiguration] = []
         self.highest_token = 0  # highest fencing token that a configuration was committed under
         self.now = 0  # latest time in an applied entry
@@ -70,6 +73,11 @@
         stored = StorableText(answered.result, self.encoded_results.get(request_id, b""))
         return RecordedAnswer(answered.answer, from_storable(stored))
 
+    def held_bytes(self) -> int:
+        """Estimate the memory that the requests take."""
+        count = len(self.open_requests) + len(self.answered)
+        return count * REQUEST_BYTES + COPIES * (self.id_bytes + self.result_bytes)
+
     # ---- State machine of consensus ----
 
     def apply(self, index: int, command: object) -> None:
@@ -102,6 +110,7 @@
         self.answered = OrderedDict(snapshot.answered)
         self.encoded_results = snapshot.encoded_results
         self.result_bytes = sum(len(answer.result) for answer in self.answered.values())
+        self.id_bytes = sum(map(len, self.open_requests)) + sum(map(len, self.answered))
         self.configurations = snapshot.configurations
         self.highest_token = snapshot.highest_token
         self.now = 0
@@ -129,6 +138,7 @@
         request_id = command.request_id
         if request_id not in self.open_requests and request_id not in self.answered:
             rules = command.rules if isinstance(command, AcceptRequestUnderRules) else UNKNOWN_RULES
+            self.id_bytes += len(request_id)
             self.open_requests[request_id] = OpenRequest(
                 command.request_class, command.digest, command.deadline, command.now, rules=rules
             )
@@ -157,6 +167,8 @@
         if command.request_id in self.answered:
             return
         request = self.open_requests.pop(command.request_id, None)
+        if request is None:
+            self.id_bytes += len(command.request_id)
         deadline = request.deadline if request is not None else command.now
         digest = request.digest if request is not None else command.digest
         forget_at = max(command.now, deadline) + ANSWER_RETENTION
@@ -174,6 +186,7 @@
             if oldest_id == latest_id or (not exceeds_limit and oldest.forget_at > now):
                 return
             del self.answered[oldest_id]
+            self.id_bytes -= len(oldest_id)
             self.encoded_results.pop(oldest_id, None)
             self.result_bytes -= len(oldest.result)
 
--- a/ploverspoke/transport/memory_account.py
+++ b/ploverspoke/transport/memory_account.py
@@ -21,6 +21,7 @@
     RESPONSES = "responses"  # incomplete responses of workers and discovery
     UNSENT = "unsent"  # written bytes that the kernel has not accepted
     WORKERS = "workers"  # what is known of each worker
+    REQUEST_LOG = "request_log"  # requests and answers that a store has recorded
 
 
 class MemoryAccount:
--- a/tests/store/request_log_harness.py
+++ b/tests/store/request_log_harness.py
@@ -26,6 +26,9 @@
     def leader_address(self) -> str:
         return "127.0.0.1:9"
 
+    def held_bytes(self) -> int:
+        return 1000 * len(self.previous)
+
     def digest(self, method: str, target: str, body: bytes) -> bytes:
         return target.encode() + body
 
--- a/tests/store/test_node.py
+++ b/tests/store/test_node.py
@@ -8,6 +8,7 @@
 
 from ploverspoke.consensus.framing import MAX_BODY_BYTES
 from ploverspoke.consensus.membership import Member
+from ploverspoke.consensus.replica_driver import MAX_LOG_BYTES
 from ploverspoke.consensus.storage import ClusterMismatchError
 from ploverspoke.routing.answers import FinalAnswer
 from ploverspoke.store.log_commands import AnswerRequest, encode_command
@@ -66,6 +67,17 @@
     run_cluster(tmp_path, 3, scenario)
 
 
+def test_large_entries_are_compacted_before_there_are_many(tmp_path: Path) -> None:
+    async def scenario(cluster: Cluster) -> None:
+        leader = await cluster.wait_for_leader()
+        body = "x" * (MAX_BODY_BYTES // 4)
+        for _ in range(2 + 4 * MAX_LOG_BYTES // MAX_BODY_BYTES):
+            assert await commit(leader, body)
+        await until(lambda: snapshot_index(leader) > 0)
+
+    run_cluster(tmp_path, 1, scenario)
+
+
 def test_a_leader_with_a_full_disk_steps_down_and_rejoins_when_there_is_room(tmp_path: Path) -> None:
     async def scenario(cluster: Cluster) -> None:
         old = await cluster.wait_for_leader()
--- a/tests/store/test_router_with_request_log.py
+++ b/tests/store/test_router_with_request_log.py
@@ -6,11 +6,14 @@
 
 from ploverspoke.decisions.state import SECOND
 from ploverspoke.routing.answers import FinalAnswer, RecordedAnswer
+from ploverspoke.routing.request_admission import MAX_RECORDED_ID_LENGTH
 from ploverspoke.routing.request_log import PreviousOutcome
+from ploverspoke.routing.request_recorder import COUNTED_SHARE, FULL_LOG_INTERVAL_NS
 from ploverspoke.testbed.checkers.request_audit import SOCKETS_TOLERANCE, audit_requests
 from ploverspoke.testbed.experiment_files.reader import parse_experiment
 from ploverspoke.testbed.models.event_records import DISPATCHER_KILLED
 from ploverspoke.testbed.scenarios.socket_run import run_on_sockets
+from ploverspoke.transport.memory_account import MemoryKind
 from tests.decisions.harness import SETTINGS, DispatchHarness, endpoint
 from tests.routing.harness import ServiceHarness
 from tests.routing.http_messages import read_message
@@ -199,3 +202,29 @@
     scenario_run = run_on_sockets(experiment, 1)
     assert audit_requests(experiment, scenario_run.events, SOCKETS_TOLERANCE) == []
     assert sum(event.kind == DISPATCHER_KILLED for event in scenario_run.events) == 3
+
+
+def test_a_request_whose_id_is_too_long_for_the_log_is_refused() -> None:
+    async def scenario(harness: ServiceHarness, log: ControlledRequestLog) -> None:
+        assert (await harness.exchange(harness.request("i" * MAX_RECORDED_ID_LENGTH)))[0] == 200
+        assert (await harness.exchange(harness.request("i" * (MAX_RECORDED_ID_LENGTH + 1))))[0] == 400
+
+    run_with_request_log(scenario)
+
+
+def test_requests_are_rejected_while_the_log_has_used_up_its_memory() -> None:
+    async def scenario(harness: ServiceHarness, log: ControlledRequestLog) -> None:
+        account = harness.service.router.connection_monitor.memory
+        held = account.limit
+        log.held_bytes = lambda: held  # type: ignore[method-assign]
+        statuses = [(await harness.exchange(harness.request(f"r{number}")))[0] for number in range(6)]
+        # One a second is let through, as only answers make the log forget old ones.
+        assert statuses == [200, 503, 503, 503, 503, 503]
+        assert account.held[MemoryKind.REQUEST_LOG] == int(account.limit * COUNTED_SHARE)
+        await asyncio.sleep(FULL_LOG_INTERVAL_NS / SECOND)
+        assert (await harness.exchange(harness.request("later")))[0] == 200
+        held = 0
+        assert (await harness.exchange(harness.request("empty")))[0] == 200
+        assert not account.held[MemoryKind.REQUEST_LOG]
+
+    run_with_request_log(scenario)
--- a/tests/store/test_state_machine.py
+++ b/tests/store/test_state_machine.py
@@ -19,7 +19,12 @@
     decode_command,
     encode_command,
 )
-from ploverspoke.store.state_machine import ANSWER_RETENTION, RequestStateMachine
+from ploverspoke.store.state_machine import (
+    ANSWER_RETENTION,
+    COPIES,
+    REQUEST_BYTES,
+    RequestStateMachine,
+)
 
 STORED_COMMANDS: list[tuple[list[object], LogCommand]] = [
     (["take", "r", 1, b"d", 100, 1], AcceptRequest("r", 1, b"d", 100, 1)),
@@ -109,3 +114,19 @@
     restored.on_time = restored_clock.advance_to
     restored.restore_snapshot(states[0].take_snapshot())
     assert restored_clock.now() == 50
+
+
+def test_held_memory_follows_ids_and_results_and_survives_a_snapshot() -> None:
+    state, empty = RequestStateMachine(max_answers=10), RequestStateMachine().held_bytes()
+    for number in range(100):
+        request_id = f"{number}-" + "i" * (number % 7)
+        if number % 3:
+            state.apply(0, encode_command(AcceptRequest(request_id, 0, b"", 100, number)))
+        state.apply(0, encode_command(AnswerRequest(request_id, FinalAnswer.SUCCEEDED, "r" * number, b"", 1)))
+        state.apply(0, encode_command(AnswerRequest(request_id, FinalAnswer.SUCCEEDED, "again", b"", 1)))
+    assert len(state.answered) == 10
+    text = sum(len(request_id) + len(answer.result) for request_id, answer in state.answered.items())
+    assert state.held_bytes() == 10 * REQUEST_BYTES + COPIES * text
+    restored = RequestStateMachine()
+    restored.restore_snapshot(state.take_snapshot())
+    assert restored.held_bytes() == state.held_bytes() > empty
