Leases: a test takes a process that ends while it is looked at as ended

When the process is waited for by its parent between the opening of the file and the reading, the read fails with ESRCH instead. Both say the same: there is no such process.

No bound and no assertion changed.

--- a/tests/leases/test_guarded_process.py
+++ b/tests/leases/test_guarded_process.py
@@ -55,7 +55,7 @@
 def is_running(process: int) -> bool:
     try:
         return Path(f"/proc/{process}/stat").read_text().rpartition(")")[2].split()[0] != ZOMBIE_STATE
-    except FileNotFoundError:
+    except (FileNotFoundError, ProcessLookupError):  # ended before the file was opened, or before it was read
         return False
 
 
