Testbed: a process that ends while its resources are read does not end the sampling

A fleet of real dispatchers and a measurement fleet read the usage of each process that is not known to have ended. A process that was killed and not waited for yet gave an error, which was noted as an error of the run and ended the sampling for the rest of it.

Other errors still count as errors of the run.

--- a/ploverspoke/testbed/capacity/measurements/measurement_fleet.py
+++ b/ploverspoke/testbed/capacity/measurements/measurement_fleet.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import contextlib
 import sys
 import tempfile
 import time
@@ -24,7 +25,7 @@
 from ...processes.capacity_check import memory_backed_folder
 from ...processes.child_process import ChildProcess
 from ...processes.link_faults import LinkCounters
-from ...processes.resource_usage import ResourceUsage, read_resource_usage
+from ...processes.resource_usage import ProcessEndedError, ResourceUsage, read_resource_usage
 from ...processes.running_process import ProcessStartError, RunningProcess
 from ...scenarios.dispatcher_program import DispatcherProgram
 from ...scenarios.socket_fleet import SocketFleet
@@ -135,7 +136,9 @@
     def _sample_dispatchers(self, epoch: int) -> None:
         for samples, program in zip(self.samples, self.programs, strict=True):
             if program.process is not None and program.is_running():
-                samples.append((time.monotonic_ns() - epoch, read_resource_usage(program.process.pid)))
+                with contextlib.suppress(ProcessEndedError):
+                    usage = read_resource_usage(program.process.pid)
+                    samples.append((time.monotonic_ns() - epoch, usage))
 
     async def _run_actions(self, epoch: int) -> None:
         for at, action in self._actions:
--- a/ploverspoke/testbed/processes/resource_usage.py
+++ b/ploverspoke/testbed/processes/resource_usage.py
@@ -22,18 +22,30 @@
 
 
 def read_resource_usage(pid: int) -> ResourceUsage:
-    """Read the usage of a running process. Raises OSError if it has ended.
+    """Read the usage of a running process. Raises ProcessEndedError, and OSError if it cannot be read.
 
     CPU time is from `schedstat`, in ns: /proc/PID/stat counts in hundredths of a second, too coarse for an
     idle dispatcher.
     """
     folder = Path(f"/proc/{pid}")
-    cpu_time = sum(int(path.read_text().split()[0]) for path in folder.glob("task/*/schedstat"))
-    fields = dict(line.split(":", 1) for line in (folder / "status").read_text().splitlines() if ":" in line)
+    try:
+        cpu_time = sum(int(path.read_text().split()[0]) for path in folder.glob("task/*/schedstat"))
+        status = (folder / "status").read_text()
+    except (FileNotFoundError, ProcessLookupError) as error:
+        raise ProcessEndedError(pid) from error
+    fields = dict(line.split(":", 1) for line in status.splitlines() if ":" in line)
     if "VmRSS" not in fields:
         raise ProcessEndedError(pid)
     return ResourceUsage(cpu_time, _kibibytes(fields["VmRSS"]), _kibibytes(fields["VmHWM"]))
 
 
+def count_descriptors(pid: int) -> int:
+    """Count the open descriptors of a running process. Raises ProcessEndedError, and OSError as above."""
+    try:
+        return sum(1 for _ in Path(f"/proc/{pid}/fd").iterdir())
+    except (FileNotFoundError, ProcessLookupError) as error:
+        raise ProcessEndedError(pid) from error
+
+
 def _kibibytes(text: str) -> int:
     return int(text.split()[0]) * 1024
