Servers of store, leases and config limit what all their connections hold together

Cause: a frame in part (4 MiB) and unread messages (1 MiB, 8 MiB for tools) had limits for each connection, and the number of connections follows from the descriptors alone. What an aborted connection had received stayed until the garbage collector ran, as connections are in reference cycles, and the allocator kept freed blocks.

Change: consensus/connection_memory.py: an account for the connections of one server (those of clients, and those of peers and tools), 64 MiB. When it is full, the connection that has held something longest is closed, with a log line. A connection drops what it received when it ends. The servers set the allocator's thresholds as the dispatcher does, so that blocks of 64 KiB and more go back to the system.

--- a/ploverspoke/consensus/framed_server.py
+++ b/ploverspoke/consensus/framed_server.py
@@ -10,9 +10,9 @@
 from typing import ClassVar, NamedTuple, cast
 
 from ploverspoke.transport.rate_limited_log import log_line
-from ploverspoke.transport.stream_protocol import StreamProtocol
 
 from .cluster_config import split_address
+from .connection_memory import ConnectionMemory, CountedProtocol
 from .framing import FrameCodec, FrameError, decode_body
 from .message_turns import MessageTurnQueue, ReceivedMessages
 
@@ -28,14 +28,13 @@
     until_greeting: bool = False  # a greeting, which proves the secret, is enough
 
 
-class FramedConnection(StreamProtocol, asyncio.Protocol):
+class FramedConnection(CountedProtocol):
     """One accepted connection. It is created by its server and reports all events to it."""
 
     def __init__(self, server: "FramedServer") -> None:
         """Prepare the greeting; it is sent when the connection is made."""
-        super().__init__()
+        super().__init__(server.memory, FrameCodec(server.secret, dict(server.greeting())))
         self.server = server
-        self.frames = FrameCodec(server.secret, dict(server.greeting()))
         self.client_name = ""  # set by the server once the client has sent it
         self.registered = False
         self.greeted = False
@@ -51,6 +50,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Report the end of the connection to the server, after its last message; called by asyncio."""
         self.transport = None
+        self.release_memory()
         self.cancel_registration_timer()
         self.received.finish(lambda: self.server.remove_connection(self))
 
@@ -74,6 +74,7 @@
             self._refuse(error)
         else:
             self.received.receive(bodies, self.transport)
+            self.count_received()
 
     def _handle_body(self, body: bytes) -> None:
         try:
@@ -106,7 +107,7 @@
         except FrameError as error:
             log_line(f"{self.server.log_name}: a message to {self.client_name} is dropped: {error}")
             return 0
-        self.transport.write(data)
+        self.write_counted(self.transport, data)
         return len(data)
 
     def start_registration_timer(self, timeout: float) -> None:
@@ -134,6 +135,7 @@
         self.secret = secret
         self.limits = limits
         self.turns = MessageTurnQueue()
+        self.memory = ConnectionMemory(self.log_name)
         self.connections: set[FramedConnection] = set()
         self.clients: dict[str, FramedConnection] = {}  # the latest connection of each client, by name
         self.listener: asyncio.Server | None = None
--- a/ploverspoke/consensus/framing.py
+++ b/ploverspoke/consensus/framing.py
@@ -134,6 +134,14 @@
                 bodies.append(body)
         return bodies
 
+    def unread_bytes(self) -> int:
+        """Return the received bytes of a frame that is not complete yet."""
+        return len(self._receive_buffer)
+
+    def drop_unread(self) -> None:
+        """Drop the received bytes of a frame that is not complete: the connection has ended."""
+        self._receive_buffer = bytearray()
+
     def _accept_greeting(self, mac: bytes, body: bytes) -> None:
         _check_mac(mac, _compute_mac(derive_key(self.secret), 0, body))
         greeting = decode_body(body)
--- a/ploverspoke/consensus/peer_links.py
+++ b/ploverspoke/consensus/peer_links.py
@@ -16,6 +16,7 @@
 from ploverspoke.transport.stream_protocol import StreamProtocol
 
 from .admin_messages import ResultReply, encode_reply
+from .connection_memory import ConnectionMemory, CountedProtocol
 from .errors import ConsensusError
 from .framing import FrameCodec, FrameError
 from .message_turns import MessageTurnQueue, ReceivedMessages
@@ -60,6 +61,7 @@
         self.on_message = on_message
         self.on_admin_request = on_admin_request
         self.turns = MessageTurnQueue()
+        self.memory = ConnectionMemory("store")
         self.inbound: set[InboundConnection] = set()
         self.outbound: dict[str, OutboundConnection] = {}  # by replica id
         self.refused_connections = 0
@@ -123,14 +125,13 @@
             await asyncio.sleep(RECONNECT_DELAY_S)
 
 
-class InboundConnection(StreamProtocol, asyncio.Protocol):
+class InboundConnection(CountedProtocol):
     """A connection opened by a peer or a tool."""
 
     def __init__(self, links: PeerLinks) -> None:
         """Prepare a connection that is being accepted."""
-        super().__init__()
+        super().__init__(links.memory, FrameCodec(links.secret, links.identity.greeting()))
         self.links = links
-        self.frames = FrameCodec(links.secret, links.identity.greeting())
         self.received = ReceivedMessages(links.turns, self._handle_body, self.abort)
         self.sender = ""  # "": not known yet
         self.greeting_timer: asyncio.TimerHandle | None = None
@@ -151,6 +152,7 @@
         if self.greeting_timer is not None:
             self.greeting_timer.cancel()
         self.links.inbound.discard(self)
+        self.release_memory()
         self.transport = None
         self.received.finish(lambda: None)
 
@@ -169,6 +171,7 @@
             self._refuse(error)
         else:
             self.received.receive(bodies, self.transport)
+            self.count_received()
 
     def reply(self, message: object) -> None:
         """Send a reply to a tool, if it is still connected; in place of one without a frame, the reason."""
@@ -183,7 +186,7 @@
         except FrameError as error:
             log_line(f"store: a reply to a tool cannot be sent: {error}")
             frame = self.frames.encode(encode_reply(ResultReply(done=False, why=str(error))))
-        self.transport.write(frame)
+        self.write_counted(self.transport, frame)
 
     def has_greeted(self) -> bool:
         """Whether the other side has proved that it has the secret."""
--- a/ploverspoke/consensus/server.py
+++ b/ploverspoke/consensus/server.py
@@ -8,6 +8,7 @@
 import uvloop
 
 from ploverspoke.service.exit_codes import run_with_exit_code
+from ploverspoke.transport.allocator import configure_allocator
 from ploverspoke.transport.garbage_collection import freeze_startup_objects
 from ploverspoke.transport.rate_limited_log import log_line
 from ploverspoke.transport.units import SECOND
@@ -29,8 +30,10 @@
 def run_replica_process(serve: Callable[[], Coroutine[object, object, None]]) -> int:
     """Run the coroutine that `serve` returns on an event loop, and return the exit code of the process.
 
+    Memory that is freed is given back to the system.
     0: a signal ended it. 2: the configuration or the storage cannot be used, and the reason was printed.
     """
+    configure_allocator()
     return run_with_exit_code(
         lambda: uvloop.run(serve()), ClusterMismatchError, CorruptionError, StorageError
     )
--- a/tests/consensus/test_framed_connections.py
+++ b/tests/consensus/test_framed_connections.py
@@ -273,3 +273,26 @@
         link.exchange()
     link.connection.connection_lost(None)
     assert not server.connections
+
+
+def test_connections_hold_a_limited_amount_together_and_the_oldest_holder_is_closed() -> None:
+    # Guards against the sum of what each connection may hold, frames in part and messages that nobody reads.
+    server = EchoServer()
+    links = [Link(server, RecordingClient(name=f"c{number}")) for number in range(4)]
+    for link in links:
+        link.exchange()
+        link.client.write("hello")
+        link.exchange()
+    server.memory.account.set_limit(100_000)
+    reader, sender, other = links[:3]
+    reader.connection.pause_writing()
+    reader.server_transport.unsent = 40_000
+    assert server.send("c0", "x") > 0
+    for link in (sender, other):
+        link.client.write("y" * 40_000)
+        link.connection.data_received(link.client_transport.written[:30_000])
+    assert [link.server_transport.closed for link in links] == ["abort", "", "", ""]
+    other.connection.data_received(other.client_transport.written[30_000:])
+    assert server.memory.account.total == 30_000
+    sender.connection.connection_lost(None)
+    assert server.memory.account.total == 0 and not server.memory.holders
--- a/tests/consensus/test_peer_links.py
+++ b/tests/consensus/test_peer_links.py
@@ -135,6 +135,30 @@
     uvloop.run(asyncio.wait_for(scenario(), 20))
 
 
+def test_tools_with_messages_in_part_hold_a_limited_amount_together() -> None:
+    secret = b"a secret of the test"
+
+    async def scenario() -> None:
+        port = reserve_ports(1)[0]
+        links = peer_links.PeerLinks(secret, PeerIdentity("b.1", "s"), print, print)
+        links.memory.account.set_limit(1_000_000)
+        await links.open("127.0.0.1", port)
+        writers: list[asyncio.StreamWriter] = []
+        for _ in range(8):
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            frames = FrameCodec(secret, {"id": peer_links.ADMIN_CLIENT_ID, "store": ""})
+            frames.decode_bodies(await reader.read(4096))
+            writer.write(frames.greeting_frame() + frames.encode("x" * 300_000)[:200_000])
+            writers.append(writer)
+        await until(lambda: len(links.inbound) == 4 and links.memory.account.total == 800_000)
+        assert links.memory.closed_connections == 4
+        for writer in writers:
+            writer.close()
+        links.close()
+
+    uvloop.run(asyncio.wait_for(scenario(), 20))
+
+
 def test_a_tool_that_sends_much_at_once_does_not_hold_up_another() -> None:
     secret = b"a secret of the test"
     handled: list[object] = []
--- a/tests/limits/test_lease_flood.py
+++ b/tests/limits/test_lease_flood.py
@@ -9,10 +9,12 @@
 
 import pytest
 
+from ploverspoke.consensus.connection_memory import MAX_HELD_BYTES
+from ploverspoke.consensus.framing import MAX_BODY_BYTES
 from ploverspoke.leases.definitions import MIN_DURATION_ELECTION_TIMEOUTS
 from ploverspoke.testbed.processes.addresses import reserve_ports
 from tests.limits.crowd_harness import ROOT
-from tests.limits.lease_holder import FLOOD_PREFIX, LEASE_DURATION_NS, SECRET, connect
+from tests.limits.lease_holder import FLOOD_PREFIX, LEASE_DURATION_NS, SECRET, Holder, connect
 from tests.polling import until
 from tests.routing.harness import run_on_loop
 
@@ -22,6 +24,7 @@
 MAX_ANSWER_S = MIN_DURATION_ELECTION_TIMEOUTS * ELECTION_MS / 1000 / 3
 MAX_GROWTH_MB = 64  # as much as a dispatcher's least limit; a server has no setting for it
 REQUEST_PAUSE_S = 0.02
+HOLDERS_IN_PART = 100
 
 
 def resident_mb(pid: int) -> float:
@@ -55,6 +58,35 @@
     return process, client_port
 
 
+async def hold_part_of_a_frame(port: int, name: str) -> Holder:
+    holder = await connect(port, name)
+    holder.transport.write(holder.frames.encode("x" * (MAX_BODY_BYTES - 8))[:-1])
+    return holder
+
+
+def test_lease_server_holds_a_limited_amount_for_frames_in_part(tmp_path: Path) -> None:
+    async def script() -> None:
+        server, port = await start_lease_server(tmp_path)
+        try:
+            before = resident_mb(server.pid)
+            usual = await connect(port, "usual")
+            holders = [await hold_part_of_a_frame(port, f"p{number}") for number in range(HOLDERS_IN_PART)]
+            excess = HOLDERS_IN_PART - MAX_HELD_BYTES // MAX_BODY_BYTES
+            await until(lambda: sum(holder.transport.is_closing() for holder in holders) >= excess)
+            asked_at = time.monotonic()
+            await usual.exchange([["usual", LEASE_DURATION_NS, 0, 0]])
+            assert time.monotonic() - asked_at < MAX_ANSWER_S
+            assert resident_mb(server.pid) - before < 2 * MAX_GROWTH_MB
+            for holder in holders:
+                holder.transport.abort()
+            await until(lambda: resident_mb(server.pid) - before < MAX_GROWTH_MB / 2)
+        finally:
+            server.kill()
+            await server.wait()
+
+    run_on_loop(script)
+
+
 @pytest.mark.parametrize("holders", [1, 12])
 def test_lease_server_answers_others_beside_holders_that_send_at_full_speed(
     holders: int, tmp_path: Path
