Servers of store, leases and config read from one connection only for its turn

What callers saw: beside 20 watchers that sent statuses of 900 KB at full speed, a new watcher of a config server waited 3.2 to 4.5 s for its first heartbeat, and a served one up to 2.1 s for the next (by hand).

The event loop reads up to 32 times from one connection before it turns to the next, 256 KiB each time; the messages took turns, the reading did not. Besides, the reason in a status was escaped as a whole, up to 4 MiB of it, before 300 characters of it were kept.

Change: after 64 KiB from one connection the others are read first (consensus/message_turns.py); the reason is cut before it is escaped.

--- a/ploverspoke/config_distribution/messages.py
+++ b/ploverspoke/config_distribution/messages.py
@@ -258,7 +258,7 @@
 
 def escape_untrusted_text(text: str) -> str:
     """Escape and truncate a text of the peer for a log line or a reply to operators."""
-    return text.encode("unicode_escape").decode("ascii")[:MAX_REASON_CHARACTERS]
+    return text[:MAX_REASON_CHARACTERS].encode("unicode_escape").decode("ascii")[:MAX_REASON_CHARACTERS]
 
 
 def _is_digest(value: object) -> TypeGuard[bytes]:
--- a/ploverspoke/consensus/framed_server.py
+++ b/ploverspoke/consensus/framed_server.py
@@ -73,7 +73,7 @@
         except self.server.client_errors as error:
             self._refuse(error)
         else:
-            self.received.receive(bodies, self.transport)
+            self.received.receive(bodies, len(data), self.transport)
             self.count_received()
 
     def _handle_body(self, body: bytes) -> None:
--- a/ploverspoke/consensus/message_turns.py
+++ b/ploverspoke/consensus/message_turns.py
@@ -10,6 +10,8 @@
 from ploverspoke.transport.units import MILLISECOND
 
 MAX_TIME_PER_READ = MILLISECOND  # for messages that are handled at once, before the rest takes turns
+# From one connection, before the others: the event loop would read from it again up to 32 times.
+MAX_BYTES_PER_READ_TURN = 64 * 1024
 
 
 class ReadableTransport(Protocol):
@@ -46,7 +48,8 @@
 class ReceivedMessages:
     """The messages that one connection has received, in their order; implements `TurnUser`.
 
-    Nothing more is read while messages wait, so no more than those of one read are kept.
+    Nothing more is read while messages wait, so no more than those of one read are kept. After a number of
+    bytes the other connections are read first.
     """
 
     def __init__(
@@ -65,19 +68,33 @@
         self.waiting: deque[bytes] = deque()
         self.on_end: Callable[[], None] | None = None
         self.paused: ReadableTransport | None = None
+        self.bytes_in_turn = 0  # received since other connections were let go first
 
-    def receive(self, bodies: list[bytes], transport: ReadableTransport) -> None:
-        """Handle messages at once while there is time and no other connection waits, the rest in turns."""
+    def receive(self, bodies: list[bytes], size: int, transport: ReadableTransport) -> None:
+        """Handle messages at once while there is time and no other connection waits, the rest in turns.
+
+        `bodies` are the messages that the last read of `size` bytes has completed.
+        """
+        self.bytes_in_turn += size
         self.waiting.extend(bodies)
         try:
             self._handle_some()
         except Exception:  # the event loop logs it and closes the connection
             self.drop()
             raise
-        if self.waiting and self.paused is None:
-            self.paused = transport
-            transport.pause_reading()
+        if self.paused is not None:
+            return
+        if self.waiting:
+            self._pause(transport)
             self.turns.add(self)
+        elif self.bytes_in_turn >= MAX_BYTES_PER_READ_TURN:
+            self._pause(transport)
+            asyncio.get_running_loop().call_soon(self._on_all_handled)
+
+    def _pause(self, transport: ReadableTransport) -> None:
+        self.bytes_in_turn = 0
+        self.paused = transport
+        transport.pause_reading()
 
     def finish(self, on_end: Callable[[], None]) -> None:
         """Call `on_end` once all messages that were received are handled: nothing follows them."""
--- a/ploverspoke/consensus/peer_links.py
+++ b/ploverspoke/consensus/peer_links.py
@@ -170,7 +170,7 @@
         except FrameError as error:
             self._refuse(error)
         else:
-            self.received.receive(bodies, self.transport)
+            self.received.receive(bodies, len(data), self.transport)
             self.count_received()
 
     def reply(self, message: object) -> None:
--- a/tests/consensus/test_framed_connections.py
+++ b/tests/consensus/test_framed_connections.py
@@ -13,6 +13,7 @@
     RegistrationLimits,
 )
 from ploverspoke.consensus.framing import MAX_BODY_BYTES
+from ploverspoke.consensus.message_turns import MAX_BYTES_PER_READ_TURN
 
 SECRET = b"a secret of twenty-four."
 
@@ -275,6 +276,20 @@
     assert not server.connections
 
 
+def test_connection_lets_others_go_first_after_a_number_of_bytes() -> None:
+    # Guards against an event loop that reads many times from one connection before it turns to the others.
+    async def run() -> None:
+        link = Link(EchoServer(), RecordingClient())
+        link.exchange()
+        link.client.write("y" * MAX_BYTES_PER_READ_TURN)
+        link.connection.data_received(link.client_transport.written)
+        assert not link.server_transport.reads
+        await asyncio.sleep(0)
+        assert link.server_transport.reads
+
+    asyncio.run(run())
+
+
 def test_connections_hold_a_limited_amount_together_and_the_oldest_holder_is_closed() -> None:
     # Guards against the sum of what each connection may hold, frames in part and messages that nobody reads.
     server = EchoServer()
--- a/tests/limits/crowd_harness.py
+++ b/tests/limits/crowd_harness.py
@@ -26,6 +26,14 @@
 WAIT_CLASS = {"Name": "wait", "Repeat": "free", "ExpectedTimeUs": 3_000_000, "AbandonTimeUs": 4_000_000}
 
 
+def resident_mb(pid: int, peak: bool = False) -> float:
+    """The resident memory of a process in MiB, now or at its peak."""
+    text = Path(f"/proc/{pid}/status").read_text()
+    found = re.search(rf"{'VmHWM' if peak else 'VmRSS'}:\s+(\d+) kB", text)
+    assert found, text
+    return int(found[1]) / 1024
+
+
 class Exchange(NamedTuple):
     """One request of the usual client."""
 
@@ -125,10 +133,7 @@
 
     def resident_mb(self, peak: bool = False) -> float:
         """The program's resident memory in MiB, now or at its peak."""
-        text = Path(f"/proc/{self.process.pid}/status").read_text()
-        found = re.search(rf"{'VmHWM' if peak else 'VmRSS'}:\s+(\d+) kB", text)
-        assert found, text
-        return int(found[1]) / 1024
+        return resident_mb(self.process.pid, peak)
 
     async def metrics(self) -> dict[str, int]:
         """The program's counters."""
--- a/tests/limits/lease_holder.py
+++ b/tests/limits/lease_holder.py
@@ -6,12 +6,11 @@
 import asyncio
 import sys
 import time
-from typing import Any, cast
+from typing import Any
 
-from ploverspoke.consensus.framing import FrameCodec
 from ploverspoke.leases.manager import MAX_WANTED_LEASES
+from tests.limits.framed_peer import FramedPeer
 
-SECRET = b"a secret of twenty-four."
 LEASE_DURATION_NS = 10_000_000_000
 FLOOD_PREFIX = "flood-"
 ANSWER_TIMEOUT_S = 20.0
@@ -19,42 +18,21 @@
 Wanted = list[list[object]]
 
 
-class Holder(asyncio.Protocol):
+class Holder(FramedPeer):
     """One connection to a lease server."""
 
     def __init__(self, name: str) -> None:
-        self.frames = FrameCodec(SECRET, {"id": name, "store": ""})
-        self.messages: asyncio.Queue[dict[str, Any]] = asyncio.Queue()
-        self.is_greeted, self.may_write = asyncio.Event(), asyncio.Event()
-        self.may_write.set()
+        super().__init__({"id": name, "store": ""})
         self.number = 0
 
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self.transport = cast(asyncio.Transport, transport)
-        self.transport.write(self.frames.greeting_frame())
-
-    def data_received(self, data: bytes) -> None:
-        for message in self.frames.decode(data):
-            self.messages.put_nowait(cast(dict[str, Any], message))
-        if self.frames.peer_greeting is not None:
-            self.is_greeted.set()
-
-    def pause_writing(self) -> None:
-        self.may_write.clear()
-
-    def resume_writing(self) -> None:
-        self.may_write.set()
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        self.may_write.set()
-
-    def send(self, wanted: Wanted) -> None:
+    def want(self, wanted: Wanted) -> None:
+        """Send a request for leases."""
         self.number += 1
-        self.transport.write(self.frames.encode({"n": self.number, "want": wanted, "release": []}))
+        self.send({"n": self.number, "want": wanted, "release": []})
 
     async def exchange(self, wanted: Wanted) -> dict[str, Any]:
         """Send a request and wait for its answer."""
-        self.send(wanted)
+        self.want(wanted)
         async with asyncio.timeout(ANSWER_TIMEOUT_S):
             while True:
                 message = await self.messages.get()
@@ -64,9 +42,8 @@
 
 async def connect(port: int, name: str) -> Holder:
     """Connect a holder and wait for the server's greeting."""
-    loop = asyncio.get_running_loop()
-    _, holder = await loop.create_connection(lambda: Holder(name), "127.0.0.1", port)
-    await holder.is_greeted.wait()
+    holder = Holder(name)
+    await holder.connect(port)
     return holder
 
 
@@ -75,7 +52,7 @@
     holder = await connect(port, name)
     while time.monotonic() < until and not holder.transport.is_closing():
         names = (f"{FLOOD_PREFIX}{name}-{holder.number}-{lease}" for lease in range(MAX_WANTED_LEASES))
-        holder.send([[lease, LEASE_DURATION_NS, 0, 0] for lease in names])
+        holder.want([[lease, LEASE_DURATION_NS, 0, 0] for lease in names])
         await holder.may_write.wait()
         while not holder.messages.empty():
             holder.messages.get_nowait()
--- a/tests/limits/test_lease_flood.py
+++ b/tests/limits/test_lease_flood.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import json
-import re
 import sys
 import time
 from pathlib import Path
@@ -13,8 +12,9 @@
 from ploverspoke.consensus.framing import MAX_BODY_BYTES
 from ploverspoke.leases.definitions import MIN_DURATION_ELECTION_TIMEOUTS
 from ploverspoke.testbed.processes.addresses import reserve_ports
-from tests.limits.crowd_harness import ROOT
-from tests.limits.lease_holder import FLOOD_PREFIX, LEASE_DURATION_NS, SECRET, Holder, connect
+from tests.limits.crowd_harness import ROOT, resident_mb
+from tests.limits.framed_peer import SECRET
+from tests.limits.lease_holder import FLOOD_PREFIX, LEASE_DURATION_NS, Holder, connect
 from tests.polling import until
 from tests.routing.harness import run_on_loop
 
@@ -27,12 +27,6 @@
 HOLDERS_IN_PART = 100
 
 
-def resident_mb(pid: int) -> float:
-    found = re.search(r"VmRSS:\s+(\d+) kB", Path(f"/proc/{pid}/status").read_text())
-    assert found
-    return int(found[1]) / 1024
-
-
 async def start_lease_server(folder: Path) -> tuple[asyncio.subprocess.Process, int]:
     """Start a lease server without replicas, and wait until it leads; returns it and its port for holders."""
     peer_port, client_port = reserve_ports(2)
