Messages of a config or lease server are handled in turns at their clients as well

What callers saw: beside a config server that sends heartbeats at full speed, the clients of a dispatcher that watches it waited 6.4 s; 6 requests were served in 5 s (by hand, a stand-in for the server).

Cause: a connection to a server handled all messages of a read at once, and the event loop read from it up to 32 times before it turned to the clients.

Change: FramedClientConnection handles its messages as accepted connections do: in turns, reading no more than 64 KiB before the others, and reports its end after the last message. A connection that is closing is not paused.

--- a/ploverspoke/consensus/framed_client.py
+++ b/ploverspoke/consensus/framed_client.py
@@ -9,7 +9,8 @@
 from ploverspoke.transport.stream_protocol import StreamProtocol
 
 from .cluster_config import split_address
-from .framing import FrameCodec, FrameError
+from .framing import FrameCodec, FrameError, decode_body
+from .message_turns import MessageTurnQueue, ReceivedMessages
 
 
 class FramedClientConnection(StreamProtocol, asyncio.Protocol, abc.ABC):
@@ -29,6 +30,7 @@
         self.frames = FrameCodec(secret, dict(greeting))
         self.ready = False  # the greeting of the server was received
         self.closed = False
+        self.received = ReceivedMessages(MessageTurnQueue(), self._handle_body, self.abort)
 
     # ---- Defined by subclasses ----
 
@@ -91,22 +93,40 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Report the end of the connection; called by asyncio."""
         self.transport = None
+        self.received.finish(self._report_end)
+
+    def _report_end(self) -> None:
         if not self.closed:
             self.closed = True
             self.on_disconnected()
 
+    def abort(self) -> None:
+        """Close the connection immediately, and handle no message that waits."""
+        self.received.drop()
+        super().abort()
+
     def data_received(self, data: bytes) -> None:
-        """Handle each complete message; called by asyncio."""
-        if self.closed:
+        """Handle each complete message, in turns if there are many; called by asyncio."""
+        if self.closed or self.transport is None:
             return
         try:
-            messages = self.frames.decode(data)
+            bodies = self.frames.decode_bodies(data)
             if self.frames.peer_greeting is not None and not self.ready:
                 self.ready = True
                 self.on_connected()
-            for message in messages:
-                if not self.closed:
-                    self.on_message(message)
         except self.server_errors as error:
-            log_line(f"{self.log_name}: a message of a server is refused: {error}")
-            self.abort()
+            self._refuse(error)
+        else:
+            self.received.receive(bodies, len(data), self.transport)
+
+    def _handle_body(self, body: bytes) -> None:
+        if self.closed:
+            return
+        try:
+            self.on_message(decode_body(body))
+        except self.server_errors as error:
+            self._refuse(error)
+
+    def _refuse(self, error: Exception) -> None:
+        log_line(f"{self.log_name}: a message of a server is refused: {error}")
+        self.abort()
--- a/ploverspoke/consensus/message_turns.py
+++ b/ploverspoke/consensus/message_turns.py
@@ -87,7 +87,7 @@
         if self.waiting:
             self._pause(transport)
             self.turns.add(self)
-        elif self.bytes_in_turn >= MAX_BYTES_PER_READ_TURN:
+        elif self.bytes_in_turn >= MAX_BYTES_PER_READ_TURN and not transport.is_closing():
             self._pause(transport)
             asyncio.get_running_loop().call_soon(self._on_all_handled)
 
--- a/tests/consensus/test_framed_connections.py
+++ b/tests/consensus/test_framed_connections.py
@@ -276,6 +276,42 @@
     assert not server.connections
 
 
+class SlowClient(RecordingClient):
+    """Takes a while for each message."""
+
+    def on_message(self, message: object) -> None:
+        super().on_message(message)
+        time.sleep(0.001)
+
+
+@pytest.mark.parametrize("ending", ["lost", "closed"])
+def test_server_that_sends_much_at_once_does_not_hold_up_the_clients_process(ending: str) -> None:
+    # Guards against a dispatcher that serves no one while it handles all messages of a server at once.
+    messages = [f"much {number}" for number in range(300)]
+
+    async def run() -> list[object]:
+        link = Link(EchoServer(), SlowClient())
+        link.exchange()
+        for message in messages:
+            link.connection.write(message)
+        link.client.data_received(link.server_transport.written)
+        assert not link.client_transport.reads and len(link.client.events) < 30
+        if ending == "lost":
+            link.client.connection_lost(None)
+        else:
+            link.client.close()
+        began = time.monotonic()
+        while len(link.client.events) < len(messages) + 2 and time.monotonic() < began + 1.5:
+            await asyncio.sleep(0)
+        return link.client.events
+
+    events = asyncio.run(run())
+    if ending == "lost":
+        assert events == ["connected", *messages, "disconnected"]
+    else:
+        assert events == ["connected", *messages][: len(events)] and len(events) < 30
+
+
 def test_connection_lets_others_go_first_after_a_number_of_bytes() -> None:
     # Guards against an event loop that reads many times from one connection before it turns to the others.
     async def run() -> None:
