Two processes in the least memory have room for bodies and workers beside all connections

With the least account (two processes at up to 48 MB) and many descriptors, four bodies fitted beside all connections only while no more than 4 workers were listed; more clients got 503 than the limits of one process promise. And at 32 MB two processes could hold more connections together than one alone.

Change: connections take 0.7 of the account as before, but leave 416 KiB of what clients may use, which is four bodies and 32 workers; each of several processes has at most its part of the connections of one alone.

--- a/ploverspoke/transport/resource_limits.py
+++ b/ploverspoke/transport/resource_limits.py
@@ -3,7 +3,8 @@
 from typing import NamedTuple
 
 from .connections import CONNECTION_BYTES
-from .units import MEBIBYTE
+from .memory_account import MemoryAccount
+from .units import KIBIBYTE, MEBIBYTE
 
 # Descriptors for the event loop, listeners, discovery, admin connections, log and configuration.
 RESERVED_DESCRIPTORS = 32
@@ -16,10 +17,11 @@
 HELD_FRACTION = 0.6  # share of the remaining memory for the account: the interpreter keeps some that is free
 # For each of two processes that share the smallest allowed memory: a few bodies beside all connections.
 MIN_HELD = MEBIBYTE * 3 // 2
-# Shares of the account that open connections may take, even if nothing is received on them.
-CLIENT_CONNECTION_SHARE = 0.4
-WORKER_CONNECTION_SHARE = 0.3
-
+# Share of the account that open connections may take, even if nothing is received on them.
+CONNECTION_SHARE = 0.7
+CLIENT_CONNECTION_FRACTION = 4 / 7  # share of these connections for clients, the rest is for workers
+# Beside all connections there is always room for four of the largest bodies and 32 workers.
+MIN_FOR_REQUESTS = 416 * KIBIBYTE
 
 REQUEST_ID_SHARE = 64  # this part of the memory is for the ids of requests that must not run twice
 
@@ -46,14 +48,32 @@
 
 
 def split_resources(descriptors: int, memory: int, processes: int = 1) -> ResourceLimits:
-    """Return the limits of one of `processes` equal processes that share `descriptors` and `memory` bytes."""
-    descriptors, memory = descriptors // processes, memory // processes
+    """Return the limits of one of `processes` equal processes that share `descriptors` and `memory` bytes.
+
+    Together they have at most the connections of one process alone.
+    """
+    own = _limits_of_process(descriptors // processes, memory // processes)
+    alone = _limits_of_process(descriptors, memory)
+    return ResourceLimits(
+        min(own.worker_connections, alone.worker_connections // processes),
+        min(own.client_connections, alone.client_connections // processes),
+        own.held_bytes,
+    )
+
+
+def _limits_of_process(descriptors: int, memory: int) -> ResourceLimits:
     held = max(MIN_HELD, int((memory - BASE_MEMORY - request_id_bytes(memory)) * HELD_FRACTION))
     available = max(0, descriptors - RESERVED_DESCRIPTORS)
     workers = int(available * WORKER_FRACTION)
     clients = int((available - workers) * CLIENT_FRACTION)
+    connections = _bytes_for_connections(held) / CONNECTION_BYTES
     return ResourceLimits(
-        min(workers, int(held * WORKER_CONNECTION_SHARE) // CONNECTION_BYTES),
-        min(clients, int(held * CLIENT_CONNECTION_SHARE) // CONNECTION_BYTES),
+        min(workers, int(connections * (1 - CLIENT_CONNECTION_FRACTION))),
+        min(clients, int(connections * CLIENT_CONNECTION_FRACTION)),
         held,
     )
+
+
+def _bytes_for_connections(held: int) -> float:
+    for_clients = MemoryAccount(held).client_limit
+    return min(held * CONNECTION_SHARE, for_clients - MIN_FOR_REQUESTS)
--- a/ploverspoke/transport/units.py
+++ b/ploverspoke/transport/units.py
@@ -6,4 +6,5 @@
 MINUTE = 60 * SECOND
 NEVER = 1 << 62  # later than any time of a monotonic clock
 LONG_AGO = -NEVER  # earlier than any time of a monotonic clock
-MEBIBYTE = 1024 * 1024
+KIBIBYTE = 1024
+MEBIBYTE = 1024 * KIBIBYTE
--- a/tests/service/test_handover.py
+++ b/tests/service/test_handover.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 from typing import Any
 
+from ploverspoke.routing.endpoint_directory import WORKER_BYTES
 from ploverspoke.transport.connections import CONNECTION_BYTES
 from ploverspoke.transport.memory_account import MemoryAccount
 from ploverspoke.transport.resource_limits import split_resources
@@ -20,16 +21,18 @@
 from .handover_harness import ReplacedDispatcher, exit_code, run_script
 
 CLASSES = ("look", "book")
+LISTED_WORKERS = 32
 
 
 def test_two_processes_together_have_the_limits_of_one() -> None:
-    for sockets, memory in ((256, 32), (384, 80), (1024, 192)):
+    for sockets, memory in ((256, 32), (384, 80), (1024, 192), (512, 48), (1024, 32), (1024, 64)):
         one, half = (split_resources(sockets, memory * MEBIBYTE, n) for n in (1, 2))
         assert half.worker_connections * 2 <= one.worker_connections
         assert half.client_connections * 2 <= one.client_connections
         assert half.worker_connections > 0 and half.client_connections > 0
         connections = half.client_connections + half.worker_connections
-        for_requests = MemoryAccount(half.held_bytes).client_limit - connections * CONNECTION_BYTES
+        held = connections * CONNECTION_BYTES + LISTED_WORKERS * WORKER_BYTES
+        for_requests = MemoryAccount(half.held_bytes).client_limit - held
         assert for_requests >= 4 * 65536
 
 
