Lease servers answer tools that ask for all leases one at a time

A listing of all leases was made for each request of a tool in the one call that a round of heartbeats confirms them with; a tool that asks at full speed has many waiting by then, and each takes milliseconds with thousands of leases.

Change: leases/listing_replies.py gives each its turn. Whether this server leads is looked at again when the listing is made; the confirmation came after the request, so the reply is as recent as before.

--- a/ploverspoke/leases/server_node.py
+++ b/ploverspoke/leases/server_node.py
@@ -18,6 +18,7 @@
     describe_definitions,
 )
 from .config import LeaseServerConfig
+from .listing_replies import ListingReplies
 from .manager import LeaseManager
 from .messages import LeaseResponse
 from .state_machine import LeaseStateMachine
@@ -37,6 +38,7 @@
         self.manager = LeaseManager(self, self.leases, self.definitions)
         self.send_to_holder: Callable[[str, LeaseResponse], None] = lambda holder, response: None
         self.is_ticking = False
+        self.listing_replies = ListingReplies(self._current_listing)
 
     # ---- Environment of the manager; `propose` is inherited from the replica ----
 
@@ -102,13 +104,18 @@
             return False
 
         def on_decided(leads: bool) -> None:
-            """Reply with the listing if this server leads, with an empty reply otherwise."""
-            result = self.list_leases() if leads and self.manager.is_leader else FollowerReply()
-            reply(encode_reply(result))
+            """Reply with the listing in its turn if this server leads, with an empty reply otherwise."""
+            if leads:
+                self.listing_replies.add(reply)
+            else:
+                reply(encode_reply(FollowerReply()))
 
         self.read_barrier(on_decided)
         return True
 
+    def _current_listing(self) -> LeaseListing | FollowerReply:
+        return self.list_leases() if self.manager.is_leader else FollowerReply()
+
     def list_leases(self) -> LeaseListing:
         """Return the held, waited-for and declared leases as the leader knows them."""
         now, manager = self.now(), self.manager
