Review cases: end a case's processes also when it is ended from outside

Need: a case must end all processes that it started, also when its time is over or a signal ends it.

Change: SIGTERM, SIGINT and the alarm raise an error that passes through the event loop, so that the processes are ended and the case exits with 2.

--- a/review/8/case.py
+++ b/review/8/case.py
@@ -103,7 +103,12 @@
                 {"Name": "book", "Repeat": "single_shot", "ExpectedTimeUs": 300000, "AbandonTimeUs": 7500000},
             ],
             "Domain": {},
-            "Limits": {"MaxHandOffs": 6, "Cancel": False, "ConnectTimeoutUs": 150000, "IdleCloseUs": 30000000},
+            "Limits": {
+                "MaxHandOffs": 6,
+                "Cancel": False,
+                "ConnectTimeoutUs": 150000,
+                "IdleCloseUs": 30000000,
+            },
             "Invariants": {
                 "StopSendingWithinUs": 500000,
                 "MustAskInUs": 10000000,
@@ -158,7 +163,9 @@
     crowd: list[asyncio.Task[None]] = []
     if case.trouble:
         crowd = [asyncio.create_task(look_up(number, BODY_BYTES, again=True)) for number in range(LARGE)]
-        crowd += [asyncio.create_task(look_up(LARGE + number, 2 * 1024, again=True)) for number in range(SMALL)]
+        crowd += [
+            asyncio.create_task(look_up(LARGE + number, 2 * 1024, again=True)) for number in range(SMALL)
+        ]
         await asyncio.sleep(1.5)
     findings = []
     for number, (label, first) in enumerate(recorded.items()):
--- a/review/common_2/harness.py
+++ b/review/common_2/harness.py
@@ -17,13 +17,17 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
-TIME_LIMIT_S = 115
+TIME_LIMIT_S = 105  # then the case is given up; ending its processes takes some seconds more
 
 
 class CannotRunError(Exception):
     """The case could not be played; it says nothing about the rule."""
 
 
+class EndedBySignalError(KeyboardInterrupt):
+    """The time of the case is over, or it was ended from outside; passes through the event loop."""
+
+
 class Case:
     """One run of a case: what it started, what it recorded, and its verdict."""
 
@@ -157,16 +161,22 @@
 
     def on_alarm(number: int, frame: object) -> None:
         message = f"the case took over {TIME_LIMIT_S} s"
-        raise CannotRunError(message)
+        raise EndedBySignalError(message)
+
+    def on_terminated(number: int, frame: object) -> None:
+        message = f"the case was ended by signal {number}"
+        raise EndedBySignalError(message)
 
     signal.signal(signal.SIGALRM, on_alarm)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, on_terminated)
     signal.alarm(TIME_LIMIT_S)
     code = COULD_NOT_RUN
     try:
         broken = play(case)
         code = BROKEN if broken else HELD
         verdict = f"BROKEN: {broken}" if broken else "the rule held"
-    except Exception as error:  # noqa: BLE001 - whatever it is, the case could not be played
+    except (Exception, EndedBySignalError) as error:  # whatever it is, the case could not be played
         verdict = f"could not run: {type(error).__name__}: {error}"
     finally:
         signal.alarm(0)
