Limits of an attempt are looked at again when its bytes are written

Cause: window, deadline and retry group were looked at when an attempt was decided on; before its bytes only the client, the worker's readiness and address, and the leadership were.

Change: decisions/send_policy.py decides again before the first and the last byte: window, group (also of a worker that has moved since), a restart, credit of a warming worker that is too old. A timer withholds an unwritten attempt at the end of its window, also one that waits for its commit. The last byte of a long request stays back until the kernel has the others; a last byte over 0.1 s late is not written, as the timeout before it is outdated. Attempts that are not written count for nothing. `vars` and the log say why an attempt was not written.

--- a/ploverspoke/decisions/attempt_policy.py
+++ b/ploverspoke/decisions/attempt_policy.py
@@ -50,7 +50,9 @@
             group = request.group_after_attempt(worker)
             if group is not None:
                 self._restrict_retries(request, group, request.sent_at)
-        return now < request.last_send_at and request.attempts < request.rules.max_attempts
+        if outcome is AttemptOutcome.NOT_SENT and not request.cancelled:
+            request.unsent_attempts += 1
+        return now < request.last_send_at and request.has_attempts_left()
 
     def _restrict_retries(self, request: Request, group: RetryGroup | None, sent_at: int) -> None:
         """Restrict retries to the workers that drop duplicates, and to the time window in which they do."""
@@ -156,7 +158,7 @@
             and not request.cancelled
             and request.id in self.open_requests
             and request.rules.idempotency is not Idempotency.NON_IDEMPOTENT
-            and request.attempts < request.rules.max_attempts
+            and request.has_attempts_left()
         )
 
     def _start_limit(self, request: Request, worker: Worker) -> int:
--- a/ploverspoke/decisions/components.py
+++ b/ploverspoke/decisions/components.py
@@ -15,6 +15,7 @@
 from .outlier_ejection import OutlierEjection
 from .queue_table import QueueTable
 from .queues import QueueService, SharedClock
+from .send_policy import SendPolicy
 from .settings import Settings
 from .state import Request, RequestQueue, Worker
 from .worker_choice import WorkerChoice
@@ -48,6 +49,7 @@
         self.attempts = AttemptPolicy(
             context, requests, observations, capacity, gossip, slow_start, choice, ejection
         )
+        self.sending = SendPolicy(context, workers, requests, validity)
         self.retries = RetryPolicy(context, workers, requests)
         self.admission = AdmissionPolicy(context, observations, queues, gossip, self.retries)
         self.clock = SharedClock(context, observations, workers, queues)
--- a/ploverspoke/decisions/dispatcher.py
+++ b/ploverspoke/decisions/dispatcher.py
@@ -16,6 +16,7 @@
     EndpointCondition,
     LoadGossip,
     LoadReport,
+    SendRefusal,
 )
 from .request_path import RequestPath
 from .settings import Settings
@@ -210,8 +211,15 @@
 
     def may_send_to(self, worker_name: str) -> bool:
         """Whether an attempt that has been decided on may be sent now."""
-        worker = self.workers[worker_name]
-        return worker.ready and self.components.validity.covers(worker, self.actions.now())
+        return self.components.sending.worker_refusal(self.workers[worker_name], self.actions.now()) is None
+
+    def send_refusal(self, request_id: int, worker_name: str) -> SendRefusal | None:
+        """Why an attempt that has been decided on may not be written now; None if it may."""
+        return self.components.sending.refusal(request_id, worker_name, self.actions.now())
+
+    def latest_send(self, request_id: int) -> int | None:
+        """Time (ns) from which on the open request may be sent to no worker; None if it has ended."""
+        return self.components.sending.latest_send(request_id)
 
     def list_time_left(self) -> int | None:
         """Time in ns until the endpoint list expires, negative after the expiry; None if it never expires."""
--- a/ploverspoke/decisions/interface.py
+++ b/ploverspoke/decisions/interface.py
@@ -35,6 +35,22 @@
     return NEVER_RAN - {AttemptOutcome.FULL} if full_may_have_run else NEVER_RAN
 
 
+class SendRefusal(StrEnum):
+    """Why an attempt that was decided on is not written; for logs and counters."""
+
+    REQUEST_ENDED = "request_ended"
+    WORKER_NOT_READY = "worker_not_ready"  # it drains or is gone
+    LIST_EXPIRED = "endpoint_list_expired"
+    SEND_WINDOW_ENDED = "send_window_ended"  # of the deadline, or in which workers recognize duplicates
+    OUTSIDE_RETRY_GROUP = "outside_retry_group"
+    WORKER_RESTARTED = "worker_restarted"
+    SLOW_START = "slow_start"  # the attempt was charged to the worker's budget too long ago
+    # Found by the caller.
+    ADDRESS_CHANGED = "address_changed"
+    NOT_LEADER = "not_leader"  # of the replicas of a store
+    CLIENT_DISCONNECTED = "client_disconnected"
+
+
 class EndpointCondition(Enum):
     """Condition of a worker as reported by service discovery."""
 
--- a/ploverspoke/decisions/queues.py
+++ b/ploverspoke/decisions/queues.py
@@ -95,7 +95,7 @@
         if queue.probed or now < queue.no_capacity_until:
             return
         # A head that is restricted to its retry group must not block the others if the group has no capacity.
-        for request in self._heads(queue):
+        for request in self._heads(queue, now):
             drawn = self.choice.draw_two(queue, now, request)
             if drawn and self.probes.are_needed(request, drawn, now):
                 self.probes.send(request, drawn, now)
@@ -105,14 +105,17 @@
                 return
         queue.no_capacity_until = now + SEARCH_INTERVAL_NS
 
-    def _heads(self, queue: RequestQueue) -> list[Request]:
-        """The first requests, up to the first that has neither a retry group nor an affinity key."""
+    def _heads(self, queue: RequestQueue, now: int) -> list[Request]:
+        """The first requests, up to the first that has neither a retry group nor an affinity key.
+
+        A request whose last send time has passed is left out: its timer, which ends it, may fire later.
+        """
         heads = []
         for request in islice(queue.waiting, SEARCH_DEPTH):
             heads.append(request)
             if request.retry_group is None and not request.affinity_key:
                 break
-        return heads
+        return [request for request in heads if now < request.last_send_at]
 
     def _send(self, request: Request, worker: Worker, now: int) -> None:
         request.queue.waiting.remove(request)
@@ -134,9 +137,11 @@
         preferring = [
             request
             for request in islice(queue.waiting, SEARCH_DEPTH)
-            if request.affinity_key and worker in self.choice.tiers(queue.machine_kind, request)[0]
+            if request.affinity_key
+            and now < request.last_send_at
+            and worker in self.choice.tiers(queue.machine_kind, request)[0]
         ]
-        for request in preferring + self._heads(queue):
+        for request in preferring + self._heads(queue, now):
             if self.choice.allows(worker, queue, now, request):
                 self._send(request, worker, now)
                 return
@@ -165,7 +170,7 @@
             else [worker for worker in answered if now - worker.last_contact_at < CONTACT_MAX_AGE_NS]
         )
         queue.probed = []
-        for request in self._heads(queue):
+        for request in self._heads(queue, now):
             usable = [
                 worker for worker in in_contact if self.choice.has_capacity(worker, queue, now, request)
             ]
--- a/ploverspoke/decisions/state.py
+++ b/ploverspoke/decisions/state.py
@@ -14,6 +14,7 @@
 LOG_BURST_LINES = 40
 LOG_INTERVAL_NS = 10 * SECOND  # per further line after the burst
 LONG_AGO_NS = -3600 * SECOND
+MAX_UNSENT_ATTEMPTS = 16  # of one request that do not count, so that their number has a limit
 RECENT_SLOWDOWNS = 8  # of requests at a worker
 RECENT_RUNNING_TIMES = 16  # of a queue
 
@@ -175,6 +176,7 @@
         self.last_send_at = 0  # from this time on no attempt is sent
         self.retry_group: RetryGroup | None = None
         self.attempts = 0
+        self.unsent_attempts = 0  # of them, those that were not written although they were not cancelled
         self.failed_on: Worker | None = None  # where its latest attempt failed
         self.probe_rounds = 0
         self.any_zone = False  # workers of other zones may be drawn, as the probed ones had no free slot
@@ -187,6 +189,8 @@
         self.cancelled = False
         self.started_too_late = False  # after a wait of more than its queueing budget
         self.slots_in_use = 0.0  # at its worker when it was sent, including its own
+        self.sent_group: RetryGroup | None = None  # of its worker at the decision; None: any, or not sent yet
+        self.worker_warm_at = 0  # `warm_at` of its worker at the decision
 
     def begin_attempt(self, worker: Worker, now: int) -> None:
         """Record that the request is sent to a worker."""
@@ -195,13 +199,27 @@
         self.sent_at = now
         self.started_at = 0
         self.cancelled = self.started_too_late = False
+        self.worker_warm_at = worker.warm_at
+        if self.rules.idempotency is Idempotency.IDEMPOTENT_WITH_KEY:
+            self.sent_group = self.group_at(worker)
+
+    def has_attempts_left(self) -> bool:
+        """Whether the limit on attempts allows one more; attempts that were not written do not count."""
+        not_counted = min(self.unsent_attempts, MAX_UNSENT_ATTEMPTS)
+        return self.attempts - not_counted < self.rules.max_attempts
+
+    def has_left_group(self, worker: Worker) -> bool:
+        """Whether the worker has moved to another retry group since the attempt was decided on."""
+        return self.sent_group is not None and self.sent_group != self.group_at(worker)
 
     def group_after_attempt(self, worker: Worker) -> RetryGroup | None:
         """The retry group after an attempt at the worker that may have run; None if any worker is allowed."""
         idempotency = self.rules.idempotency
         if self.retry_group is not None or idempotency is Idempotency.IDEMPOTENT:
             return self.retry_group
-        return NO_WORKER if idempotency is Idempotency.NON_IDEMPOTENT else self.group_at(worker)
+        if idempotency is Idempotency.NON_IDEMPOTENT or self.has_left_group(worker):
+            return NO_WORKER  # which workers drop duplicates of a moved worker is not known
+        return self.group_at(worker)
 
     def may_retry_at(self, worker: Worker) -> bool:
         """Whether the request's retry group, if any, includes the worker."""
--- a/ploverspoke/routing/attempt_sender.py
+++ b/ploverspoke/routing/attempt_sender.py
@@ -2,10 +2,11 @@
 
 from functools import partial
 
-from ploverspoke.decisions.interface import AttemptResult
+from ploverspoke.decisions.interface import AttemptResult, SendRefusal
 from ploverspoke.decisions.settings import Idempotency
 from ploverspoke.protocol import workers
 from ploverspoke.protocol.workers import AttemptResponseReader, LoadReport, ResponseListener
+from ploverspoke.transport.deadlines import Deadline
 from ploverspoke.transport.outcomes import ExchangeOutcome
 
 from .answers import FinalAnswer
@@ -30,6 +31,7 @@
         self.worker = worker
         self.address = ""  # of the worker at the start of the call
         self.decided_at = sender.deadlines.now()
+        self.send_deadline: Deadline | None = None  # by which it must be written, if before its timeout
 
     def encode_request(self, time_left: int) -> bytes:
         """Encode the request for the worker, which is given `time_left` ns to answer it."""
@@ -48,6 +50,7 @@
 
     def on_written(self) -> None:
         """Count the attempt, which was written completely."""
+        self.sender.deadlines.cancel(self.send_deadline)
         class_name = self.sender.settings.class_name(self.request.class_number)
         self.sender.counters.count_attempt(class_name)
 
@@ -92,6 +95,8 @@
             return
         call = AttemptCall(self, request, len(request.attempts), worker)
         request.attempts.append(None)
+        timeout = min(timeout, request.deadline - call.decided_at)
+        self._limit_send_time(call, timeout)
         if self.recorder is not None and self.recorder.records_attempts(request):
             self._send_after_commit(self.recorder, call, timeout)
         else:
@@ -104,6 +109,21 @@
         if attempt is not None:
             attempt.cancel()
 
+    def _limit_send_time(self, call: AttemptCall, timeout: int) -> None:
+        """Withhold an attempt that may be sent for a shorter time than its timeout, unless it is written."""
+        latest_send = self.dispatcher.latest_send(call.request.number)
+        if latest_send is not None and latest_send < call.decided_at + timeout:
+            call.send_deadline = self.deadlines.schedule(latest_send, partial(self._on_send_deadline, call))
+
+    def _on_send_deadline(self, call: AttemptCall) -> None:
+        """End an attempt that was not written in time, so that its request does not wait for it."""
+        attempt = call.request.attempts[call.index]
+        if isinstance(attempt, PendingAttempt):
+            self._count_withheld(call, SendRefusal.SEND_WINDOW_ENDED)
+            self.on_ended(call, ExchangeOutcome.NOT_SENT, "", None)
+        elif attempt is not None and attempt.withhold():
+            self._count_withheld(call, SendRefusal.SEND_WINDOW_ENDED)
+
     def _report_not_sent(self, request_number: int, request: Request | None, worker: str) -> None:
         """Report that an attempt was not sent because the request had ended or the worker is not known."""
         index = 0
@@ -150,23 +170,37 @@
         Every attempt is checked here just before it is written. Since its worker was chosen, it may have
         waited for a connection or a commit, or this process may have been suspended.
         """
+        refusal = self._send_refusal(call)
+        if refusal is not None:
+            self._count_withheld(call, refusal)
+            return False
+        call.request.may_have_been_sent = True
+        return True
+
+    def _send_refusal(self, call: AttemptCall) -> SendRefusal | None:
+        """Why the attempt may not be written any more; None if it may."""
         request = call.request
-        allowed = (
-            request.client is not None
-            # The worker may be draining or gone by now, or the endpoint list may have expired.
-            and self.dispatcher.may_send_to(call.worker)
-            and self.endpoints.addresses.get(call.worker) == call.address
-            and (self.recorder is None or self.recorder.is_leader())
-            and not request.client.has_disconnected()
-        )
-        request.may_have_been_sent = request.may_have_been_sent or allowed
-        return allowed
+        if request.client is None:
+            return SendRefusal.REQUEST_ENDED
+        refusal = self.dispatcher.send_refusal(request.number, call.worker)
+        if refusal is not None:
+            return refusal
+        if self.endpoints.addresses.get(call.worker) != call.address:
+            return SendRefusal.ADDRESS_CHANGED
+        if self.recorder is not None and not self.recorder.is_leader():
+            return SendRefusal.NOT_LEADER
+        return SendRefusal.CLIENT_DISCONNECTED if request.client.has_disconnected() else None
+
+    def _count_withheld(self, call: AttemptCall, refusal: SendRefusal) -> None:
+        elapsed = self.deadlines.now() - call.decided_at
+        self.request_journal.attempt_withheld(call.request, call.worker, call.index, refusal, elapsed)
 
     def on_ended(
         self, call: AttemptCall, outcome: ExchangeOutcome, result: str, load: LoadReport | None
     ) -> None:
         """Answer the request if the outcome is final, and report the outcome to the decision logic."""
         request = call.request
+        self.deadlines.cancel(call.send_deadline)
         request.attempts[call.index] = None
         self.completion.reject_if_never_sent(request)
         if self.recorder is not None and self.recorder.records_attempts(request):
--- a/ploverspoke/routing/completion.py
+++ b/ploverspoke/routing/completion.py
@@ -99,7 +99,7 @@
             return
         self.request_journal.request_ended(request, "answered", EndReason.NO_DECISION)
         idempotency = self.settings.idempotency(request.class_number)
-        if request.attempts and idempotency is not Idempotency.IDEMPOTENT:
+        if request.may_have_been_sent and idempotency is not Idempotency.IDEMPOTENT:
             self.answer(request, FinalAnswer.FAILED)
         else:
             self.answer(request, FinalAnswer.REJECTED)
--- a/ploverspoke/routing/request_journal.py
+++ b/ploverspoke/routing/request_journal.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterator
 from enum import Enum
 
-from ploverspoke.decisions.interface import EndReason
+from ploverspoke.decisions.interface import EndReason, SendRefusal
 from ploverspoke.protocol import admin
 from ploverspoke.transport.outcomes import ExchangeOutcome
 from ploverspoke.transport.rate_limited_log import RateLimitedLog
@@ -36,6 +36,7 @@
         """Start with all counts at 0."""
         self.log = RateLimitedLog(BURST_LINES, LINES_PER_SECOND)
         self.attempt_ends: Counter[ExchangeOutcome] = Counter()
+        self.withheld_attempts: Counter[SendRefusal] = Counter()
         self.request_ends: Counter[EndReason] = Counter()
         self.client_closes: Counter[CloseReason] = Counter()
         self.exceeded_limits: Counter[CapacityLimit] = Counter()
@@ -53,6 +54,16 @@
                 f"endpoint list {list_age / SECOND:.2f} s old"
             )
 
+    def attempt_withheld(
+        self, request: Request, worker: str, index: int, refusal: SendRefusal, elapsed: int
+    ) -> None:
+        """Count and log an attempt that is not written, `elapsed` ns after the decision to make it."""
+        self.withheld_attempts[refusal] += 1
+        self.log.write(
+            f"request {request.request_id}: attempt {index + 1} at {worker} not written: "
+            f"{refusal.value}, {elapsed // MILLISECOND} ms after the decision"
+        )
+
     def request_ended(self, request: Request | None, answer: str, reason: EndReason) -> None:
         """Count and log a request that ends without success; does nothing if it has already ended."""
         if request is None or request.client is None:
@@ -84,6 +95,9 @@
         for outcome in ExchangeOutcome:
             labels = {"outcome": outcome.name.lower()}
             yield admin.labeled_counter_line("attempt_ends", labels, self.attempt_ends[outcome])
+        for refusal in SendRefusal:
+            labels = {"reason": refusal.value}
+            yield admin.labeled_counter_line("withheld_attempts", labels, self.withheld_attempts[refusal])
         for reason in EndReason:
             yield admin.labeled_counter_line(
                 "unsuccessful_ends", {"reason": reason.value}, self.request_ends[reason]
--- a/ploverspoke/routing/worker_calls.py
+++ b/ploverspoke/routing/worker_calls.py
@@ -15,6 +15,9 @@
 # A worker that has closed the connection, or rejects it, is noticed within this time after the first bytes.
 MEMORY_RETRY_DELAY_NS = 20 * MILLISECOND  # before a response is read on that there was no memory for
 LAST_BYTE_DELAY_NS = 2 * MILLISECOND
+# The timeout that a worker is given is outdated if the last byte is written later than this after it was due.
+MAX_LAST_BYTE_LATENESS_NS = 100 * MILLISECOND
+MAX_UNCHECKED_BYTES = 16 * 1024  # a longer request may stay unsent in part while a worker does not read
 
 
 class WorkerCallUser(Protocol):
@@ -62,7 +65,8 @@
 
         With `delay_last_byte` the last byte is written `LAST_BYTE_DELAY_NS` after the others. A worker
         starts a request only when it has received all of it, so the request has certainly not run if the
-        connection breaks before.
+        connection breaks before. The last byte of a long request is written once the kernel has the others:
+        that may be late, and it is checked again whether the request may be sent.
         """
         self.pool = pool
         self.deadlines = pool.deadlines
@@ -75,6 +79,7 @@
         self.is_reusable = False  # whether the connection can carry another request
         self.delay_last_byte = delay_last_byte
         self.last_byte: bytes | None = None  # if it is delayed and not written yet
+        self.last_byte_due_at = 0  # ns; earliest time to write it
         self.ends_at = self.deadlines.now() + timeout
         self.deadline = self.deadlines.schedule(self.ends_at, self._on_timeout)
         max_idle_time = pool.safe_idle_time() if delay_last_byte else None
@@ -84,10 +89,15 @@
         """Stop the call: its connection is closed, and bytes not written yet are not sent."""
         self._stop(ExchangeOutcome.CANCELLED, ExchangeOutcome.NOT_SENT)
 
-    def withhold(self) -> None:
-        """Stop the call unless its request is sent completely; otherwise keep waiting for its outcome."""
-        if self.connection is None or self.last_byte is not None:
+    def withhold(self) -> bool:
+        """Stop the call unless its request is sent completely; otherwise keep waiting for its outcome.
+
+        Returns whether the call is stopped.
+        """
+        is_unsent = self.user is not None and (self.connection is None or self.last_byte is not None)
+        if is_unsent:
             self._stop(ExchangeOutcome.NOT_SENT, ExchangeOutcome.NOT_SENT)
+        return is_unsent
 
     # ---- Events of the connection ----
 
@@ -100,13 +110,18 @@
             self._end(ExchangeOutcome.NOT_SENT)
             return
         self.connection = connection
-        message = user.encode_request(self.ends_at - self.deadlines.now())
-        if not self.delay_last_byte:
+        now = self.deadlines.now()
+        message = user.encode_request(self.ends_at - now)
+        if not self.delay_last_byte and len(message) <= MAX_UNCHECKED_BYTES:
             self._write_to_end(connection, message)
             return
         self.last_byte = message[-1:]
+        self.last_byte_due_at = now + (LAST_BYTE_DELAY_NS if self.delay_last_byte else 0)
         connection.write(message[:-1])
-        self.deadlines.schedule(self.deadlines.now() + LAST_BYTE_DELAY_NS, self._write_last_byte)
+        if self.delay_last_byte:
+            self.deadlines.schedule(self.last_byte_due_at, self._write_last_byte)
+        else:
+            self._write_last_byte()
 
     def on_connect_failed(self, outcome: ExchangeOutcome) -> None:
         """End the call."""
@@ -117,7 +132,8 @@
         """Read the response; after its last byte the connection is released or closed."""
         if self.connection is None:
             return
-        if self.last_byte is not None and self.connection.idle_time is not None:
+        is_incomplete = self.delay_last_byte and self.last_byte is not None
+        if is_incomplete and self.connection.idle_time is not None:
             # The worker has not received the whole request: this is a second response to the one before.
             self._stop(ExchangeOutcome.SEND_INCOMPLETE, ExchangeOutcome.SEND_INCOMPLETE)
             return
@@ -171,18 +187,26 @@
         self._end(self.abort_outcome or outcome)
 
     def on_write_drained(self) -> None:
-        """Report that the request is written, if no byte of it is left."""
-        if self.last_byte is None and self.abort_outcome is None and self.user is not None:
+        """Write the last byte if it is due, or report that the request is written."""
+        if self.last_byte is not None:
+            self.last_byte_due_at = max(self.last_byte_due_at, self.deadlines.now())
+            self._write_last_byte()
+        elif self.abort_outcome is None and self.user is not None:
             self.user.on_written()
 
     def _write_last_byte(self) -> None:
-        if self.last_byte is None or self.connection is None:
+        """Write the last byte, unless it is early, other bytes are unsent, or the request may not be sent."""
+        now = self.deadlines.now()
+        if self.last_byte is None or self.connection is None or self.connection.has_unsent_data:
+            return
+        if now < self.last_byte_due_at:
             return
         if self.connection.has_unread_data():
             # The worker closed the connection or responded to an incomplete request: that is read first.
-            self.deadlines.schedule(self.deadlines.now(), self._write_last_byte)
+            self.deadlines.schedule(now, self._write_last_byte)
             return
-        if self.user is None or not self._may_still_send(self.user):
+        is_outdated = now - self.last_byte_due_at > MAX_LAST_BYTE_LATENESS_NS
+        if self.user is None or is_outdated or not self._may_still_send(self.user):
             self._stop(ExchangeOutcome.NOT_SENT, ExchangeOutcome.NOT_SENT)
             return
         last_byte, self.last_byte = self.last_byte, None
