A store gives a result only to the client whose request it was

Cause: whether two requests with one id are the same was decided by method, target and body, without the headers that say for whom and about what.

Change: the digest has a second part over the headers that go on to the worker, but for those of one try (time-out, Client-Retry, Work-Hint, host, connection, traces, proxies). Of what an older version recorded nobody gets a result (409); an answer without one is given and an open request goes on. The reason of a 409 says by what the id is used.

--- a/ploverspoke/protocol/workers.py
+++ b/ploverspoke/protocol/workers.py
@@ -54,17 +54,22 @@
         """The whole response was read; `reusable` says if the connection can carry another request."""
 
 
-def encode_attempt(
-    method: str, target: str, headers: Headers, body: bytes, timeout: int, address: str
-) -> bytes:
-    """Return the client's request as it is sent to a worker, with a timeout of `timeout` ns."""
-    # All end-to-end headers are forwarded: some workers detect duplicates by a header that is unknown here.
+def end_to_end_headers(headers: Headers) -> Headers:
+    """Return the headers of a client's request that are meant for the worker."""
     connection_headers = {name.strip().lower() for name in headers.get("connection", "").split(",")}
-    forwarded = {
+    return {
         name: value
         for name, value in headers.items()
         if name not in HOP_BY_HOP_HEADERS and name not in connection_headers
     }
+
+
+def encode_attempt(
+    method: str, target: str, headers: Headers, body: bytes, timeout: int, address: str
+) -> bytes:
+    """Return the client's request as it is sent to a worker, with a timeout of `timeout` ns."""
+    # All end-to-end headers are forwarded: some workers detect duplicates by a header that is unknown here.
+    forwarded = end_to_end_headers(headers)
     forwarded["host"] = address
     forwarded[wire.REQUEST_TIMEOUT] = str(max(1, timeout // MILLISECOND))
     forwarded["content-length"] = str(len(body))
--- a/ploverspoke/routing/request_log.py
+++ b/ploverspoke/routing/request_log.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple, Protocol
 
 from ploverspoke.decisions.interface import AttemptOutcome
+from ploverspoke.protocol.http_messages import Headers
 
 from .answers import Client, FinalAnswer, RecordedAnswer
 
@@ -36,8 +37,8 @@
     def held_bytes(self) -> int:
         """Estimate the memory that the recorded requests and answers take."""
 
-    def digest(self, method: str, target: str, body: bytes) -> bytes:
-        """A digest that distinguishes different requests with the same id."""
+    def digest(self, method: str, target: str, body: bytes, headers: Headers) -> bytes:
+        """A digest that distinguishes different requests with the same id: see `request_digest.py`."""
 
     def previous_outcome(self, request_id: str) -> PreviousOutcome | None:
         """The record of an earlier request with this id; None if the id is new."""
--- a/ploverspoke/routing/request_recorder.py
+++ b/ploverspoke/routing/request_recorder.py
@@ -13,6 +13,7 @@
 
 from .answers import Client, RecordedAnswer
 from .context import RouterPart, RoutingContext
+from .request_digest import DigestMatch, compare_digests
 from .request_log import CommitCallback, PreviousOutcome, RequestLog, WaitingClients
 from .requests import Request
 
@@ -68,7 +69,7 @@
         if request is None:
             return None
         if request.digest != self._digest(message):
-            raise RequestIdInUseError(reason="request-id is in use")
+            raise RequestIdInUseError(reason="request-id is in use by another open request")
         # Joining is possible even while the answer is being committed: a new request would be sent again.
         assert request.waiting_clients is not None
         request.waiting_clients.clients.append(client)
@@ -81,13 +82,18 @@
     def recorded_answer(self, message: HttpRequest) -> RecordedAnswer | None:
         """The recorded answer of the request with this id; None if it is new or has none yet.
 
-        Raises RequestIdInUseError if the id belongs to a different request.
+        Raises RequestIdInUseError if the id belongs to a different request, or to one of which the record of
+        an older version does not say for whom it was, and whose result may be for nobody else.
         """
         previous = self.request_log.previous_outcome(message.headers[REQUEST_ID])
         if previous is None:
             return None
-        if previous.digest != self._digest(message):
-            raise RequestIdInUseError(reason="request-id is in use")
+        match = compare_digests(previous.digest, self._digest(message))
+        has_result = previous.answer is not None and bool(previous.answer.result)
+        if match is DigestMatch.DIFFERENT:
+            raise RequestIdInUseError(reason="request-id is in use by another recorded request")
+        if match is DigestMatch.HEADERS_UNKNOWN and has_result:
+            raise RequestIdInUseError(reason="request-id is in use, recorded without headers")
         return previous.answer
 
     def record_request(
@@ -145,7 +151,7 @@
             del self.open_requests[request.request_id]
 
     def _digest(self, message: HttpRequest) -> bytes:
-        return self.request_log.digest(message.method, message.target, message.body)
+        return self.request_log.digest(message.method, message.target, message.body, message.headers)
 
     # ---- Attempts and answers ----
 
--- a/ploverspoke/store/log_commands.py
+++ b/ploverspoke/store/log_commands.py
@@ -11,8 +11,9 @@
 
 from ploverspoke.decisions.interface import AttemptOutcome
 from ploverspoke.routing.answers import FinalAnswer, RecordedAnswer
+from ploverspoke.routing.request_digest import PART_BYTES
 
-from .class_rules import ClassRules
+from .class_rules import UNKNOWN_RULES, ClassRules
 from .errors import MalformedCommandError
 from .storable_text import to_storable
 
@@ -51,7 +52,7 @@
     request_id: str
     # Its number in the settings of the replica that accepted it. Only older versions read it.
     request_class: int
-    digest: bytes  # of the request, to detect another request with the same id
+    digest: bytes  # first part of that of the request, to detect another request with the same id
     deadline: int
     now: int
 
@@ -60,6 +61,7 @@
     """A request was accepted under the rules of its class; older versions read it as an `AcceptRequest`."""
 
     rules: ClassRules
+    headers_digest: bytes = b""  # the second part of the digest; empty: of an older version
 
 
 class StartAttempt(msgspec.Struct, array_like=True, frozen=True, tag="intend"):
@@ -91,9 +93,10 @@
 
 
 class AnswerRequestEncoded(AnswerRequest, array_like=True, frozen=True, tag="answer"):
-    """A final answer whose result holds half of a surrogate pair; older versions know `result` alone."""
+    """A final answer with what older versions do not know: they read it as an `AnswerRequest`."""
 
-    encoded_result: bytes  # see `StorableText`
+    encoded_result: bytes  # see `StorableText`; empty if `result` holds all
+    headers_digest: bytes = b""  # as in `AcceptRequestUnderRules`
 
 
 class CommitConfiguration(msgspec.Struct, array_like=True, frozen=True, tag="configure"):
@@ -112,19 +115,32 @@
     for command_type in (AcceptRequest, StartAttempt, FinishAttempt, AnswerRequest, CommitConfiguration)
 }
 
-# Types with a further field, which entries of older versions lack; a command's array begins with its verb.
+# Types with further fields, which entries of older versions lack; a command's array begins with its verb.
 EXTENDED_TYPES: dict[type[LogCommand], type[LogCommand]] = {
     AcceptRequest: AcceptRequestUnderRules,
     AnswerRequest: AnswerRequestEncoded,
 }
 
 
+def accept_command(
+    request_id: str, request_class: int, digest: bytes, deadline: int, now: int, rules: ClassRules
+) -> AcceptRequest:
+    """Return the command that records an accepted request."""
+    content, headers = digest[:PART_BYTES], digest[PART_BYTES:]
+    fields = (request_id, request_class, content, deadline, now)
+    if rules != UNKNOWN_RULES or headers:
+        return AcceptRequestUnderRules(*fields, rules, headers)
+    return AcceptRequest(*fields)
+
+
 def answer_command(request_id: str, answer: RecordedAnswer, digest: bytes, now: int) -> AnswerRequest:
     """Return the command that records a final answer."""
     result, encoded_result = to_storable(answer.result)
-    if encoded_result:
-        return AnswerRequestEncoded(request_id, answer.answer, result, digest, now, encoded_result)
-    return AnswerRequest(request_id, answer.answer, result, digest, now)
+    content, headers = digest[:PART_BYTES], digest[PART_BYTES:]
+    fields = (request_id, answer.answer, result, content, now)
+    if encoded_result or headers:
+        return AnswerRequestEncoded(*fields, encoded_result, headers)
+    return AnswerRequest(*fields)
 
 
 def encode_command(command: LogCommand) -> list[object]:
@@ -144,7 +160,7 @@
     if command_type is None:
         return None
     extended_type = EXTENDED_TYPES.get(command_type)
-    if extended_type is not None and len(entry) > len(extended_type.__struct_fields__):
+    if extended_type is not None and len(entry) > 1 + len(command_type.__struct_fields__):
         command_type = extended_type
     try:
         return msgspec.convert(entry, command_type)
--- a/ploverspoke/store/request_log.py
+++ b/ploverspoke/store/request_log.py
@@ -2,22 +2,22 @@
 
 import time
 from collections.abc import Callable, Sequence
-from hashlib import blake2b
 
 from ploverspoke.consensus.raft_state import Role
 from ploverspoke.decisions.interface import AttemptOutcome
+from ploverspoke.protocol.http_messages import Headers
 from ploverspoke.routing.answers import FinalAnswer, RecordedAnswer
+from ploverspoke.routing.request_digest import content_digest, request_digest
 from ploverspoke.routing.request_log import CommitCallback, PreviousOutcome
 from ploverspoke.transport.rate_limited_log import log_line
 from ploverspoke.transport.units import SECOND
 
 from .class_rules import UNKNOWN_RULES, ClassRules
 from .log_commands import (
-    AcceptRequest,
-    AcceptRequestUnderRules,
     AnswerRequest,
     FinishAttempt,
     StartAttempt,
+    accept_command,
     answer_command,
     outcome_word,
 )
@@ -29,7 +29,6 @@
 
 COMMIT_RETRY_DELAY_S = 0.2
 ANSWER_GRACE_S = 0.05  # time after a deadline in which the answer of the request's own dispatcher may arrive
-DIGEST_BYTES = 16
 
 
 class ReplicatedRequestLog:
@@ -71,25 +70,29 @@
         """Estimate the memory that the recorded requests and answers take."""
         return self.node.requests.held_bytes()
 
-    def digest(self, method: str, target: str, body: bytes) -> bytes:
-        """Return a digest that distinguishes different requests with the same id."""
-        head = f"{method} {target}\n".encode("utf-8", "surrogatepass")
-        return blake2b(head + body, digest_size=DIGEST_BYTES).digest()
+    def digest(self, method: str, target: str, body: bytes, headers: Headers | None = None) -> bytes:
+        """Return a digest that distinguishes different requests with the same id.
+
+        Without headers it is that of older versions, which did not record them.
+        """
+        if headers is None:
+            return content_digest(method, target, body)
+        return request_digest(method, target, body, headers)
 
     def previous_outcome(self, request_id: str) -> PreviousOutcome | None:
         """Return the recorded outcome of a request id; None if the id is new."""
         answer = self.node.requests.recorded_answer(request_id)
         if answer is not None:
-            return PreviousOutcome(answer, self.node.requests.answered[request_id].digest, 0, "", 0)
+            return PreviousOutcome(answer, self.node.requests.answered[request_id].full_digest, 0, "", 0)
         request = self.node.requests.open_requests.get(request_id)
         if request is None:
             return None
         recovery = self._decide_recovery(request)
         attempt = recovery.first_possibly_run
         if attempt is None:
-            return PreviousOutcome(None, request.digest, recovery.attempt_count, "", 0)
+            return PreviousOutcome(None, request.full_digest, recovery.attempt_count, "", 0)
         elapsed = self._time_since_start(attempt)
-        return PreviousOutcome(None, request.digest, recovery.attempt_count, attempt.worker, elapsed)
+        return PreviousOutcome(None, request.full_digest, recovery.attempt_count, attempt.worker, elapsed)
 
     def resume(self, request_id: str, class_number: int) -> bool:
         """Take up an open request for a client of that class; False: it was accepted under other rules.
@@ -116,15 +119,13 @@
     ) -> None:
         """Commit that a request was accepted; `time_left` is the time until its deadline in ns."""
         now = self.node.clock.now()
-        fields = (request_id, class_number, digest, now + time_left, now)
         rules = self._current_rules(class_number)
-        is_known = rules != UNKNOWN_RULES
-        command = AcceptRequestUnderRules(*fields, rules) if is_known else AcceptRequest(*fields)
+        command = accept_command(request_id, class_number, digest, now + time_left, now, rules)
 
         def on_accepted(is_committed: bool) -> None:
             """Report False if the state ignored the command, because the id is in use."""
             request = self.node.requests.open_requests.get(request_id)
-            is_ours = request is not None and (request.accepted_at, request.digest) == (now, digest)
+            is_ours = request is not None and (request.accepted_at, request.full_digest) == (now, digest)
             if not (is_committed and is_ours):
                 self._ids_at_router.discard(request_id)
             on_committed(is_committed and is_ours)
--- a/ploverspoke/store/snapshot.py
+++ b/ploverspoke/store/snapshot.py
@@ -47,10 +47,18 @@
     accepted_at: int
     attempts: list[AttemptRecord] = []
     rules: ClassRules = UNKNOWN_RULES
+    headers_digest: bytes = b""  # the second part of the digest; empty if an older version accepted it
+
+    @property
+    def full_digest(self) -> bytes:
+        """The digest of the request: see `routing/request_digest.py`."""
+        return self.digest + self.headers_digest
 
     def stored_fields(self) -> tuple[object, ...]:
         """Return the fields as a snapshot stores them."""
         fields = (self.request_class, self.digest, self.deadline, self.accepted_at, self.attempts)
+        if self.headers_digest:
+            return (*fields, self.rules, self.headers_digest)
         return fields if self.rules == UNKNOWN_RULES else (*fields, self.rules)
 
     def next_attempt_index(self) -> int:
@@ -65,6 +73,16 @@
     result: str
     digest: bytes
     forget_at: int
+    headers_digest: bytes = b""  # as in `OpenRequest`
+
+    @property
+    def full_digest(self) -> bytes:
+        """The digest of the request: see `routing/request_digest.py`."""
+        return self.digest + self.headers_digest
+
+    def stored_fields(self) -> "AnsweredRequest | tuple[object, ...]":
+        """Return the fields as a snapshot stores them."""
+        return self if self.headers_digest else (self.answer, self.result, self.digest, self.forget_at)
 
 
 class SharedConfiguration(msgspec.Struct, array_like=True):
@@ -90,6 +108,7 @@
 
 
 OPEN_REQUESTS_POSITION = RequestSnapshot.__struct_fields__.index("open_requests")
+ANSWERED_POSITION = RequestSnapshot.__struct_fields__.index("answered")
 
 
 def encode_snapshot(snapshot: RequestSnapshot) -> bytes:
@@ -98,6 +117,9 @@
     fields[OPEN_REQUESTS_POSITION] = {
         request_id: request.stored_fields() for request_id, request in snapshot.open_requests.items()
     }
+    fields[ANSWERED_POSITION] = {
+        request_id: answered.stored_fields() for request_id, answered in snapshot.answered.items()
+    }
     if not snapshot.encoded_results:
         fields.pop()
     return msgspec.msgpack.encode(fields)
--- a/ploverspoke/store/state_machine.py
+++ b/ploverspoke/store/state_machine.py
@@ -11,7 +11,6 @@
 from ploverspoke.routing.answers import RecordedAnswer
 from ploverspoke.transport.units import MINUTE
 
-from .class_rules import UNKNOWN_RULES
 from .log_commands import (
     AcceptRequest,
     AcceptRequestUnderRules,
@@ -137,11 +136,11 @@
         self._advance_time(command.now)
         request_id = command.request_id
         if request_id not in self.open_requests and request_id not in self.answered:
-            rules = command.rules if isinstance(command, AcceptRequestUnderRules) else UNKNOWN_RULES
             self.id_bytes += len(request_id)
-            self.open_requests[request_id] = OpenRequest(
-                command.request_class, command.digest, command.deadline, command.now, rules=rules
-            )
+            request = OpenRequest(command.request_class, command.digest, command.deadline, command.now)
+            if isinstance(command, AcceptRequestUnderRules):
+                request.rules, request.headers_digest = command.rules, command.headers_digest
+            self.open_requests[request_id] = request
 
     def _start_attempt(self, command: StartAttempt) -> None:
         self._advance_time(command.now)
@@ -171,10 +170,16 @@
             self.id_bytes += len(command.request_id)
         deadline = request.deadline if request is not None else command.now
         digest = request.digest if request is not None else command.digest
-        forget_at = max(command.now, deadline) + ANSWER_RETENTION
-        self.answered[command.request_id] = AnsweredRequest(command.answer, command.result, digest, forget_at)
+        headers_digest = request.headers_digest if request is not None else b""
         if isinstance(command, AnswerRequestEncoded):
-            self.encoded_results[command.request_id] = command.encoded_result
+            # Of the request that was answered; an older version may have accepted it, without its headers.
+            headers_digest = command.headers_digest or headers_digest
+            if command.encoded_result:
+                self.encoded_results[command.request_id] = command.encoded_result
+        forget_at = max(command.now, deadline) + ANSWER_RETENTION
+        self.answered[command.request_id] = AnsweredRequest(
+            command.answer, command.result, digest, forget_at, headers_digest
+        )
         self.result_bytes += len(command.result)
         self._evict_answers(command.now, command.request_id)
 
--- a/tests/store/request_log_harness.py
+++ b/tests/store/request_log_harness.py
@@ -8,6 +8,7 @@
 from ploverspoke.routing.answers import RecordedAnswer
 from ploverspoke.routing.request_log import CommitCallback, PreviousOutcome
 from tests.routing.harness import ServiceHarness, run_script
+from tests.routing.http_messages import Headers
 
 
 class ControlledRequestLog:
@@ -29,7 +30,7 @@
     def held_bytes(self) -> int:
         return 1000 * len(self.previous)
 
-    def digest(self, method: str, target: str, body: bytes) -> bytes:
+    def digest(self, method: str, target: str, body: bytes, headers: Headers | None = None) -> bytes:
         return target.encode() + body
 
     def previous_outcome(self, request_id: str) -> PreviousOutcome | None:
@@ -80,9 +81,11 @@
 Scenario = Callable[[ServiceHarness, ControlledRequestLog], Awaitable[None]]
 
 
-def run_with_request_log(scenario: Scenario, *delayed_calls: str, **settings: Any) -> None:
+def run_with_request_log(
+    scenario: Scenario, *delayed_calls: str, log: ControlledRequestLog | None = None, **settings: Any
+) -> None:
     """Run the scenario on a router whose request log delays the commits of these calls."""
-    request_log = ControlledRequestLog()
+    request_log = log or ControlledRequestLog()
     request_log.delayed_calls = set(delayed_calls)
 
     async def run(harness: ServiceHarness) -> None:
