A replica leads only under the latest committed configuration

Cause: settings were taken once, from the version that was saved when the service was built.

Change: a committed version is applied whole and at once to what is admitted from then on. Taking over, a replica applies the latest version before it leads; one that cannot leaves the lead to another. A replica logs with which version it starts.

--- a/ploverspoke/__main__.py
+++ b/ploverspoke/__main__.py
@@ -11,6 +11,6 @@
 
     block_signals()  # before the other imports, which take a while
 
-    from .service.service import main
+    from .service.program import main
 
     sys.exit(main())
--- a/ploverspoke/cli.py
+++ b/ploverspoke/cli.py
@@ -155,7 +155,7 @@
         sys.exit(run_processes(processes))
     if store is not None:
         sys.exit(_serve_with_store(store, new, join))
-    from ploverspoke.service.service import main as run_dispatcher
+    from ploverspoke.service.program import main as run_dispatcher
 
     sys.exit(run_dispatcher())
 
--- a/ploverspoke/config_distribution/dynamic_config.py
+++ b/ploverspoke/config_distribution/dynamic_config.py
@@ -20,7 +20,8 @@
     first_missing_key,
 )
 from ploverspoke.service.exit_codes import run_with_exit_code
-from ploverspoke.service.service import Service, create_service, run_service
+from ploverspoke.service.program import create_service, run_service
+from ploverspoke.service.service import Service
 from ploverspoke.service.startup import block_signals
 from ploverspoke.transport.rate_limited_log import log_line
 
--- a/ploverspoke/service/service.py
+++ b/ploverspoke/service/service.py
@@ -21,7 +21,6 @@
 from ploverspoke.transport.connection_pool import ConnectionPool, max_idle_time_for
 from ploverspoke.transport.connections import ConnectionMonitor
 from ploverspoke.transport.deadlines import Deadlines
-from ploverspoke.transport.garbage_collection import freeze_startup_objects
 from ploverspoke.transport.loop_meter import ConnectionKind
 from ploverspoke.transport.memory_account import MemoryAccount
 from ploverspoke.transport.rate_limited_log import log_line
@@ -31,13 +30,11 @@
 from .config_changes import log_unapplied_keys
 from .config_reader import ConfigError, InvalidValueError, first_missing_key
 from .descriptor_limit import usable_descriptors
-from .event_loop import new_event_loop
-from .exit_codes import run_with_exit_code
 from .handover import ProcessRegistry
 from .inherited_socket import open_inherited_socket
 from .shared_request_ids import open_request_ids
 from .shutdown import ShutdownSchedule, longest_deadline, shutdown_schedule
-from .startup import BLOCKED_SIGNALS, block_signals
+from .startup import BLOCKED_SIGNALS
 
 FIRST_LIST_TIMEOUT = 1500 * MILLISECOND  # wait for discovery's first answer while a predecessor serves
 FIRST_LIST_CHECK_INTERVAL = 20 * MILLISECOND
@@ -212,16 +209,25 @@
 
         Raises ConfigError, with nothing changed, if it lacks a key that the active one has.
         """
-        old = self.config
-        missing = first_missing_key(old.document, new.document)
+        missing = first_missing_key(self.config.document, new.document)
         if missing is not None:
             raise InvalidValueError(key=missing, problem="is missing: the configuration in force has it")
+        # The replicas of a store change their settings together, by a committed configuration.
+        self._apply_config(new, settings_are_fixed=self.router.recorder is not None)
+
+    def apply_committed_config(self, new: Config) -> None:
+        """Apply a configuration that the replicas of a store have agreed on, including its settings.
+
+        Keys may be missing: whether a replica applies a version must not depend on what it had before.
+        """
+        self._apply_config(new, settings_are_fixed=False)
+
+    def _apply_config(self, new: Config, settings_are_fixed: bool) -> None:
+        old = self.config
         if self.router.load_gossip is None:
             # Peers are read only at the start; without them there is no load gossip.
             new = new._replace(settings=replace(new.settings, gossip_allowed=False))
         settings_differ = new.settings != old.settings or new.names != old.names
-        # A store records requests with their class numbers, so these must not change while it is in use.
-        settings_are_fixed = self.router.recorder is not None
         log_unapplied_keys(old, new, settings_differ and settings_are_fixed)
         if new.discovery != old.discovery:
             log_line(f"new configuration: discovery is at {new.discovery} now")
@@ -270,30 +276,3 @@
             self.client_server.stop_accepting()
         if elapsed >= schedule.answer_at:
             self.router.completion.answer_all()
-
-
-def create_service(config: Config) -> Service:
-    """Build a dispatcher on a new event loop, which becomes the current event loop of this thread."""
-    return Service(new_event_loop(), config)
-
-
-def run_service(service: Service) -> None:
-    """Run a service built by `create_service` until it has shut down. Raises OSError, see `Service.run`."""
-    freeze_startup_objects()
-    service.loop.run_until_complete(service.run())
-
-
-def _run() -> None:
-    service = create_service(read_config(os.environ))
-    service.inherit_socket(os.environ)
-    run_service(service)
-
-
-def main() -> int:
-    """Serve with the configuration of the environment until SIGTERM.
-
-    Returns the exit code. 0: stopped on request. 2: the configuration is invalid or an address cannot be
-    listened on.
-    """
-    block_signals()
-    return run_with_exit_code(_run)
--- a/ploverspoke/store/daemon.py
+++ b/ploverspoke/store/daemon.py
@@ -17,7 +17,6 @@
 from .node import StoreNode
 from .request_log import ReplicatedRequestLog
 from .shared_config import merge_config
-from .snapshot import SharedConfiguration
 
 
 class StoreDaemon:
@@ -28,6 +27,8 @@
         self.config = config
         self.node = StoreNode(config)
         self.shared_body = ""  # JSON of the shared configuration; "" if none was committed
+        self.applied_version = 0  # of the shared configuration; 0: none
+        self.rejected_version = 0
 
     async def run(self, new: bool, join: str) -> None:
         """Serve until SIGTERM or SIGINT.
@@ -39,9 +40,13 @@
         read_config_document(os.environ)  # reports an invalid file before anything is opened
         try:
             await self.node.open(new, join)
-            self.shared_body = self.node.saved_configuration()
+            saved = self.node.saved_configuration()
+            self.shared_body, self.applied_version = saved.body, saved.version
+            log_line(f"store: {self.config.name} starts with configuration {saved.version}")
             self.service = self._build_service(self.read_config())
-            self.node.on_configuration = self._apply_configuration
+            self.node.on_configuration = self.request_log.on_configuration_committed
+            if self.node.saved_version > saved.version:  # it was not saved, and is read from the log
+                self.apply_latest_configuration()
             freeze_startup_objects()
             await self.service.run()
         finally:
@@ -56,6 +61,8 @@
         settings = config.settings
         class_rules = rules_of_classes(config.names.request_classes, settings.classes)
         request_log = ReplicatedRequestLog(self.node, class_rules, settings.full_may_have_run)
+        request_log.apply_configuration = self.apply_latest_configuration
+        self.request_log = request_log
         service = Service(asyncio.get_running_loop(), config, request_log)
         service.load_config = self.read_config
         endpoint_cache = EndpointCache(self.node.save_endpoints, config.known_endpoints)
@@ -63,17 +70,35 @@
         request_log.on_leadership_lost = service.router.completion.leave_all_to_leader
         return service
 
-    def _apply_configuration(self, configuration: SharedConfiguration) -> None:
-        """Apply a committed version as SIGHUP does; keys that need a restart apply at the next start."""
-        previous, self.shared_body = self.shared_body, configuration.body
+    def apply_latest_configuration(self) -> bool:
+        """Make the latest version in the replicated state the active one, unless it is.
+
+        Returns False if this replica cannot apply it; the previous one stays active then.
+        """
+        latest = self.node.requests.configuration()
+        if latest is None or latest.version == self.applied_version:
+            return True
+        if latest.version == self.rejected_version:
+            return False
+        previous_body, self.shared_body = self.shared_body, latest.body
         try:
-            self.service.apply_config(self.read_config())
-            log_line(f"store: configuration {configuration.version} applied")
+            self.service.apply_committed_config(self.read_config())
         except (ConfigError, ValueError) as error:
-            self.shared_body = previous
-            log_line(
-                f"store: configuration {configuration.version} rejected, the previous one stays: {error}"
-            )
+            self.shared_body, self.rejected_version = previous_body, latest.version
+            log_line(f"store: configuration {latest.version} rejected, the previous one stays: {error}")
+            return False
+        self.applied_version, self.rejected_version = latest.version, 0
+        self._update_rules()
+        log_line(f"store: configuration {latest.version} applied")
+        return True
+
+    def _update_rules(self) -> None:
+        """Record requests from now on under the rules of the active settings."""
+        active = self.service.router.active_settings
+        settings = active.current
+        class_rules = rules_of_classes(active.classes.names, settings.classes)
+        active_rules = [class_rules[number] for number in settings.active_classes]
+        self.request_log.change_rules(class_rules, active_rules, settings.full_may_have_run)
 
 
 def main(store: Path, new: bool = False, join: str = "") -> int:
--- a/ploverspoke/store/node.py
+++ b/ploverspoke/store/node.py
@@ -48,19 +48,19 @@
         self.requests = RequestStateMachine()
         super().__init__(config, self.requests, storage)
         self.requests.on_time = self.clock.advance_to
-        self.on_configuration: Callable[[SharedConfiguration], None] | None = None
+        self.on_configuration: Callable[[], None] | None = None  # called after a later one was committed
         self.saved_version = 0  # version of the saved configuration
 
     def on_storage_opened(self) -> None:
         """Read the version of the saved configuration, and save each later one once it is committed."""
-        self.saved_version = self._load_configuration().version
+        self.saved_version = self.saved_configuration().version
         self.requests.on_configuration = self._on_configuration_committed
 
     # ---- Values saved outside the log ----
 
-    def saved_configuration(self) -> str:
-        """Return the body of the saved configuration; "" if none was ever committed."""
-        return self._load_configuration().body
+    def saved_configuration(self) -> SavedConfiguration:
+        """Return the saved configuration; version 0 if none was ever committed."""
+        return self.storage.load_value(CONFIGURATION_KEY, SavedConfiguration) or SavedConfiguration()
 
     def saved_endpoints(self) -> EndpointListDocument | None:
         """Return the saved endpoint list, if there is one."""
@@ -70,16 +70,13 @@
         """Save the endpoint list in the background."""
         self.save_value(ENDPOINTS_KEY, endpoints)
 
-    def _load_configuration(self) -> SavedConfiguration:
-        return self.storage.load_value(CONFIGURATION_KEY, SavedConfiguration) or SavedConfiguration()
-
     def _on_configuration_committed(self, configuration: SharedConfiguration) -> None:
         if configuration.version <= self.saved_version:
             return
         self.saved_version = configuration.version
         self.save_value(CONFIGURATION_KEY, [configuration.version, configuration.body])
         if self.on_configuration is not None:
-            self.loop.call_soon(self.on_configuration, configuration)
+            self.loop.call_soon(self.on_configuration)
 
     # ---- Admin requests ----
 
--- a/ploverspoke/store/request_log.py
+++ b/ploverspoke/store/request_log.py
@@ -13,6 +13,7 @@
 from ploverspoke.transport.units import SECOND
 
 from .class_rules import UNKNOWN_RULES, ClassRules
+from .leadership_hand_over import LeadershipHandOver
 from .log_commands import (
     AnswerRequest,
     FinishAttempt,
@@ -45,17 +46,29 @@
         `full_may_have_run`: a worker's answer "full" does not prove that it did not run the request.
         """
         self.node = node
-        self.class_rules = class_rules
-        self.rules_by_name = {rules.class_name: rules for rules in class_rules}
-        self.full_may_have_run = full_may_have_run
+        self.change_rules(class_rules, class_rules, full_may_have_run)
         self.on_leadership_lost: Callable[[], None] = lambda: None
+        # Applies the latest committed configuration; False if this replica cannot apply it.
+        self.apply_configuration: Callable[[], bool] = lambda: True
         self.is_leading = False
         self.recovered_count = 0  # open requests that this replica found when it became the leader
         # Open requests that this replica's router answers. This log answers the others, by timers.
         self._ids_at_router: set[str] = set()
         self._deadline_timers = RequestTimers(self._on_deadline)
+        self._hand_over = LeadershipHandOver(node, lambda: self.is_leading)
         node.role_listeners.append(self._on_role_changed)
 
+    def change_rules(
+        self,
+        class_rules: Sequence[ClassRules],
+        active_rules: Sequence[ClassRules],
+        full_may_have_run: bool,
+    ) -> None:
+        """Use the rules of other settings: `class_rules` by class number, of which some may be active."""
+        self.class_rules = class_rules
+        self.rules_by_name = {rules.class_name: rules for rules in active_rules}
+        self.full_may_have_run = full_may_have_run
+
     def is_leader(self) -> bool:
         """Whether this replica may act: it has applied all committed entries, and no other can lead now."""
         return self.is_leading and self.node.leads()
@@ -181,15 +194,29 @@
         if role is Role.LEADER:
             self.node.read_barrier(self._take_over)
         elif self.is_leading:
-            self.is_leading = False
-            self._ids_at_router.clear()
-            self._deadline_timers.cancel_all()
-            log_line(f"store: {self.node.config.name} is no longer the leader")
-            self.on_leadership_lost()
+            self._stop_leading()
+
+    def _stop_leading(self) -> None:
+        self.is_leading = False
+        self._ids_at_router.clear()
+        self._deadline_timers.cancel_all()
+        log_line(f"store: {self.node.config.name} is no longer the leader")
+        self.on_leadership_lost()
+
+    def on_configuration_committed(self) -> None:
+        """Apply the latest configuration; a leader that cannot do so leaves the lead to another replica."""
+        if not self.apply_configuration() and self.is_leading and self._hand_over.other_voters():
+            self._stop_leading()
+        if self.node.is_elected() and not self.is_leading:
+            self.node.read_barrier(self._take_over)
 
     def _take_over(self, is_current: bool) -> None:
         """Start to lead and handle the open requests; all entries committed before are applied by now."""
-        if not is_current:
+        if not is_current or self.is_leading:
+            return
+        # Requests must not run under settings that a commit has replaced.
+        if not self.apply_configuration() and self._hand_over.other_voters():
+            self._hand_over.start()
             return
         self.is_leading = True
         open_requests = list(self.node.requests.open_requests.items())
--- a/ploverspoke/supervisor/child.py
+++ b/ploverspoke/supervisor/child.py
@@ -8,7 +8,7 @@
 from ploverspoke.service.config_reader import ConfigError
 from ploverspoke.service.descriptor_limit import system_descriptor_limit
 from ploverspoke.service.exit_codes import EXIT_OK, EXIT_UNUSABLE, print_error
-from ploverspoke.service.service import create_service
+from ploverspoke.service.program import create_service
 from ploverspoke.service.startup import block_signals
 
 from .child_environment import ChildEnvironment
--- a/ploverspoke/testbed/fakes/baseline_dispatcher.py
+++ b/ploverspoke/testbed/fakes/baseline_dispatcher.py
@@ -6,7 +6,7 @@
 import os
 
 from ploverspoke.service.config import read_config
-from ploverspoke.service.service import create_service
+from ploverspoke.service.program import create_service
 
 from ..models.baseline_policies import RandomPick
 
--- a/tests/routing/test_late_writes.py
+++ b/tests/routing/test_late_writes.py
@@ -34,7 +34,10 @@
     "ExpectedTimeUs": 20_000_000,
 }
 LIMITS = {"Cancel": False, "ConnectTimeoutUs": 20_000_000, "MaxHandOffs": 6, "IdleCloseUs": 60_000_000}
-KEYED_SETTINGS: dict[str, Any] = {"Limits": LIMITS, "ServiceGrades": [*SETTINGS["ServiceGrades"], KEYED_CLASS]}
+KEYED_SETTINGS: dict[str, Any] = {
+    "Limits": LIMITS,
+    "ServiceGrades": [*SETTINGS["ServiceGrades"], KEYED_CLASS],
+}
 FAILED_RESPONSE = b"HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n"
 
 
