A dispatcher that missed a version waits for it before clients can connect

Callers saw requests handled under settings that a published version had replaced: a dispatcher that was down at the publication served under the version of its cache until a config server had sent it the latest one.

Cause: the watch began once clients could connect.

Without servers the version of the cache is served, as before.

--- a/ploverspoke/config_distribution/client.py
+++ b/ploverspoke/config_distribution/client.py
@@ -105,6 +105,10 @@
             self.close_connection(link_id)
         self.cache_writer.close()
 
+    def is_current(self) -> bool:
+        """Whether a server has told its latest version, and that version was received."""
+        return self.watcher.is_current()
+
     # ---- Environment of the watcher ----
 
     def now(self) -> int:
--- a/ploverspoke/config_distribution/dynamic_config.py
+++ b/ploverspoke/config_distribution/dynamic_config.py
@@ -168,7 +168,8 @@
     service = create_service(config)
     service.inherit_socket(os.environ)
     client = attach_watch(service, watch_config, own_config, applied)
-    service.on_ready = client.start
+    service.on_started = client.start
+    service.is_configured = client.is_current
     try:
         run_service(service)
     finally:
--- a/ploverspoke/config_distribution/watcher.py
+++ b/ploverspoke/config_distribution/watcher.py
@@ -152,6 +152,12 @@
         """Whether a server is watched and has sent its first heartbeat."""
         return self.link is not None and self.link.server_version != NO_HEARTBEAT
 
+    def is_current(self) -> bool:
+        """Whether the watched server's latest version was received, be it applied or rejected."""
+        if self.link is None or self.link.server_version == NO_HEARTBEAT:
+            return False
+        return self.versions.received.number >= self.link.server_version
+
     # ---- Messages ----
 
     def _handle_message(self, link: ServerLink, message: object, now: int) -> None:
--- a/ploverspoke/service/service.py
+++ b/ploverspoke/service/service.py
@@ -37,7 +37,8 @@
 from .startup import BLOCKED_SIGNALS
 
 FIRST_LIST_TIMEOUT = 1500 * MILLISECOND  # wait for discovery's first answer while a predecessor serves
-FIRST_LIST_CHECK_INTERVAL = 20 * MILLISECOND
+FIRST_VERSION_TIMEOUT = 1500 * MILLISECOND  # wait for the latest version of a distributed configuration
+START_CHECK_INTERVAL = 20 * MILLISECOND
 PROCESS_COUNT_INTERVAL = 250 * MILLISECOND
 
 
@@ -48,6 +49,9 @@
         load_config: Reads the configuration again on SIGHUP; may raise ConfigError.
         listening_socket: An inherited listening socket, used in place of a new one.
         process_registry: The registry that counts the processes of this dispatcher.
+        on_started: Called when all but the listening socket is open.
+        is_configured: Whether the settings are the latest. Clients cannot connect before, but are not kept
+            waiting for longer than `FIRST_VERSION_TIMEOUT`.
         on_ready: Called when clients can connect.
     """
 
@@ -91,6 +95,8 @@
         self.admin_server = AdminServer(loop, self.deadlines, self.client_server, self.router)
         self.listening_socket: socket.socket | None = None
         self.process_registry = ProcessRegistry(None)
+        self.on_started: Callable[[], None] = lambda: None
+        self.is_configured: Callable[[], bool] = lambda: True
         self.on_ready: Callable[[], None] = lambda: None
         self.shared_directory: str | None = None  # that other processes of this dispatcher use as well
         self.may_lack_ids = True  # other processes may have used ids that this one does not know
@@ -126,8 +132,10 @@
         document = self.config.known_endpoints
         known = None if document is None else parse_endpoint_list(document)
         self.router.start(known, resume=not has_predecessor)
-        if has_predecessor:
-            await self._wait_for_first_list()
+        if has_predecessor:  # it serves until this process listens
+            await self._wait_until(lambda: bool(self.router.endpoints.lists_received), FIRST_LIST_TIMEOUT)
+        self.on_started()
+        await self._wait_until(self.is_configured, FIRST_VERSION_TIMEOUT)
         if not self.shutdown_started_at:
             self._listen()
         await self.stopped.wait()
@@ -159,14 +167,11 @@
         log_line(f"{self.config.name} serves at {self.config.listen}")
         self.on_ready()
 
-    async def _wait_for_first_list(self) -> None:
-        """Wait for discovery's first answer; the predecessor serves until this process listens."""
-        deadline = self.deadlines.now() + FIRST_LIST_TIMEOUT
-        endpoints = self.router.endpoints
-        while (
-            not endpoints.lists_received and self.deadlines.now() < deadline and not self.shutdown_started_at
-        ):
-            await asyncio.sleep(FIRST_LIST_CHECK_INTERVAL / SECOND)
+    async def _wait_until(self, condition: Callable[[], bool], timeout: int) -> None:
+        """Wait until the condition holds, for at most `timeout` ns, or until the shutdown starts."""
+        deadline = self.deadlines.now() + timeout
+        while not condition() and self.deadlines.now() < deadline and not self.shutdown_started_at:
+            await asyncio.sleep(START_CHECK_INTERVAL / SECOND)
 
     def _set_memory_limit(self, held_bytes: int) -> None:
         """Set the limit of the account, and leave room for a successor where the socket is passed to one."""
