The retry group of an attempt is recorded with it

Callers could see a labelled request run twice after a change of leader: the new leader took the group of the worker that may have run it from its own endpoint list, where the worker may have moved to another zone or rack.

Where it differs from the worker's group now, or an older version recorded none, the request is not repeated.

--- a/ploverspoke/routing/active_settings.py
+++ b/ploverspoke/routing/active_settings.py
@@ -51,6 +51,10 @@
         """The number of a zone; a new name gets the next one."""
         return _number_of(name, self.zones)
 
+    def zone_name(self, number: int) -> str:
+        """The name of a zone; "" if the number has none."""
+        return next((name for name, known in self.zones.items() if known == number), "")
+
     def machine_kind_number(self, name: str) -> int:
         """The number of a machine kind; a new name gets the next one."""
         return _number_of(name, self.machine_kinds)
--- a/ploverspoke/routing/request_log.py
+++ b/ploverspoke/routing/request_log.py
@@ -23,6 +23,7 @@
     attempt_count: int
     bound_worker: str  # the first worker that may have run it; "" if there is none
     time_since_bound: int  # ns since the attempt at `bound_worker`
+    bound_group: str = ""  # retry group of `bound_worker` at that time; "" if an older version recorded it
 
 
 class RequestLog(Protocol):
@@ -60,8 +61,13 @@
     ) -> None:
         """Record an admitted request; `time_left` is the time in ns until its deadline."""
 
-    def record_attempt(self, request_id: str, worker: str, index: int, on_committed: CommitCallback) -> None:
-        """Record that the attempt with this index, counted from 0, is about to be sent to the worker."""
+    def record_attempt(
+        self, request_id: str, worker: str, index: int, on_committed: CommitCallback, group: str = ""
+    ) -> None:
+        """Record that the attempt with this index, counted from 0, is about to be sent to the worker.
+
+        `group` names the worker's retry group, if the request is idempotent with a key.
+        """
 
     def record_attempt_outcome(self, request_id: str, index: int, outcome: AttemptOutcome) -> None:
         """Record how an attempt ended; nothing waits for this commit."""
--- a/ploverspoke/routing/request_recorder.py
+++ b/ploverspoke/routing/request_recorder.py
@@ -4,7 +4,7 @@
 from functools import partial
 
 from ploverspoke.decisions.interface import AttemptOutcome
-from ploverspoke.decisions.settings import Idempotency
+from ploverspoke.decisions.settings import Idempotency, RetryScope
 from ploverspoke.protocol.clients import HttpRequest
 from ploverspoke.protocol.errors import RequestIdInUseError
 from ploverspoke.protocol.wire_names import REQUEST_ID
@@ -19,6 +19,7 @@
 
 LOG_SHARE = 0.8  # of the account of memory, for the log
 COUNTED_SHARE = 0.5  # of the account: clients may use the rest even if the log is full
+UNKNOWN_WORKER = "\0"  # no endpoint list has it
 FULL_LOG_INTERVAL_NS = SECOND  # between requests that are let through while the log is full
 
 
@@ -136,11 +137,14 @@
         request.attempts = [None] * previous.attempt_count
         request.may_have_been_sent = previous.attempt_count > 0
         sent_at = self.deadlines.now() - previous.time_since_bound
+        bound_worker = previous.bound_worker
+        if bound_worker and previous.bound_group != self._retry_group(request, bound_worker):
+            bound_worker = UNKNOWN_WORKER  # which workers drop duplicates of its attempt is not known
         event = partial(
             self.dispatcher.request_resumed,
             request.number,
             previous.attempt_count,
-            previous.bound_worker,
+            bound_worker,
             sent_at,
         )
         self.events.emit(event, request.number)
@@ -150,6 +154,20 @@
         if self.open_requests.get(request.request_id) is request:
             del self.open_requests[request.request_id]
 
+    def _retry_group(self, request: Request, worker_name: str) -> str:
+        """Name the workers that drop the duplicates of an attempt at this worker; "" if they are all or none.
+
+        Numbers of zones differ between replicas, so the name is recorded.
+        """
+        request_class = self.settings.current.classes[request.class_number]
+        worker = self.dispatcher.workers.get(worker_name)
+        is_keyed = request_class.idempotency is Idempotency.IDEMPOTENT_WITH_KEY
+        if not is_keyed or request_class.retry_scope is RetryScope.ALL or worker is None:
+            return ""
+        if request_class.retry_scope is RetryScope.ZONE:
+            return f"zone {self.settings.zone_name(worker.endpoint.zone)}"
+        return f"rack {worker.endpoint.rack}"
+
     def _digest(self, message: HttpRequest) -> bytes:
         return self.request_log.digest(message.method, message.target, message.body, message.headers)
 
@@ -157,7 +175,8 @@
 
     def record_attempt(self, request: Request, worker: str, index: int, on_committed: CommitCallback) -> None:
         """Commit that an attempt may be sent to the worker."""
-        self.request_log.record_attempt(request.request_id, worker, index, on_committed)
+        group = self._retry_group(request, worker)
+        self.request_log.record_attempt(request.request_id, worker, index, on_committed, group)
 
     def record_outcome(self, request: Request, index: int, outcome: AttemptOutcome) -> None:
         """Record how an attempt ended; nothing waits for this commit."""
--- a/ploverspoke/store/log_commands.py
+++ b/ploverspoke/store/log_commands.py
@@ -74,6 +74,12 @@
     wall_time: int = 0
 
 
+class StartAttemptInGroup(StartAttempt, array_like=True, frozen=True, tag="intend"):
+    """An attempt of a request that may be repeated in a retry group; older versions read a `StartAttempt`."""
+
+    group: str = ""
+
+
 class FinishAttempt(msgspec.Struct, array_like=True, frozen=True, tag="outcome"):
     """An attempt ended."""
 
@@ -118,6 +124,7 @@
 # Types with further fields, which entries of older versions lack; a command's array begins with its verb.
 EXTENDED_TYPES: dict[type[LogCommand], type[LogCommand]] = {
     AcceptRequest: AcceptRequestUnderRules,
+    StartAttempt: StartAttemptInGroup,
     AnswerRequest: AnswerRequestEncoded,
 }
 
@@ -133,6 +140,14 @@
     return AcceptRequest(*fields)
 
 
+def start_command(
+    request_id: str, worker: str, index: int, now: int, wall_time: int, group: str
+) -> StartAttempt:
+    """Return the command that records that an attempt may be sent."""
+    fields = (request_id, worker, index, now, wall_time)
+    return StartAttemptInGroup(*fields, group) if group else StartAttempt(*fields)
+
+
 def answer_command(request_id: str, answer: RecordedAnswer, digest: bytes, now: int) -> AnswerRequest:
     """Return the command that records a final answer."""
     result, encoded_result = to_storable(answer.result)
--- a/ploverspoke/store/request_log.py
+++ b/ploverspoke/store/request_log.py
@@ -17,10 +17,10 @@
 from .log_commands import (
     AnswerRequest,
     FinishAttempt,
-    StartAttempt,
     accept_command,
     answer_command,
     outcome_word,
+    start_command,
 )
 from .node import StoreNode
 from .recovery import Recovery, RecoveryVerdict, answer_at_deadline, decide_recovery
@@ -104,8 +104,8 @@
         attempt = recovery.first_possibly_run
         if attempt is None:
             return PreviousOutcome(None, request.full_digest, recovery.attempt_count, "", 0)
-        elapsed = self._time_since_start(attempt)
-        return PreviousOutcome(None, request.full_digest, recovery.attempt_count, attempt.worker, elapsed)
+        bound = (attempt.worker, self._time_since_start(attempt), attempt.group)
+        return PreviousOutcome(None, request.full_digest, recovery.attempt_count, *bound)
 
     def resume(self, request_id: str, class_number: int) -> bool:
         """Take up an open request for a client of that class; False: it was accepted under other rules.
@@ -146,16 +146,19 @@
         self._ids_at_router.add(request_id)
         self.node.propose(command, on_accepted)
 
-    def record_attempt(self, request_id: str, worker: str, index: int, on_committed: CommitCallback) -> None:
-        """Commit that an attempt may be sent to the worker."""
-        now = self.node.clock.now()
+    def record_attempt(
+        self, request_id: str, worker: str, index: int, on_committed: CommitCallback, group: str = ""
+    ) -> None:
+        """Commit that an attempt may be sent to the worker; `group` names its retry group."""
         name = escape_name(worker)
+        now, wall_time = self.node.clock.now(), time.time_ns()
+        command = start_command(request_id, name, index, now, wall_time, escape_name(group))
 
         def on_attempt_committed(is_committed: bool) -> None:
             """Report False if the state ignored the command, because the request has its answer."""
             on_committed(is_committed and self._has_attempt(request_id, name, index))
 
-        self.node.propose(StartAttempt(request_id, name, index, now, time.time_ns()), on_attempt_committed)
+        self.node.propose(command, on_attempt_committed)
 
     def record_attempt_outcome(self, request_id: str, index: int, outcome: AttemptOutcome) -> None:
         """Commit the outcome of an attempt; nothing waits for this commit."""
--- a/ploverspoke/store/snapshot.py
+++ b/ploverspoke/store/snapshot.py
@@ -25,6 +25,12 @@
     started_at: int
     outcome_word: str = ""  # "": not known; see `outcome_word` of log_commands.py
     started_wall_time: int = 0
+    group: str = ""  # retry group of the worker; "": not needed, or of an older version
+
+    def stored_fields(self) -> tuple[object, ...]:
+        """Return the fields as a snapshot stores them."""
+        fields = (self.worker, self.index, self.started_at, self.outcome_word, self.started_wall_time)
+        return (*fields, self.group) if self.group else fields
 
     @property
     def outcome(self) -> AttemptOutcome | None:
@@ -56,7 +62,8 @@
 
     def stored_fields(self) -> tuple[object, ...]:
         """Return the fields as a snapshot stores them."""
-        fields = (self.request_class, self.digest, self.deadline, self.accepted_at, self.attempts)
+        attempts = [attempt.stored_fields() for attempt in self.attempts]
+        fields = (self.request_class, self.digest, self.deadline, self.accepted_at, attempts)
         if self.headers_digest:
             return (*fields, self.rules, self.headers_digest)
         return fields if self.rules == UNKNOWN_RULES else (*fields, self.rules)
--- a/ploverspoke/store/state_machine.py
+++ b/ploverspoke/store/state_machine.py
@@ -20,6 +20,7 @@
     FinishAttempt,
     LogCommand,
     StartAttempt,
+    StartAttemptInGroup,
     decode_command,
 )
 from .snapshot import (
@@ -148,8 +149,9 @@
         if request is not None:
             # An entry of an older version has only one time, which is the wall time.
             wall_time = command.wall_time or command.now
+            group = command.group if isinstance(command, StartAttemptInGroup) else ""
             request.attempts.append(
-                AttemptRecord(command.worker, command.index, command.now, started_wall_time=wall_time)
+                AttemptRecord(command.worker, command.index, command.now, "", wall_time, group)
             )
 
     def _finish_attempt(self, command: FinishAttempt) -> None:
--- a/tests/store/request_log_harness.py
+++ b/tests/store/request_log_harness.py
@@ -19,6 +19,7 @@
         self.pending_commits: list[tuple[str, CommitCallback]] = []  # calls that wait for their commit
         self.delayed_calls: set[str] = set()
         self.outcomes: list[tuple[str, int, AttemptOutcome]] = []
+        self.groups: list[str] = []  # retry groups of the attempts
         self.previous: dict[str, PreviousOutcome] = {}
 
     def is_leader(self) -> bool:
@@ -49,7 +50,10 @@
     ) -> None:
         self._commit("request", on_committed)
 
-    def record_attempt(self, request_id: str, worker: str, index: int, on_committed: CommitCallback) -> None:
+    def record_attempt(
+        self, request_id: str, worker: str, index: int, on_committed: CommitCallback, group: str = ""
+    ) -> None:
+        self.groups.append(group)
         self._commit("attempt", on_committed)
 
     def record_attempt_outcome(self, request_id: str, index: int, outcome: AttemptOutcome) -> None:
