The planned delay of a last byte does not count as the age of a timeout

Cause: the planned delay before the last byte was counted as lateness, so each attempt there was withheld.

Change: lateness counts from when the last byte is due, which no longer moves while the kernel takes no more.

--- a/ploverspoke/routing/worker_calls.py
+++ b/ploverspoke/routing/worker_calls.py
@@ -15,7 +15,8 @@
 # A worker that has closed the connection, or rejects it, is noticed within this time after the first bytes.
 MEMORY_RETRY_DELAY_NS = 20 * MILLISECOND  # before a response is read on that there was no memory for
 LAST_BYTE_DELAY_NS = 2 * MILLISECOND
-MAX_TIMEOUT_AGE_NS = 100 * MILLISECOND  # of the timeout in the head, when the last byte is written
+# The timeout in the head is too long if the last byte is written later than this after it was due.
+MAX_LAST_BYTE_LATENESS_NS = 100 * MILLISECOND
 MAX_UNCHECKED_BYTES = 16 * 1024  # a longer request may stay unsent in part while a worker does not read
 
 
@@ -78,7 +79,7 @@
         self.is_reusable = False  # whether the connection can carry another request
         self.delay_last_byte = delay_last_byte
         self.last_byte: bytes | None = None  # if it is delayed and not written yet
-        self.encoded_at = 0  # ns; the timeout in the head counts from then on
+        self.last_byte_due_at = 0  # ns; earliest time to write it
         self.ends_at = self.deadlines.now() + timeout
         self.deadline = self.deadlines.schedule(self.ends_at, self._on_timeout)
         max_idle_time = pool.safe_idle_time() if delay_last_byte else None
@@ -115,10 +116,10 @@
             self._write_to_end(connection, message)
             return
         self.last_byte = message[-1:]
-        self.encoded_at = now
+        self.last_byte_due_at = now + (LAST_BYTE_DELAY_NS if self.delay_last_byte else 0)
         connection.write(message[:-1])
         if self.delay_last_byte:
-            self.deadlines.schedule(now + LAST_BYTE_DELAY_NS, self._write_last_byte)
+            self.deadlines.schedule(self.last_byte_due_at, self._write_last_byte)
         else:
             self._write_last_byte()
 
@@ -197,13 +198,13 @@
         now = self.deadlines.now()
         if self.last_byte is None or self.connection is None or self.connection.has_unsent_data:
             return
-        if self.delay_last_byte and now < self.encoded_at + LAST_BYTE_DELAY_NS:
+        if now < self.last_byte_due_at:
             return
         if self.connection.has_unread_data():
             # The worker closed the connection or responded to an incomplete request: that is read first.
             self.deadlines.schedule(now, self._write_last_byte)
             return
-        is_outdated = now - self.encoded_at > MAX_TIMEOUT_AGE_NS
+        is_outdated = now - self.last_byte_due_at > MAX_LAST_BYTE_LATENESS_NS
         if self.user is None or is_outdated or not self._may_still_send(self.user):
             self._stop(ExchangeOutcome.NOT_SENT, ExchangeOutcome.NOT_SENT)
             return
