A repeat that joins an open request is answered by its own deadline

Callers that sent an open request again with a shorter time-out got their answer after it, or none in time: they waited until the open request's own deadline.

Cause: the deadline of a client that joins was not looked at.

Change: it is answered by its own deadline, 503 for idempotent classes and 504 for others, and the request goes on for the others.

Measured: the two cases of the new test fail on the code before and pass.

--- a/ploverspoke/routing/completion.py
+++ b/ploverspoke/routing/completion.py
@@ -93,6 +93,16 @@
             log_line(f"request {request.request_id} was not answered in time by the decisions")
             self.answer_without_decision(request)
 
+    def on_joined_client_deadline(self, request: Request, client: Client) -> None:
+        """Answer a client that joined an open request and may wait less long; the request goes on."""
+        waiting = request.waiting_clients
+        if waiting is None or client not in waiting.clients:
+            return
+        waiting.clients.remove(client)
+        is_idempotent = self.settings.idempotency(request.class_number) is Idempotency.IDEMPOTENT
+        client.answer(FinalAnswer.REJECTED if is_idempotent else FinalAnswer.FAILED)
+        self.reject_if_never_sent(request)
+
     def answer_without_decision(self, request: Request | None) -> None:
         """After a fault or at shutdown: reject what cannot have run or is idempotent, and fail the rest."""
         if request is None or request.client is None:
--- a/ploverspoke/routing/request_admission.py
+++ b/ploverspoke/routing/request_admission.py
@@ -92,7 +92,7 @@
             self.counters.count_rejected(self.settings.class_name(class_number))
             self.request_journal.rejected_for_capacity(exceeded)
             return NotAdmitted.NO_CAPACITY
-        due_at = self.deadlines.now() + timeout - min(MAX_ANSWER_MARGIN_NS, timeout // ANSWER_MARGIN_DIVISOR)
+        due_at = self._answer_due_at(timeout)
         request = Request(client, class_number, message, due_at)
         self._register(request)
         affinity_key = _bounded_key(message.headers.get(AFFINITY_KEY, ""))
@@ -164,6 +164,10 @@
         requested = clients.request_timeout(message.headers)
         return max_timeout if requested is None else min(requested, max_timeout)
 
+    def _answer_due_at(self, timeout: int) -> int:
+        """The time (ns) by which a client with this timeout gets its final answer."""
+        return self.deadlines.now() + timeout - min(MAX_ANSWER_MARGIN_NS, timeout // ANSWER_MARGIN_DIVISOR)
+
     def _handle_repeat(
         self, recorder: RequestRecorder, client: Client, message: HttpRequest
     ) -> Request | NotAdmitted | None:
@@ -173,6 +177,10 @@
         """
         request = recorder.join_open_request(client, message)
         if request is not None:
+            due_at = self._answer_due_at(self._timeout(message, request.class_number))
+            if due_at < request.deadline:
+                on_deadline = partial(self.completion.on_joined_client_deadline, request, client)
+                self.deadlines.schedule(due_at, on_deadline)
             return request
         recorded = recorder.recorded_answer(message)
         if recorded is None:
--- a/tests/store/test_foreign_repeats.py
+++ b/tests/store/test_foreign_repeats.py
@@ -60,6 +60,21 @@
     run_with_request_log(scenario, "answer", log=DigestingRequestLog())
 
 
+@pytest.mark.parametrize(("class_name", "status"), [("look", 503), ("book", 504)])
+def test_repeat_with_an_earlier_deadline_is_answered_by_then(class_name: str, status: int) -> None:
+    # It waited for the open request until that one's deadline.
+    async def scenario(harness: ServiceHarness, log: ControlledRequestLog) -> None:
+        first = asyncio.create_task(harness.exchange(harness.request("r", class_name)))
+        commit = await log.wait_for("answer")
+        timeout = "Request-Timeout-Ms: 100\r\n"
+        repeat = await harness.exchange(harness.request("r", class_name, extra_headers=timeout))
+        assert repeat[0] == status and not first.done()
+        commit(True)
+        assert (await first)[0] == 200
+
+    run_with_request_log(scenario, "answer", log=DigestingRequestLog())
+
+
 @pytest.mark.parametrize("answer", [FinalAnswer.SUCCEEDED, FinalAnswer.FAILED, None])
 def test_record_without_headers_gives_nobody_a_result_and_goes_on_if_open(answer: FinalAnswer | None) -> None:
     # An older version recorded no headers: for whom a result was is not known.
