A start uses the latest version known, and waits for a server with a leader

A replica whose latest configuration was not saved, as its disk failed then, applied it after its service was built and before it ran; the service is built from it now.

Measured: tests of committed settings, of the store's node and of the version at the start pass.

--- a/ploverspoke/config_distribution/watcher.py
+++ b/ploverspoke/config_distribution/watcher.py
@@ -153,8 +153,8 @@
         return self.link is not None and self.link.server_version != NO_HEARTBEAT
 
     def is_current(self) -> bool:
-        """Whether the watched server's latest version was received, be it applied or rejected."""
-        if self.link is None or self.link.server_version == NO_HEARTBEAT:
+        """Whether the latest version of a server with a leader was received, be it applied or rejected."""
+        if self.link is None or self.link.server_version == NO_HEARTBEAT or not self.link.is_healthy:
             return False
         return self.versions.received.number >= self.link.server_version
 
--- a/ploverspoke/store/daemon.py
+++ b/ploverspoke/store/daemon.py
@@ -40,13 +40,11 @@
         read_config_document(os.environ)  # reports an invalid file before anything is opened
         try:
             await self.node.open(new, join)
-            saved = self.node.saved_configuration()
-            self.shared_body, self.applied_version = saved.body, saved.version
-            log_line(f"store: {self.config.name} starts with configuration {saved.version}")
+            latest = self.node.latest_known_configuration()
+            self.shared_body, self.applied_version = latest.body, latest.version
+            log_line(f"store: {self.config.name} starts with configuration {latest.version}")
             self.service = self._build_service(self.read_config())
             self.node.on_configuration = self.request_log.on_configuration_committed
-            if self.node.saved_version > saved.version:  # it was not saved, and is read from the log
-                self.apply_latest_configuration()
             freeze_startup_objects()
             await self.service.run()
         finally:
--- a/ploverspoke/store/node.py
+++ b/ploverspoke/store/node.py
@@ -62,6 +62,13 @@
         """Return the saved configuration; version 0 if none was ever committed."""
         return self.storage.load_value(CONFIGURATION_KEY, SavedConfiguration) or SavedConfiguration()
 
+    def latest_known_configuration(self) -> SavedConfiguration:
+        """Return the saved configuration, or that of the restored snapshot if the later one was not saved."""
+        saved, restored = self.saved_configuration(), self.requests.configuration()
+        if restored is None or restored.version <= saved.version:
+            return saved
+        return SavedConfiguration(restored.version, restored.body)
+
     def saved_endpoints(self) -> EndpointListDocument | None:
         """Return the saved endpoint list, if there is one."""
         return self.storage.load_value(ENDPOINTS_KEY, EndpointListDocument)
