--- a/tests/config_distribution/test_fleet.py
+++ b/tests/config_distribution/test_fleet.py
@@ -138,3 +138,15 @@
     fleet.run(120 * SECOND)
     assert len(fleet.servers["s0"].links) == 30
     assert all(watcher.server_changes() == 1 for watcher in fleet.watchers)
+
+
+def test_version_of_a_server_without_a_leader_is_not_taken_for_the_latest() -> None:
+    # A dispatcher that starts began to serve under the version of a server that may have missed later ones.
+    fleet = VirtualFleet(1, 1, lambda number: [0])
+    watcher = fleet.watchers[0].watcher
+    fleet.servers["s0"].has_leader = False
+    fleet.run(3 * SECOND)
+    assert watcher.is_connected() and not watcher.is_current()
+    fleet.servers["s0"].has_leader = True
+    fleet.run(3 * SECOND)
+    assert watcher.is_current()
--- a/tests/store/test_committed_settings.py
+++ b/tests/store/test_committed_settings.py
@@ -14,6 +14,7 @@
 from ploverspoke.routing.answers import FinalAnswer, RecordedAnswer
 from ploverspoke.store.daemon import StoreDaemon
 from ploverspoke.store.log_commands import answer_command
+from ploverspoke.store.request_log import ReplicatedRequestLog
 from ploverspoke.testbed.processes.addresses import reserve_ports
 from tests.decisions.harness import SETTINGS
 from tests.polling import until
@@ -46,9 +47,14 @@
 
     async def start(self, new: bool) -> None:
         self.running = asyncio.create_task(self.daemon.run(new, ""))
-        await until(lambda: self.running.done() or hasattr(self.daemon, "request_log"))
+        await until(lambda: self.running.done() or hasattr(self.daemon, "service"))
         assert not self.running.done(), self.running.result()
 
+    def request_log(self) -> ReplicatedRequestLog:
+        recorder = self.daemon.service.router.recorder
+        assert recorder is not None and isinstance(recorder.request_log, ReplicatedRequestLog)
+        return recorder.request_log
+
     async def stop(self) -> None:
         self.daemon.service.shut_down()
         await self.running
@@ -59,7 +65,7 @@
             leader.transfer_leadership("r2")
 
     async def lead(self) -> None:
-        while not self.daemon.request_log.is_leading:
+        while not self.request_log().is_leading:
             self.ask_to_lead()
             await asyncio.sleep(0.05)
 
@@ -117,9 +123,9 @@
             await daemon.start(new=came_by != "restart")
         await daemon.lead()
         if came_by == "running":
-            await until(lambda: daemon.daemon.applied_version == 1)
+            await until(lambda: daemon.idempotency_of_bookings() is Idempotency.NON_IDEMPOTENT)
         assert daemon.idempotency_of_bookings() is Idempotency.NON_IDEMPOTENT
-        rules = daemon.daemon.request_log.rules_by_name
+        rules = daemon.request_log().rules_by_name
         assert rules["book"].idempotency is Idempotency.NON_IDEMPOTENT
 
     run_daemon(tmp_path, monkeypatch, scenario)
@@ -133,12 +139,12 @@
         await daemon.start(new=True)
         await daemon.lead()
         assert await commit(daemon.daemon.node, body(Repeat="never heard of"))
-        await until(lambda: not daemon.daemon.request_log.is_leading)
+        await until(lambda: not daemon.request_log().is_leading)
         await until(cluster.leader)
         daemon.ask_to_lead()
         await until(daemon.daemon.node.is_elected)
         await until(cluster.leader)
-        assert not daemon.daemon.request_log.is_leading
+        assert not daemon.request_log().is_leading
         await commit_at_leader(cluster, body(Repeat="single_shot"))
         await daemon.lead()
         assert daemon.idempotency_of_bookings() is Idempotency.NON_IDEMPOTENT
--- a/tests/store/test_recorded_groups.py
+++ b/tests/store/test_recorded_groups.py
@@ -1,12 +1,19 @@
 """The retry group of an attempt is recorded with it: its worker may move before the leader changes."""
 
+from pathlib import Path
+
 import pytest
 
+from ploverspoke.decisions.state import SECOND
+from ploverspoke.routing.request_digest import content_digest
 from ploverspoke.routing.request_log import PreviousOutcome
+from ploverspoke.routing.request_recorder import RequestRecorder
 from ploverspoke.store.log_commands import AcceptRequest, encode_command, start_command
 from ploverspoke.store.state_machine import RequestStateMachine
 from tests.decisions.harness import SETTINGS
 from tests.routing.harness import ServiceHarness
+from tests.store.daemon_harness import run_single_replica
+from tests.store.request_commits import committed
 from tests.store.request_log_harness import ControlledRequestLog, run_with_request_log
 
 KEYED_CLASS = {**SETTINGS["ServiceGrades"][1], "Name": "turn", "Repeat": "guarded", "RepeatWindowUs": 800_000}
@@ -38,3 +45,19 @@
     copy.restore_snapshot(state.take_snapshot())
     assert [attempt.group for attempt in copy.open_requests["r"].attempts] == ["zone a", ""]
     assert copy.open_requests == state.open_requests
+
+
+def test_attempt_recorded_without_its_group_is_not_repeated(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # The group was taken from the list of now, although the worker may have moved since: it ran twice.
+    async def script(harness: ServiceHarness, recorder: RequestRecorder) -> None:
+        log = recorder.request_log
+        digest = content_digest("POST", "/turn/1?a=b", b"x")
+        assert await committed(log.record_request, "r", 2, digest, 60 * SECOND)
+        assert await committed(log.record_attempt, "r", "w0", 0)
+        status, _, _ = await harness.exchange(harness.request("r", "turn"))
+        assert (status, harness.attempt_count("r")) == (504, 0)
+
+    classes = [*SETTINGS["ServiceGrades"], {**KEYED_CLASS, "Group": "cell"}]
+    run_single_replica(tmp_path, monkeypatch, script, ServiceGrades=classes)
